--- /dev/null
+++ b/engines/src/park.rs
@@ -0,0 +1,161 @@
+//! The engines a router knows, by dense index, with what sending to them has shown.
+
+/// Invariants: an index is never given to another `id`; `busy` counts sends whose outcome is open;
+/// nothing is sent to one that is not `up` and `here`.
+#[derive(Clone, Debug)]
+pub struct Stall {
+    pub id: String,
+    pub service: u32,
+    pub addr: String,
+    pub area: u32,
+    pub prefill: bool,
+    pub decode: bool,
+    pub slots: u32,
+    pub up: bool,
+    pub here: bool,
+    pub cold_until: u64,
+    pub ramp: crate::budget::Ramp,
+    /// Own sends under way, and the tokens they have yet to read.
+    pub busy: u32,
+    pub tokens: u64,
+    /// Requests running and waiting, as last reported, when, and the own share of it then.
+    pub load: (u32, u32),
+    pub load_at: u64,
+    pub load_busy: u32,
+    /// Failures without an answer, in a row; it is left alone until `shy_until`.
+    pub strikes: u32,
+    pub shy_until: u64,
+    pub full_until: u64,
+}
+
+#[derive(Default)]
+pub struct Park {
+    pub list: Vec<Stall>,
+    index: std::collections::HashMap<String, usize>,
+    services: std::collections::HashMap<String, u32>,
+    areas: std::collections::HashMap<String, u32>,
+    sheets: crate::sheet::Sheets,
+}
+
+fn dense(map: &mut std::collections::HashMap<String, u32>, name: &str) -> u32 {
+    let next = map.len() as u32;
+    *map.entry(name.to_string()).or_insert(next)
+}
+
+impl Park {
+    pub fn service(&mut self, name: &str) -> u32 {
+        dense(&mut self.services, name)
+    }
+
+    pub fn area(&mut self, name: &str) -> u32 {
+        dense(&mut self.areas, name)
+    }
+
+    pub fn find(&self, id: &str) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    pub fn stamps(&self) -> Vec<(String, u64, u64)> {
+        self.sheets.all().map(|sheet| (sheet.area.clone(), sheet.turn, sheet.count)).collect()
+    }
+
+    /// Takes a sheet; gives the ids of engines that just left or began to drain.
+    pub fn take(&mut self, sheet: &wire::msg::Sheet, now: u64) -> Vec<String> {
+        if !self.sheets.take(sheet) {
+            return Vec::new();
+        }
+        let area = self.area(&sheet.area);
+        let mut left = Vec::new();
+        let named: std::collections::HashSet<&str> = sheet.list.iter().map(|engine| engine.id.as_str()).collect();
+        for stall in self.list.iter_mut().filter(|stall| stall.area == area && stall.here) {
+            if !named.contains(stall.id.as_str()) {
+                stall.here = false;
+                left.push(stall.id.clone());
+            }
+        }
+        for engine in &sheet.list {
+            let service = self.service(&engine.service);
+            let at = match self.index.get(&engine.id) {
+                Some(at) => *at,
+                None => self.add(engine, service, area),
+            };
+            let stall = &mut self.list[at];
+            if stall.up && !engine.up {
+                left.push(stall.id.clone());
+            }
+            stall.here = true;
+            stall.up = engine.up;
+            stall.addr.clone_from(&engine.addr);
+            stall.prefill = engine.phase != "decode";
+            stall.decode = engine.phase != "prefill";
+            stall.slots = engine.slots.max(1);
+            if engine.cold_ms > 0 {
+                stall.cold_until = stall.cold_until.max(now + u64::from(engine.cold_ms));
+            }
+        }
+        left
+    }
+
+    fn add(&mut self, engine: &wire::msg::Engine, service: u32, area: u32) -> usize {
+        let at = self.list.len();
+        self.list.push(Stall {
+            id: engine.id.clone(),
+            service,
+            addr: engine.addr.clone(),
+            area,
+            prefill: false,
+            decode: false,
+            slots: 1,
+            up: false,
+            here: true,
+            cold_until: 0,
+            ramp: Default::default(),
+            busy: 0,
+            tokens: 0,
+            load: (0, 0),
+            load_at: 0,
+            load_busy: 0,
+            strikes: 0,
+            shy_until: 0,
+            full_until: 0,
+        });
+        self.index.insert(engine.id.clone(), at);
+        at
+    }
+}
+
+impl Stall {
+    /// Requests at the engine, as far as can be known here: the last report, moved on by own sends.
+    pub fn pressure(&self, now: u64, seats: u32) -> f64 {
+        let own = f64::from(self.busy);
+        if self.load_at == 0 || now > self.load_at + 3000 {
+            return own * f64::from(seats.max(1)).sqrt();
+        }
+        let told = f64::from(self.load.0 + self.load.1);
+        (told + own - f64::from(self.load_busy)).max(own)
+    }
+
+    /// `Server-Load`: running, waiting, slots.
+    pub fn report(&mut self, text: &str, now: u64) {
+        let mut numbers = text.split(',').map(|piece| piece.trim().parse::<u32>());
+        let (Some(Ok(run)), Some(Ok(wait))) = (numbers.next(), numbers.next()) else { return };
+        self.load = (run, wait);
+        self.load_at = now;
+        self.load_busy = self.busy;
+    }
+
+    pub fn good(&mut self) {
+        self.strikes = 0;
+        self.shy_until = 0;
+    }
+
+    /// No answer: left alone for longer each time, up to two seconds.
+    pub fn strike(&mut self, now: u64) {
+        self.strikes += 1;
+        self.shy_until = now + (250u64 << self.strikes.min(3));
+    }
+}
+
+#[cfg(test)]
+#[path = "park_tests.rs"]
+mod tests;
--- /dev/null
+++ b/engines/src/place.rs
@@ -0,0 +1,131 @@
+//! Choosing engines: pure functions over the park. Lower cost wins; ties go by rendezvous.
+
+/// What a choice looks at.
+pub struct View<'a> {
+    pub park: &'a crate::park::Park,
+    pub now: u64,
+    pub service: u32,
+    /// The router's own area.
+    pub area: u32,
+    /// Areas not to be used: evacuated, or outside the homes. By dense index.
+    pub shut: &'a [u32],
+    /// Engines already tried for this errand.
+    pub tried: &'a [usize],
+    pub seats: u32,
+    /// What one cold engine bears in a second, all routers together; 0: unbounded.
+    pub ramp: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Half {
+    Prefill,
+    Decode,
+}
+
+/// What it costs to reach another area, as a share of a prompt's tokens.
+const FAR: f64 = 0.08;
+
+impl View<'_> {
+    fn fits(&self, at: usize, stall: &crate::park::Stall, half: Half) -> bool {
+        let part = match half {
+            Half::Prefill => stall.prefill,
+            Half::Decode => stall.decode,
+        };
+        stall.service == self.service
+            && part
+            && stall.up
+            && stall.here
+            && !self.shut.contains(&stall.area)
+            && !self.tried.contains(&at)
+    }
+
+    fn ramped(&self, stall: &crate::park::Stall) -> bool {
+        if self.ramp <= 0.0 || stall.cold_until <= self.now {
+            return true;
+        }
+        stall.ramp.clone().allows(self.ramp, self.seats, self.now)
+    }
+
+    /// Engines that may be sent to, those that answered lately before those that did not.
+    pub fn open(&self, half: Half) -> Vec<usize> {
+        let all = self.park.list.iter().enumerate().filter(|(at, stall)| self.fits(*at, stall, half));
+        let fit: Vec<usize> = all.filter(|(_, stall)| self.ramped(stall)).map(|(at, _)| at).collect();
+        let calm: Vec<usize> = fit.iter().copied().filter(|at| self.park.list[*at].shy_until <= self.now).collect();
+        let roomy: Vec<usize> = calm.iter().copied().filter(|at| self.park.list[*at].full_until <= self.now).collect();
+        if !roomy.is_empty() {
+            return roomy;
+        }
+        if !calm.is_empty() {
+            return calm;
+        }
+        fit
+    }
+
+    /// Does the service have engines of this half at all, reachable or not?
+    pub fn has(&self, half: Half) -> bool {
+        let part = |stall: &crate::park::Stall| match half {
+            Half::Prefill => stall.prefill && !stall.decode,
+            Half::Decode => stall.decode && !stall.prefill,
+        };
+        self.park.list.iter().any(|stall| stall.service == self.service && stall.here && stall.up && part(stall))
+    }
+
+    /// The reader of a prompt: `held` gives, by engine, the tokens of the longest prefix it owns.
+    pub fn prefill(&self, tokens: u32, held: &[(usize, u32)], shared: u32, key: u64) -> Option<usize> {
+        let open = self.open(Half::Prefill);
+        let nobody = !held.iter().any(|(at, _)| open.contains(at));
+        let first = open.iter().copied().max_by_key(|at| rank(key, &self.park.list[*at].id));
+        let cost = |at: usize| {
+            let stall = &self.park.list[at];
+            let mut have = held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0);
+            if nobody && Some(at) == first {
+                have = shared;
+            }
+            let read = f64::from(tokens.saturating_sub(have));
+            let mean = if stall.busy > 0 { stall.tokens as f64 / f64::from(stall.busy) } else { f64::from(tokens) };
+            let queue = stall.pressure(self.now, self.seats) * mean.min(f64::from(tokens).max(1.0));
+            let far = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) };
+            read + queue + far
+        };
+        least(&open, cost, |at| rank(key, &self.park.list[at].id))
+    }
+
+    /// The maker of tokens: near the memory, not crowded. `from` is the engine that read the prompt.
+    pub fn decode(&self, tokens: u32, held: &[(usize, u32)], from: Option<usize>, key: u64) -> Option<usize> {
+        let open = self.open(Half::Decode);
+        let home = from.map_or(self.area, |at| self.park.list[at].area);
+        let cost = |at: usize| {
+            let stall = &self.park.list[at];
+            let have = held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0);
+            let lack = f64::from(tokens.saturating_sub(have)) / 65536.0;
+            let crowd = stall.pressure(self.now, self.seats) / f64::from(stall.slots);
+            let far = if stall.area == home { 1.0 } else { 2.0 };
+            let body = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) / 65536.0 };
+            crowd + lack * far + body
+        };
+        least(&open, cost, |at| rank(key, &self.park.list[at].id))
+    }
+}
+
+fn rank(key: u64, id: &str) -> u64 {
+    kernel::clock::blend(key, kernel::clock::hash(id.as_bytes()))
+}
+
+fn least(open: &[usize], cost: impl Fn(usize) -> f64, rank: impl Fn(usize) -> u64) -> Option<usize> {
+    let mut best: Option<(f64, u64, usize)> = None;
+    for at in open {
+        let (price, order) = (cost(*at), rank(*at));
+        let better = match &best {
+            None => true,
+            Some((low, top, _)) => price < *low || (price == *low && order > *top),
+        };
+        if better {
+            best = Some((price, order, *at));
+        }
+    }
+    best.map(|(_, _, at)| at)
+}
+
+#[cfg(test)]
+#[path = "place_tests.rs"]
+mod tests;
--- /dev/null
+++ b/engines/src/place_tests.rs
@@ -0,0 +1,77 @@
+fn park() -> crate::park::Park {
+    let engine = |id: &str, area: &str, phase: &str, up: bool| wire::msg::Engine {
+        id: id.into(),
+        service: "s".into(),
+        addr: "10.0.0.1:80".into(),
+        area: area.into(),
+        phase: phase.into(),
+        model: String::new(),
+        slots: 8,
+        up,
+        cold_ms: 0,
+    };
+    let mut park = crate::park::Park::default();
+    for area in ["a", "b"] {
+        let list = vec![
+            engine(&format!("p-{area}"), area, "prefill", true),
+            engine(&format!("d-{area}"), area, "decode", true),
+            engine(&format!("x-{area}"), area, "decode", false),
+        ];
+        park.take(&wire::msg::Sheet { area: area.into(), turn: 1, count: 1, list }, 0);
+    }
+    park
+}
+
+fn view<'a>(park: &'a crate::park::Park, shut: &'a [u32], tried: &'a [usize]) -> super::View<'a> {
+    super::View { park, now: 1000, service: 0, area: 0, shut, tried, seats: 3, ramp: 3.0 }
+}
+
+fn id(park: &crate::park::Park, at: Option<usize>) -> &str {
+    at.map_or("", |at| park.list[at].id.as_str())
+}
+
+#[test]
+fn the_longest_prefix_owner_reads_unless_it_is_pressed() {
+    let mut park = park();
+    let far = park.find("p-b").expect("known");
+    assert_eq!(id(&park, view(&park, &[], &[]).prefill(9000, &[(far, 6000)], 6000, 5)), "p-b");
+    park.list[far].busy = 4;
+    park.list[far].tokens = 36_000;
+    assert_eq!(id(&park, view(&park, &[], &[]).prefill(9000, &[(far, 6000)], 6000, 5)), "p-a");
+}
+
+#[test]
+fn all_routers_choose_the_same_reader_while_nobody_owns() {
+    let park = park();
+    let mut away = view(&park, &[], &[]);
+    let near = away.prefill(9000, &[], 6000, 77);
+    away.area = 1;
+    assert_eq!(near, away.prefill(9000, &[], 6000, 77));
+}
+
+#[test]
+fn draining_shut_and_tried_engines_are_never_chosen() {
+    let park = park();
+    let tried = [park.find("d-a").expect("known")];
+    assert_eq!(id(&park, view(&park, &[], &tried).decode(10, &[], None, 1)), "d-b");
+    assert_eq!(id(&park, view(&park, &[0], &[]).decode(10, &[], None, 1)), "d-b");
+    assert_eq!(view(&park, &[0, 1], &[]).decode(10, &[], None, 1), None);
+}
+
+#[test]
+fn the_memory_stays_in_its_area() {
+    let park = park();
+    let from = park.find("p-b");
+    assert_eq!(id(&park, view(&park, &[], &[]).decode(60_000, &[], from, 1)), "d-b");
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_than_its_slice() {
+    let mut park = park();
+    let at = park.find("d-a").expect("known");
+    park.list[at].cold_until = 5000;
+    park.list[at].ramp.note(900);
+    assert_eq!(id(&park, view(&park, &[], &[]).decode(10, &[], None, 1)), "d-b");
+    park.list[at].cold_until = 0;
+    assert_eq!(id(&park, view(&park, &[], &[]).decode(10, &[], None, 1)), "d-a");
+}
--- /dev/null
+++ b/engines/src/sheet.rs
@@ -0,0 +1,91 @@
+//! The list of engines as the pollers saw it, a sheet an area.
+
+/// Invariant: the stamp (turn, count) of an area's sheet never goes back.
+#[derive(Default)]
+pub struct Sheets {
+    list: std::collections::BTreeMap<String, wire::msg::Sheet>,
+}
+
+impl Sheets {
+    /// True when the sheet is newer than what was held.
+    pub fn take(&mut self, sheet: &wire::msg::Sheet) -> bool {
+        let held = self.list.get(&sheet.area).map(|held| (held.turn, held.count));
+        if held >= Some((sheet.turn, sheet.count)) {
+            return false;
+        }
+        self.list.insert(sheet.area.clone(), sheet.clone());
+        true
+    }
+
+    /// What a poller saw. `turn` is its own while nobody else polled this area since; else it must
+    /// go above. Gives the new sheet when something changed.
+    pub fn poll(&mut self, area: &str, turn: &mut u64, list: Vec<wire::msg::Engine>) -> Option<wire::msg::Sheet> {
+        let held = self.list.get(area);
+        let top = held.map_or(0, |held| held.turn);
+        if *turn < top || *turn == 0 {
+            *turn = top + 1;
+        }
+        let same = held.is_some_and(|held| held.turn == *turn && alike(&held.list, &list));
+        if same {
+            return None;
+        }
+        let count = held.filter(|held| held.turn == *turn).map_or(1, |held| held.count + 1);
+        let sheet = wire::msg::Sheet { area: area.into(), turn: *turn, count, list };
+        self.list.insert(area.into(), sheet.clone());
+        Some(sheet)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &wire::msg::Sheet> {
+        self.list.values()
+    }
+
+    pub fn get(&self, area: &str) -> Option<&wire::msg::Sheet> {
+        self.list.get(area)
+    }
+}
+
+/// The same but for the running down of what is left of a cold time.
+fn alike(left: &[wire::msg::Engine], right: &[wire::msg::Engine]) -> bool {
+    let plain = |engine: &wire::msg::Engine| wire::msg::Engine { cold_ms: u32::from(engine.cold_ms > 0), ..engine.clone() };
+    left.len() == right.len() && left.iter().zip(right).all(|(one, two)| plain(one) == plain(two))
+}
+
+#[cfg(test)]
+mod tests {
+    fn engine(id: &str, cold_ms: u32) -> wire::msg::Engine {
+        wire::msg::Engine {
+            id: id.into(),
+            service: "s".into(),
+            addr: "10.1.1.1:80".into(),
+            area: "a".into(),
+            phase: "decode".into(),
+            model: String::new(),
+            slots: 1,
+            up: true,
+            cold_ms,
+        }
+    }
+
+    #[test]
+    fn a_successor_goes_above_and_the_first_never_goes_back() {
+        let (mut one, mut two) = (super::Sheets::default(), super::Sheets::default());
+        let mut turn = 0;
+        let first = one.poll("a", &mut turn, vec![engine("i-1", 0)]).expect("new");
+        assert!(two.take(&first) && !two.take(&first));
+        let mut other = 0;
+        let second = two.poll("a", &mut other, vec![]).expect("new");
+        assert!((second.turn, second.count) > (first.turn, first.count));
+        assert!(one.take(&second));
+        let third = one.poll("a", &mut turn, vec![engine("i-1", 0)]).expect("new");
+        assert!((third.turn, third.count) > (second.turn, second.count));
+    }
+
+    #[test]
+    fn only_a_change_makes_a_sheet() {
+        let mut list = super::Sheets::default();
+        let mut turn = 0;
+        assert!(list.poll("a", &mut turn, vec![engine("i-1", 900)]).is_some());
+        assert!(list.poll("a", &mut turn, vec![engine("i-1", 400)]).is_none());
+        assert!(list.poll("a", &mut turn, vec![engine("i-1", 0)]).is_some());
+    }
+}
--- /dev/null
+++ b/keeper/src/boot.rs
@@ -0,0 +1,101 @@
+//! Start and end of the process.
+
+/// The parts of the keeper that announce themselves.
+#[kernel::plug::linkme::distributed_slice]
+#[linkme(crate = kernel::plug::linkme)]
+pub static PARTS: [kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>>];
+
+macro_rules! part {
+    ($label:ident, $name:literal, $order:literal, $start:path) => {
+        #[kernel::plug::linkme::distributed_slice(PARTS)]
+        #[linkme(crate = kernel::plug::linkme)]
+        static $label: kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>> =
+            kernel::plug::Plug { name: $name, order: $order, start: $start };
+    };
+}
+
+part!(GOSSIP, "gossip", 2, crate::gossip::start);
+part!(JOIN, "join", 3, crate::join::start);
+part!(PLATFORM, "platform", 4, crate::platform::start);
+part!(DUTY, "catalog", 5, crate::platform::duty);
+part!(CONTROL, "control", 6, crate::control::start);
+part!(FELLOWS, "fellows", 1, fellows);
+
+fn fellows(hall: &std::sync::Arc<crate::hall::Hall>) {
+    let addr = format!("{}:{}", hall.env.ip, hall.env.fellow_port());
+    let hall = hall.clone();
+    let handler: wire::link::Handler =
+        std::sync::Arc::new(move |mouth, id, msg| crate::message::take(&hall, mouth, id, msg));
+    tokio::spawn(async move {
+        loop {
+            match wire::sock::listen(&addr) {
+                Ok(listener) => wire::link::serve(listener, handler.clone()).await,
+                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(200)).await,
+            }
+        }
+    });
+}
+
+/// The first core is the seeds: at the first start all daemons are told the same.
+fn found(env: &kernel::env::Env) -> wire::msg::Core {
+    let mut ips = env.seed_ips();
+    ips.sort();
+    ips.dedup();
+    let list = ips.into_iter().map(|ip| wire::msg::Member { ip, area: String::new() }).collect();
+    wire::msg::Core { stamp: 1, list, prev: Vec::new(), settled: true }
+}
+
+pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
+    let life = kernel::clock::life();
+    let mut voter = ledger::voter::Voter::new(&env.ip);
+    let mut store = None;
+    let mut deeds = Vec::new();
+    if let Some(dir) = &env.data_dir {
+        match ledger::store::Store::open(std::path::Path::new(dir)) {
+            Ok((open, found)) => (store, deeds) = (Some(open), found),
+            Err(error) => {
+                kernel::say!(crate::event::BAD_DISK, "cause" => error.to_string());
+                eprintln!("keeper: {error}");
+                return std::process::ExitCode::from(4);
+            }
+        }
+    }
+    let empty = deeds.is_empty();
+    for deed in deeds {
+        voter.fold(deed);
+    }
+    let mut first = Vec::new();
+    if empty && env.bootstrap {
+        voter.core = found(&env);
+        voter.able = true;
+        first = voter.whole();
+    }
+    kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone(), "empty" => empty,
+        "bootstrap" => env.bootstrap, "able" => voter.able, "core" => voter.core.stamp);
+    let mirror = voter.clone();
+    let disk = crate::disk::Disk::start(store, mirror);
+    disk.write(first);
+    let shelf = catalog::shelf::Shelf::new(200_000, 30_000);
+    let hall = std::sync::Arc::new(crate::hall::Hall {
+        life,
+        seat: ledger::seat(&env.ip, life),
+        voter: std::sync::Mutex::new(voter),
+        disk,
+        board: Default::default(),
+        roster: std::sync::Mutex::new(roster::Roster::new(&env.ip, &env.zone, crate::hall::LIVE_MS)),
+        sheets: Default::default(),
+        crew: Default::default(),
+        shelf: std::sync::Mutex::new(crate::hall::Desk { shelf, epoch: 0, drops: 0 }),
+        helms: Default::default(),
+        calls: Default::default(),
+        polls: tokio::sync::Semaphore::new(1),
+        env,
+    });
+    let mut word = kernel::signal::watch();
+    kernel::plug::start(&PARTS, &hall);
+    let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
+    kernel::say!(crate::event::LEAVE);
+    // Calls under way get a moment; nothing else is owed, since all that was answered is on disk.
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/keeper/src/control.rs
@@ -0,0 +1,184 @@
+//! The operator's calls: one handler object a resource. A receipt is a small value; one place
+//! writes it.
+
+/// How long a call may take before it is answered as unclear: well inside `ack_ms`.
+fn wait_ms(hall: &crate::hall::Hall) -> u64 {
+    (hall.env.bounds.ack_ms / 2).clamp(800, 2500)
+}
+
+pub enum Receipt {
+    Good,
+    Text(Vec<u8>),
+    /// Status and what is wrong.
+    Bad(u16, String),
+    Unclear,
+}
+
+fn write(receipt: Receipt) -> poem::Response {
+    let json = |status: u16, body: Vec<u8>| {
+        let code = poem::http::StatusCode::from_u16(status).unwrap_or(poem::http::StatusCode::INTERNAL_SERVER_ERROR);
+        poem::Response::builder().status(code).content_type("application/json").body(body)
+    };
+    match receipt {
+        Receipt::Good => json(200, b"{}".to_vec()),
+        Receipt::Text(body) => json(200, body),
+        Receipt::Bad(status, words) => {
+            kernel::say!(crate::event::REFUSED, "status" => status, "error" => words.clone());
+            json(status, serde_json::json!({ "error": words }).to_string().into_bytes())
+        }
+        Receipt::Unclear => {
+            kernel::say!(crate::event::UNCLEAR);
+            let mut reply = json(503, serde_json::json!({ "error": "no majority answered in time" }).to_string().into_bytes());
+            reply.headers_mut().insert("retry-after", poem::http::HeaderValue::from_static("0.3"));
+            reply
+        }
+    }
+}
+
+/// Largest body taken from an operator.
+const BODY: usize = 8 * 1024 * 1024;
+
+struct Config(std::sync::Arc<crate::hall::Hall>);
+struct Evacuation(std::sync::Arc<crate::hall::Hall>);
+
+impl Config {
+    async fn read(&self) -> Receipt {
+        let wait = wait_ms(&self.0);
+        let judge = |body: &[u8]| crate::council::Verdict::Answer(crate::state::Held::read(body));
+        match self.0.change(crate::state::CONFIG, wait, judge).await {
+            Some(held) if held.revision > 0 => Receipt::Text(held.text.into_bytes()),
+            Some(_) => Receipt::Bad(404, "no configuration yet".into()),
+            None => Receipt::Unclear,
+        }
+    }
+
+    async fn change(&self, base: Option<u64>, text: String, patch: bool) -> Receipt {
+        let Some(base) = base else { return Receipt::Bad(400, "If-Match: missing or not a number".into()) };
+        let mut mark = kernel::clock::hash(text.as_bytes());
+        mark = kernel::clock::blend(mark, base * 2 + u64::from(patch));
+        let judge = |body: &[u8]| match verdict(&crate::state::Held::read(body), base, &text, patch, mark) {
+            Ok(None) => crate::council::Verdict::Answer(Receipt::Good),
+            Ok(Some(next)) => crate::council::Verdict::Write(next.write(), Receipt::Good),
+            Err((status, words)) => crate::council::Verdict::Answer(Receipt::Bad(status, words)),
+        };
+        let receipt = self.0.change(crate::state::CONFIG, wait_ms(&self.0), judge).await;
+        if let Some(Receipt::Good) = &receipt {
+            let stamp = self.0.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+            kernel::say!(crate::event::CONFIG, "base" => base, "revision" => stamp);
+        }
+        receipt.unwrap_or(Receipt::Unclear)
+    }
+}
+
+/// How many digests of taken changes are kept: many times what an operator may still resend.
+const TAKEN: usize = 256;
+
+/// What a change comes to on top of what is held. Ok(None): it was taken before.
+pub fn verdict(
+    held: &crate::state::Held,
+    base: u64,
+    text: &str,
+    patch: bool,
+    mark: u64,
+) -> Result<Option<crate::state::Held>, (u16, String)> {
+    if held.taken.contains(&mark) {
+        return Ok(None);
+    }
+    if base != held.revision {
+        return Err((412, format!("If-Match: found {base}, version {} is current", held.revision)));
+    }
+    let mut whole = text.to_string();
+    if patch {
+        let change: serde_json::Value = serde_json::from_str(text).map_err(|error| (400, format!("change: {error}")))?;
+        let now: serde_json::Value = serde_json::from_str(&held.text).map_err(|_| (400, "no configuration to change".into()))?;
+        whole = wire::config::patch(&now, &change).map_err(|words| (400, words))?.to_string();
+    }
+    let config = wire::config::read(&whole).map_err(|words| (400, words))?;
+    if config.revision <= held.revision {
+        return Err((400, format!("revision: found {}, must be above {}", config.revision, held.revision)));
+    }
+    let mut taken = held.taken.clone();
+    taken.push(mark);
+    let extra = taken.len().saturating_sub(TAKEN);
+    taken.drain(..extra);
+    Ok(Some(crate::state::Held { revision: config.revision, text: whole, taken }))
+}
+
+impl Evacuation {
+    async fn set(&self, area: &str, on: bool) -> Receipt {
+        if !self.0.env.zones.contains_key(area) {
+            return Receipt::Bad(404, format!("zone `{area}`: not known"));
+        }
+        let key = format!("{}{area}", crate::state::CLOSED);
+        let judge = |body: &[u8]| {
+            let held = crate::state::Closed::read(body);
+            if held.on == on {
+                return crate::council::Verdict::Answer(());
+            }
+            crate::council::Verdict::Write(crate::state::Closed { stamp: held.stamp + 1, on }.write(), ())
+        };
+        let done = self.0.change(&key, wait_ms(&self.0), judge).await;
+        if done.is_some() {
+            kernel::say!(crate::event::EVACUATION, "zone" => area, "on" => on);
+        }
+        done.map_or(Receipt::Unclear, |()| Receipt::Good)
+    }
+}
+
+impl poem::Endpoint for Config {
+    type Output = poem::Response;
+
+    async fn call(&self, mut req: poem::Request) -> poem::Result<poem::Response> {
+        let patch = match req.method().as_str() {
+            "GET" => return Ok(write(self.read().await)),
+            "PUT" => false,
+            "PATCH" => true,
+            _ => return Ok(write(Receipt::Bad(405, "method: GET, PUT or PATCH".into()))),
+        };
+        let base = req.header("if-match").and_then(|value| value.trim().trim_matches('"').parse().ok());
+        let body = match req.take_body().into_bytes_limit(BODY).await {
+            Ok(body) => body,
+            Err(_) => return Ok(write(Receipt::Bad(400, "body: cut short or too large".into()))),
+        };
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
+            return Ok(write(Receipt::Bad(400, "body: not UTF-8".into())));
+        };
+        Ok(write(self.change(base, text, patch).await))
+    }
+}
+
+impl poem::Endpoint for Evacuation {
+    type Output = poem::Response;
+
+    async fn call(&self, req: poem::Request) -> poem::Result<poem::Response> {
+        let on = match req.method().as_str() {
+            "POST" => true,
+            "DELETE" => false,
+            _ => return Ok(write(Receipt::Bad(405, "method: POST or DELETE".into()))),
+        };
+        let area = req.path_params::<String>().unwrap_or_default();
+        Ok(write(self.set(&area, on).await))
+    }
+}
+
+pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
+    let Some(addr) = hall.env.bind_addresses.control_plane.clone() else { return };
+    let app = std::sync::Arc::new(poem::Route::new()
+        .at("/config", Config(hall.clone()))
+        .at("/evacuation/:zone", Evacuation(hall.clone())));
+    tokio::spawn(async move {
+        loop {
+            let pause = std::time::Duration::from_millis(200);
+            let Ok(listener) = wire::sock::listen(&addr) else {
+                tokio::time::sleep(pause).await;
+                continue;
+            };
+            let sock = socket2::SockRef::from(&listener);
+            let _ = sock.set_tcp_user_timeout(Some(std::time::Duration::from_millis(wire::sock::SILENCE_MS)));
+            let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) else { continue };
+            let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(std::time::Duration::from_secs(30));
+            let _ = server.run(app.clone()).await;
+            tokio::time::sleep(pause).await;
+        }
+    });
+}
--- /dev/null
+++ b/keeper/src/crew.rs
@@ -0,0 +1,14 @@
+//! The routers that follow this keeper.
+
+/// Invariant: `has` is what was last sent or told; a follower never gets an older stamp.
+pub struct Follower {
+    pub mouth: wire::link::Mouth,
+    pub config: u64,
+    pub closed: std::collections::BTreeMap<String, u64>,
+    pub sheets: std::collections::BTreeMap<String, (u64, u64)>,
+}
+
+#[derive(Default)]
+pub struct Crew {
+    pub list: std::collections::BTreeMap<String, Follower>,
+}
--- /dev/null
+++ b/keeper/src/hall.rs
@@ -0,0 +1,90 @@
+//! The one state of the process. It is passed by reference; nothing else is global.
+//!
+//! Lock order: helms, voter, board, roster, sheets, crew, shelf. No lock but a helm is held over an
+//! await.
+
+pub struct Hall {
+    pub env: kernel::env::Env,
+    pub life: u64,
+    pub seat: u64,
+    pub voter: std::sync::Mutex<ledger::voter::Voter>,
+    pub disk: crate::disk::Disk,
+    pub board: std::sync::Mutex<Board>,
+    pub roster: std::sync::Mutex<roster::Roster>,
+    pub sheets: std::sync::Mutex<engines::sheet::Sheets>,
+    pub crew: std::sync::Mutex<crate::crew::Crew>,
+    pub shelf: std::sync::Mutex<Desk>,
+    pub helms: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::council::Helms>>>,
+    pub calls: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<wire::link::Caller>>>,
+    pub polls: tokio::sync::Semaphore,
+}
+
+/// What is known to be committed. Invariant: the place of an entry never goes back.
+#[derive(Default)]
+pub struct Board {
+    pub entries: std::collections::BTreeMap<String, wire::msg::Entry>,
+    /// When the read began that last confirmed these at a majority; None before the first.
+    pub sure: Option<u64>,
+    /// The highest turn seen in any ballot.
+    pub turn: u64,
+    /// The configuration's number and text, and the evacuations with their stamps.
+    pub config: Option<(u64, Vec<u8>)>,
+    pub closed: std::collections::BTreeMap<String, (u64, bool)>,
+    pub duty: (u64, String),
+}
+
+/// The catalog as held here. Invariant: it answers only under `epoch`, and only while this keeper
+/// holds the duty.
+pub struct Desk {
+    pub shelf: catalog::shelf::Shelf,
+    pub epoch: u64,
+    pub drops: u32,
+}
+
+/// A keeper counts as live while heard within this.
+pub const LIVE_MS: u64 = 1100;
+pub const BEAT_MS: u64 = 350;
+/// A confirmation older than this no longer makes the news sure.
+pub const SURE_MS: u64 = 1100;
+/// How long a router's lease lasts after each renewal.
+pub const SEAT_MS: u64 = 1600;
+
+impl Hall {
+    pub fn me(&self) -> &str {
+        &self.env.ip
+    }
+
+    pub fn fellow(&self, ip: &str) -> std::sync::Arc<wire::link::Caller> {
+        let mut calls = self.calls.lock().expect("calls");
+        let addr = format!("{ip}:{}", self.env.fellow_port());
+        calls.entry(ip.into()).or_insert_with(|| std::sync::Arc::new(wire::link::Caller::start(addr, None))).clone()
+    }
+
+    pub fn core(&self) -> wire::msg::Core {
+        self.voter.lock().expect("voter").core.clone()
+    }
+
+    /// Keepers that are known: the core, the seeds, whoever was heard.
+    pub fn known(&self) -> Vec<String> {
+        let mut list = self.env.seed_ips();
+        list.extend(self.core().list.into_iter().map(|member| member.ip));
+        list.extend(self.roster.lock().expect("roster").keepers.keys().cloned());
+        list.sort();
+        list.dedup();
+        list.retain(|ip| ip != self.me());
+        list
+    }
+
+    pub fn sure(&self, now: u64) -> bool {
+        self.board.lock().expect("board").sure.is_some_and(|time| now < time + SURE_MS)
+    }
+
+    /// Takes over a committed core.
+    pub fn adopt(&self, core: &wire::msg::Core) {
+        let deed = self.voter.lock().expect("voter").adopt(core);
+        let Some(deed) = deed else { return };
+        kernel::say!(crate::event::CORE, "stamp" => core.stamp, "settled" => core.settled,
+            "members" => core.list.iter().map(|member| member.ip.as_str()).collect::<Vec<_>>().join(","));
+        self.disk.write(vec![deed]);
+    }
+}
--- /dev/null
+++ b/keeper/src/main.rs
@@ -0,0 +1,54 @@
+//! The control plane: knows which engines and daemons exist, holds and delivers the configuration.
+mod boot;
+mod control;
+mod council;
+mod crew;
+mod disk;
+mod event;
+mod gossip;
+mod hall;
+mod join;
+mod message;
+mod news;
+mod platform;
+mod state;
+
+mod flags {
+    xflags::xflags! {
+        /// Control-plane daemon of tidepoint.
+        cmd keeper {
+            /// Only check the settings and say what is wrong with them.
+            optional --check
+            /// Print the version.
+            optional --version
+        }
+    }
+}
+
+fn main() -> std::process::ExitCode {
+    let flags = match flags::Keeper::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    if flags.version {
+        println!("keeper {}", env!("CARGO_PKG_VERSION"));
+        return std::process::ExitCode::SUCCESS;
+    }
+    let env = match kernel::env::load(&kernel::env::path()) {
+        Ok(env) => env,
+        Err(error) => {
+            eprintln!("keeper: {}", error.current_context());
+            return std::process::ExitCode::from(2);
+        }
+    };
+    if flags.check {
+        println!("settings are good");
+        return std::process::ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let Ok(runtime) = runtime else {
+        eprintln!("keeper: no runtime");
+        return std::process::ExitCode::from(3);
+    };
+    runtime.block_on(boot::run(env))
+}
--- /dev/null
+++ b/keeper/src/message.rs
@@ -0,0 +1,55 @@
+//! What fellows send: one place that takes each message to its part.
+
+pub fn take(hall: &std::sync::Arc<crate::hall::Hall>, mouth: wire::link::Mouth, id: u64, msg: wire::msg::Msg) {
+    let now = kernel::clock::now();
+    match msg {
+        wire::msg::Msg::Poll(poll) => {
+            hall.adopt(&poll.core);
+            hall.vote(*poll, move |vote| {
+                mouth.reply(id, &wire::msg::Msg::Vote(Box::new(vote)));
+            });
+        }
+        wire::msg::Msg::Gossip(gossip) => crate::gossip::hear(hall, &gossip),
+        wire::msg::Msg::Sheet(sheet) => {
+            if hall.sheets.lock().expect("sheets").take(&sheet) {
+                crate::platform::prune(hall, &sheet);
+                hall.push();
+            }
+        }
+        wire::msg::Msg::Learn(pair) => hall.learn(&pair.0, &pair.1, false),
+        wire::msg::Msg::Follow(follow) => hall.follow(mouth, id, *follow),
+        wire::msg::Msg::Query(query) => {
+            let reply = find(hall, query.0, &query.1, now);
+            mouth.reply(id, &reply);
+        }
+        wire::msg::Msg::Register(list) => register(hall, list.0, &list.1, now),
+        wire::msg::Msg::Flush(flush) => {
+            let mut desk = hall.shelf.lock().expect("shelf");
+            let drops = if desk.epoch == flush.0 { std::mem::take(&mut desk.drops) } else { flush.1 };
+            mouth.reply(id, &wire::msg::Msg::Flushed(Box::new((desk.epoch, drops))));
+        }
+        _ => {
+            mouth.reply(id, &wire::msg::Msg::No(Box::new(1)));
+        }
+    }
+}
+
+fn find(hall: &crate::hall::Hall, epoch: u64, keys: &[u64], now: u64) -> wire::msg::Msg {
+    let desk = hall.shelf.lock().expect("shelf");
+    if desk.epoch != epoch || epoch == 0 {
+        return wire::msg::Msg::Found(Box::new((desk.epoch, Vec::new())));
+    }
+    let list = keys.iter().take(256).map(|key| desk.shelf.find(*key, now)).collect();
+    wire::msg::Msg::Found(Box::new((epoch, list)))
+}
+
+fn register(hall: &crate::hall::Hall, epoch: u64, list: &[wire::msg::Record], now: u64) {
+    let mut desk = hall.shelf.lock().expect("shelf");
+    if desk.epoch != epoch || epoch == 0 {
+        desk.drops += list.len() as u32;
+        return;
+    }
+    for record in list {
+        desk.shelf.register(record.key, &record.engine, now);
+    }
+}
--- /dev/null
+++ b/keeper/src/news.rs
@@ -0,0 +1,72 @@
+//! What a follower lacks, and sending it: on each of its calls, and at once when something changes.
+
+impl crate::hall::Hall {
+    /// A router renews its lease, tells what it has and gets what it lacks.
+    pub fn follow(&self, mouth: wire::link::Mouth, id: u64, follow: wire::msg::Follow) {
+        let now = kernel::clock::now();
+        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS);
+        let mut follower = crate::crew::Follower {
+            mouth,
+            config: follow.config,
+            closed: follow.closed.into_iter().collect(),
+            sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
+        };
+        let news = self.lack(&mut follower, now);
+        follower.mouth.reply(id, &wire::msg::Msg::News(Box::new(news)));
+        self.crew.lock().expect("crew").list.insert(follow.node, follower);
+    }
+
+    /// Sends to each follower what it lacks.
+    pub fn push(&self) {
+        let now = kernel::clock::now();
+        let mut list = std::mem::take(&mut self.crew.lock().expect("crew").list);
+        list.retain(|_, follower| {
+            if follower.mouth.gone() {
+                return false;
+            }
+            let news = self.lack(follower, now);
+            if news.config.is_none() && news.closed.is_empty() && news.sheets.is_empty() {
+                return true;
+            }
+            follower.mouth.cast(&wire::msg::Msg::News(Box::new(news)))
+        });
+        let mut crew = self.crew.lock().expect("crew");
+        for (node, follower) in list {
+            crew.list.entry(node).or_insert(follower);
+        }
+    }
+
+    fn lack(&self, follower: &mut crate::crew::Follower, now: u64) -> wire::msg::News {
+        let mut news = wire::msg::News { sure: self.sure(now), ..Default::default() };
+        {
+            let board = self.board.lock().expect("board");
+            if let Some((stamp, text)) = &board.config {
+                if *stamp > follower.config {
+                    news.config = Some((*stamp, text.clone()));
+                    follower.config = *stamp;
+                }
+            }
+            for (area, (stamp, on)) in &board.closed {
+                let has = follower.closed.entry(area.clone()).or_default();
+                if *stamp > *has {
+                    news.closed.push((area.clone(), *stamp, *on));
+                    *has = *stamp;
+                }
+            }
+            news.catalog = board.duty.clone();
+        }
+        {
+            let roster = self.roster.lock().expect("roster");
+            news.seats = roster.seats(now);
+            news.fellows = roster.order(&self.env.zone, "news");
+        }
+        for sheet in self.sheets.lock().expect("sheets").all() {
+            let has = follower.sheets.entry(sheet.area.clone()).or_default();
+            if (sheet.turn, sheet.count) > *has {
+                *has = (sheet.turn, sheet.count);
+                news.sheets.push(sheet.clone());
+            }
+        }
+        news
+    }
+}
--- /dev/null
+++ b/keeper/src/platform.rs
@@ -0,0 +1,196 @@
+//! The platform's list of engines: one poller an area, within the rate that all daemons share.
+
+#[derive(serde::Deserialize)]
+struct Model {
+    #[serde(default)]
+    name: String,
+}
+
+#[derive(serde::Deserialize)]
+struct Item {
+    instance_id: String,
+    service: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    slot_count: u32,
+    #[serde(default)]
+    oper_state: String,
+    #[serde(default)]
+    ramp_left_ms: f64,
+    #[serde(default)]
+    phase: String,
+    #[serde(default)]
+    model_list: Vec<Model>,
+}
+
+#[derive(serde::Deserialize)]
+struct Page {
+    instance_list: Vec<Item>,
+    next_token: Option<String>,
+}
+
+/// The time between two polls of an area: often enough for `drain_ms`, within the shared rate.
+fn pause(env: &kernel::env::Env, pages: usize) -> u64 {
+    let areas = env.zones.len().max(1);
+    let calls = (areas * pages.max(1)) as f64;
+    // Two pollers may overlap while a home changes hands, and the wishes stay under half the rate.
+    let floor = (calls * 2000.0 / env.cloud_api.rate_per_s) as u64;
+    (env.bounds.drain_ms / 5).clamp(250, 1000).max(floor)
+}
+
+pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
+    let client = reqwest::Client::builder()
+        .connect_timeout(std::time::Duration::from_millis(700))
+        .timeout(std::time::Duration::from_millis(1500))
+        .no_proxy()
+        .tcp_nodelay(true)
+        .build();
+    let Ok(client) = client else { return };
+    for area in hall.env.zones.keys() {
+        tokio::spawn(run(hall.clone(), client.clone(), area.clone()));
+    }
+}
+
+async fn run(hall: std::sync::Arc<crate::hall::Hall>, client: reqwest::Client, area: String) {
+    let mut turn = 0;
+    let mut pages = 1;
+    let mut wait = 0;
+    loop {
+        tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
+        wait = pause(&hall.env, pages);
+        let now = kernel::clock::now();
+        let holder = hall.roster.lock().expect("roster").holder(&area, "list", now);
+        if holder != hall.me() || now < crate::hall::BEAT_MS {
+            wait = wait.min(250);
+            continue;
+        }
+        match poll(&hall, &client, &area).await {
+            Ok((list, count)) => {
+                pages = count;
+                let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, list);
+                if let Some(sheet) = sheet {
+                    publish(&hall, sheet);
+                }
+            }
+            // Over the rate or silent: what is known stays in force, the next try comes a little later.
+            Err(()) => wait = wait * 3 / 2,
+        }
+    }
+}
+
+async fn poll(
+    hall: &crate::hall::Hall,
+    client: &reqwest::Client,
+    area: &str,
+) -> Result<(Vec<wire::msg::Engine>, usize), ()> {
+    let _turn = hall.polls.acquire().await.map_err(|_| ())?;
+    let mut list = Vec::new();
+    let mut pages = 0;
+    let mut token: Option<String> = None;
+    loop {
+        let mut url = format!("http://{}/instances?zone={area}", hall.env.cloud_api.address);
+        if let Some(token) = &token {
+            url.push_str(&format!("&page_token={token}"));
+        }
+        let reply = client.get(url).send().await.map_err(|_| ())?;
+        if reply.status() != reqwest::StatusCode::OK {
+            return Err(());
+        }
+        let body = reply.bytes().await.map_err(|_| ())?;
+        let page: Page = serde_json::from_slice(&body).map_err(|_| ())?;
+        list.extend(page.instance_list.into_iter().map(engine));
+        pages += 1;
+        token = page.next_token.filter(|token| !token.is_empty());
+        if token.is_none() || pages >= 1000 {
+            return Ok((list, pages));
+        }
+        tokio::time::sleep(std::time::Duration::from_millis((1000.0 / hall.env.cloud_api.rate_per_s) as u64)).await;
+    }
+}
+
+fn engine(item: Item) -> wire::msg::Engine {
+    wire::msg::Engine {
+        id: item.instance_id,
+        service: item.service,
+        addr: item.address,
+        area: item.zone,
+        phase: item.phase,
+        model: item.model_list.into_iter().next().map(|model| model.name).unwrap_or_default(),
+        slots: item.slot_count,
+        up: item.oper_state == "up",
+        cold_ms: item.ramp_left_ms.clamp(0.0, 1e9).ceil() as u32,
+    }
+}
+
+fn publish(hall: &crate::hall::Hall, sheet: wire::msg::Sheet) {
+    kernel::say!(crate::event::LIST, "area" => sheet.area.clone(), "turn" => sheet.turn, "count" => sheet.count,
+        "up" => sheet.list.iter().filter(|engine| engine.up).count(), "all" => sheet.list.len());
+    prune(hall, &sheet);
+    for ip in hall.known() {
+        hall.fellow(&ip).cast(wire::msg::Msg::Sheet(Box::new(sheet.clone())));
+    }
+    hall.push();
+}
+
+/// Draining engines leave the catalog's answers at once.
+pub fn prune(hall: &crate::hall::Hall, sheet: &wire::msg::Sheet) {
+    let mut desk = hall.shelf.lock().expect("shelf");
+    for engine in sheet.list.iter().filter(|engine| !engine.up) {
+        desk.shelf.drop_engine(&engine.id);
+    }
+}
+
+/// The catalog duty: held under an epoch of the ledger by the first live keeper in the agreed order.
+pub fn duty(hall: &std::sync::Arc<crate::hall::Hall>) {
+    let hall = hall.clone();
+    tokio::spawn(async move {
+        let mut beat = tokio::time::interval(std::time::Duration::from_millis(400));
+        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            beat.tick().await;
+            tend(&hall).await;
+        }
+    });
+}
+
+async fn tend(hall: &std::sync::Arc<crate::hall::Hall>) {
+    let now = kernel::clock::now();
+    if !hall.sure(now) || now < 1500 {
+        return;
+    }
+    let (epoch, holder) = hall.board.lock().expect("board").duty.clone();
+    if holder == hall.me() {
+        let mut desk = hall.shelf.lock().expect("shelf");
+        if desk.epoch != epoch {
+            desk.shelf.clear();
+            desk.epoch = epoch;
+        }
+        return;
+    }
+    hall.shelf.lock().expect("shelf").epoch = 0;
+    let take = {
+        let roster = hall.roster.lock().expect("roster");
+        // The last holder is left its lease before another steps in.
+        let gone = holder.is_empty() || roster.silent(&holder, now) > hall.env.bounds.lease_ms;
+        gone && roster.holder("", "catalog", now) == hall.me()
+    };
+    if !take {
+        return;
+    }
+    let me = hall.me().to_string();
+    let judge = |body: &[u8]| {
+        let held = crate::state::Duty::read(body);
+        if held.epoch != epoch {
+            return crate::council::Verdict::Answer(0);
+        }
+        let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone() };
+        crate::council::Verdict::Write(next.write(), epoch + 1)
+    };
+    let Some(taken @ 1..) = hall.change(crate::state::CATALOG, 1000, judge).await else { return };
+    let mut desk = hall.shelf.lock().expect("shelf");
+    desk.shelf.clear();
+    desk.epoch = taken;
+    kernel::say!(crate::event::CATALOG, "epoch" => taken);
+}
--- /dev/null
+++ b/keeper/src/state.rs
@@ -0,0 +1,106 @@
+//! What the keys of the control state hold, and how it is read from what was committed.
+
+/// Invariants: `revision` rises with each change; `taken` are the digests of changes that were
+/// acknowledged or may have been, oldest first.
+#[derive(Clone, Debug, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Held {
+    pub revision: u64,
+    pub text: String,
+    pub taken: Vec<u64>,
+}
+
+#[derive(Clone, Debug, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Closed {
+    pub stamp: u64,
+    pub on: bool,
+}
+
+#[derive(Clone, Debug, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Duty {
+    pub epoch: u64,
+    pub holder: String,
+}
+
+pub const CONFIG: &str = "config";
+pub const CLOSED: &str = "evacuation/";
+pub const CATALOG: &str = "duty/catalog";
+
+macro_rules! body {
+    ($kind:ty) => {
+        impl $kind {
+            pub fn read(body: &[u8]) -> Self {
+                if body.is_empty() {
+                    return Self::default();
+                }
+                let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
+                room.extend_from_slice(body);
+                rkyv::from_bytes::<$kind, rkyv::rancor::Error>(&room).unwrap_or_default()
+            }
+
+            pub fn write(&self) -> Vec<u8> {
+                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
+            }
+        }
+    };
+}
+
+body!(Held);
+body!(Closed);
+body!(Duty);
+
+pub fn read_core(body: &[u8]) -> Option<wire::msg::Core> {
+    let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
+    room.extend_from_slice(body);
+    rkyv::from_bytes::<wire::msg::Core, rkyv::rancor::Error>(&room).ok()
+}
+
+pub fn write_core(core: &wire::msg::Core) -> Vec<u8> {
+    rkyv::to_bytes::<rkyv::rancor::Error>(core).map(|body| body.to_vec()).unwrap_or_default()
+}
+
+impl crate::hall::Hall {
+    /// A committed entry becomes known here; with `tell` also to the other keepers. Followers get
+    /// what is new to them at once.
+    pub fn learn(&self, key: &str, entry: &wire::msg::Entry, tell: bool) {
+        {
+            let mut board = self.board.lock().expect("board");
+            board.turn = board.turn.max(entry.ballot.turn);
+            if board.entries.get(key).is_some_and(|held| held.place() >= entry.place()) {
+                return;
+            }
+            let same = board.entries.get(key).is_some_and(|held| held.body == entry.body);
+            board.entries.insert(key.into(), entry.clone());
+            if !same {
+                fold(&mut board, key, &entry.body);
+                kernel::say!(crate::event::LEARNED, "key" => key, "turn" => entry.ballot.turn, "step" => entry.step);
+            }
+        }
+        if key == ledger::CORE {
+            if let Some(core) = read_core(&entry.body) {
+                self.adopt(&core);
+            }
+        }
+        if tell {
+            let note = wire::msg::Msg::Learn(Box::new((key.into(), entry.clone())));
+            for ip in self.known() {
+                self.fellow(&ip).cast(note.clone());
+            }
+        }
+        self.push();
+    }
+}
+
+fn fold(board: &mut crate::hall::Board, key: &str, body: &[u8]) {
+    if key == CONFIG {
+        let held = Held::read(body);
+        board.config = Some((held.revision, held.text.into_bytes()));
+    }
+    if let Some(area) = key.strip_prefix(CLOSED) {
+        let closed = Closed::read(body);
+        board.closed.insert(area.into(), (closed.stamp, closed.on));
+    }
+    if key == CATALOG {
+        let duty = Duty::read(body);
+        board.duty = (duty.epoch, duty.holder);
+    }
+}
--- /dev/null
+++ b/kernel/src/env.rs
@@ -0,0 +1,197 @@
+//! The settings of a process. Unknown fields are passed over; a missing or unusable one is named.
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub struct Env {
+    pub node_name: String,
+    #[serde(default)]
+    pub role: String,
+    #[serde(default)]
+    pub serves: Vec<String>,
+    pub ip: String,
+    pub zone: String,
+    #[serde(default)]
+    pub region: String,
+    pub internal_ports: [u16; 2],
+    #[serde(default)]
+    pub seed_peers: Vec<String>,
+    #[serde(default)]
+    pub bootstrap: bool,
+    #[serde(default)]
+    pub quorum_member: bool,
+    pub data_dir: Option<String>,
+    #[serde(default = "beat")]
+    pub keepalive_ms: u64,
+    pub zones: std::collections::BTreeMap<String, String>,
+    #[serde(default)]
+    pub bind_addresses: Binds,
+    pub limits: Limits,
+    #[serde(default)]
+    pub bounds: Bounds,
+    pub cloud_api: Cloud,
+}
+
+#[derive(Clone, Debug, Default, serde::Deserialize)]
+pub struct Binds {
+    pub frontend: Option<String>,
+    pub readiness: Option<String>,
+    pub control_plane: Option<String>,
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub fd_limit: u64,
+    #[serde(default)]
+    pub disk_mb: u64,
+}
+
+/// The figures of the rules; each has the usual value where a site leaves it out.
+#[derive(Clone, Debug, serde::Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    pub contact_ms: u64,
+    pub ack_ms: u64,
+    pub drain_ms: u64,
+    pub grace_s: f64,
+    pub converge_ms: u64,
+    pub retry_budget: f64,
+    pub budget_window_s: f64,
+    pub budget_slack: f64,
+    pub ramp_overage: f64,
+    pub ramp_slack: f64,
+    pub evacuate_ms: u64,
+    pub reuse_hold_s: f64,
+    pub fencing: bool,
+    pub lease_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds {
+            contact_ms: 3000,
+            ack_ms: 4000,
+            drain_ms: 3000,
+            grace_s: 8.0,
+            converge_ms: 2000,
+            retry_budget: 0.2,
+            budget_window_s: 10.0,
+            budget_slack: 0.0,
+            ramp_overage: 1.0,
+            ramp_slack: 0.0,
+            evacuate_ms: 5000,
+            reuse_hold_s: 2.0,
+            fencing: false,
+            lease_ms: 3000,
+        }
+    }
+}
+
+#[derive(Clone, Debug, serde::Deserialize)]
+pub struct Cloud {
+    pub address: String,
+    pub rate_per_s: f64,
+}
+
+fn beat() -> u64 {
+    1000
+}
+
+/// What stops a start: the field, what stood there, what is allowed.
+#[derive(Debug, PartialEq)]
+pub struct BadEnv {
+    pub field: String,
+    pub found: String,
+    pub allowed: String,
+}
+
+impl std::fmt::Display for BadEnv {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(out, "settings: field `{}`: found {}, allowed: {}", self.field, self.found, self.allowed)
+    }
+}
+
+impl std::error::Error for BadEnv {}
+
+fn bad(field: &str, found: impl std::fmt::Display, allowed: &str) -> error_stack::Report<BadEnv> {
+    error_stack::Report::new(BadEnv { field: field.into(), found: found.to_string(), allowed: allowed.into() })
+}
+
+/// The path from TIDEPOINT_CONFIG, or the usual place.
+pub fn path() -> String {
+    std::env::var("TIDEPOINT_CONFIG").unwrap_or_else(|_| "/etc/tidepoint/settings.toml".into())
+}
+
+pub fn load(path: &str) -> Result<Env, error_stack::Report<BadEnv>> {
+    let text = std::fs::read_to_string(path).map_err(|error| bad("(file)", format!("{path}: {error}"), "a readable file"))?;
+    parse(&text)
+}
+
+/// Reads and checks a settings text.
+pub fn parse(text: &str) -> Result<Env, error_stack::Report<BadEnv>> {
+    let env: Env = toml::from_str(text).map_err(|error| {
+        let name = error.message().split('`').nth(1).unwrap_or("(text)").to_string();
+        let line = error.span().map_or("", |span| text.get(span).unwrap_or(""));
+        bad(&name, format!("{} ({})", line.trim(), error.message()), "as the deployment page lists it")
+    })?;
+    check(&env)?;
+    Ok(env)
+}
+
+fn check(env: &Env) -> Result<(), error_stack::Report<BadEnv>> {
+    if env.ip.parse::<std::net::Ipv4Addr>().is_err() {
+        return Err(bad("ip", &env.ip, "an IPv4 address"));
+    }
+    if env.internal_ports[0] == 0 || env.internal_ports[0] > env.internal_ports[1] {
+        return Err(bad("internal_ports", format!("{:?}", env.internal_ports), "two ports, the first not above the second"));
+    }
+    if !env.zones.contains_key(&env.zone) {
+        return Err(bad("zone", &env.zone, "a name listed under zones"));
+    }
+    let binds = &env.bind_addresses;
+    let named = [
+        ("bind_addresses.frontend", &binds.frontend),
+        ("bind_addresses.readiness", &binds.readiness),
+        ("bind_addresses.control_plane", &binds.control_plane),
+    ];
+    for (field, value) in named {
+        let Some(value) = value else { continue };
+        if value.parse::<std::net::SocketAddrV4>().is_err() {
+            return Err(bad(field, value, "IP:PORT"));
+        }
+    }
+    for seed in &env.seed_peers {
+        if seed.parse::<std::net::SocketAddrV4>().is_err() {
+            return Err(bad("seed_peers", seed, "a list of IP:PORT"));
+        }
+    }
+    if env.cloud_api.address.parse::<std::net::SocketAddrV4>().is_err() {
+        return Err(bad("cloud_api.address", &env.cloud_api.address, "IP:PORT"));
+    }
+    if env.cloud_api.rate_per_s <= 0.0 || env.cloud_api.rate_per_s.is_nan() {
+        return Err(bad("cloud_api.rate_per_s", env.cloud_api.rate_per_s, "a number above 0"));
+    }
+    if env.limits.memory_mb < 16 {
+        return Err(bad("limits.memory_mb", env.limits.memory_mb, "16 or more"));
+    }
+    if env.limits.fd_limit < 64 {
+        return Err(bad("limits.fd_limit", env.limits.fd_limit, "64 or more"));
+    }
+    Ok(())
+}
+
+impl Env {
+    /// The addresses of keepers that the seeds name: their machine, at the first internal port.
+    pub fn seed_ips(&self) -> Vec<String> {
+        let ips = self.seed_peers.iter().filter_map(|seed| seed.split(':').next());
+        ips.map(str::to_string).collect()
+    }
+
+    /// Where keepers listen for fellows, on every machine of a deployment.
+    pub fn fellow_port(&self) -> u16 {
+        self.internal_ports[0]
+    }
+}
+
+#[cfg(test)]
+#[path = "env_tests.rs"]
+mod tests;
--- /dev/null
+++ b/kernel/src/env_tests.rs
@@ -0,0 +1,54 @@
+const GOOD: &str = r#"
+node_name = "edge-1"
+ip = "10.1.0.12"
+zone = "a"
+internal_ports = [7300,7315]
+seed_peers = ["10.1.0.12:8262"]
+new_field = "passed over"
+[zones]
+a = "r"
+[bind_addresses]
+frontend = "10.1.0.12:8263"
+[limits]
+memory_mb = 260
+fd_limit = 4100
+new_limit = 3
+[cloud_api]
+address = "10.200.0.4:8266"
+rate_per_s = 40.0
+"#;
+
+fn fault(text: &str) -> super::BadEnv {
+    let report = super::parse(text).expect_err("must be refused");
+    let bad = report.current_context();
+    super::BadEnv { field: bad.field.clone(), found: bad.found.clone(), allowed: bad.allowed.clone() }
+}
+
+#[test]
+fn unknown_fields_are_passed_over() {
+    let env = super::parse(GOOD).expect("good settings");
+    assert_eq!(env.seed_ips(), ["10.1.0.12"]);
+    assert_eq!(env.fellow_port(), 7300);
+}
+
+#[test]
+fn a_missing_field_is_named() {
+    let bad = fault(&GOOD.replace("ip = \"10.1.0.12\"\n", ""));
+    assert_eq!(bad.field, "ip");
+}
+
+#[test]
+fn unusable_fields_are_named_with_what_is_allowed() {
+    let cases = [
+        (GOOD.replace("[7300,7315]", "[7315,7300]"), "internal_ports"),
+        (GOOD.replace("zone = \"a\"", "zone = \"b\""), "zone"),
+        (GOOD.replace("10.1.0.12:8263", "here"), "bind_addresses.frontend"),
+        (GOOD.replace("rate_per_s = 40.0", "rate_per_s = 0.0"), "cloud_api.rate_per_s"),
+        (GOOD.replace("memory_mb = 260", "memory_mb = 1"), "limits.memory_mb"),
+    ];
+    for (text, field) in cases {
+        let bad = fault(&text);
+        assert_eq!(bad.field, field);
+        assert!(!bad.allowed.is_empty());
+    }
+}
--- /dev/null
+++ b/kernel/src/lib.rs
@@ -0,0 +1,7 @@
+//! What every daemon stands on: settings, clock, log, journal, signals and the plug-in registry.
+pub mod clock;
+pub mod env;
+pub mod journal;
+pub mod log;
+pub mod plug;
+pub mod signal;
--- /dev/null
+++ b/ledger/src/lib.rs
@@ -0,0 +1,29 @@
+//! Control state. Each key is a register of its own: one owner at a time under a rising ballot, a
+//! change on a majority of the disks before any answer. No common log, no leader for all.
+pub mod round;
+pub mod store;
+pub mod voter;
+
+pub const CORE: &str = "core";
+/// A round not over by then is abandoned; its outcome is unknown.
+pub const ROUND_MS: u64 = 900;
+/// A voter without memory waits this long before it reads the others, so that every round which
+/// counted its lost votes is over. Invariant: above `ROUND_MS`.
+pub const AMNESIA_MS: u64 = 1300;
+
+pub fn majority(count: usize) -> usize {
+    count / 2 + 1
+}
+
+pub fn holds(core: &wire::msg::Core, ip: &str) -> bool {
+    core.list.iter().any(|member| member.ip == ip)
+}
+
+/// The seat of a keeper in ballots: its address, so that it differs between live keepers, mixed
+/// with its life, so that two lives never act under one ballot.
+pub fn seat(ip: &str, life: u64) -> u64 {
+    kernel::clock::blend(kernel::clock::hash(ip.as_bytes()), life)
+}
+
+#[cfg(test)]
+mod sim;
--- /dev/null
+++ b/ledger/src/round.rs
@@ -0,0 +1,108 @@
+//! The owning side: one round of a register, as a pure state machine.
+
+/// What an owner holds. Invariants: `entry` is committed; its ballot is the owner's own; a next
+/// change carries `entry.step + 1`, so two changes never share a place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Helm {
+    pub entry: wire::msg::Entry,
+    pub core: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    Wait,
+    /// To be sent to every member.
+    Send(wire::msg::Ask),
+    /// Committed: a majority has it on disk.
+    Done(Helm),
+    /// Another owner is at work under a higher ballot; the outcome of an own change is unknown.
+    Lost(wire::msg::Ballot),
+    Core(wire::msg::Core),
+}
+
+enum Phase {
+    Reading { found: Option<wire::msg::Entry> },
+    Writing(wire::msg::Entry),
+}
+
+/// Invariant: `heard` counts each member once a phase, and only members of the round's core.
+pub struct Round {
+    key: String,
+    core: wire::msg::Core,
+    ballot: wire::msg::Ballot,
+    phase: Phase,
+    heard: Vec<String>,
+    deaf: Vec<String>,
+    horizon: u64,
+}
+
+impl Round {
+    /// A take-over: reads a majority under a new ballot and commits again what it finds.
+    pub fn take(key: &str, core: wire::msg::Core, ballot: wire::msg::Ballot, now: u64) -> (Round, wire::msg::Ask) {
+        let ask = wire::msg::Ask::Prepare { key: key.into(), ballot };
+        (Round::new(key, core, ballot, Phase::Reading { found: None }, now), ask)
+    }
+
+    /// A change by the holder of a helm.
+    pub fn change(key: &str, core: wire::msg::Core, helm: &Helm, body: Vec<u8>, now: u64) -> (Round, wire::msg::Ask) {
+        let entry = wire::msg::Entry { ballot: helm.entry.ballot, step: helm.entry.step + 1, body };
+        let ask = wire::msg::Ask::Accept { key: key.into(), entry: entry.clone() };
+        (Round::new(key, core, entry.ballot, Phase::Writing(entry), now), ask)
+    }
+
+    fn new(key: &str, core: wire::msg::Core, ballot: wire::msg::Ballot, phase: Phase, now: u64) -> Round {
+        let horizon = now + crate::ROUND_MS;
+        Round { key: key.into(), core, ballot, phase, heard: Vec::new(), deaf: Vec::new(), horizon }
+    }
+
+    pub fn core(&self) -> &wire::msg::Core {
+        &self.core
+    }
+
+    pub fn over(&self, now: u64) -> bool {
+        now >= self.horizon
+    }
+
+    pub fn hear(&mut self, from: &str, vote: wire::msg::Vote, now: u64) -> Step {
+        if self.over(now) || !crate::holds(&self.core, from) || self.heard.iter().any(|ip| ip == from) {
+            return Step::Wait;
+        }
+        match vote {
+            wire::msg::Vote::Newer { core } => return Step::Core(core),
+            wire::msg::Vote::Refused { promised } if promised > self.ballot => return Step::Lost(promised),
+            wire::msg::Vote::Promise { entry } => {
+                let Phase::Reading { found } = &mut self.phase else { return Step::Wait };
+                let best = found.as_ref().map(wire::msg::Entry::place);
+                if entry.as_ref().map(wire::msg::Entry::place) > best {
+                    *found = entry;
+                }
+                self.heard.push(from.into());
+            }
+            wire::msg::Vote::Accepted => {
+                let Phase::Writing(_) = &self.phase else { return Step::Wait };
+                self.heard.push(from.into());
+            }
+            _ => {
+                self.deaf.push(from.into());
+                return Step::Wait;
+            }
+        }
+        if self.heard.len() < crate::majority(self.core.list.len()) {
+            return Step::Wait;
+        }
+        match &mut self.phase {
+            Phase::Writing(entry) => Step::Done(Helm { entry: entry.clone(), core: self.core.stamp }),
+            Phase::Reading { found } => {
+                let Some(found) = found.take() else {
+                    let entry = wire::msg::Entry { ballot: self.ballot, step: 0, body: Vec::new() };
+                    return Step::Done(Helm { entry, core: self.core.stamp });
+                };
+                // A new number: acceptance of the old phase must not count for the new one.
+                let entry = wire::msg::Entry { ballot: self.ballot, step: 0, body: found.body };
+                self.phase = Phase::Writing(entry.clone());
+                self.heard.clear();
+                Step::Send(wire::msg::Ask::Accept { key: self.key.clone(), entry })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/voter.rs
@@ -0,0 +1,146 @@
+//! The voting side: a pure state machine. Each poll gives a vote, and what must be on disk before
+//! that vote may leave.
+
+/// What goes to disk, in order.
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Deed {
+    Slot(wire::msg::Slot),
+    Core(wire::msg::Core),
+    /// From here on this disk may vote.
+    Vote,
+}
+
+/// Invariants: `slots[..].promised` and the place of each entry never go back; an entry's ballot is
+/// never above what is promised; `core.stamp` never goes back; a voter that is not `able` neither
+/// promises nor accepts.
+#[derive(Clone, Debug, Default)]
+pub struct Voter {
+    pub ip: String,
+    pub core: wire::msg::Core,
+    pub slots: std::collections::BTreeMap<String, wire::msg::Slot>,
+    pub able: bool,
+}
+
+impl Voter {
+    pub fn new(ip: &str) -> Self {
+        Voter { ip: ip.into(), ..Voter::default() }
+    }
+
+    /// Folds what was found on disk.
+    pub fn fold(&mut self, deed: Deed) {
+        match deed {
+            Deed::Slot(slot) => {
+                self.slots.insert(slot.key.clone(), slot);
+            }
+            Deed::Core(core) => self.core = core,
+            Deed::Vote => self.able = true,
+        }
+    }
+
+    /// All that a snapshot must hold.
+    pub fn whole(&self) -> Vec<Deed> {
+        let mut list = vec![Deed::Core(self.core.clone())];
+        list.extend(self.slots.values().cloned().map(Deed::Slot));
+        if self.able {
+            list.push(Deed::Vote);
+        }
+        list
+    }
+
+    pub fn votes(&self) -> bool {
+        self.able && crate::holds(&self.core, &self.ip)
+    }
+
+    /// Takes over a committed core. None when it is no newer.
+    pub fn adopt(&mut self, core: &wire::msg::Core) -> Option<Deed> {
+        let newer = core.stamp > self.core.stamp;
+        let calmer = core.stamp == self.core.stamp && core.settled && !self.core.settled;
+        if !newer && !calmer {
+            return None;
+        }
+        self.core = core.clone();
+        Some(Deed::Core(core.clone()))
+    }
+
+    pub fn poll(&mut self, poll: wire::msg::Poll) -> (wire::msg::Vote, Vec<Deed>) {
+        if poll.core.stamp < self.core.stamp {
+            return (wire::msg::Vote::Newer { core: self.core.clone() }, Vec::new());
+        }
+        let mut deeds: Vec<Deed> = self.adopt(&poll.core).into_iter().collect();
+        let vote = match poll.ask {
+            // A disk's whole content is also given by one that may not vote: the reader asks `able`.
+            wire::msg::Ask::Whole if self.able => {
+                wire::msg::Vote::Whole { slots: self.slots.values().cloned().collect() }
+            }
+            _ if !self.votes() => wire::msg::Vote::Mute,
+            wire::msg::Ask::Prepare { key, ballot } => self.prepare(key, ballot, &mut deeds),
+            wire::msg::Ask::Accept { key, entry } => self.accept(key, entry, &mut deeds),
+            wire::msg::Ask::Places => wire::msg::Vote::Places { list: self.places() },
+            wire::msg::Ask::Fetch { key } => {
+                wire::msg::Vote::Fetched { entry: self.slots.get(&key).and_then(|slot| slot.entry.clone()) }
+            }
+            wire::msg::Ask::Whole => wire::msg::Vote::Mute,
+        };
+        (vote, deeds)
+    }
+
+    pub fn places(&self) -> Vec<(String, wire::msg::Ballot, u64)> {
+        let held = self.slots.values().filter_map(|slot| slot.entry.as_ref().map(|entry| (slot, entry)));
+        held.map(|(slot, entry)| (slot.key.clone(), entry.ballot, entry.step)).collect()
+    }
+
+    fn slot(&mut self, key: &str) -> &mut wire::msg::Slot {
+        let empty = || wire::msg::Slot { key: key.into(), promised: Default::default(), entry: None };
+        self.slots.entry(key.to_string()).or_insert_with(empty)
+    }
+
+    fn prepare(&mut self, key: String, ballot: wire::msg::Ballot, deeds: &mut Vec<Deed>) -> wire::msg::Vote {
+        let slot = self.slot(&key);
+        if ballot <= slot.promised {
+            return wire::msg::Vote::Refused { promised: slot.promised };
+        }
+        slot.promised = ballot;
+        deeds.push(Deed::Slot(slot.clone()));
+        wire::msg::Vote::Promise { entry: slot.entry.clone() }
+    }
+
+    fn accept(&mut self, key: String, entry: wire::msg::Entry, deeds: &mut Vec<Deed>) -> wire::msg::Vote {
+        let slot = self.slot(&key);
+        let held = slot.entry.as_ref().map(wire::msg::Entry::place);
+        if entry.ballot < slot.promised || held.is_some_and(|place| place > entry.place()) {
+            return wire::msg::Vote::Refused { promised: slot.promised };
+        }
+        slot.promised = entry.ballot;
+        slot.entry = Some(entry);
+        deeds.push(Deed::Slot(slot.clone()));
+        wire::msg::Vote::Accepted
+    }
+
+    /// Ends a loss of memory with what every other voter that could have witnessed a commit holds.
+    /// The highest promise of any of them binds, since one of them was part of each lost majority.
+    pub fn recall(&mut self, reads: Vec<Vec<wire::msg::Slot>>) -> Vec<Deed> {
+        for read in reads.into_iter().flatten() {
+            let slot = self.slot(&read.key.clone());
+            slot.promised = slot.promised.max(read.promised);
+            let mine = slot.entry.as_ref().map(wire::msg::Entry::place);
+            let held = read.entry.as_ref().map(wire::msg::Entry::place);
+            if held > mine {
+                slot.entry = read.entry;
+            }
+        }
+        self.able = true;
+        self.whole()
+    }
+
+    /// Those whom a voter without memory must read first: all others of the core and of the one before.
+    pub fn witnesses(&self) -> Vec<String> {
+        let mut list: Vec<String> = Vec::new();
+        let before: &[wire::msg::Member] = if self.core.settled { &[] } else { &self.core.prev };
+        for member in self.core.list.iter().chain(before) {
+            if member.ip != self.ip && !list.contains(&member.ip) {
+                list.push(member.ip.clone());
+            }
+        }
+        list
+    }
+}
--- /dev/null
+++ b/router/src/boot.rs
@@ -0,0 +1,81 @@
+//! Start and end of the process.
+
+#[kernel::plug::linkme::distributed_slice]
+#[linkme(crate = kernel::plug::linkme)]
+pub static PARTS: [kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>>];
+
+macro_rules! part {
+    ($label:ident, $name:literal, $order:literal, $start:expr) => {
+        #[kernel::plug::linkme::distributed_slice(PARTS)]
+        #[linkme(crate = kernel::plug::linkme)]
+        static $label: kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>> =
+            kernel::plug::Plug { name: $name, order: $order, start: $start };
+    };
+}
+
+part!(READY, "readiness", 1, |yard| drop(tokio::spawn(crate::door::readiness(yard.clone()))));
+part!(FOLLOW, "news", 2, |yard| drop(tokio::spawn(crate::follow::run(yard.clone()))));
+part!(DOOR, "frontend", 3, |yard| drop(tokio::spawn(crate::door::frontend(yard.clone()))));
+
+/// What a record may grow to, and for how long an owner counts that was not heard of again.
+const RECORD: usize = 20_000;
+const STALE_MS: u64 = 30_000;
+
+pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
+    let life = kernel::clock::life();
+    let mut park = engines::park::Park::default();
+    let area = park.area(&env.zone);
+    let bounds = env.bounds.clone();
+    kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone());
+    let yard = std::sync::Arc::new(crate::yard::Yard {
+        life,
+        area,
+        table: Default::default(),
+        park: std::sync::Mutex::new(park),
+        record: std::sync::Mutex::new(catalog::record::Record::new(RECORD, STALE_MS)),
+        budget: std::sync::Mutex::new(engines::budget::Budget::new(
+            bounds.retry_budget,
+            (bounds.budget_window_s * 1000.0) as u64,
+        )),
+        pools: Default::default(),
+        lookup: Default::default(),
+        news: Default::default(),
+        dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
+        ready: Default::default(),
+        leaving: Default::default(),
+        open: Default::default(),
+        held: Default::default(),
+        env,
+    });
+    let mut word = kernel::signal::watch();
+    kernel::plug::start(&PARTS, &yard);
+    let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
+    leave(&yard).await;
+    std::process::ExitCode::SUCCESS
+}
+
+/// Unready at once; new connections are still served until the platform has seen it; then what is
+/// under way is finished, all well inside the grace.
+async fn leave(yard: &std::sync::Arc<crate::yard::Yard>) {
+    let order = std::sync::atomic::Ordering::Relaxed;
+    yard.leaving.store(true, order);
+    let begun = kernel::clock::now();
+    let counts = yard.record.lock().expect("record").counts;
+    kernel::say!(crate::event::LEAVE, "open" => yard.open.load(order));
+    kernel::say!(crate::event::COUNTS, "queries" => counts.queries, "hits" => counts.hits, "no_owner" => counts.no_owner,
+        "stale" => counts.stale_owner, "transfer" => counts.transfer_error, "unanswered" => counts.unanswered,
+        "dropped" => counts.dropped);
+    let grace = (yard.env.bounds.grace_s * 1000.0) as u64;
+    // Two missed calls for readiness, a second apart, and what was already on its way.
+    let calm = (grace / 2).min(3200);
+    let last = grace.saturating_sub(600);
+    loop {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        let spent = kernel::clock::now() - begun;
+        let idle = yard.open.load(order) == 0;
+        if (idle && spent >= calm) || spent >= last {
+            kernel::say!(crate::event::GONE, "open" => yard.open.load(order));
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/errand.rs
@@ -0,0 +1,147 @@
+//! A client's request, read and checked at the door.
+
+/// Invariants: `head` carries no header that concerns one connection only; `body` is whole.
+pub struct Errand {
+    pub method: http::Method,
+    pub path: http::Uri,
+    pub head: http::HeaderMap,
+    pub body: bytes::Bytes,
+    pub attempt: Option<http::HeaderValue>,
+    /// Steady time at which the client or the operator no longer wants it.
+    pub horizon: u64,
+    pub born: u64,
+    pub parts: Vec<catalog::Part>,
+    pub keys: Vec<u64>,
+    pub last: Option<http::HeaderValue>,
+}
+
+const HOP: [&str; 8] =
+    ["connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "content-length"];
+
+/// Removes what concerns one connection, and what `Connection` names.
+pub fn strip(head: &mut http::HeaderMap) {
+    let named: Vec<String> = head
+        .get_all(http::header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(',').map(|name| name.trim().to_ascii_lowercase()))
+        .collect();
+    for name in HOP.iter().copied().chain(named.iter().map(String::as_str)) {
+        if !name.is_empty() {
+            head.remove(name);
+        }
+    }
+}
+
+pub fn number(head: &http::HeaderMap, name: &str) -> Option<u64> {
+    head.get(name)?.to_str().ok()?.trim().parse().ok()
+}
+
+/// Shapes that could hide another request: refused before anything is done.
+pub fn sound(head: &http::HeaderMap) -> bool {
+    let count = |name: http::header::HeaderName| head.get_all(name).iter().count();
+    let framed = count(http::header::TRANSFER_ENCODING);
+    let sized = count(http::header::CONTENT_LENGTH);
+    framed <= 1 && sized <= 1 && framed + sized <= 1 && count(http::header::HOST) == 1
+}
+
+/// Reads a body within the limit; the pause between pieces is bounded by `idle_ms`.
+pub async fn body(
+    mut body: hyper::body::Incoming,
+    most: usize,
+    idle_ms: u64,
+) -> Result<bytes::Bytes, crate::receipt::Receipt> {
+    use http_body_util::BodyExt;
+    use hyper::body::Body;
+    let hint = body.size_hint().exact().unwrap_or(0) as usize;
+    if hint > most {
+        return Err(crate::receipt::Receipt::TooLarge);
+    }
+    let wait = std::time::Duration::from_millis(idle_ms.max(1));
+    let mut whole = bytes::BytesMut::with_capacity(hint);
+    loop {
+        let frame = match tokio::time::timeout(wait, body.frame()).await {
+            Err(_) => return Err(crate::receipt::Receipt::Late),
+            Ok(None) => return Ok(whole.freeze()),
+            Ok(Some(Err(_))) => return Err(crate::receipt::Receipt::Malformed),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if whole.len() + data.len() > most {
+            return Err(crate::receipt::Receipt::TooLarge);
+        }
+        whole.extend_from_slice(&data);
+    }
+}
+
+impl Errand {
+    pub fn make(parts: http::request::Parts, body: bytes::Bytes, route: &crate::table::Route, seed: u64, born: u64) -> Errand {
+        let mut head = parts.headers;
+        strip(&mut head);
+        head.remove(http::header::EXPECT);
+        let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
+        let list = text.and_then(catalog::parts).unwrap_or_default();
+        let model = head.get(wire::word::MODEL).map_or(&b""[..], http::HeaderValue::as_bytes);
+        let keys = catalog::keys(kernel::clock::blend(seed, kernel::clock::hash(model)), &list);
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default();
+        Errand {
+            method: parts.method,
+            path,
+            attempt: head.get(wire::word::ATTEMPT).cloned(),
+            last: head.get(wire::word::LAST).cloned(),
+            head,
+            body,
+            horizon: born + wait,
+            born,
+            parts: list,
+            keys,
+        }
+    }
+
+    pub fn left(&self, now: u64) -> u64 {
+        self.horizon.saturating_sub(now)
+    }
+
+    pub fn tokens(&self) -> u32 {
+        self.parts.iter().fold(0, |sum, part| part.tokens.saturating_add(sum))
+    }
+
+    /// Tokens of the parts that others may share: all but the last.
+    pub fn shared(&self) -> u32 {
+        self.tokens() - self.parts.last().map_or(0, |part| part.tokens)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    fn head(list: &[(&'static str, &str)]) -> http::HeaderMap {
+        let mut map = http::HeaderMap::new();
+        for (name, value) in list {
+            map.append(*name, value.parse().expect("value"));
+        }
+        map
+    }
+
+    #[test]
+    fn smuggling_shapes_are_unsound() {
+        assert!(super::sound(&head(&[("host", "a"), ("content-length", "3")])));
+        for bad in [
+            vec![("host", "a"), ("content-length", "3"), ("content-length", "3")],
+            vec![("host", "a"), ("content-length", "3"), ("transfer-encoding", "chunked")],
+            vec![("host", "a"), ("transfer-encoding", "x"), ("transfer-encoding", "chunked")],
+            vec![("host", "a"), ("host", "b")],
+            vec![],
+        ] {
+            assert!(!super::sound(&head(&bad)), "{bad:?}");
+        }
+    }
+
+    #[test]
+    fn what_concerns_one_connection_is_not_passed_on() {
+        let mut map = head(&[("connection", "close, x-hop"), ("x-hop", "1"), ("keep-alive", "3"), ("x-end", "2")]);
+        super::strip(&mut map);
+        assert_eq!(map.len(), 1);
+        assert!(map.contains_key("x-end"));
+    }
+}
--- /dev/null
+++ b/router/src/follow.rs
@@ -0,0 +1,194 @@
+//! Following a home keeper: own area first, the next one when it falls silent or is no longer sure.
+
+/// How often the lease is renewed and what is lacking asked for.
+const BEAT_MS: u64 = 400;
+/// A home that was not sure for so long is left.
+const UNSURE_MS: u64 = 1200;
+
+pub async fn run(yard: std::sync::Arc<crate::yard::Yard>) {
+    let mut seeds = yard.env.seed_ips();
+    let mut at = 0usize;
+    loop {
+        let list = homes(&yard, &seeds);
+        if list.is_empty() {
+            tokio::time::sleep(std::time::Duration::from_millis(BEAT_MS)).await;
+            continue;
+        }
+        let home = list[at % list.len()].clone();
+        stay(&yard, &home, &list).await;
+        if let Ok(env) = kernel::env::load(&kernel::env::path()) {
+            seeds = env.seed_ips();
+        }
+        at = (at + 1) % list.len();
+        kernel::say!(crate::event::HOME, "left" => home);
+        tokio::time::sleep(std::time::Duration::from_millis(30)).await;
+    }
+}
+
+/// Keepers in the order in which they are tried.
+fn homes(yard: &crate::yard::Yard, seeds: &[String]) -> Vec<String> {
+    let mut list = yard.news.lock().expect("news").fellows.clone();
+    if list.is_empty() {
+        // The own machine may run one: the cheapest to reach.
+        let mut first: Vec<String> = seeds.to_vec();
+        first.sort_by_key(|ip| *ip != yard.env.ip);
+        list = first;
+    }
+    for seed in seeds {
+        if !list.contains(seed) {
+            list.push(seed.clone());
+        }
+    }
+    list
+}
+
+/// Until this home is to be left.
+async fn stay(yard: &std::sync::Arc<crate::yard::Yard>, home: &str, list: &[String]) {
+    let addr = format!("{home}:{}", yard.env.fellow_port());
+    let (send, mut casts) = tokio::sync::mpsc::channel(64);
+    let caller = std::sync::Arc::new(wire::link::Caller::start(addr, Some(send)));
+    let mut sure_at = kernel::clock::now();
+    let mut misses = 0;
+    let mut settled = false;
+    loop {
+        let msg = wire::msg::Msg::Follow(Box::new(standing(yard)));
+        let call = caller.call(msg, 700);
+        tokio::pin!(call);
+        let reply = loop {
+            tokio::select! {
+                reply = &mut call => break reply,
+                Some(cast) = casts.recv() => take(yard, cast),
+            }
+        };
+        let now = kernel::clock::now();
+        match reply {
+            Some(wire::msg::Msg::News(news)) => {
+                misses = 0;
+                if news.sure {
+                    sure_at = now;
+                }
+                let better = news.fellows.first().is_some_and(|first| first != home && list.first() != Some(first));
+                let sure = news.sure;
+                absorb(yard, *news);
+                ready(yard, sure);
+                if !settled && better {
+                    return;
+                }
+                settled = true;
+            }
+            _ => misses += 1,
+        }
+        if misses >= 2 || now > sure_at + UNSURE_MS {
+            return;
+        }
+        let end = tokio::time::Instant::now() + std::time::Duration::from_millis(BEAT_MS);
+        while let Ok(Some(cast)) = tokio::time::timeout_at(end, casts.recv()).await {
+            take(yard, cast);
+        }
+    }
+}
+
+fn take(yard: &std::sync::Arc<crate::yard::Yard>, msg: wire::msg::Msg) {
+    if let wire::msg::Msg::News(news) = msg {
+        absorb(yard, *news);
+    }
+}
+
+fn standing(yard: &crate::yard::Yard) -> wire::msg::Follow {
+    let sheets = yard.park.lock().expect("park").stamps();
+    let news = yard.news.lock().expect("news");
+    wire::msg::Follow {
+        node: yard.env.node_name.clone(),
+        area: yard.env.zone.clone(),
+        life: yard.life,
+        config: news.config,
+        closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).collect(),
+        sheets,
+    }
+}
+
+/// Ready once configuration and list are confirmed current; from then on until it leaves.
+fn ready(yard: &crate::yard::Yard, sure: bool) {
+    let order = std::sync::atomic::Ordering::Relaxed;
+    if yard.ready.load(order) || !sure {
+        return;
+    }
+    let known = yard.park.lock().expect("park").stamps().len();
+    if yard.news.lock().expect("news").config > 0 && known >= yard.env.zones.len() {
+        yard.ready.store(true, order);
+        kernel::say!(crate::event::READY);
+    }
+}
+
+/// Takes what is newer; stamps never go back.
+fn absorb(yard: &std::sync::Arc<crate::yard::Yard>, news: wire::msg::News) {
+    let now = kernel::clock::now();
+    if let Some((stamp, text)) = &news.config {
+        config(yard, *stamp, text);
+    }
+    let mut left = Vec::new();
+    {
+        let mut park = yard.park.lock().expect("park");
+        for sheet in &news.sheets {
+            left.extend(park.take(sheet, now));
+        }
+    }
+    if !left.is_empty() {
+        let mut record = yard.record.lock().expect("record");
+        left.iter().for_each(|engine| record.forget(engine));
+    }
+    let areas: Vec<u32> = {
+        let mut park = yard.park.lock().expect("park");
+        news.closed.iter().map(|(area, _, _)| park.area(area)).collect()
+    };
+    {
+        let mut held = yard.news.lock().expect("news");
+        for ((area, stamp, on), dense) in news.closed.iter().zip(areas) {
+            if held.closed.get(area).is_some_and(|(known, _)| known >= stamp) {
+                continue;
+            }
+            held.closed.insert(area.clone(), (*stamp, *on));
+            held.shut.retain(|shut| *shut != dense);
+            if *on {
+                held.shut.push(dense);
+            }
+            kernel::say!(crate::event::CLOSED, "area" => area.clone(), "stamp" => *stamp, "on" => *on);
+        }
+        if !news.fellows.is_empty() {
+            held.fellows = news.fellows;
+        }
+        if news.seats > 0 {
+            held.seats.retain(|(time, _)| now < time + 10_000);
+            held.seats.push((now, news.seats));
+        }
+    }
+    if yard.lookup.hold(news.catalog.0, &news.catalog.1, yard.env.fellow_port()) {
+        kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
+        tokio::spawn(again(yard.clone()));
+    }
+}
+
+fn config(yard: &crate::yard::Yard, stamp: u64, text: &[u8]) {
+    if stamp <= yard.news.lock().expect("news").config {
+        return;
+    }
+    let read = std::str::from_utf8(text).map_err(|error| error.to_string()).and_then(wire::config::read);
+    let config = match read {
+        Ok(config) => config,
+        Err(error) => return kernel::say!(crate::event::BAD_CONFIG, "stamp" => stamp, "error" => error),
+    };
+    let table = crate::table::Table::make(&config, &mut yard.park.lock().expect("park"));
+    *yard.table.lock().expect("table") = std::sync::Arc::new(table);
+    yard.news.lock().expect("news").config = stamp;
+    kernel::say!(crate::event::CONFIG, "revision" => stamp);
+}
+
+/// A new holder of the catalog starts empty: what is known here is registered again, in steps.
+async fn again(yard: std::sync::Arc<crate::yard::Yard>) {
+    let all = yard.record.lock().expect("record").all(kernel::clock::now());
+    for part in all.chunks(100) {
+        let list = part.iter().map(|(key, engine)| wire::msg::Record { key: *key, engine: engine.clone() }).collect();
+        yard.lookup.register(list);
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+}
--- /dev/null
+++ b/router/src/halves.rs
@@ -0,0 +1,156 @@
+//! The ordinary path of the design: look up, have the prompt read, register, flush, and only then
+//! send to the engine that makes the tokens.
+
+/// Time kept between the end of a handle's life and its last use.
+const MARGIN_MS: u64 = 400;
+/// How long the engine that came up short is not named for this key again.
+const HUSH_MS: u64 = 2000;
+
+/// A read takes up none of the counted sends unless it is turned away, or a read went before it.
+async fn read(trip: &mut crate::carry::Trip) -> Result<(), ()> {
+    let (tokens, shared, rank) = (trip.errand.tokens(), trip.errand.shared(), crate::plan::rank(&trip.errand));
+    let held = trip.held.clone();
+    for _ in 0..3 {
+        let Some(at) = trip.view(|view| view.prefill(tokens, &held, shared, rank)) else { return Err(()) };
+        let extra = crate::send::Extra { stage: true, urgency: urgency(trip), ..Default::default() };
+        let wait = trip.left().min((2 * trip.target_ms).max(700));
+        match trip.send(at, extra, wait).await {
+            crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
+            crate::send::Outcome::Unsent(_) => trip.tried.push(at),
+            crate::send::Outcome::Unrun(_) => {
+                trip.tried.push(at);
+                trip.sends += 1;
+                // The last counted send is kept for the half that makes the tokens.
+                if trip.sends + 1 >= trip.tries || !trip.allow() {
+                    return Err(());
+                }
+            }
+            crate::send::Outcome::Lost => return Err(()),
+        }
+    }
+    Err(())
+}
+
+async fn taken(trip: &mut crate::carry::Trip, at: usize, answer: crate::send::Answer) -> Result<(), ()> {
+    let addr = trip.addr(at);
+    let good = answer.head.status == 200;
+    let wait = trip.left().min(1000);
+    let got = kernel::clock::now();
+    let text = crate::send::whole(&trip.yard, &addr, answer, 16 * 1024, wait).await;
+    trip.close(at);
+    let value: serde_json::Value = text.and_then(|text| serde_json::from_slice(&text).ok()).ok_or(())?;
+    let Some(id) = value["kv_handle"].as_str().filter(|_| good) else { return Err(()) };
+    let sound = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
+    if !sound {
+        return Err(());
+    }
+    let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
+    trip.keep(crate::carry::Handle { at, addr, id: id.into(), until });
+    Ok(())
+}
+
+fn urgency(trip: &crate::carry::Trip) -> Option<u32> {
+    Some((4 + trip.priority).min(9))
+}
+
+/// Notes an owner here and tells the catalog; gives the number of registrations sent.
+fn register(trip: &crate::carry::Trip, at: usize) -> u32 {
+    let now = kernel::clock::now();
+    let id = trip.yard.park.lock().expect("park").list[at].id.clone();
+    let mut list = Vec::with_capacity(trip.errand.keys.len());
+    {
+        let mut record = trip.yard.record.lock().expect("record");
+        for key in &trip.errand.keys {
+            record.note(*key, &id, now);
+            list.push(wire::msg::Record { key: *key, engine: id.clone() });
+        }
+    }
+    let count = list.len() as u32;
+    trip.yard.lookup.register(list);
+    count
+}
+
+/// Reads the prompt and hands it over; gives the engine that answers and its answer.
+pub async fn carry(
+    trip: &mut crate::carry::Trip,
+) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+    trip.held = crate::plan::owners(&trip.yard, &trip.errand).await;
+    let mut reader = None;
+    if read(trip).await.is_ok() {
+        reader = trip.reader();
+        if let Some(at) = reader {
+            let sent = register(trip, at);
+            let drops = trip.yard.lookup.flush(sent).await;
+            // A drop only means that others will not find this memory: the hand-over goes on.
+            trip.yard.record.lock().expect("record").counts.dropped += u64::from(drops);
+        }
+    }
+    make(trip, reader).await
+}
+
+/// Sends to the engine that makes the tokens, with the memory where there is one.
+async fn make(
+    trip: &mut crate::carry::Trip,
+    reader: Option<usize>,
+) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+    let (tokens, rank) = (trip.errand.tokens(), crate::plan::rank(&trip.errand));
+    let held = trip.held.clone();
+    loop {
+        let Some(at) = trip.view(|view| view.decode(tokens, &held, reader, rank)) else {
+            return Err(crate::relay::give_up(trip));
+        };
+        if !trip.allow() {
+            return Err(crate::relay::give_up(trip));
+        }
+        let handle = trip.spend();
+        let source = handle.as_ref().map(|handle| format!("{}/{}", handle.addr, handle.id));
+        let extra = crate::send::Extra { source, urgency: urgency(trip), last: None, ..Default::default() };
+        let wait = trip.silence_ms();
+        trip.sends += 1;
+        match trip.send(at, extra, wait).await {
+            crate::send::Outcome::Answer(answer) => {
+                if answer.head.status.is_success() {
+                    register(trip, at);
+                }
+                return Ok((at, *answer));
+            }
+            crate::send::Outcome::Unsent(_) => {
+                trip.sends -= 1;
+                trip.tried.push(at);
+                if let Some(handle) = handle {
+                    trip.keep(handle);
+                }
+            }
+            crate::send::Outcome::Unrun(_) => {
+                trip.tried.push(at);
+                let Some(handle) = handle else { continue };
+                let now = kernel::clock::now();
+                let full = {
+                    let park = trip.yard.park.lock().expect("park");
+                    park.list[at].pressure(now, 1) >= f64::from(park.list[at].slots)
+                };
+                if full {
+                    trip.keep(handle);
+                    continue;
+                }
+                // The memory can't be had: suppress this engine for this key, not for the request.
+                let id = trip.yard.park.lock().expect("park").list[handle.at].id.clone();
+                let mut record = trip.yard.record.lock().expect("record");
+                record.counts.transfer_error += 1;
+                for key in &trip.errand.keys {
+                    record.hush(&id, *key, now + HUSH_MS);
+                }
+                drop(record);
+                trip.keep(handle);
+                trip.free();
+            }
+            crate::send::Outcome::Lost => {
+                trip.ran = true;
+                trip.tried.push(at);
+                if !trip.repeatable {
+                    return Err(crate::relay::give_up(trip));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/lookup.rs
@@ -0,0 +1,90 @@
+//! The catalog as a router uses it: short waits, and nothing depends on its answer.
+
+/// Invariant: what is sent carries the epoch it was meant for; an answer under a lower epoch than
+/// the one known counts for nothing.
+#[derive(Default)]
+pub struct Lookup {
+    inner: std::sync::Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    epoch: u64,
+    holder: String,
+    fellow: Option<std::sync::Arc<wire::link::Caller>>,
+    misses: u32,
+    rest_until: u64,
+    drops: u32,
+}
+
+const WAIT_MS: u64 = 40;
+const REST_MS: u64 = 600;
+
+impl Lookup {
+    /// True when the duty has changed hands: what is known here must be registered anew.
+    pub fn hold(&self, epoch: u64, holder: &str, port: u16) -> bool {
+        let mut inner = self.inner.lock().expect("lookup");
+        if epoch <= inner.epoch || holder.is_empty() {
+            return false;
+        }
+        let addr = format!("{holder}:{port}");
+        inner.epoch = epoch;
+        if inner.holder != holder {
+            inner.holder = holder.into();
+            inner.fellow = Some(std::sync::Arc::new(wire::link::Caller::start(addr, None)));
+        }
+        inner.misses = 0;
+        inner.rest_until = 0;
+        true
+    }
+
+    fn fellow(&self, now: u64) -> Option<(u64, std::sync::Arc<wire::link::Caller>)> {
+        let inner = self.inner.lock().expect("lookup");
+        if now < inner.rest_until {
+            return None;
+        }
+        Some((inner.epoch, inner.fellow.clone()?))
+    }
+
+    fn heard(&self, good: bool) {
+        let mut inner = self.inner.lock().expect("lookup");
+        inner.misses = if good { 0 } else { inner.misses + 1 };
+        if inner.misses >= 2 {
+            inner.rest_until = kernel::clock::now() + REST_MS;
+        }
+    }
+
+    /// The owners of each key asked; None: no answer in time.
+    pub async fn query(&self, keys: &[u64]) -> Option<Vec<Vec<String>>> {
+        let (epoch, fellow) = self.fellow(kernel::clock::now())?;
+        let msg = wire::msg::Msg::Query(Box::new((epoch, keys.to_vec())));
+        let reply = fellow.call(msg, WAIT_MS).await;
+        self.heard(reply.is_some());
+        let Some(wire::msg::Msg::Found(found)) = reply else { return None };
+        (found.0 == epoch).then_some(found.1)
+    }
+
+    /// Fire and forget; what can't even be sent is counted and told by the next flush.
+    pub fn register(&self, list: Vec<wire::msg::Record>) {
+        let count = list.len() as u32;
+        let sent = match self.fellow(kernel::clock::now()) {
+            Some((epoch, fellow)) => fellow.cast(wire::msg::Msg::Register(Box::new((epoch, list)))),
+            None => false,
+        };
+        if !sent {
+            self.inner.lock().expect("lookup").drops += count;
+        }
+    }
+
+    /// The barrier before a hand-over: all registrations before it are delivered, or counted here.
+    pub async fn flush(&self, sent: u32) -> u32 {
+        let early = std::mem::take(&mut self.inner.lock().expect("lookup").drops);
+        let Some((epoch, fellow)) = self.fellow(kernel::clock::now()) else { return early };
+        let reply = fellow.call(wire::msg::Msg::Flush(Box::new((epoch, sent))), WAIT_MS).await;
+        self.heard(reply.is_some());
+        match reply {
+            Some(wire::msg::Msg::Flushed(flushed)) if flushed.0 == epoch => early + flushed.1,
+            _ => early + sent,
+        }
+    }
+}
--- /dev/null
+++ b/router/src/plan.rs
@@ -0,0 +1,84 @@
+//! Planning a request's way, as data, before anything is sent.
+
+/// Invariants: `reader` and `maker` are engines of the route's service outside `shut`; without a
+/// reader the maker reads the prompt itself.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    pub reader: Option<usize>,
+    pub maker: Option<usize>,
+}
+
+/// What was learned about the owners of a request's prefixes: engine and tokens held.
+pub type Held = Vec<(usize, u32)>;
+
+/// Scans the local record, asks the catalog for the missing suffix only, and notes what it finds.
+pub async fn owners(yard: &crate::yard::Yard, errand: &crate::errand::Errand) -> Held {
+    let now = kernel::clock::now();
+    let known = {
+        let mut record = yard.record.lock().expect("record");
+        record.counts.queries += 1;
+        record.known(&errand.keys, now)
+    };
+    let missing = &errand.keys[known..];
+    if !missing.is_empty() {
+        let found = yard.lookup.query(missing).await;
+        let mut record = yard.record.lock().expect("record");
+        match &found {
+            None => record.counts.unanswered += 1,
+            Some(list) if list.iter().all(Vec::is_empty) => record.counts.no_owner += u64::from(known == 0),
+            Some(_) => {}
+        }
+        for (key, names) in missing.iter().zip(found.iter().flatten()) {
+            for name in names {
+                if !record.hushed(name, *key, now) {
+                    record.note(*key, name, now);
+                }
+            }
+        }
+    }
+    held(yard, errand)
+}
+
+/// The longest prefix each usable engine owns.
+fn held(yard: &crate::yard::Yard, errand: &crate::errand::Errand) -> Held {
+    let now = kernel::clock::now();
+    let depths = catalog::depths(&errand.parts);
+    let park = yard.park.lock().expect("park");
+    let mut record = yard.record.lock().expect("record");
+    let mut list: Held = Vec::new();
+    let mut stale = 0;
+    for (key, depth) in errand.keys.iter().zip(depths).rev() {
+        for name in record.owners(*key, now) {
+            let usable = park.find(name).filter(|at| park.list[*at].up && park.list[*at].here);
+            match usable {
+                Some(at) if list.iter().any(|(owner, _)| *owner == at) => {}
+                Some(at) => list.push((at, depth)),
+                None => stale += 1,
+            }
+        }
+    }
+    record.counts.stale_owner += stale;
+    record.counts.hits += u64::from(!list.is_empty());
+    list
+}
+
+/// The key by which engines are ranked where nothing else tells them apart: the shared prefix.
+pub fn rank(errand: &crate::errand::Errand) -> u64 {
+    let shared = errand.keys.len().checked_sub(2).and_then(|at| errand.keys.get(at));
+    shared.or(errand.keys.first()).copied().unwrap_or(errand.born)
+}
+
+/// Areas that a route may not use: evacuated ones and those outside its homes.
+pub fn shut(yard: &crate::yard::Yard, homes: &[String]) -> Vec<u32> {
+    let mut list = yard.news.lock().expect("news").shut.clone();
+    if homes.is_empty() {
+        return list;
+    }
+    let mut park = yard.park.lock().expect("park");
+    for (area, region) in &yard.env.zones {
+        if !homes.contains(region) {
+            list.push(park.area(area));
+        }
+    }
+    list
+}
--- /dev/null
+++ b/router/src/receipt.rs
@@ -0,0 +1,46 @@
+//! Answers of our own: a small value says which, one place writes it.
+
+pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, std::io::Error>;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Receipt {
+    /// Not as the protocol has it; the connection ends.
+    Malformed,
+    NoRoute,
+    Late,
+    TooLarge,
+    /// It has not run and never will; come back after so many milliseconds.
+    Refused(u64),
+    /// It may have run and its answer is lost.
+    Lost,
+    /// It may have run and time is up.
+    TimedOut,
+}
+
+pub fn write(receipt: Receipt, leaving: bool) -> http::Response<Body> {
+    let status = match receipt {
+        Receipt::Malformed => 400,
+        Receipt::NoRoute => 404,
+        Receipt::Late => 408,
+        Receipt::TooLarge => 413,
+        Receipt::Refused(_) => 503,
+        Receipt::Lost => 502,
+        Receipt::TimedOut => 504,
+    };
+    let mut reply = http::Response::new(Body::new(http_body_util::combinators::UnsyncBoxBody::new(
+        http_body_util::BodyExt::map_err(http_body_util::Empty::new(), |never| match never {}),
+    )));
+    *reply.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+    let head = reply.headers_mut();
+    if let Receipt::Refused(wait) = receipt {
+        let text = format!("{}.{:03}", wait / 1000, wait % 1000);
+        if let Ok(value) = http::HeaderValue::from_str(&text) {
+            head.insert(http::header::RETRY_AFTER, value);
+        }
+    }
+    let ends = matches!(receipt, Receipt::Malformed | Receipt::Late | Receipt::TooLarge);
+    if ends || leaving {
+        head.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    reply
+}
--- /dev/null
+++ b/router/src/relay.rs
@@ -0,0 +1,211 @@
+//! Passing an engine's answer on as it comes, and going on at another engine where that is allowed.
+
+type Pipe = tokio::sync::mpsc::Sender<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>;
+
+pub struct Feed(tokio::sync::mpsc::Receiver<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>, Option<u64>);
+
+impl http_body::Body for Feed {
+    type Data = bytes::Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>> {
+        self.0.poll_recv(cx)
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.1.map_or_else(http_body::SizeHint::default, http_body::SizeHint::with_exact)
+    }
+}
+
+/// When a refused client may come back: soon, and later the more is waiting.
+fn comeback(trip: &crate::carry::Trip) -> u64 {
+    let third = trip.left() / 3;
+    (trip.target_ms / 4).clamp(50, 1000).min(third.max(20))
+}
+
+/// The answer to a request that is given up. Nothing that may have run is ever called refused.
+pub fn give_up(trip: &crate::carry::Trip) -> crate::receipt::Receipt {
+    if !trip.ran {
+        return crate::receipt::Receipt::Refused(comeback(trip));
+    }
+    if trip.left() == 0 {
+        return crate::receipt::Receipt::TimedOut;
+    }
+    crate::receipt::Receipt::Lost
+}
+
+/// Chooses the path and follows it to an answer.
+pub async fn go(
+    mut trip: crate::carry::Trip,
+) -> Result<http::Response<crate::receipt::Body>, crate::receipt::Receipt> {
+    let split = !trip.errand.keys.is_empty()
+        && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
+    let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
+    let good = answer.head.status.is_success();
+    if good && !answer.head.headers.contains_key(wire::word::SEAL) {
+        // Not an engine's answer, whatever it is.
+        trip.ran = true;
+        return Err(give_up(&trip));
+    }
+    Ok(pass(trip, at, answer))
+}
+
+/// Services without halves: one engine, and another where that is allowed.
+async fn plain(
+    trip: &mut crate::carry::Trip,
+) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+    loop {
+        let rank = kernel::clock::blend(trip.errand.born, trip.errand.body.len() as u64);
+        let place = trip.view(|view| view.decode(0, &[], None, rank));
+        let Some(at) = place else { return Err(give_up(trip)) };
+        if !trip.allow() {
+            return Err(give_up(trip));
+        }
+        let wait = trip.silence_ms();
+        trip.sends += 1;
+        match trip.send(at, crate::send::Extra::default(), wait).await {
+            crate::send::Outcome::Answer(answer) => {
+                let again = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
+                if !again {
+                    return Ok((at, *answer));
+                }
+                trip.ran = true;
+                trip.close(at);
+            }
+            crate::send::Outcome::Unsent(_) => trip.sends -= 1,
+            crate::send::Outcome::Unrun(_) => {}
+            crate::send::Outcome::Lost => {
+                trip.ran = true;
+                if !trip.repeatable {
+                    return Err(give_up(trip));
+                }
+            }
+        }
+        trip.tried.push(at);
+    }
+}
+
+impl crate::carry::Trip {
+    /// Goes on at another engine after a break, behind the last event that was passed on.
+    async fn resume(&mut self, at: usize, last: Option<String>) -> Option<(usize, crate::send::Answer)> {
+        self.ran = true;
+        self.yard.park.lock().expect("park").list[at].strike(kernel::clock::now());
+        self.tried.push(at);
+        if !self.resumes() {
+            return None;
+        }
+        let (tokens, rank) = (self.errand.tokens(), crate::plan::rank(&self.errand));
+        for _ in 0..3 {
+            let held = self.held.clone();
+            let next = self.view(|view| view.decode(tokens, &held, None, rank))?;
+            if self.left() == 0 || !self.allow() {
+                return None;
+            }
+            let last = match &last {
+                Some(last) => http::HeaderValue::from_str(last).ok(),
+                None => self.errand.last.clone(),
+            };
+            let extra = crate::send::Extra { last, ..Default::default() };
+            let wait = self.left();
+            self.sends += 1;
+            match self.send(next, extra, wait).await {
+                crate::send::Outcome::Answer(answer) if answer.head.status.is_success() => {
+                    return Some((next, *answer));
+                }
+                crate::send::Outcome::Answer(_) => self.close(next),
+                crate::send::Outcome::Unsent(_) => self.sends -= 1,
+                _ => {}
+            }
+            self.tried.push(next);
+        }
+        None
+    }
+}
+
+/// How an engine's body ended.
+enum End {
+    Whole,
+    Broken,
+    /// The client is gone.
+    Left,
+}
+
+/// Answers with the engine's head; its body follows as it comes.
+pub fn pass(mut trip: crate::carry::Trip, at: usize, answer: crate::send::Answer) -> http::Response<crate::receipt::Body> {
+    let mut reply = http::Response::new(());
+    *reply.status_mut() = answer.head.status;
+    *reply.headers_mut() = answer.head.headers.clone();
+    let length = crate::errand::number(reply.headers(), "content-length").filter(|_| !trip.resumes());
+    crate::errand::strip(reply.headers_mut());
+    if trip.yard.leaving() {
+        reply.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    let (pipe, feed) = tokio::sync::mpsc::channel(16);
+    tokio::spawn(async move {
+        run(&mut trip, at, answer, &pipe).await;
+    });
+    reply.map(|()| crate::receipt::Body::new(Feed(feed, length)))
+}
+
+async fn run(trip: &mut crate::carry::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
+    let mut split = crate::stream::Splitter::default();
+    loop {
+        let stream = trip.streams();
+        let end = pump(trip, &mut answer, &mut split, pipe, stream).await;
+        trip.close(at);
+        match end {
+            End::Left => return,
+            End::Whole => {
+                let addr = trip.addr(at);
+                crate::send::give_back(&trip.yard, &addr, &answer.head.headers, answer.wire).await;
+                return;
+            }
+            End::Broken => {}
+        }
+        split.cut();
+        let last = split.last.clone();
+        match trip.resume(at, last).await {
+            Some((next, more)) => (at, answer) = (next, more),
+            None => {
+                let _ = pipe.send(Err(std::io::ErrorKind::ConnectionAborted.into())).await;
+                return;
+            }
+        }
+    }
+}
+
+async fn pump(
+    trip: &crate::carry::Trip,
+    answer: &mut crate::send::Answer,
+    split: &mut crate::stream::Splitter,
+    pipe: &Pipe,
+    stream: bool,
+) -> End {
+    use http_body_util::BodyExt;
+    let silence = std::time::Duration::from_millis(trip.silence_ms().max(1));
+    loop {
+        let frame = tokio::select! {
+            frame = tokio::time::timeout(silence, answer.body.frame()) => frame,
+            () = pipe.closed() => return End::Left,
+        };
+        let data = match frame {
+            Err(_) => return End::Broken,
+            Ok(None) => {
+                let rest = split.end();
+                if !rest.is_empty() && pipe.send(Ok(http_body::Frame::data(rest))).await.is_err() {
+                    return End::Left;
+                }
+                return End::Whole;
+            }
+            Ok(Some(Err(_))) => return End::Broken,
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+        };
+        let out = if stream { split.feed(&data) } else { data };
+        if !out.is_empty() && pipe.send(Ok(http_body::Frame::data(out))).await.is_err() {
+            return End::Left;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/send.rs
@@ -0,0 +1,165 @@
+//! One send to one engine: what came of it is a value that says whether it may have run.
+
+pub struct Answer {
+    pub head: http::response::Parts,
+    pub body: hyper::body::Incoming,
+    pub wire: crate::pool::Wire,
+}
+
+pub enum Outcome {
+    Answer(Box<Answer>),
+    /// Nothing of it reached the engine.
+    Unsent(crate::pool::Hitch),
+    /// The engine says that it has not run.
+    Unrun(u16),
+    /// It may have run.
+    Lost,
+}
+
+/// What is set on a send besides the client's own headers.
+#[derive(Default)]
+pub struct Extra {
+    pub target: String,
+    pub budget_ms: u64,
+    pub stage: bool,
+    pub source: Option<String>,
+    pub last: Option<http::HeaderValue>,
+    pub urgency: Option<u32>,
+}
+
+fn compose(errand: &crate::errand::Errand, extra: &Extra) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+    let mut request = http::Request::new(http_body_util::Full::new(errand.body.clone()));
+    *request.method_mut() = errand.method.clone();
+    *request.uri_mut() = errand.path.clone();
+    let head = request.headers_mut();
+    *head = errand.head.clone();
+    let mut set = |name: &'static str, text: &str| {
+        if let Ok(value) = http::HeaderValue::from_str(text) {
+            head.insert(name, value);
+        }
+    };
+    set(wire::word::TARGET, &extra.target);
+    set(wire::word::BUDGET, &extra.budget_ms.to_string());
+    if extra.stage {
+        set(wire::word::STAGE, "prefill");
+    }
+    if let Some(source) = &extra.source {
+        set(wire::word::SOURCE, source);
+    }
+    if let Some(urgency) = extra.urgency {
+        set(wire::word::URGENCY, &urgency.to_string());
+    }
+    if let Some(last) = &extra.last {
+        head.insert(wire::word::LAST, last.clone());
+    }
+    request
+}
+
+/// `silence_ms`: how long the head of the answer may take.
+pub async fn send(
+    yard: &crate::yard::Yard,
+    errand: &crate::errand::Errand,
+    addr: &str,
+    most: usize,
+    extra: &Extra,
+    silence_ms: u64,
+) -> Outcome {
+    let mut request = compose(errand, extra);
+    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(silence_ms);
+    loop {
+        let (mut wire, fresh) = match yard.pools.idle(addr) {
+            Some(wire) => (wire, false),
+            None => match yard.pools.dial(addr, most).await {
+                Ok(wire) => (wire, true),
+                Err(hitch) => return Outcome::Unsent(hitch),
+            },
+        };
+        let reply = match tokio::time::timeout_at(end, wire.try_send_request(request)).await {
+            Err(_) => return Outcome::Lost,
+            Ok(Ok(reply)) => reply,
+            Ok(Err(mut error)) => match error.take_message() {
+                // Never written: the connection had ended before.
+                Some(back) if !fresh => {
+                    request = back;
+                    continue;
+                }
+                Some(_) => return Outcome::Unsent(crate::pool::Hitch::Down),
+                None => return Outcome::Lost,
+            },
+        };
+        let (head, body) = reply.into_parts();
+        if errand.attempt.is_some() && head.headers.get(wire::word::ATTEMPT) != errand.attempt.as_ref() {
+            // A surplus answer of an earlier request: this connection can't be trusted any more.
+            kernel::say!(crate::event::MISFIT, "engine" => extra.target.clone(), "status" => head.status.as_u16());
+            return Outcome::Lost;
+        }
+        let status = head.status.as_u16();
+        if status == 421 || head.headers.contains_key(wire::word::UNRUN) {
+            finish(yard, addr, *Box::new(Answer { head, body, wire })).await;
+            return Outcome::Unrun(status);
+        }
+        return Outcome::Answer(Box::new(Answer { head, body, wire }));
+    }
+}
+
+/// Reads the rest of an answer that nobody needs and takes the connection back.
+pub async fn finish(yard: &crate::yard::Yard, addr: &str, answer: Answer) {
+    let _ = whole(yard, addr, answer, 64 * 1024, 200).await;
+}
+
+/// Reads a small answer whole.
+pub async fn whole(
+    yard: &crate::yard::Yard,
+    addr: &str,
+    answer: Answer,
+    most: usize,
+    wait_ms: u64,
+) -> Option<bytes::Bytes> {
+    use http_body_util::BodyExt;
+    let Answer { head, mut body, wire } = answer;
+    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
+    let mut text = bytes::BytesMut::new();
+    while let Some(frame) = tokio::time::timeout_at(end, body.frame()).await.ok()? {
+        if let Ok(data) = frame.ok()?.into_data() {
+            text.extend_from_slice(&data);
+        }
+        if text.len() > most {
+            return None;
+        }
+    }
+    give_back(yard, addr, &head.headers, wire).await;
+    Some(text.freeze())
+}
+
+/// A connection whose answer was read to its end.
+pub async fn give_back(yard: &crate::yard::Yard, addr: &str, head: &http::HeaderMap, mut wire: crate::pool::Wire) {
+    if crate::pool::closes(head) {
+        return;
+    }
+    let ready = tokio::time::timeout(std::time::Duration::from_millis(20), wire.ready()).await;
+    if matches!(ready, Ok(Ok(()))) {
+        yard.pools.put(addr, wire, crate::pool::keep(head));
+    }
+}
+
+/// Gives the memory of a handle free; tried once, since it lapses by itself.
+pub async fn free(yard: &crate::yard::Yard, handle: &crate::carry::Handle, most: usize) {
+    let mut request = http::Request::new(http_body_util::Full::new(bytes::Bytes::new()));
+    *request.method_mut() = http::Method::DELETE;
+    let Ok(path) = format!("/kv-handle/{}", handle.id).parse() else { return };
+    *request.uri_mut() = path;
+    if let Ok(host) = http::HeaderValue::from_str(&handle.addr) {
+        request.headers_mut().insert(http::header::HOST, host);
+    }
+    let mut wire = match yard.pools.idle(&handle.addr) {
+        Some(wire) => wire,
+        None => match yard.pools.dial(&handle.addr, most).await {
+            Ok(wire) => wire,
+            Err(_) => return,
+        },
+    };
+    let wait = std::time::Duration::from_millis(500);
+    let Ok(Ok(reply)) = tokio::time::timeout(wait, wire.send_request(request)).await else { return };
+    let (head, body) = reply.into_parts();
+    finish(yard, &handle.addr, Answer { head, body, wire }).await;
+}
--- /dev/null
+++ b/router/src/stream.rs
@@ -0,0 +1,94 @@
+//! Cutting a stream of events at its joints, so that only whole events are passed on.
+
+/// Invariant: what `feed` gave out ends at the end of an event; `rest` holds the bytes of an event
+/// that is not whole; `last` is the id of the last event given out.
+#[derive(Default)]
+pub struct Splitter {
+    rest: bytes::BytesMut,
+    pub last: Option<String>,
+    pub events: u64,
+}
+
+/// Larger than any event; a body without joints is passed on rather than held.
+const MOST: usize = 256 * 1024;
+
+impl Splitter {
+    pub fn feed(&mut self, data: &[u8]) -> bytes::Bytes {
+        let scan = self.rest.len().saturating_sub(3);
+        self.rest.extend_from_slice(data);
+        let Some(end) = joint(&self.rest, scan) else {
+            if self.rest.len() > MOST {
+                return self.rest.split().freeze();
+            }
+            return bytes::Bytes::new();
+        };
+        let out = self.rest.split_to(end).freeze();
+        self.note(&out);
+        out
+    }
+
+    fn note(&mut self, out: &[u8]) {
+        for line in out.split(|byte| *byte == b'\n') {
+            let line = line.strip_suffix(b"\r").unwrap_or(line);
+            if line.starts_with(b"data") {
+                self.events += 1;
+            }
+            let Some(id) = line.strip_prefix(b"id:") else { continue };
+            if let Ok(text) = std::str::from_utf8(id) {
+                self.last = Some(text.trim().to_string());
+            }
+        }
+    }
+
+    /// What is left at the end of a body that ended as it should.
+    pub fn end(&mut self) -> bytes::Bytes {
+        self.rest.split().freeze()
+    }
+
+    /// What is left of a body that broke off is thrown away.
+    pub fn cut(&mut self) {
+        self.rest.clear();
+    }
+}
+
+/// The end of the last whole event in `text`.
+fn joint(text: &[u8], from: usize) -> Option<usize> {
+    let mut end = None;
+    for at in from..text.len() {
+        if text[at] != b'\n' {
+            continue;
+        }
+        let before = &text[..at];
+        if before.ends_with(b"\n") || before.ends_with(b"\n\r") {
+            end = Some(at + 1);
+        }
+    }
+    end
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn only_whole_events_come_out_however_the_bytes_arrive() {
+        let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
+        for step in 1..text.len() {
+            let mut split = super::Splitter::default();
+            let mut out = Vec::new();
+            for piece in text.chunks(step) {
+                out.extend_from_slice(&split.feed(piece));
+            }
+            assert_eq!(out, &text[..text.len() - 13], "step {step}");
+            assert_eq!(split.last.as_deref(), Some("2"));
+            assert_eq!(split.events, 2);
+            assert_eq!(&split.end()[..], b"id: 3\ndata: c");
+        }
+    }
+
+    #[test]
+    fn a_cut_event_is_thrown_away() {
+        let mut split = super::Splitter::default();
+        split.feed(b"id: 1\ndata: a\n\nid: 2\nda");
+        split.cut();
+        assert_eq!(&split.feed(b"id: 2\ndata: b\n\n")[..], b"id: 2\ndata: b\n\n");
+    }
+}
--- /dev/null
+++ b/router/src/yard.rs
@@ -0,0 +1,60 @@
+//! The one state of the process, passed by reference.
+//!
+//! Lock order: table, park, record, budget, pools. No lock is held over an await.
+
+pub struct Yard {
+    pub env: kernel::env::Env,
+    pub life: u64,
+    /// My area, dense.
+    pub area: u32,
+    pub table: std::sync::Mutex<std::sync::Arc<crate::table::Table>>,
+    pub park: std::sync::Mutex<engines::park::Park>,
+    pub record: std::sync::Mutex<catalog::record::Record>,
+    pub budget: std::sync::Mutex<engines::budget::Budget>,
+    pub pools: crate::pool::Pools,
+    pub lookup: crate::lookup::Lookup,
+    pub news: std::sync::Mutex<News>,
+    pub dice: std::sync::Mutex<kernel::clock::Dice>,
+    pub ready: std::sync::atomic::AtomicBool,
+    pub leaving: std::sync::atomic::AtomicBool,
+    /// Requests between the reading of their head and the end of their answer.
+    pub open: std::sync::atomic::AtomicUsize,
+    /// Bytes of request bodies held.
+    pub held: std::sync::atomic::AtomicUsize,
+}
+
+/// What the keepers told. Invariant: stamps never go back.
+#[derive(Default)]
+pub struct News {
+    pub config: u64,
+    pub closed: std::collections::BTreeMap<String, (u64, bool)>,
+    /// Evacuated areas, dense.
+    pub shut: Vec<u32>,
+    pub fellows: Vec<String>,
+    pub seats: Vec<(u64, u32)>,
+}
+
+/// Counts one thing for as long as it lives.
+pub struct Token<'a>(pub &'a std::sync::atomic::AtomicUsize, pub usize);
+
+impl Drop for Token<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(self.1, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
+impl Yard {
+    /// How many routers share the bounds: the most that was told in the last ten seconds.
+    pub fn seats(&self) -> u32 {
+        let news = self.news.lock().expect("news");
+        news.seats.iter().map(|(_, count)| *count).max().unwrap_or(1).max(1)
+    }
+
+    pub fn table(&self) -> std::sync::Arc<crate::table::Table> {
+        self.table.lock().expect("table").clone()
+    }
+
+    pub fn leaving(&self) -> bool {
+        self.leaving.load(std::sync::atomic::Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,7 @@
+//! What daemons say to one another, and the operator's configuration as a checked value.
+pub mod config;
+pub mod frame;
+pub mod link;
+pub mod msg;
+pub mod sock;
+pub mod word;
--- /dev/null
+++ b/wire/src/msg.rs
@@ -0,0 +1,164 @@
+//! Messages between our own daemons. Every variant holds a box, so a new one never moves the others.
+
+/// A ledger position: rises with each take-over (`turn`, ties by `seat`) and each change (`step`).
+/// Invariant: one owner acts under one (`turn`, `seat`); `step` restarts at 0 with each of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Ballot {
+    pub turn: u64,
+    pub seat: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Entry {
+    pub ballot: Ballot,
+    pub step: u64,
+    pub body: Vec<u8>,
+}
+
+impl Entry {
+    pub fn place(&self) -> (Ballot, u64) {
+        (self.ballot, self.step)
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Member {
+    pub ip: String,
+    pub area: String,
+}
+
+/// The core. Invariants: `stamp` rises by one a change; a change is made only from a settled core;
+/// until it is settled, `prev` are the members before it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Core {
+    pub stamp: u64,
+    pub list: Vec<Member>,
+    pub prev: Vec<Member>,
+    pub settled: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Ask {
+    Prepare { key: String, ballot: Ballot },
+    Accept { key: String, entry: Entry },
+    /// The places of all keys, without their bodies.
+    Places,
+    /// All that a voter holds: for a voter that lost its disk.
+    Whole,
+    Fetch { key: String },
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Poll {
+    /// A core is only ever sent once it is committed.
+    pub core: Core,
+    pub ask: Ask,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Slot {
+    pub key: String,
+    pub promised: Ballot,
+    pub entry: Option<Entry>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Vote {
+    Promise { entry: Option<Entry> },
+    Accepted,
+    Refused { promised: Ballot },
+    Places { list: Vec<(String, Ballot, u64)> },
+    Whole { slots: Vec<Slot> },
+    Fetched { entry: Option<Entry> },
+    /// The asker's core is older than this one.
+    Newer { core: Core },
+    /// Not a voter, or one that must first read the others.
+    Mute,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Gossip {
+    pub ip: String,
+    pub area: String,
+    pub life: u64,
+    /// It may be made a member of the core.
+    pub fit: bool,
+    pub core: Core,
+    pub fellows: Vec<String>,
+    /// Routers that hold a lease here.
+    pub seats: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Engine {
+    pub id: String,
+    pub service: String,
+    pub addr: String,
+    pub area: String,
+    pub phase: String,
+    pub model: String,
+    pub slots: u32,
+    pub up: bool,
+    pub cold_ms: u32,
+}
+
+/// The engines of one area as one poller saw them. Invariant: (`turn`, `count`) never goes back.
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Sheet {
+    pub area: String,
+    pub turn: u64,
+    pub count: u64,
+    pub list: Vec<Engine>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Follow {
+    pub node: String,
+    pub area: String,
+    pub life: u64,
+    pub config: u64,
+    pub closed: Vec<(String, u64)>,
+    pub sheets: Vec<(String, u64, u64)>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct News {
+    /// The keeper confirmed its stamps at a majority a moment ago.
+    pub sure: bool,
+    pub config: Option<(u64, Vec<u8>)>,
+    /// Area, stamp, whether it is being evacuated.
+    pub closed: Vec<(String, u64, bool)>,
+    pub sheets: Vec<Sheet>,
+    /// How many routers hold a lease: shared bounds are cut into as many slices.
+    pub seats: u32,
+    pub fellows: Vec<String>,
+    /// The holder of the catalog and its epoch.
+    pub catalog: (u64, String),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Record {
+    pub key: u64,
+    pub engine: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Msg {
+    Poll(Box<Poll>),
+    Vote(Box<Vote>),
+    Gossip(Box<Gossip>),
+    Sheet(Box<Sheet>),
+    Follow(Box<Follow>),
+    News(Box<News>),
+    /// The keys of the missing suffix, shortest prefix first.
+    Query(Box<(u64, Vec<u64>)>),
+    /// The catalog's epoch and, for each key asked, the engines that hold it.
+    Found(Box<(u64, Vec<Vec<String>>)>),
+    Register(Box<(u64, Vec<Record>)>),
+    /// The barrier: answered once all before it was taken, with the number dropped.
+    Flush(Box<(u64, u32)>),
+    Flushed(Box<(u64, u32)>),
+    /// Committed: a key and what it now holds.
+    Learn(Box<(String, Entry)>),
+    No(Box<u16>),
+}
