--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -56,7 +56,7 @@
     }
 
     pub fn stamps(&self) -> Vec<(String, u64, u64)> {
-        self.sheets.all().map(|sheet| (sheet.area.clone(), sheet.turn, sheet.count)).collect()
+        self.sheets.stamps()
     }
 
     /// Takes a sheet; gives the ids of engines that just left or began to drain.
--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -1,5 +1,7 @@
 //! The list of engines as the pollers saw it, a sheet an area.
 
+const SEAT_BITS: u32 = 20;
+
 /// Invariant: the stamp (turn, count) of an area's sheet never goes back.
 #[derive(Default)]
 pub struct Sheets {
@@ -17,13 +19,20 @@
         true
     }
 
-    /// What a poller saw. `turn` is its own while nobody else polled this area since; else it must
-    /// go above. Gives the new sheet when something changed.
-    pub fn poll(&mut self, area: &str, turn: &mut u64, list: Vec<wire::msg::Engine>) -> Option<wire::msg::Sheet> {
+    /// What a poller saw. `turn` is its own while nobody else polled this area since; else it goes
+    /// above what is held. The low bits are the poller's seat, so that no two share a turn. Gives
+    /// the new sheet when something changed.
+    pub fn poll(
+        &mut self,
+        area: &str,
+        turn: &mut u64,
+        seat: u64,
+        list: Vec<wire::msg::Engine>,
+    ) -> Option<wire::msg::Sheet> {
         let held = self.list.get(area);
         let top = held.map_or(0, |held| held.turn);
-        if *turn < top || *turn == 0 {
-            *turn = top + 1;
+        if *turn == 0 || *turn != top {
+            *turn = ((top >> SEAT_BITS) + 1) << SEAT_BITS | (seat & ((1 << SEAT_BITS) - 1));
         }
         let same = held.is_some_and(|held| held.turn == *turn && alike(&held.list, &list));
         if same {
@@ -39,6 +48,16 @@
         self.list.values()
     }
 
+    /// Those that are newer than the stamps told.
+    pub fn newer(&self, told: &[(String, u64, u64)]) -> Vec<wire::msg::Sheet> {
+        let stamp = |area: &str| told.iter().find(|item| item.0 == area).map(|item| (item.1, item.2));
+        self.list.values().filter(|held| Some((held.turn, held.count)) > stamp(&held.area)).cloned().collect()
+    }
+
+    pub fn stamps(&self) -> Vec<(String, u64, u64)> {
+        self.list.values().map(|sheet| (sheet.area.clone(), sheet.turn, sheet.count)).collect()
+    }
+
     pub fn get(&self, area: &str) -> Option<&wire::msg::Sheet> {
         self.list.get(area)
     }
@@ -70,22 +89,40 @@
     fn a_successor_goes_above_and_the_first_never_goes_back() {
         let (mut one, mut two) = (super::Sheets::default(), super::Sheets::default());
         let mut turn = 0;
-        let first = one.poll("a", &mut turn, vec![engine("i-1", 0)]).expect("new");
+        let first = one.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).expect("new");
         assert!(two.take(&first) && !two.take(&first));
         let mut other = 0;
-        let second = two.poll("a", &mut other, vec![]).expect("new");
+        let second = two.poll("a", &mut other, 2, vec![]).expect("new");
         assert!((second.turn, second.count) > (first.turn, first.count));
         assert!(one.take(&second));
-        let third = one.poll("a", &mut turn, vec![engine("i-1", 0)]).expect("new");
+        let third = one.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).expect("new");
         assert!((third.turn, third.count) > (second.turn, second.count));
     }
 
+    #[test]
+    fn one_that_starts_anew_goes_above_what_it_made_before() {
+        let (mut old, mut far) = (super::Sheets::default(), super::Sheets::default());
+        let mut turn = 0;
+        for count in 0..4 {
+            far.take(&old.poll("a", &mut turn, 1, vec![engine(&format!("i-{count}"), 0)]).expect("new"));
+        }
+        // A restart: nothing held, no turn. The fellow sends what is newer before the next poll counts.
+        let (mut new, mut again) = (super::Sheets::default(), 0);
+        let lost = new.poll("a", &mut again, 1, vec![]).expect("new");
+        assert!(!far.take(&lost));
+        for sheet in far.newer(&new.stamps()) {
+            assert!(new.take(&sheet));
+        }
+        let next = new.poll("a", &mut again, 1, vec![]).expect("new");
+        assert!(far.take(&next) && far.newer(&new.stamps()).is_empty());
+    }
+
     #[test]
     fn only_a_change_makes_a_sheet() {
         let mut list = super::Sheets::default();
         let mut turn = 0;
-        assert!(list.poll("a", &mut turn, vec![engine("i-1", 900)]).is_some());
-        assert!(list.poll("a", &mut turn, vec![engine("i-1", 400)]).is_none());
-        assert!(list.poll("a", &mut turn, vec![engine("i-1", 0)]).is_some());
+        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 900)]).is_some());
+        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 400)]).is_none());
+        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).is_some());
     }
 }
--- a/keeper/src/crew.rs
+++ b/keeper/src/crew.rs
@@ -3,6 +3,7 @@
 /// Invariant: `has` is what was last sent or told; a follower never gets an older stamp.
 pub struct Follower {
     pub mouth: wire::link::Mouth,
+    pub area: String,
     pub config: u64,
     pub closed: std::collections::BTreeMap<String, u64>,
     pub sheets: std::collections::BTreeMap<String, (u64, u64)>,
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -21,6 +21,11 @@
             roster.keepers.insert(ip.clone(), unseen);
         }
     }
+    drop(roster);
+    // Repair: who is behind gets what it lacks.
+    for sheet in hall.sheets.lock().expect("sheets").newer(&gossip.sheets) {
+        hall.fellow(&gossip.ip).cast(wire::msg::Msg::Sheet(Box::new(sheet)));
+    }
 }
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
@@ -53,6 +58,7 @@
         core,
         fellows,
         seats,
+        sheets: hall.sheets.lock().expect("sheets").stamps(),
     };
     for ip in hall.known() {
         hall.fellow(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip.clone())));
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -7,6 +7,7 @@
         self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS);
         let mut follower = crate::crew::Follower {
             mouth,
+            area: follow.area,
             config: follow.config,
             closed: follow.closed.into_iter().collect(),
             sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
@@ -58,7 +59,7 @@
         {
             let roster = self.roster.lock().expect("roster");
             news.seats = roster.seats(now);
-            news.fellows = roster.order(&self.env.zone, "news");
+            news.fellows = roster.order(&follower.area, "news");
         }
         for sheet in self.sheets.lock().expect("sheets").all() {
             let has = follower.sheets.entry(sheet.area.clone()).or_default();
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -69,7 +69,7 @@
         match poll(&hall, &client, &area).await {
             Ok((list, count)) => {
                 pages = count;
-                let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, list);
+                let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, hall.seat, list);
                 if let Some(sheet) = sheet {
                     publish(&hall, sheet);
                 }
@@ -161,20 +161,19 @@
         return;
     }
     let (epoch, holder) = hall.board.lock().expect("board").duty.clone();
-    if holder == hall.me() {
+    {
         let mut desk = hall.shelf.lock().expect("shelf");
-        if desk.epoch != epoch {
-            desk.shelf.clear();
-            desk.epoch = epoch;
+        if holder == hall.me() && desk.epoch == epoch {
+            return;
         }
-        return;
+        desk.epoch = 0;
     }
-    hall.shelf.lock().expect("shelf").epoch = 0;
     let take = {
         let roster = hall.roster.lock().expect("roster");
         // The last holder is left its lease before another steps in.
-        let gone = holder.is_empty() || roster.silent(&holder, now) > hall.env.bounds.lease_ms;
-        gone && roster.holder("", "catalog", now) == hall.me()
+        // One that started again takes a new epoch, so that routers register anew.
+        let gone = holder.is_empty() || holder == hall.me() || roster.silent(&holder, now) > hall.env.bounds.lease_ms;
+        gone && (holder == hall.me() || roster.holder("", "catalog", now) == hall.me())
     };
     if !take {
         return;
--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -193,10 +193,11 @@
         extra.budget_ms = self.errand.left(now).max(1);
         let outcome = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, silence_ms).await;
         self.shown(at, &outcome);
-        let unrun = matches!(outcome, crate::send::Outcome::Unrun(_));
+        let answer = matches!(outcome, crate::send::Outcome::Answer(_));
         let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
-        // The first read that an engine takes up is no arrival that counts.
-        self.arrived |= !unsent && (unrun || !stage);
+        // The first read that an engine takes up is no arrival that counts. One without an answer
+        // may never have been taken up, and counts.
+        self.arrived |= !unsent && !(answer && stage);
         if !matches!(outcome, crate::send::Outcome::Answer(_)) {
             self.close(at);
         }
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -87,6 +87,8 @@
     pub fellows: Vec<String>,
     /// Routers that hold a lease here.
     pub seats: u32,
+    /// The stamps of the engine lists held: who has newer ones sends them.
+    pub sheets: Vec<(String, u64, u64)>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
