A maker reads the prompt itself while readers are pressed; slow is not dark

Ruled out: processor (0.006 cores a router), cut links, handles. Change: cost of a read against a maker reading alone, in tokens; an engine that answers others since is not given up.

--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -15,9 +15,11 @@
     pub here: bool,
     pub cold_until: u64,
     pub ramp: crate::budget::Ramp,
-    /// Own sends under way, and the tokens they have yet to read.
+    /// Own sends under way, and the prompt tokens that they have it read.
     pub busy: u32,
     pub tokens: u64,
+    /// When it last answered anything.
+    pub good_at: u64,
     /// Requests running and waiting, as last reported, when, and the own share of it then.
     pub load: (u32, u32),
     pub load_at: u64,
@@ -35,6 +37,8 @@
     services: std::collections::HashMap<String, u32>,
     areas: std::collections::HashMap<String, u32>,
     sheets: crate::sheet::Sheets,
+    /// By service: the prompt tokens that a read takes on average, as sent from here.
+    reads: std::collections::HashMap<u32, f64>,
 }
 
 fn dense(map: &mut std::collections::HashMap<String, u32>, name: &str) -> u32 {
@@ -55,6 +59,15 @@
         self.index.get(id).copied()
     }
 
+    pub fn note_read(&mut self, service: u32, tokens: u32) {
+        let mean = self.reads.entry(service).or_insert(f64::from(tokens));
+        *mean += (f64::from(tokens) - *mean) * 0.05;
+    }
+
+    pub fn mean_read(&self, service: u32) -> f64 {
+        self.reads.get(&service).copied().unwrap_or(0.0)
+    }
+
     pub fn stamps(&self) -> Vec<(String, u64, u64)> {
         self.sheets.stamps()
     }
@@ -112,6 +125,7 @@
             ramp: Default::default(),
             busy: 0,
             tokens: 0,
+            good_at: 0,
             load: (0, 0),
             load_at: 0,
             load_busy: 0,
@@ -144,7 +158,8 @@
         self.load_busy = self.busy;
     }
 
-    pub fn good(&mut self) {
+    pub fn good(&mut self, now: u64) {
+        self.good_at = now;
         self.strikes = 0;
         self.shy_until = 0;
     }
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -70,20 +70,18 @@
         self.park.list.iter().any(|stall| stall.service == self.service && stall.here && stall.up && part(stall))
     }
 
-    /// The reader of a prompt: `held` gives, by engine, the tokens of the longest prefix it owns.
-    pub fn prefill(&self, tokens: u32, held: &[(usize, u32)], shared: u32, key: u64) -> Option<usize> {
+    /// The reader of a prompt and its cost, in tokens to be read before the answer can begin. `held`
+    /// gives, by engine, the tokens of the longest prefix it owns.
+    pub fn prefill(&self, tokens: u32, held: &[(usize, u32)], shared: u32, key: u64) -> Option<(usize, f64)> {
         let open = self.open(Half::Prefill);
         let nobody = !held.iter().any(|(at, _)| open.contains(at));
         let first = open.iter().copied().max_by_key(|at| rank(key, &self.park.list[*at].id));
+        let mean = self.park.mean_read(self.service);
         let cost = |at: usize| {
             let stall = &self.park.list[at];
-            let mut have = held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0);
-            if nobody && Some(at) == first {
-                have = shared;
-            }
+            let have = if nobody && Some(at) == first { shared } else { owned(held, at) };
             let read = f64::from(tokens.saturating_sub(have));
-            let mean = if stall.busy > 0 { stall.tokens as f64 / f64::from(stall.busy) } else { f64::from(tokens) };
-            let queue = stall.pressure(self.now, self.seats) * mean.min(f64::from(tokens).max(1.0));
+            let queue = stall.pressure(self.now, self.seats) * mean;
             let far = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) };
             read + queue + far
         };
@@ -96,22 +94,42 @@
         let home = from.map_or(self.area, |at| self.park.list[at].area);
         let cost = |at: usize| {
             let stall = &self.park.list[at];
-            let have = held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0);
-            let lack = f64::from(tokens.saturating_sub(have)) / 65536.0;
+            let lack = f64::from(tokens.saturating_sub(owned(held, at))) / 65536.0;
             let crowd = stall.pressure(self.now, self.seats) / f64::from(stall.slots);
             let far = if stall.area == home { 1.0 } else { 2.0 };
             let body = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) / 65536.0 };
             crowd + lack * far + body
         };
+        least(&open, cost, |at| rank(key, &self.park.list[at].id)).map(|(at, _)| at)
+    }
+
+    /// A maker that reads the prompt itself, and its cost in the same measure as a reader's.
+    pub fn alone(&self, tokens: u32, held: &[(usize, u32)], key: u64) -> Option<(usize, f64)> {
+        let open = self.open(Half::Decode);
+        let cost = |at: usize| {
+            let stall = &self.park.list[at];
+            let read = f64::from(tokens.saturating_sub(owned(held, at)));
+            let others = stall.tokens as f64 * f64::from(self.seats).sqrt();
+            let crowd = 1.0 + stall.pressure(self.now, self.seats) / f64::from(stall.slots);
+            let far = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) };
+            (read + others) * SLOWER * crowd + far
+        };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
     }
 }
 
+/// How much longer a maker takes for a prompt than a reader: half the pace, in smaller pieces.
+const SLOWER: f64 = 2.5;
+
+fn owned(held: &[(usize, u32)], at: usize) -> u32 {
+    held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0)
+}
+
 fn rank(key: u64, id: &str) -> u64 {
     kernel::clock::blend(key, kernel::clock::hash(id.as_bytes()))
 }
 
-fn least(open: &[usize], cost: impl Fn(usize) -> f64, rank: impl Fn(usize) -> u64) -> Option<usize> {
+fn least(open: &[usize], cost: impl Fn(usize) -> f64, rank: impl Fn(usize) -> u64) -> Option<(usize, f64)> {
     let mut best: Option<(f64, u64, usize)> = None;
     for at in open {
         let (price, order) = (cost(*at), rank(*at));
@@ -123,7 +141,7 @@
             best = Some((price, order, *at));
         }
     }
-    best.map(|(_, _, at)| at)
+    best.map(|(price, _, at)| (at, price))
 }
 
 #[cfg(test)]
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -126,7 +126,8 @@
 
 fn publish(hall: &crate::hall::Hall, sheet: wire::msg::Sheet) {
     kernel::say!(crate::event::LIST, "area" => sheet.area.clone(), "turn" => sheet.turn, "count" => sheet.count,
-        "up" => sheet.list.iter().filter(|engine| engine.up).count(), "all" => sheet.list.len());
+        "up" => sheet.list.iter().filter(|engine| engine.up).count(), "all" => sheet.list.len(),
+        "prefill" => sheet.list.iter().filter(|engine| engine.up && engine.phase == "prefill").count());
     prune(hall, &sheet);
     for ip in hall.known() {
         hall.fellow(&ip).cast(wire::msg::Msg::Sheet(Box::new(sheet.clone())));
--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -166,6 +166,14 @@
         ((f64::from(all) * 0.9) / f64::from(self.yard.seats())).max(2.0) as usize
     }
 
+    /// Its prompt is read: only the making of tokens is left there.
+    pub fn read(&mut self, at: usize) {
+        let Some((_, tokens)) = self.seats.iter_mut().find(|(seat, _)| *seat == at) else { return };
+        let tokens = std::mem::take(tokens);
+        let mut park = self.yard.park.lock().expect("park");
+        park.list[at].tokens = park.list[at].tokens.saturating_sub(tokens);
+    }
+
     pub fn close(&mut self, at: usize) {
         let Some(place) = self.seats.iter().position(|(seat, _)| *seat == at) else { return };
         let (at, tokens) = self.seats.swap_remove(place);
@@ -176,9 +184,17 @@
     }
 
     /// One send to one engine, with what it shows about that engine noted.
-    pub async fn send(&mut self, at: usize, mut extra: crate::send::Extra, silence_ms: u64) -> crate::send::Outcome {
+    /// `reads`: prompt tokens that the engine is to read. `silence_ms`: how long it may give no sign
+    /// of life; while it answers others it is only slow.
+    pub async fn send(
+        &mut self,
+        at: usize,
+        mut extra: crate::send::Extra,
+        reads: u32,
+        silence_ms: u64,
+    ) -> crate::send::Outcome {
         let now = kernel::clock::now();
-        let tokens = u64::from(self.errand.tokens());
+        let tokens = u64::from(reads);
         let addr = {
             let mut park = self.yard.park.lock().expect("park");
             let stall = &mut park.list[at];
@@ -191,7 +207,21 @@
         self.seats.push((at, tokens));
         let stage = extra.stage;
         extra.budget_ms = self.errand.left(now).max(1);
-        let outcome = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, silence_ms).await;
+        let wait = self.errand.left(now);
+        let outcome = {
+            let call = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, wait);
+            tokio::pin!(call);
+            loop {
+                let span = std::time::Duration::from_millis(silence_ms.clamp(1, wait.max(1)));
+                if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
+                    break outcome;
+                }
+                let seen = self.yard.park.lock().expect("park").list[at].good_at;
+                if seen + silence_ms <= kernel::clock::now() || self.left() == 0 {
+                    break crate::send::Outcome::Lost;
+                }
+            }
+        };
         self.shown(at, &outcome);
         let answer = matches!(outcome, crate::send::Outcome::Answer(_));
         let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
@@ -211,13 +241,13 @@
         let stall = &mut park.list[at];
         match outcome {
             crate::send::Outcome::Answer(answer) => {
-                stall.good();
+                stall.good(now);
                 if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
                     stall.report(load, now);
                 }
             }
             crate::send::Outcome::Unrun(_) => {
-                stall.good();
+                stall.good(now);
                 stall.full_until = now + 60;
             }
             crate::send::Outcome::Unsent(crate::pool::Hitch::Full) => stall.full_until = now + 20,
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -11,10 +11,17 @@
     let (tokens, shared, rank) = (trip.errand.tokens(), trip.errand.shared(), crate::plan::rank(&trip.errand));
     let held = trip.held.clone();
     for _ in 0..3 {
-        let Some(at) = trip.view(|view| view.prefill(tokens, &held, shared, rank)) else { return Err(()) };
+        let best = trip.view(|view| (view.prefill(tokens, &held, shared, rank), view.alone(tokens, &held, rank)));
+        let Some((at, cost)) = best.0 else { return Err(()) };
+        // Readers so pressed that a maker would be done sooner by itself: the smallest exception.
+        if best.1.is_some_and(|(_, alone)| alone < cost) {
+            return Err(());
+        }
+        let reads = tokens.saturating_sub(held.iter().find(|(owner, _)| *owner == at).map_or(0, |(_, have)| *have));
+        trip.yard.park.lock().expect("park").note_read(trip.service, reads);
         let extra = crate::send::Extra { stage: true, urgency: urgency(trip), ..Default::default() };
         let wait = trip.left().min((2 * trip.target_ms).max(700));
-        match trip.send(at, extra, wait).await {
+        match trip.send(at, extra, reads, wait).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
             crate::send::Outcome::Unsent(_) => trip.tried.push(at),
             crate::send::Outcome::Unrun(_) => {
@@ -96,19 +103,23 @@
     let (tokens, rank) = (trip.errand.tokens(), crate::plan::rank(&trip.errand));
     let held = trip.held.clone();
     loop {
-        let Some(at) = trip.view(|view| view.decode(tokens, &held, reader, rank)) else {
+        let handle = trip.spend();
+        let place = trip.view(|view| match handle {
+            Some(_) => view.decode(tokens, &held, reader, rank),
+            None => view.alone(tokens, &held, rank).map(|(at, _)| at),
+        });
+        let (Some(at), true) = (place, trip.allow()) else {
+            handle.into_iter().for_each(|handle| trip.keep(handle));
             return Err(crate::relay::give_up(trip));
         };
-        if !trip.allow() {
-            return Err(crate::relay::give_up(trip));
-        }
-        let handle = trip.spend();
+        let reads = if handle.is_some() { 0 } else { tokens };
         let source = handle.as_ref().map(|handle| format!("{}/{}", handle.addr, handle.id));
         let extra = crate::send::Extra { source, urgency: urgency(trip), last: None, ..Default::default() };
         let wait = trip.silence_ms();
         trip.sends += 1;
-        match trip.send(at, extra, wait).await {
+        match trip.send(at, extra, reads, wait).await {
             crate::send::Outcome::Answer(answer) => {
+                trip.read(at);
                 if answer.head.status.is_success() {
                     register(trip, at);
                 }
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -66,7 +66,7 @@
         }
         let wait = trip.silence_ms();
         trip.sends += 1;
-        match trip.send(at, crate::send::Extra::default(), wait).await {
+        match trip.send(at, crate::send::Extra::default(), 0, wait).await {
             crate::send::Outcome::Answer(answer) => {
                 let again = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
                 if !again {
@@ -100,7 +100,7 @@
         let (tokens, rank) = (self.errand.tokens(), crate::plan::rank(&self.errand));
         for _ in 0..3 {
             let held = self.held.clone();
-            let next = self.view(|view| view.decode(tokens, &held, None, rank))?;
+            let next = self.view(|view| view.alone(tokens, &held, rank))?.0;
             if self.left() == 0 || !self.allow() {
                 return None;
             }
@@ -111,7 +111,7 @@
             let extra = crate::send::Extra { last, ..Default::default() };
             let wait = self.left();
             self.sends += 1;
-            match self.send(next, extra, wait).await {
+            match self.send(next, extra, tokens, wait).await {
                 crate::send::Outcome::Answer(answer) if answer.head.status.is_success() => {
                     return Some((next, *answer));
                 }
