--- a/catalog/src/shelf.rs
+++ b/catalog/src/shelf.rs
@@ -22,7 +22,14 @@
 
 impl Shelf {
     pub fn new(room: usize, stale_ms: u64) -> Self {
-        Shelf { names: Vec::new(), index: Default::default(), keys: Default::default(), order: Default::default(), room, stale_ms }
+        Shelf {
+            names: Vec::new(),
+            index: Default::default(),
+            keys: Default::default(),
+            order: Default::default(),
+            room,
+            stale_ms,
+        }
     }
 
     pub fn register(&mut self, key: u64, engine: &str, now: u64) {
--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -80,7 +80,8 @@
 
 /// The same but for the running down of what is left of a cold time.
 fn alike(left: &[wire::msg::Engine], right: &[wire::msg::Engine]) -> bool {
-    let plain = |engine: &wire::msg::Engine| wire::msg::Engine { cold_ms: u32::from(engine.cold_ms > 0), ..engine.clone() };
+    let plain =
+        |engine: &wire::msg::Engine| wire::msg::Engine { cold_ms: u32::from(engine.cold_ms > 0), ..engine.clone() };
     left.len() == right.len() && left.iter().zip(right).all(|(one, two)| plain(one) == plain(two))
 }
 
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -28,7 +28,8 @@
         }
         Receipt::Unclear => {
             kernel::say!(crate::event::UNCLEAR);
-            let mut reply = json(503, serde_json::json!({ "error": "no majority answered in time" }).to_string().into_bytes());
+            let mut reply =
+                json(503, serde_json::json!({ "error": "no majority answered in time" }).to_string().into_bytes());
             reply.headers_mut().insert("retry-after", poem::http::HeaderValue::from_static("0.3"));
             reply
         }
@@ -89,8 +90,10 @@
     }
     let mut whole = text.to_string();
     if patch {
-        let change: serde_json::Value = serde_json::from_str(text).map_err(|error| (400, format!("change: {error}")))?;
-        let now: serde_json::Value = serde_json::from_str(&held.text).map_err(|_| (400, "no configuration to change".into()))?;
+        let change: serde_json::Value =
+            serde_json::from_str(text).map_err(|error| (400, format!("change: {error}")))?;
+        let now: serde_json::Value =
+            serde_json::from_str(&held.text).map_err(|_| (400, "no configuration to change".into()))?;
         whole = wire::config::patch(&now, &change).map_err(|words| (400, words))?.to_string();
     }
     let config = wire::config::read(&whole).map_err(|words| (400, words))?;
@@ -163,9 +166,9 @@
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let Some(addr) = hall.env.bind_addresses.control_plane.clone() else { return };
-    let app = std::sync::Arc::new(poem::Route::new()
-        .at("/config", Config(hall.clone()))
-        .at("/evacuation/:zone", Evacuation(hall.clone())));
+    let app = std::sync::Arc::new(
+        poem::Route::new().at("/config", Config(hall.clone())).at("/evacuation/:zone", Evacuation(hall.clone())),
+    );
     tokio::spawn(async move {
         loop {
             let pause = std::time::Duration::from_millis(200);
--- a/keeper/src/council.rs
+++ b/keeper/src/council.rs
@@ -102,12 +102,7 @@
 
     /// Changes a key. `judge` sees what is committed and says what to do; it may be asked again, and
     /// an answer without a write is only given on what a majority was just seen to hold.
-    pub async fn change<T>(
-        &self,
-        key: &str,
-        wait_ms: u64,
-        mut judge: impl FnMut(&[u8]) -> Verdict<T>,
-    ) -> Outcome<T> {
+    pub async fn change<T>(&self, key: &str, wait_ms: u64, mut judge: impl FnMut(&[u8]) -> Verdict<T>) -> Outcome<T> {
         let own = self.helms.lock().expect("helms").entry(key.into()).or_default().clone();
         let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
         let mut held = tokio::time::timeout_at(end, own.lock()).await.ok()?;
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -109,7 +109,8 @@
         if known >= Some(place) {
             continue;
         }
-        let count = lists.iter().flatten().filter(|(name, ballot, step)| *name == key && (*ballot, *step) == place).count();
+        let count =
+            lists.iter().flatten().filter(|(name, ballot, step)| *name == key && (*ballot, *step) == place).count();
         all &= fetch(hall, &core, &key, place, count >= need).await;
     }
     if all {
--- a/keeper/src/join.rs
+++ b/keeper/src/join.rs
@@ -66,7 +66,8 @@
     }
     let next = {
         let roster = hall.roster.lock().expect("roster");
-        let first = roster.order("", ledger::CORE).into_iter().find(|ip| roster.live(ip, now) && ledger::holds(&core, ip));
+        let first =
+            roster.order("", ledger::CORE).into_iter().find(|ip| roster.live(ip, now) && ledger::holds(&core, ip));
         if first.as_deref() != Some(hall.me()) {
             return;
         }
--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -122,7 +122,8 @@
 }
 
 pub fn load(path: &str) -> Result<Env, error_stack::Report<BadEnv>> {
-    let text = std::fs::read_to_string(path).map_err(|error| bad("(file)", format!("{path}: {error}"), "a readable file"))?;
+    let text =
+        std::fs::read_to_string(path).map_err(|error| bad("(file)", format!("{path}: {error}"), "a readable file"))?;
     parse(&text)
 }
 
@@ -142,7 +143,11 @@
         return Err(bad("ip", &env.ip, "an IPv4 address"));
     }
     if env.internal_ports[0] == 0 || env.internal_ports[0] > env.internal_ports[1] {
-        return Err(bad("internal_ports", format!("{:?}", env.internal_ports), "two ports, the first not above the second"));
+        return Err(bad(
+            "internal_ports",
+            format!("{:?}", env.internal_ports),
+            "two ports, the first not above the second",
+        ));
     }
     if !env.zones.contains_key(&env.zone) {
         return Err(bad("zone", &env.zone, "a name listed under zones"));
--- a/ledger/src/store.rs
+++ b/ledger/src/store.rs
@@ -134,7 +134,8 @@
             size = scan(&dir.join(format!("log-{log:08}")), *log == number, &mut deeds)?;
         }
         let path = dir.join(format!("log-{number:08}"));
-        let file = std::fs::OpenOptions::new().create(true).truncate(false).write(true).open(&path).map_err(io(&path))?;
+        let file =
+            std::fs::OpenOptions::new().create(true).truncate(false).write(true).open(&path).map_err(io(&path))?;
         file.set_len(size).map_err(io(&path))?;
         file.sync_all().map_err(io(&path))?;
         let store = Store { dir: dir.into(), file, number, size, synced: size };
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -15,7 +15,8 @@
                 let good = yard.ready.load(order) && !yard.leaving();
                 async move {
                     let mut reply = http::Response::new(http_body_util::Empty::<bytes::Bytes>::new());
-                    *reply.status_mut() = if good { http::StatusCode::OK } else { http::StatusCode::SERVICE_UNAVAILABLE };
+                    *reply.status_mut() =
+                        if good { http::StatusCode::OK } else { http::StatusCode::SERVICE_UNAVAILABLE };
                     Ok::<_, std::convert::Infallible>(reply)
                 }
             });
--- a/router/src/errand.rs
+++ b/router/src/errand.rs
@@ -75,7 +75,13 @@
 }
 
 impl Errand {
-    pub fn make(parts: http::request::Parts, body: bytes::Bytes, route: &crate::table::Route, seed: u64, born: u64) -> Errand {
+    pub fn make(
+        parts: http::request::Parts,
+        body: bytes::Bytes,
+        route: &crate::table::Route,
+        seed: u64,
+        born: u64,
+    ) -> Errand {
         let mut head = parts.headers;
         strip(&mut head);
         head.remove(http::header::EXPECT);
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -7,24 +7,18 @@
 const HUSH_MS: u64 = 2000;
 
 /// A read takes up none of the counted sends unless it is turned away, or a read went before it.
-async fn read(trip: &mut crate::carry::Trip) -> Result<(), ()> {
-    let (tokens, shared, rank) = (trip.errand.tokens(), trip.errand.shared(), crate::plan::rank(&trip.errand));
+async fn read(trip: &mut crate::trip::Trip) -> Result<(), ()> {
     let held = trip.held.clone();
     for _ in 0..3 {
-        let best = trip.view(|view| (view.prefill(tokens, &held, shared, rank), view.alone(tokens, &held, rank)));
-        let Some((at, cost)) = best.0 else { return Err(()) };
-        // Readers so pressed that a maker would be done sooner by itself: the smallest exception.
-        if best.1.is_some_and(|(_, alone)| alone < cost) {
-            return Err(());
-        }
-        let reads = tokens.saturating_sub(held.iter().find(|(owner, _)| *owner == at).map_or(0, |(_, have)| *have));
+        let plan = trip.view(|view| crate::plan::read(view, &trip.errand, &held));
+        let crate::plan::Plan::Read { at, reads } = plan else { return Err(()) };
         trip.yard.park.lock().expect("park").note_read(trip.service, reads);
         let extra = crate::send::Extra { stage: true, urgency: urgency(trip), ..Default::default() };
         let wait = trip.left().min((2 * trip.target_ms).max(700));
         match trip.send(at, extra, reads, wait).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
             crate::send::Outcome::Unsent(_) => trip.tried.push(at),
-            crate::send::Outcome::Unrun(_) => {
+            crate::send::Outcome::Unrun => {
                 trip.tried.push(at);
                 trip.sends += 1;
                 // The last counted send is kept for the half that makes the tokens.
@@ -38,7 +32,7 @@
     Err(())
 }
 
-async fn taken(trip: &mut crate::carry::Trip, at: usize, answer: crate::send::Answer) -> Result<(), ()> {
+async fn taken(trip: &mut crate::trip::Trip, at: usize, answer: crate::send::Answer) -> Result<(), ()> {
     let addr = trip.addr(at);
     let good = answer.head.status == 200;
     let wait = trip.left().min(1000);
@@ -52,16 +46,16 @@
         return Err(());
     }
     let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
-    trip.keep(crate::carry::Handle { at, addr, id: id.into(), until });
+    trip.keep(crate::trip::Handle { at, addr, id: id.into(), until });
     Ok(())
 }
 
-fn urgency(trip: &crate::carry::Trip) -> Option<u32> {
+fn urgency(trip: &crate::trip::Trip) -> Option<u32> {
     Some((4 + trip.priority).min(9))
 }
 
 /// Notes an owner here and tells the catalog; gives the number of registrations sent.
-fn register(trip: &crate::carry::Trip, at: usize) -> u32 {
+fn register(trip: &crate::trip::Trip, at: usize) -> u32 {
     let now = kernel::clock::now();
     let id = trip.yard.park.lock().expect("park").list[at].id.clone();
     let mut list = Vec::with_capacity(trip.errand.keys.len());
@@ -78,9 +72,7 @@
 }
 
 /// Reads the prompt and hands it over; gives the engine that answers and its answer.
-pub async fn carry(
-    trip: &mut crate::carry::Trip,
-) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+pub async fn carry(trip: &mut crate::trip::Trip) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
     trip.held = crate::plan::owners(&trip.yard, &trip.errand).await;
     let mut reader = None;
     if read(trip).await.is_ok() {
@@ -97,7 +89,7 @@
 
 /// Sends to the engine that makes the tokens, with the memory where there is one.
 async fn make(
-    trip: &mut crate::carry::Trip,
+    trip: &mut crate::trip::Trip,
     reader: Option<usize>,
 ) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
     let (tokens, rank) = (trip.errand.tokens(), crate::plan::rank(&trip.errand));
@@ -132,7 +124,7 @@
                     trip.keep(handle);
                 }
             }
-            crate::send::Outcome::Unrun(_) => {
+            crate::send::Outcome::Unrun => {
                 trip.tried.push(at);
                 let Some(handle) = handle else { continue };
                 let now = kernel::clock::now();
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -14,6 +14,7 @@
 mod send;
 mod stream;
 mod table;
+mod trip;
 mod yard;
 
 mod flags {
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -1,11 +1,24 @@
 //! Planning a request's way, as data, before anything is sent.
 
-/// Invariants: `reader` and `maker` are engines of the route's service outside `shut`; without a
-/// reader the maker reads the prompt itself.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Plan {
-    pub reader: Option<usize>,
-    pub maker: Option<usize>,
+/// Who reads the prompt. Invariant: a reader is an engine of the route's service outside `shut`
+/// that was not tried before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plan {
+    /// The engine and the tokens it has yet to read.
+    Read { at: usize, reads: u32 },
+    /// The maker reads the prompt itself: there is no reader, or readers are so pressed that a maker
+    /// is done sooner. The smallest exception to the ordinary path.
+    Alone,
+}
+
+pub fn read(view: &engines::place::View, errand: &crate::errand::Errand, held: &Held) -> Plan {
+    let (tokens, rank) = (errand.tokens(), rank(errand));
+    let Some((at, cost)) = view.prefill(tokens, held, errand.shared(), rank) else { return Plan::Alone };
+    if view.alone(tokens, held, rank).is_some_and(|(_, alone)| alone < cost) {
+        return Plan::Alone;
+    }
+    let have = held.iter().find(|(owner, _)| *owner == at).map_or(0, |(_, have)| *have);
+    Plan::Read { at, reads: tokens.saturating_sub(have) }
 }
 
 /// What was learned about the owners of a request's prefixes: engine and tokens held.
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -21,13 +21,13 @@
 }
 
 /// When a refused client may come back: soon, and later the more is waiting.
-fn comeback(trip: &crate::carry::Trip) -> u64 {
+fn comeback(trip: &crate::trip::Trip) -> u64 {
     let third = trip.left() / 3;
     (trip.target_ms / 4).clamp(50, 1000).min(third.max(20))
 }
 
 /// The answer to a request that is given up. Nothing that may have run is ever called refused.
-pub fn give_up(trip: &crate::carry::Trip) -> crate::receipt::Receipt {
+pub fn give_up(trip: &crate::trip::Trip) -> crate::receipt::Receipt {
     if !trip.ran {
         return crate::receipt::Receipt::Refused(comeback(trip));
     }
@@ -38,9 +38,7 @@
 }
 
 /// Chooses the path and follows it to an answer.
-pub async fn go(
-    mut trip: crate::carry::Trip,
-) -> Result<http::Response<crate::receipt::Body>, crate::receipt::Receipt> {
+pub async fn go(mut trip: crate::trip::Trip) -> Result<http::Response<crate::receipt::Body>, crate::receipt::Receipt> {
     let split = !trip.errand.keys.is_empty()
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
@@ -54,9 +52,7 @@
 }
 
 /// Services without halves: one engine, and another where that is allowed.
-async fn plain(
-    trip: &mut crate::carry::Trip,
-) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+async fn plain(trip: &mut crate::trip::Trip) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
     loop {
         let rank = kernel::clock::blend(trip.errand.born, trip.errand.body.len() as u64);
         let place = trip.view(|view| view.decode(0, &[], None, rank));
@@ -76,7 +72,7 @@
                 trip.close(at);
             }
             crate::send::Outcome::Unsent(_) => trip.sends -= 1,
-            crate::send::Outcome::Unrun(_) => {}
+            crate::send::Outcome::Unrun => {}
             crate::send::Outcome::Lost => {
                 trip.ran = true;
                 if !trip.repeatable {
@@ -88,7 +84,7 @@
     }
 }
 
-impl crate::carry::Trip {
+impl crate::trip::Trip {
     /// Goes on at another engine after a break, behind the last event that was passed on.
     async fn resume(&mut self, at: usize, last: Option<String>) -> Option<(usize, crate::send::Answer)> {
         self.ran = true;
@@ -134,7 +130,11 @@
 }
 
 /// Answers with the engine's head; its body follows as it comes.
-pub fn pass(mut trip: crate::carry::Trip, at: usize, answer: crate::send::Answer) -> http::Response<crate::receipt::Body> {
+pub fn pass(
+    mut trip: crate::trip::Trip,
+    at: usize,
+    answer: crate::send::Answer,
+) -> http::Response<crate::receipt::Body> {
     let mut reply = http::Response::new(());
     *reply.status_mut() = answer.head.status;
     *reply.headers_mut() = answer.head.headers.clone();
@@ -150,7 +150,7 @@
     reply.map(|()| crate::receipt::Body::new(Feed(feed, length)))
 }
 
-async fn run(trip: &mut crate::carry::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
+async fn run(trip: &mut crate::trip::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
     let mut split = crate::stream::Splitter::default();
     loop {
         let stream = trip.streams();
@@ -178,7 +178,7 @@
 }
 
 async fn pump(
-    trip: &crate::carry::Trip,
+    trip: &crate::trip::Trip,
     answer: &mut crate::send::Answer,
     split: &mut crate::stream::Splitter,
     pipe: &Pipe,
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -11,7 +11,7 @@
     /// Nothing of it reached the engine.
     Unsent(crate::pool::Hitch),
     /// The engine says that it has not run.
-    Unrun(u16),
+    Unrun,
     /// It may have run.
     Lost,
 }
@@ -95,8 +95,8 @@
         }
         let status = head.status.as_u16();
         if status == 421 || head.headers.contains_key(wire::word::UNRUN) {
-            finish(yard, addr, *Box::new(Answer { head, body, wire })).await;
-            return Outcome::Unrun(status);
+            finish(yard, addr, Answer { head, body, wire }).await;
+            return Outcome::Unrun;
         }
         return Outcome::Answer(Box::new(Answer { head, body, wire }));
     }
@@ -143,7 +143,7 @@
 }
 
 /// Gives the memory of a handle free; tried once, since it lapses by itself.
-pub async fn free(yard: &crate::yard::Yard, handle: &crate::carry::Handle, most: usize) {
+pub async fn free(yard: &crate::yard::Yard, handle: &crate::trip::Handle, most: usize) {
     let mut request = http::Request::new(http_body_util::Full::new(bytes::Bytes::new()));
     *request.method_mut() = http::Method::DELETE;
     let Ok(path) = format!("/kv-handle/{}", handle.id).parse() else { return };
--- a/router/src/table.rs
+++ b/router/src/table.rs
@@ -32,7 +32,6 @@
     pub connections: u32,
     pub ramp_per_s: f64,
     pub hold_ms: u64,
-    pub kv_capacity: u64,
 }
 
 /// Invariant: routes of a host stand longest prefix first.
@@ -63,7 +62,6 @@
                 connections: service.max_connections,
                 ramp_per_s: service.ramp_per_s,
                 hold_ms: engine.map_or(0, |engine| (engine.kv_hold_s * 1000.0) as u64),
-                kv_capacity: engine.map_or(0, |engine| engine.kv_capacity),
             };
             table.services.insert(park.service(&service.name), made);
         }
--- /dev/null
+++ b/router/src/trip.rs
@@ -0,0 +1,229 @@
+//! One request on its way: what was sent, what is open, what is held for it.
+
+/// The memory of a read prompt. Invariants: it serves this request only, is taken once, and is
+/// never named after `until`.
+pub struct Handle {
+    pub at: usize,
+    pub addr: String,
+    pub id: String,
+    pub until: u64,
+}
+
+/// One request on its way. Invariants: `sends` counts arrivals that the operator counts; `seats`
+/// are the engines at which it is under way; what is left open is closed on drop.
+pub struct Trip {
+    pub yard: std::sync::Arc<crate::yard::Yard>,
+    pub errand: crate::errand::Errand,
+    pub kind: crate::table::Kind,
+    pub repeatable: bool,
+    pub tries: u32,
+    pub target_ms: u64,
+    pub priority: u32,
+    pub service: u32,
+    pub spec: crate::table::Service,
+    pub shut: Vec<u32>,
+    pub held: crate::plan::Held,
+    pub sends: u32,
+    pub arrived: bool,
+    pub ran: bool,
+    pub tried: Vec<usize>,
+    pub seats: Vec<(usize, u64)>,
+    pub handle: Option<Handle>,
+}
+
+impl Drop for Trip {
+    fn drop(&mut self) {
+        while let Some((at, _)) = self.seats.last().copied() {
+            self.close(at);
+        }
+        self.free();
+        let order = std::sync::atomic::Ordering::Relaxed;
+        self.yard.open.fetch_sub(1, order);
+        self.yard.held.fetch_sub(self.errand.body.len(), order);
+    }
+}
+
+impl Trip {
+    pub fn left(&self) -> u64 {
+        self.errand.left(kernel::clock::now())
+    }
+
+    pub fn streams(&self) -> bool {
+        self.kind == crate::table::Kind::Streaming
+    }
+
+    pub fn resumes(&self) -> bool {
+        self.streams() && self.repeatable
+    }
+
+    /// How long an engine may be silent before another is asked: only where that is allowed.
+    pub fn silence_ms(&self) -> u64 {
+        if self.repeatable && self.sends < self.tries {
+            return self.left().min((2 * self.target_ms).max(800));
+        }
+        self.left()
+    }
+
+    pub fn addr(&self, at: usize) -> String {
+        self.yard.park.lock().expect("park").list[at].addr.clone()
+    }
+
+    /// May one more send be made that the operator counts? The first arrival draws on no budget.
+    pub fn allow(&self) -> bool {
+        if self.sends >= self.tries {
+            return false;
+        }
+        !self.arrived || self.yard.budget.lock().expect("budget").allow(self.service, kernel::clock::now())
+    }
+
+    pub fn view<T>(&self, look: impl FnOnce(&engines::place::View) -> T) -> T {
+        let table = self.yard.table();
+        let ramp = table.services.get(&self.service).map_or(0.0, |spec| spec.ramp_per_s);
+        let seats = self.yard.seats();
+        let park = self.yard.park.lock().expect("park");
+        look(&engines::place::View {
+            park: &park,
+            now: kernel::clock::now(),
+            service: self.service,
+            area: self.yard.area,
+            shut: &self.shut,
+            tried: &self.tried,
+            seats,
+            ramp: ramp * self.yard.env.bounds.ramp_overage,
+        })
+    }
+
+    /// Connections that this router may have to one engine.
+    fn most(&self) -> usize {
+        let all = if self.spec.connections == 0 { 1024 } else { self.spec.connections };
+        ((f64::from(all) * 0.9) / f64::from(self.yard.seats())).max(2.0) as usize
+    }
+
+    /// Its prompt is read: only the making of tokens is left there.
+    pub fn read(&mut self, at: usize) {
+        let Some((_, tokens)) = self.seats.iter_mut().find(|(seat, _)| *seat == at) else { return };
+        let tokens = std::mem::take(tokens);
+        let mut park = self.yard.park.lock().expect("park");
+        park.list[at].tokens = park.list[at].tokens.saturating_sub(tokens);
+    }
+
+    pub fn close(&mut self, at: usize) {
+        let Some(place) = self.seats.iter().position(|(seat, _)| *seat == at) else { return };
+        let (at, tokens) = self.seats.swap_remove(place);
+        let mut park = self.yard.park.lock().expect("park");
+        let stall = &mut park.list[at];
+        stall.busy = stall.busy.saturating_sub(1);
+        stall.tokens = stall.tokens.saturating_sub(tokens);
+    }
+
+    /// One send to one engine, with what it shows about that engine noted.
+    /// `reads`: prompt tokens that the engine is to read. `silence_ms`: how long it may give no sign
+    /// of life; while it answers others it is only slow.
+    pub async fn send(
+        &mut self,
+        at: usize,
+        mut extra: crate::send::Extra,
+        reads: u32,
+        silence_ms: u64,
+    ) -> crate::send::Outcome {
+        let now = kernel::clock::now();
+        let tokens = u64::from(reads);
+        let addr = {
+            let mut park = self.yard.park.lock().expect("park");
+            let stall = &mut park.list[at];
+            stall.busy += 1;
+            stall.tokens += tokens;
+            stall.ramp.note(now);
+            extra.target.clone_from(&stall.id);
+            stall.addr.clone()
+        };
+        self.seats.push((at, tokens));
+        let stage = extra.stage;
+        extra.budget_ms = self.errand.left(now).max(1);
+        let wait = self.errand.left(now);
+        let outcome = {
+            let call = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, wait);
+            tokio::pin!(call);
+            loop {
+                let span = std::time::Duration::from_millis(silence_ms.clamp(1, wait.max(1)));
+                if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
+                    break outcome;
+                }
+                let seen = self.yard.park.lock().expect("park").list[at].good_at;
+                if seen + silence_ms <= kernel::clock::now() || self.left() == 0 {
+                    break crate::send::Outcome::Lost;
+                }
+            }
+        };
+        self.shown(at, &outcome);
+        let answer = matches!(outcome, crate::send::Outcome::Answer(_));
+        let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
+        // The first read that an engine takes up is no arrival that counts. One without an answer
+        // may never have been taken up, and counts.
+        let free = answer && stage;
+        self.arrived |= !unsent && !free;
+        if !matches!(outcome, crate::send::Outcome::Answer(_)) {
+            self.close(at);
+        }
+        outcome
+    }
+
+    /// Notes what an outcome shows about the engine.
+    fn shown(&self, at: usize, outcome: &crate::send::Outcome) {
+        let now = kernel::clock::now();
+        let mut park = self.yard.park.lock().expect("park");
+        let stall = &mut park.list[at];
+        match outcome {
+            crate::send::Outcome::Answer(answer) => {
+                stall.good(now);
+                if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
+                    stall.report(load, now);
+                }
+            }
+            crate::send::Outcome::Unrun => {
+                stall.good(now);
+                stall.full_until = now + 60;
+            }
+            crate::send::Outcome::Unsent(crate::pool::Hitch::Full) => stall.full_until = now + 20,
+            _ => {
+                stall.strike(now);
+                kernel::say!(crate::event::STRIKE, "engine" => stall.id.clone(), "strikes" => stall.strikes);
+                let addr = stall.addr.clone();
+                drop(park);
+                self.yard.pools.forget(&addr);
+            }
+        }
+    }
+
+    /// The engine whose memory is held.
+    pub fn reader(&self) -> Option<usize> {
+        self.handle.as_ref().map(|handle| handle.at)
+    }
+
+    pub fn keep(&mut self, handle: Handle) {
+        self.free();
+        self.handle = Some(handle);
+    }
+
+    /// The handle, if it may still be named. It is out of our hands from here on.
+    pub fn spend(&mut self) -> Option<Handle> {
+        let now = kernel::clock::now();
+        let good = self.handle.as_ref().is_some_and(|handle| {
+            let park = self.yard.park.lock().expect("park");
+            let stall = &park.list[handle.at];
+            now < handle.until && stall.here && !self.shut.contains(&stall.area)
+        });
+        if !good {
+            self.free();
+        }
+        self.handle.take()
+    }
+
+    /// Memory that nobody will take is given free at once.
+    pub fn free(&mut self) {
+        let Some(handle) = self.handle.take() else { return };
+        let yard = self.yard.clone();
+        let most = self.most();
+        tokio::spawn(async move { crate::send::free(&yard, &handle, most).await });
+    }
+}
--- a/router/src/yard.rs
+++ b/router/src/yard.rs
@@ -34,15 +34,6 @@
     pub seats: Vec<(u64, u32)>,
 }
 
-/// Counts one thing for as long as it lives.
-pub struct Token<'a>(pub &'a std::sync::atomic::AtomicUsize, pub usize);
-
-impl Drop for Token<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(self.1, std::sync::atomic::Ordering::Relaxed);
-    }
-}
-
 impl Yard {
     /// How many routers share the bounds: the most that was told in the last ten seconds.
     pub fn seats(&self) -> u32 {
--- a/wire/src/config_tests.rs
+++ b/wire/src/config_tests.rs
@@ -32,7 +32,9 @@
 
 #[test]
 fn each_flaw_names_its_item() {
-    assert!(refused(|value| value["route_table"][1]["service"] = "gone".into()).contains("`r-2`: unknown service `gone`"));
+    assert!(
+        refused(|value| value["route_table"][1]["service"] = "gone".into()).contains("`r-2`: unknown service `gone`")
+    );
     assert!(refused(|value| value["route_table"][1]["timeout_ms"] = 0.into()).contains("`r-2`: timeout_ms"));
     let same = refused(|value| {
         value["route_table"][1]["hostname"] = "a.example".into();
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -2,7 +2,9 @@
 
 /// A ledger position: rises with each take-over (`turn`, ties by `seat`) and each change (`step`).
 /// Invariant: one owner acts under one (`turn`, `seat`); `step` restarts at 0 with each of them.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
 pub struct Ballot {
     pub turn: u64,
     pub seat: u64,
@@ -39,13 +41,21 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Ask {
-    Prepare { key: String, ballot: Ballot },
-    Accept { key: String, entry: Entry },
+    Prepare {
+        key: String,
+        ballot: Ballot,
+    },
+    Accept {
+        key: String,
+        entry: Entry,
+    },
     /// The places of all keys, without their bodies.
     Places,
     /// All that a voter holds: for a voter that lost its disk.
     Whole,
-    Fetch { key: String },
+    Fetch {
+        key: String,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -64,14 +74,26 @@
 
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Vote {
-    Promise { entry: Option<Entry> },
+    Promise {
+        entry: Option<Entry>,
+    },
     Accepted,
-    Refused { promised: Ballot },
-    Places { list: Vec<(String, Ballot, u64)> },
-    Whole { slots: Vec<Slot> },
-    Fetched { entry: Option<Entry> },
+    Refused {
+        promised: Ballot,
+    },
+    Places {
+        list: Vec<(String, Ballot, u64)>,
+    },
+    Whole {
+        slots: Vec<Slot>,
+    },
+    Fetched {
+        entry: Option<Entry>,
+    },
     /// The asker's core is older than this one.
-    Newer { core: Core },
+    Newer {
+        core: Core,
+    },
     /// Not a voter, or one that must first read the others.
     Mute,
 }
--- a/wire/src/sock.rs
+++ b/wire/src/sock.rs
@@ -19,7 +19,8 @@
 }
 
 pub fn listen(addr: &str) -> std::io::Result<tokio::net::TcpListener> {
-    let addr: std::net::SocketAddr = addr.parse().map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidInput))?;
+    let addr: std::net::SocketAddr =
+        addr.parse().map_err(|_| std::io::Error::from(std::io::ErrorKind::InvalidInput))?;
     let sock = tokio::net::TcpSocket::new_v4()?;
     sock.set_reuseaddr(true)?;
     sock.bind(addr)?;
