--- a/ledger/src/sim.rs
+++ b/ledger/src/sim.rs
@@ -1,1 +1,281 @@
+//! A deterministic world for the ledger: virtual time, a seed, messages that are lost, doubled and
+//! reordered, crashes that lose what was not synced, wiped disks, cuts. It checks that nothing
+//! acknowledged is lost and that the history of a key is one line.
+use wire::msg::{Ask, Core, Member, Poll, Vote};
 
+const KEY: &str = "k";
+
+enum Mail {
+    Poll { round: u64, poll: Poll },
+    Vote { round: u64, vote: Vote },
+}
+
+struct Letter {
+    at: u64,
+    from: usize,
+    to: usize,
+    life: u64,
+    mail: Mail,
+}
+
+struct Work {
+    id: u64,
+    round: crate::round::Round,
+    /// The body this round carries, when it is a change.
+    body: Option<Vec<u8>>,
+}
+
+/// Invariant: `disk` is what was synced; `voter` may be ahead of it by what waits in `wet`.
+struct Seat {
+    voter: crate::voter::Voter,
+    disk: crate::voter::Voter,
+    wet: Vec<(u64, Vec<crate::voter::Deed>, Option<Letter>)>,
+    helm: Option<crate::round::Helm>,
+    work: Option<Work>,
+    up: bool,
+    life: u64,
+    born: u64,
+    turn: u64,
+    reads: std::collections::BTreeMap<usize, Vec<wire::msg::Slot>>,
+}
+
+pub struct World {
+    now: u64,
+    dice: kernel::clock::Dice,
+    seats: Vec<Seat>,
+    mail: Vec<Letter>,
+    cut: Vec<(usize, usize)>,
+    next: u64,
+    /// Acknowledged bodies, in the order of their acknowledgement.
+    pub acked: Vec<Vec<u8>>,
+    /// With it, a wiped voter votes at once: the fault that the rule prevents.
+    pub hasty: bool,
+}
+
+fn ip(at: usize) -> String {
+    format!("10.0.0.{at}")
+}
+
+fn count(body: &[u8]) -> u64 {
+    std::str::from_utf8(body).ok().and_then(|text| text.split('/').next()?.parse().ok()).unwrap_or(0)
+}
+
+impl World {
+    pub fn new(seed: u64, size: usize) -> World {
+        let list = (0..size).map(|at| Member { ip: ip(at), area: String::new() }).collect();
+        let core = Core { stamp: 1, list, prev: Vec::new(), settled: true };
+        let seat = |at: usize| {
+            let mut voter = crate::voter::Voter::new(&ip(at));
+            voter.core = core.clone();
+            voter.able = true;
+            Seat {
+                disk: voter.clone(),
+                voter,
+                wet: Vec::new(),
+                helm: None,
+                work: None,
+                up: true,
+                life: 1,
+                born: 0,
+                turn: 0,
+                reads: Default::default(),
+            }
+        };
+        World {
+            now: 0,
+            dice: kernel::clock::Dice::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+            seats: (0..size).map(seat).collect(),
+            mail: Vec::new(),
+            cut: Vec::new(),
+            next: 1,
+            acked: Vec::new(),
+            hasty: false,
+        }
+    }
+
+    fn post(&mut self, from: usize, to: usize, mail: Mail) {
+        if self.cut.contains(&(from, to)) || (from != to && self.dice.below(100) < 4) {
+            return;
+        }
+        let far = if self.dice.below(20) == 0 { 400 } else { 12 };
+        let late = if from == to { 0 } else { 1 + self.dice.below(far) };
+        self.mail.push(Letter { at: self.now + late, from, to, life: self.seats[to].life, mail });
+    }
+
+    fn ask(&mut self, from: usize, round: u64, core: &Core, ask: &Ask) {
+        for to in 0..self.seats.len() {
+            if crate::holds(core, &ip(to)) {
+                self.post(from, to, Mail::Poll { round, poll: Poll { core: core.clone(), ask: ask.clone() } });
+            }
+        }
+    }
+
+    /// A keeper begins what its state calls for: a change by a helm, or a take-over.
+    pub fn propose(&mut self, at: usize) {
+        let seat = &mut self.seats[at];
+        if !seat.up || seat.work.as_ref().is_some_and(|work| !work.round.over(self.now)) {
+            return;
+        }
+        let core = seat.voter.core.clone();
+        let (id, now) = (self.next, self.now);
+        self.next += 1;
+        let (round, ask, body) = match &seat.helm {
+            Some(helm) => {
+                let body = format!("{}/{at}.{id}", count(&helm.entry.body) + 1).into_bytes();
+                let (round, ask) = crate::round::Round::change(KEY, core.clone(), helm, body.clone(), now);
+                (round, ask, Some(body))
+            }
+            None => {
+                seat.turn += 1;
+                let ballot = wire::msg::Ballot { turn: seat.turn, seat: crate::seat(&ip(at), seat.life) };
+                let (round, ask) = crate::round::Round::take(KEY, core.clone(), ballot, now);
+                (round, ask, None)
+            }
+        };
+        seat.helm = None;
+        seat.work = Some(Work { id, round, body });
+        self.ask(at, id, &core, &ask);
+    }
+
+    fn vote(&mut self, at: usize, from: usize, id: u64, vote: Vote) {
+        let now = self.now;
+        let seat = &mut self.seats[at];
+        if let Vote::Whole { slots } = &vote {
+            if !seat.voter.able {
+                seat.reads.insert(from, slots.clone());
+                if seat.reads.len() == seat.voter.witnesses().len() {
+                    let deeds = seat.voter.recall(seat.reads.values().cloned().collect());
+                    seat.wet.push((now + 2, deeds, None));
+                }
+            }
+            return;
+        }
+        let Some(work) = seat.work.as_mut().filter(|work| work.id == id) else { return };
+        match work.round.hear(&ip(from), vote, now) {
+            crate::round::Step::Wait | crate::round::Step::Core(_) => {}
+            crate::round::Step::Send(ask) => {
+                // The second half counts under a new number: votes of the first are not for it.
+                work.id = self.next;
+                self.next += 1;
+                let (id, core) = (work.id, work.round.core().clone());
+                self.ask(at, id, &core, &ask);
+            }
+            crate::round::Step::Lost(ballot) => {
+                seat.turn = seat.turn.max(ballot.turn);
+                seat.work = None;
+            }
+            crate::round::Step::Done(helm) => {
+                let body = work.body.take();
+                seat.work = None;
+                if let Some(body) = body {
+                    self.acked.push(body);
+                }
+                seat.helm = Some(helm);
+            }
+        }
+    }
+
+    fn deliver(&mut self, letter: Letter) {
+        let Letter { from, to, life, mail, .. } = letter;
+        if !self.seats[to].up || self.seats[to].life != life {
+            return;
+        }
+        match mail {
+            Mail::Vote { round, vote } => self.vote(to, from, round, vote),
+            Mail::Poll { round, poll } => {
+                let (vote, deeds) = self.seats[to].voter.poll(poll);
+                let slow = if self.dice.below(30) == 0 { 700 } else { 6 };
+                let late = 1 + self.dice.below(slow);
+                let reply = Letter { at: 0, from: to, to: from, life: 0, mail: Mail::Vote { round, vote } };
+                let seat = &mut self.seats[to];
+                // The disk works in order: nothing is answered before what came before it is synced.
+                let due = seat.wet.last().map_or(0, |wet| wet.0).max(self.now + late);
+                seat.wet.push((due, deeds, Some(reply)));
+            }
+        }
+    }
+
+    /// Power loss: what is not synced is gone. `wipe`: the disk too.
+    pub fn fall(&mut self, at: usize, wipe: bool) {
+        let now = self.now;
+        let seat = &mut self.seats[at];
+        seat.up = false;
+        seat.wet.clear();
+        (seat.helm, seat.work) = (None, None);
+        seat.reads.clear();
+        if wipe {
+            let core = seat.disk.core.clone();
+            seat.disk = crate::voter::Voter::new(&ip(at));
+            seat.disk.core = core;
+            seat.disk.able = self.hasty;
+        }
+        seat.born = now;
+    }
+
+    pub fn rise(&mut self, at: usize) {
+        let now = self.now;
+        let seat = &mut self.seats[at];
+        if seat.up {
+            return;
+        }
+        seat.up = true;
+        seat.life += 1;
+        seat.born = now;
+        seat.turn = 0;
+        seat.voter = seat.disk.clone();
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        for at in 0..self.seats.len() {
+            while self.seats[at].up && self.seats[at].wet.first().is_some_and(|wet| wet.0 <= now) {
+                let (_, deeds, reply) = self.seats[at].wet.remove(0);
+                deeds.into_iter().for_each(|deed| self.seats[at].disk.fold(deed));
+                if let Some(reply) = reply {
+                    self.post(reply.from, reply.to, reply.mail);
+                }
+            }
+            let seat = &self.seats[at];
+            if seat.up && !seat.voter.able && now >= seat.born + crate::AMNESIA_MS && now.is_multiple_of(50) {
+                let (core, others) = (seat.voter.core.clone(), seat.voter.witnesses());
+                self.seats[at].reads.clear();
+                for to in 0..self.seats.len() {
+                    if others.contains(&ip(to)) {
+                        let poll = Poll { core: core.clone(), ask: Ask::Whole };
+                        self.post(at, to, Mail::Poll { round: 0, poll });
+                    }
+                }
+            }
+        }
+        let due: Vec<Letter> = {
+            let (due, rest) = std::mem::take(&mut self.mail).into_iter().partition(|letter| letter.at <= now);
+            self.mail = rest;
+            due
+        };
+        due.into_iter().for_each(|letter| self.deliver(letter));
+    }
+
+    /// What a majority read says at the end, with all up and whole.
+    pub fn settle(&mut self) -> Vec<u8> {
+        self.cut.clear();
+        (0..self.seats.len()).for_each(|at| self.rise(at));
+        for seat in &mut self.seats {
+            (seat.helm, seat.work) = (None, None);
+        }
+        for _ in 0..60_000 {
+            self.step();
+            if let Some(helm) = &self.seats[0].helm {
+                return helm.entry.body.clone();
+            }
+            if self.now.is_multiple_of(40) {
+                self.propose(0);
+            }
+        }
+        panic!("no reader became owner within a minute of virtual time");
+    }
+}
+
+#[cfg(test)]
+#[path = "sim_tests.rs"]
+mod tests;
