--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -1,5 +1,6 @@
 //! Engines: the list by areas, health as seen by sends, pressure, choosing among them, and this
 //! daemon's slices of the shared bounds.
+pub mod balance;
 pub mod budget;
 pub mod park;
 pub mod place;
--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -13,6 +13,8 @@
     pub slots: u32,
     pub up: bool,
     pub here: bool,
+    /// Its address belongs to another now, whatever the list says.
+    pub dead: bool,
     pub cold_until: u64,
     pub ramp: crate::budget::Ramp,
     /// Own sends under way, and the prompt tokens that they have it read.
@@ -28,6 +30,8 @@
     pub strikes: u32,
     pub shy_until: u64,
     pub full_until: u64,
+    /// About to change its part: nothing new until then.
+    pub rest_until: u64,
 }
 
 #[derive(Default)]
@@ -59,6 +63,14 @@
         self.index.get(id).copied()
     }
 
+    pub fn rest(&mut self, ids: &[String], until: u64) {
+        for id in ids {
+            if let Some(at) = self.find(id) {
+                self.list[at].rest_until = until;
+            }
+        }
+    }
+
     pub fn note_read(&mut self, service: u32, tokens: u32) {
         let mean = self.reads.entry(service).or_insert(f64::from(tokens));
         *mean += (f64::from(tokens) - *mean) * 0.05;
@@ -96,7 +108,7 @@
             if stall.up && !engine.up {
                 left.push(stall.id.clone());
             }
-            stall.here = true;
+            stall.here = !stall.dead;
             stall.up = engine.up;
             stall.addr.clone_from(&engine.addr);
             stall.prefill = engine.phase != "decode";
@@ -121,6 +133,7 @@
             slots: 1,
             up: false,
             here: true,
+            dead: false,
             cold_until: 0,
             ramp: Default::default(),
             busy: 0,
@@ -132,6 +145,7 @@
             strikes: 0,
             shy_until: 0,
             full_until: 0,
+            rest_until: 0,
         });
         self.index.insert(engine.id.clone(), at);
         at
@@ -164,6 +178,12 @@
         self.shy_until = 0;
     }
 
+    /// It says that it is not the engine meant: this life of it is over, and no id comes back.
+    pub fn over(&mut self) {
+        self.here = false;
+        self.dead = true;
+    }
+
     /// No answer: left alone for longer each time, up to two seconds.
     pub fn strike(&mut self, now: u64) {
         self.strikes += 1;
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -35,6 +35,7 @@
             && part
             && stall.up
             && stall.here
+            && stall.rest_until <= self.now
             && !self.shut.contains(&stall.area)
             && !self.tried.contains(&at)
     }
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -17,7 +17,8 @@
 part!(GOSSIP, "gossip", 2, crate::gossip::start);
 part!(JOIN, "join", 3, crate::join::start);
 part!(PLATFORM, "platform", 4, crate::platform::start);
-part!(DUTY, "catalog", 5, crate::platform::duty);
+part!(DUTY, "duty", 5, crate::duty::start);
+part!(BALANCE, "balance", 7, crate::balance::start);
 part!(CONTROL, "control", 6, crate::control::start);
 part!(FELLOWS, "fellows", 1, fellows);
 
@@ -85,9 +86,10 @@
         roster: std::sync::Mutex::new(roster::Roster::new(&env.ip, &env.zone, crate::hall::LIVE_MS)),
         sheets: Default::default(),
         crew: Default::default(),
-        shelf: std::sync::Mutex::new(crate::hall::Desk { shelf, epoch: 0, drops: 0 }),
+        shelf: std::sync::Mutex::new(crate::hall::Desk { shelf, epoch: 0, last: 0, drops: 0 }),
         helms: Default::default(),
         calls: Default::default(),
+        taken: Default::default(),
         polls: tokio::sync::Semaphore::new(1),
         env,
     });
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -13,11 +13,21 @@
         heard: now,
         fit: gossip.fit,
         seats: gossip.seats,
+        busy: gossip.busy.clone(),
+        resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::hall::LIVE_MS)).collect(),
     };
     roster.hear(&gossip.ip, fellow);
     for ip in &gossip.fellows {
         if ip.parse::<std::net::Ipv4Addr>().is_ok() && *ip != roster.me && !roster.keepers.contains_key(ip) {
-            let unseen = roster::Fellow { area: String::new(), life: 0, heard: 0, fit: false, seats: 0 };
+            let unseen = roster::Fellow {
+                area: String::new(),
+                life: 0,
+                heard: 0,
+                fit: false,
+                seats: 0,
+                busy: Vec::new(),
+                resting: Vec::new(),
+            };
             roster.keepers.insert(ip.clone(), unseen);
         }
     }
@@ -46,11 +56,11 @@
 fn tell(hall: &crate::hall::Hall) {
     let now = kernel::clock::now();
     let core = hall.core();
-    let (fellows, seats) = {
+    let (fellows, seats, busy, resting) = {
         let mut roster = hall.roster.lock().expect("roster");
         roster.sweep(now);
         let live: Vec<String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).cloned().collect();
-        (live, roster.routers.len() as u32)
+        (live, roster.routers.len() as u32, roster.own_pressure(), roster.own_resting(now))
     };
     let (sheets, floors) = {
         let held = hall.sheets.lock().expect("sheets");
@@ -64,6 +74,8 @@
         core,
         fellows,
         seats,
+        busy,
+        resting,
         sheets,
         floors,
     };
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -1,6 +1,6 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: helms, voter, board, roster, sheets, crew, shelf. No lock but a helm is held over an
+//! Lock order: helms, voter, board, taken, roster, sheets, crew, shelf. No lock but a helm is held over an
 //! await.
 
 pub struct Hall {
@@ -16,6 +16,7 @@
     pub shelf: std::sync::Mutex<Desk>,
     pub helms: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::council::Helms>>>,
     pub calls: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<wire::link::Caller>>>,
+    pub taken: std::sync::Mutex<crate::duty::Taken>,
     pub polls: tokio::sync::Semaphore,
 }
 
@@ -30,7 +31,8 @@
     /// The configuration's number and text, and the evacuations with their stamps.
     pub config: Option<(u64, Vec<u8>)>,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
-    pub duty: (u64, String),
+    /// By key: epoch and holder.
+    pub duties: std::collections::BTreeMap<String, (u64, String)>,
 }
 
 /// The catalog as held here. Invariant: it answers only under `epoch`, and only while this keeper
@@ -38,6 +40,8 @@
 pub struct Desk {
     pub shelf: catalog::shelf::Shelf,
     pub epoch: u64,
+    /// The last epoch under which it answered.
+    pub last: u64,
     pub drops: u32,
 }
 
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -1,9 +1,11 @@
 //! The control plane: knows which engines and daemons exist, holds and delivers the configuration.
+mod balance;
 mod boot;
 mod control;
 mod council;
 mod crew;
 mod disk;
+mod duty;
 mod event;
 mod gossip;
 mod hall;
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -4,7 +4,7 @@
     /// A router renews its lease, tells what it has and gets what it lacks.
     pub fn follow(&self, mouth: wire::link::Mouth, id: u64, follow: wire::msg::Follow) {
         let now = kernel::clock::now();
-        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS);
+        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS, follow.busy);
         self.sheets.lock().expect("sheets").raise(&follow.sheets);
         let mut follower = crate::crew::Follower {
             mouth,
@@ -55,11 +55,12 @@
                     *has = *stamp;
                 }
             }
-            news.catalog = board.duty.clone();
+            news.catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
         }
         {
             let roster = self.roster.lock().expect("roster");
             news.seats = roster.seats(now);
+            news.resting = roster.resting(now);
             news.fellows = roster.order(&follower.area, "news");
         }
         for sheet in self.sheets.lock().expect("sheets").all() {
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -40,6 +40,9 @@
     (env.bounds.drain_ms / 5).clamp(250, 1000).max(floor)
 }
 
+/// Time after a start to hear who else is there.
+const FIRST_MS: u64 = 160;
+
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let client = reqwest::Client::builder()
         .connect_timeout(std::time::Duration::from_millis(700))
@@ -62,8 +65,8 @@
         wait = pause(&hall.env, pages);
         let now = kernel::clock::now();
         let holder = hall.roster.lock().expect("roster").holder(&area, "list", now);
-        if holder != hall.me() || now < crate::hall::BEAT_MS {
-            wait = wait.min(250);
+        if holder != hall.me() || now < FIRST_MS {
+            wait = wait.min(FIRST_MS);
             continue;
         }
         match poll(&hall, &client, &area).await {
@@ -142,55 +145,3 @@
         desk.shelf.drop_engine(&engine.id);
     }
 }
-
-/// The catalog duty: held under an epoch of the ledger by the first live keeper in the agreed order.
-pub fn duty(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let hall = hall.clone();
-    tokio::spawn(async move {
-        let mut beat = tokio::time::interval(std::time::Duration::from_millis(400));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        loop {
-            beat.tick().await;
-            tend(&hall).await;
-        }
-    });
-}
-
-async fn tend(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let now = kernel::clock::now();
-    if !hall.sure(now) || now < 1500 {
-        return;
-    }
-    let (epoch, holder) = hall.board.lock().expect("board").duty.clone();
-    {
-        let mut desk = hall.shelf.lock().expect("shelf");
-        if holder == hall.me() && desk.epoch == epoch {
-            return;
-        }
-        desk.epoch = 0;
-    }
-    let take = {
-        let roster = hall.roster.lock().expect("roster");
-        // The last holder is left its lease before another steps in.
-        // One that started again takes a new epoch, so that routers register anew.
-        let gone = holder.is_empty() || holder == hall.me() || roster.silent(&holder, now) > hall.env.bounds.lease_ms;
-        gone && (holder == hall.me() || roster.holder("", "catalog", now) == hall.me())
-    };
-    if !take {
-        return;
-    }
-    let me = hall.me().to_string();
-    let judge = |body: &[u8]| {
-        let held = crate::state::Duty::read(body);
-        if held.epoch != epoch {
-            return crate::council::Verdict::Answer(0);
-        }
-        let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone() };
-        crate::council::Verdict::Write(next.write(), epoch + 1)
-    };
-    let Some(taken @ 1..) = hall.change(crate::state::CATALOG, 1000, judge).await else { return };
-    let mut desk = hall.shelf.lock().expect("shelf");
-    desk.shelf.clear();
-    desk.epoch = taken;
-    kernel::say!(crate::event::CATALOG, "epoch" => taken);
-}
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -23,7 +23,7 @@
 
 pub const CONFIG: &str = "config";
 pub const CLOSED: &str = "evacuation/";
-pub const CATALOG: &str = "duty/catalog";
+pub const DUTY: &str = "duty/";
 
 macro_rules! body {
     ($kind:ty) => {
@@ -99,8 +99,8 @@
         let closed = Closed::read(body);
         board.closed.insert(area.into(), (closed.stamp, closed.on));
     }
-    if key == CATALOG {
+    if key.starts_with(DUTY) {
         let duty = Duty::read(body);
-        board.duty = (duty.epoch, duty.holder);
+        board.duties.insert(key.into(), (duty.epoch, duty.holder));
     }
 }
--- a/ledger/src/store_tests.rs
+++ b/ledger/src/store_tests.rs
@@ -88,7 +88,8 @@
             store.snapshot(&[deed(turn, &body)]).expect("written");
         }
     }
-    let size: u64 = std::fs::read_dir(&dir).expect("listed").map(|item| item.expect("item").metadata().expect("size").len()).sum();
+    let size: u64 =
+        std::fs::read_dir(&dir).expect("listed").map(|item| item.expect("item").metadata().expect("size").len()).sum();
     assert!(size < 4 * 1024 * 1024, "{size}");
     assert_eq!(reopen(&dir).last(), Some(&deed(59, &body)));
     let _ = std::fs::remove_dir_all(dir);
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -8,6 +8,9 @@
     pub heard: u64,
     pub fit: bool,
     pub seats: u32,
+    /// Requests of its routers under way, by engine.
+    pub busy: Vec<(String, u32)>,
+    pub resting: Vec<(String, u64)>,
 }
 
 /// Invariants: `heard` never goes back; a fellow is live while it was heard within `span` ms; a
@@ -18,7 +21,9 @@
     pub area: String,
     pub span: u64,
     pub keepers: std::collections::BTreeMap<String, Fellow>,
-    pub routers: std::collections::BTreeMap<String, u64>,
+    pub routers: std::collections::BTreeMap<String, (u64, Vec<(String, u32)>)>,
+    /// Engines about to change their part, by own order, and until when.
+    pub resting: Vec<(String, u64)>,
 }
 
 impl Roster {
@@ -32,13 +37,43 @@
         self.keepers.insert(ip.into(), Fellow { heard, ..fellow });
     }
 
-    pub fn lease(&mut self, router: &str, until: u64) {
-        let held = self.routers.entry(router.into()).or_default();
-        *held = until.max(*held);
+    pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>) {
+        let held = self.routers.get(router).map_or(0, |held| held.0);
+        self.routers.insert(router.into(), (until.max(held), busy));
+    }
+
+    /// Requests under way at each engine, from the routers that hold a lease here.
+    pub fn own_pressure(&self) -> Vec<(String, u32)> {
+        let mut sum: std::collections::BTreeMap<&str, u32> = Default::default();
+        for (id, busy) in self.routers.values().flat_map(|(_, busy)| busy) {
+            *sum.entry(id).or_default() += busy;
+        }
+        sum.into_iter().map(|(id, busy)| (id.to_string(), busy)).collect()
+    }
+
+    /// The same from all routers.
+    pub fn pressure(&self, now: u64) -> std::collections::HashMap<String, u32> {
+        let mut sum: std::collections::HashMap<String, u32> = self.own_pressure().into_iter().collect();
+        let live = self.keepers.values().filter(|fellow| now < fellow.heard + self.span);
+        for (id, busy) in live.flat_map(|fellow| &fellow.busy) {
+            *sum.entry(id.clone()).or_default() += busy;
+        }
+        sum
+    }
+
+    pub fn own_resting(&self, now: u64) -> Vec<String> {
+        self.resting.iter().filter(|(_, until)| *until > now).map(|(id, _)| id.clone()).collect()
+    }
+
+    pub fn resting(&self, now: u64) -> Vec<String> {
+        let mut list = self.own_resting(now);
+        let far = self.keepers.values().flat_map(|fellow| &fellow.resting);
+        list.extend(far.filter(|(_, until)| *until > now).map(|(id, _)| id.clone()));
+        list
     }
 
     pub fn sweep(&mut self, now: u64) {
-        self.routers.retain(|_, until| *until > now);
+        self.routers.retain(|_, (until, _)| *until > now);
     }
 
     pub fn live(&self, ip: &str, now: u64) -> bool {
@@ -62,7 +97,8 @@
 
     pub fn seats(&self, now: u64) -> u32 {
         let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
-        self.routers.values().filter(|until| **until > now).count() as u32 + far.map(|fellow| fellow.seats).sum::<u32>()
+        self.routers.values().filter(|(until, _)| *until > now).count() as u32
+            + far.map(|fellow| fellow.seats).sum::<u32>()
     }
 
     /// The agreed order of keepers for a duty bound to an area: that area's own first, the rest by
@@ -89,7 +125,15 @@
 #[cfg(test)]
 mod tests {
     fn fellow(area: &str, heard: u64) -> super::Fellow {
-        super::Fellow { area: area.into(), life: 1, heard, fit: true, seats: 3 }
+        super::Fellow {
+            area: area.into(),
+            life: 1,
+            heard,
+            fit: true,
+            seats: 3,
+            busy: vec![("i-1".into(), 2)],
+            resting: Vec::new(),
+        }
     }
 
     #[test]
@@ -116,7 +160,8 @@
     fn seats_count_own_leases_and_those_of_fellows() {
         let mut list = super::Roster::new("10.0.0.1", "a", 1000);
         list.hear("10.0.0.2", fellow("b", 100));
-        list.lease("edge-1", 500);
+        list.lease("edge-1", 500, vec![("i-1".into(), 5)]);
+        assert_eq!(list.pressure(400).get("i-1"), Some(&7));
         assert_eq!(list.seats(400), 4);
         assert_eq!(list.seats(600), 3);
         list.hear("10.0.0.2", fellow("b", 50));
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -5,6 +5,9 @@
 /// A home that was not sure for so long is left.
 const UNSURE_MS: u64 = 1200;
 
+/// How long news of engines that are about to change their part holds.
+const REST_MS: u64 = 1500;
+
 pub async fn run(yard: std::sync::Arc<crate::yard::Yard>) {
     let mut seeds = yard.env.seed_ips();
     let mut at = 0usize;
@@ -81,7 +84,9 @@
         if misses >= 2 || now > sure_at + UNSURE_MS {
             return;
         }
-        let end = tokio::time::Instant::now() + std::time::Duration::from_millis(BEAT_MS);
+        let ready = yard.ready.load(std::sync::atomic::Ordering::Relaxed);
+        let beat = if ready { BEAT_MS } else { BEAT_MS / 4 };
+        let end = tokio::time::Instant::now() + std::time::Duration::from_millis(beat);
         while let Ok(Some(cast)) = tokio::time::timeout_at(end, casts.recv()).await {
             take(yard, cast);
         }
@@ -95,7 +100,11 @@
 }
 
 fn standing(yard: &crate::yard::Yard) -> wire::msg::Follow {
-    let sheets = yard.park.lock().expect("park").stamps();
+    let (sheets, busy) = {
+        let park = yard.park.lock().expect("park");
+        let busy = park.list.iter().filter(|stall| stall.busy > 0).map(|stall| (stall.id.clone(), stall.busy));
+        (park.stamps(), busy.collect())
+    };
     let news = yard.news.lock().expect("news");
     wire::msg::Follow {
         node: yard.env.node_name.clone(),
@@ -104,6 +113,7 @@
         config: news.config,
         closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).collect(),
         sheets,
+        busy,
     }
 }
 
@@ -132,6 +142,7 @@
         for sheet in &news.sheets {
             left.extend(park.take(sheet, now));
         }
+        park.rest(&news.resting, now + REST_MS);
     }
     if !left.is_empty() {
         let mut record = yard.record.lock().expect("record");
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -18,7 +18,7 @@
         match trip.send(at, extra, reads, wait).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
             crate::send::Outcome::Unsent(_) => trip.tried.push(at),
-            crate::send::Outcome::Unrun => {
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {
                 trip.tried.push(at);
                 trip.sends += 1;
                 // The last counted send is kept for the half that makes the tokens.
@@ -124,7 +124,7 @@
                     trip.keep(handle);
                 }
             }
-            crate::send::Outcome::Unrun => {
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {
                 trip.tried.push(at);
                 let Some(handle) = handle else { continue };
                 let now = kernel::clock::now();
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -72,7 +72,7 @@
                 trip.close(at);
             }
             crate::send::Outcome::Unsent(_) => trip.sends -= 1,
-            crate::send::Outcome::Unrun => {}
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {}
             crate::send::Outcome::Lost => {
                 trip.ran = true;
                 if !trip.repeatable {
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -12,6 +12,8 @@
     Unsent(crate::pool::Hitch),
     /// The engine says that it has not run.
     Unrun,
+    /// It has not run, and the address is another engine's.
+    Other,
     /// It may have run.
     Lost,
 }
@@ -95,8 +97,10 @@
         }
         let status = head.status.as_u16();
         if status == 421 || head.headers.contains_key(wire::word::UNRUN) {
+            let name = head.headers.get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
+            let other = status == 421 && name.is_some_and(|name| name != extra.target);
             finish(yard, addr, Answer { head, body, wire }).await;
-            return Outcome::Unrun;
+            return if other { Outcome::Other } else { Outcome::Unrun };
         }
         return Outcome::Answer(Box::new(Answer { head, body, wire }));
     }
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -180,6 +180,7 @@
                     stall.report(load, now);
                 }
             }
+            crate::send::Outcome::Other => stall.over(),
             crate::send::Outcome::Unrun => {
                 stall.good(now);
                 stall.full_until = now + 60;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -109,6 +109,10 @@
     pub fellows: Vec<String>,
     /// Routers that hold a lease here.
     pub seats: u32,
+    /// Requests of those routers under way, by engine.
+    pub busy: Vec<(String, u32)>,
+    /// Engines about to change their part.
+    pub resting: Vec<String>,
     /// The stamps of the engine lists held: who has newer ones sends them.
     pub sheets: Vec<(String, u64, u64)>,
     /// Turns of lists that routers told of.
@@ -145,6 +149,8 @@
     pub config: u64,
     pub closed: Vec<(String, u64)>,
     pub sheets: Vec<(String, u64, u64)>,
+    /// Own requests under way, by engine.
+    pub busy: Vec<(String, u32)>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
@@ -158,6 +164,8 @@
     /// How many routers hold a lease: shared bounds are cut into as many slices.
     pub seats: u32,
     pub fellows: Vec<String>,
+    /// Engines about to change their part: nothing new is sent to them.
+    pub resting: Vec<String>,
     /// The holder of the catalog and its epoch.
     pub catalog: (u64, String),
 }
--- a/wire/src/word.rs
+++ b/wire/src/word.rs
@@ -12,3 +12,4 @@
 pub const SOURCE: &str = "kv-source";
 pub const URGENCY: &str = "urgency-class";
 pub const MODEL: &str = "model";
+pub const INSTANCE: &str = "instance-id";
