Short reads go before long ones by their urgency class

Ruled out: catalog look-ups (2 ms), hand-over (15 ms), missing prefixes (held = shared but for the first seconds).

--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -13,7 +13,7 @@
         let plan = trip.view(|view| crate::plan::read(view, &trip.errand, &held));
         let crate::plan::Plan::Read { at, reads } = plan else { return Err(()) };
         trip.yard.park.lock().expect("park").note_read(trip.service, reads);
-        let extra = crate::send::Extra { stage: true, urgency: urgency(trip), ..Default::default() };
+        let extra = crate::send::Extra { stage: true, urgency: Some(rush(trip, reads)), ..Default::default() };
         let wait = trip.left().min((2 * trip.target_ms).max(700));
         match trip.send(at, extra, reads, wait).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
@@ -50,6 +50,17 @@
     Ok(())
 }
 
+/// How urgent a read is: a short one goes before long ones, which it hardly delays, while behind them
+/// it would miss its aim; among alike the operator's rank decides.
+fn rush(trip: &crate::trip::Trip, reads: u32) -> u32 {
+    let size = match reads {
+        0..1024 => 0,
+        1024..4096 => 2,
+        _ => 4,
+    };
+    (1 + size + trip.priority.min(1)).min(9)
+}
+
 fn urgency(trip: &crate::trip::Trip) -> Option<u32> {
     Some((4 + trip.priority).min(9))
 }
