--- /dev/null
+++ b/batch/src/lib.rs
@@ -0,0 +1,23 @@
+//! Deferrable work: batches of jobs that wait for idle engines, each job answered exactly once.
+//! Pure: what is durable comes in and goes out as values; time comes in with every call.
+pub mod page;
+pub mod sheet;
+pub mod turn;
+
+#[cfg(test)]
+mod sim;
+
+pub mod offpeak;
+
+/// Bounds, stated in docs/batches.md and checked when a batch is submitted.
+pub const JOBS: usize = 256;
+pub const BYTES: usize = 512 * 1024;
+pub const NAME: usize = 64;
+pub const ANSWER: usize = 16 * 1024;
+/// Jobs on one page: one write to the ledger carries one page.
+pub const PAGE: usize = 32;
+/// Batches kept at once, finished ones included.
+pub const BATCHES: usize = 16;
+/// A finished batch is kept for so long.
+pub const KEEP_MS: u64 = 3_600_000;
+pub const WINDOW_MAX_S: u64 = 7 * 24 * 3600;
--- /dev/null
+++ b/batch/src/offpeak.rs
@@ -0,0 +1,318 @@
+//! An off-peak run in a small simulated fleet: halls with engines, interactive work that comes and
+//! goes, a batch that fills what is idle, halls that leave, owners that crash or freeze. Seeded and in
+//! virtual time: the same input gives the same report.
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub seed: u64,
+    pub jobs: usize,
+    /// Every so many jobs, one may not be repeated. 0: all may.
+    pub once_every: usize,
+    pub window_ms: u64,
+    pub halls: usize,
+    pub engines: usize,
+    pub slots: usize,
+    /// Interactive requests a second, all halls together, and how long one takes on an idle engine.
+    pub rate: f64,
+    pub work_ms: u64,
+    pub job_ms: u64,
+    /// When halls leave service, and which; none comes back.
+    pub leave: Vec<(u64, usize)>,
+    /// When the owner of the batch falls and another takes over after the lease.
+    pub crash: Vec<u64>,
+    /// When the owner freezes, and for how long.
+    pub freeze: Vec<(u64, u64)>,
+    pub lease_ms: u64,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    pub done: usize,
+    pub unknown: usize,
+    pub missed: usize,
+    pub open: usize,
+    /// Jobs that got a second receipt, jobs run twice that may not be, receipts without a run: all 0.
+    pub twice_answered: usize,
+    pub twice_run: usize,
+    pub invented: usize,
+    pub last_ms: u64,
+    pub refused: usize,
+    pub served: usize,
+    pub p50_ms: u64,
+    pub p99_ms: u64,
+}
+
+enum Work {
+    Errand { born: u64 },
+    Job { at: usize, owner: usize },
+}
+
+struct Run {
+    ends: u64,
+    work: Work,
+}
+
+struct Engine {
+    hall: usize,
+    up: bool,
+    running: Vec<Run>,
+}
+
+/// Invariant: an owner acts only under the epoch with which it claimed the pages.
+struct Owner {
+    epoch: u64,
+    asleep_until: u64,
+    dead: bool,
+    under_way: std::collections::BTreeSet<usize>,
+    mail: Vec<(usize, bool)>,
+    pace: crate::turn::Pace,
+}
+
+struct World<'a> {
+    plan: &'a Plan,
+    now: u64,
+    dice: kernel::clock::Dice,
+    engines: Vec<Engine>,
+    pages: Vec<crate::page::Page>,
+    owners: Vec<Owner>,
+    runs: Vec<usize>,
+    receipts: Vec<usize>,
+    next_owner: Option<u64>,
+    waits: Vec<u64>,
+    report: Report,
+}
+
+/// Runs the plan; `with` says whether the batch is there at all.
+pub fn run(plan: &Plan, with: bool) -> Report {
+    let engines =
+        (0..plan.halls * plan.engines).map(|at| Engine { hall: at % plan.halls, up: true, running: Vec::new() });
+    let pages =
+        (0..plan.jobs).step_by(crate::PAGE).map(|first| crate::page::Page::new((plan.jobs - first).min(crate::PAGE)));
+    let mut world = World {
+        plan,
+        now: 0,
+        dice: kernel::clock::Dice::new(plan.seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
+        engines: engines.collect(),
+        pages: pages.collect(),
+        owners: Vec::new(),
+        runs: vec![0; plan.jobs],
+        receipts: vec![0; plan.jobs],
+        next_owner: with.then_some(0),
+        waits: Vec::new(),
+        report: Report::default(),
+    };
+    let end = plan.window_ms + 20 * plan.lease_ms;
+    while world.now < end {
+        world.step();
+    }
+    world.close()
+}
+
+impl World<'_> {
+    fn repeatable(&self, job: usize) -> bool {
+        self.plan.once_every == 0 || !job.is_multiple_of(self.plan.once_every)
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        let now = self.now;
+        for (time, hall) in self.plan.leave.clone() {
+            if time == now {
+                self.leave(hall);
+            }
+        }
+        if self.plan.crash.contains(&now) {
+            if let Some(owner) = self.owners.last_mut() {
+                owner.dead = true;
+                self.next_owner = Some(now + self.plan.lease_ms);
+            }
+        }
+        for (time, span) in self.plan.freeze.clone() {
+            if let (true, Some(owner)) = (time == now, self.owners.last_mut()) {
+                owner.asleep_until = now + span;
+                self.next_owner = Some(now + self.plan.lease_ms);
+            }
+        }
+        if self.next_owner == Some(now) || (now == 1 && self.next_owner == Some(0)) {
+            self.next_owner = None;
+            self.claim();
+        }
+        let chance = (self.plan.rate * 1000.0) as u64;
+        if self.dice.below(1_000_000) < chance {
+            self.errand(now);
+        }
+        for at in 0..self.engines.len() {
+            while let Some(run) = self.engines[at].running.iter().position(|run| run.ends <= now) {
+                let run = self.engines[at].running.swap_remove(run);
+                self.end(run.work, true);
+            }
+        }
+        for owner in 0..self.owners.len() {
+            self.act(owner);
+        }
+    }
+
+    /// A hall leaves service at once: what runs there breaks off without an answer.
+    fn leave(&mut self, hall: usize) {
+        let mut cut = Vec::new();
+        for engine in self.engines.iter_mut().filter(|engine| engine.hall == hall) {
+            engine.up = false;
+            cut.append(&mut engine.running);
+        }
+        cut.into_iter().for_each(|run| self.end(run.work, false));
+    }
+
+    fn end(&mut self, work: Work, whole: bool) {
+        match work {
+            Work::Errand { born } if whole => self.waits.push(self.now - born),
+            Work::Errand { born } => self.errand(born),
+            Work::Job { at, owner } => {
+                let owner = &mut self.owners[owner];
+                if !owner.dead {
+                    owner.mail.push((at, whole));
+                }
+            }
+        }
+    }
+
+    fn errand(&mut self, born: u64) {
+        let up = self.engines.iter().enumerate().filter(|(_, engine)| engine.up);
+        let Some((at, _)) = up.min_by_key(|(_, engine)| engine.running.len()) else { return };
+        // Interactive work takes a place whatever runs there; jobs are the ones that are slowed.
+        let ahead = self.engines[at].running.iter().filter(|run| matches!(run.work, Work::Errand { .. })).count();
+        let jobs = self.engines[at].running.len() - ahead;
+        let crowd = (ahead as f64 + 0.1 * jobs as f64) / self.plan.slots as f64;
+        let ends = self.now + (self.plan.work_ms as f64 * (1.0 + crowd)) as u64;
+        self.engines[at].running.push(Run { ends, work: Work::Errand { born } });
+    }
+
+    fn claim(&mut self) {
+        let epoch = self.owners.len() as u64 + 1;
+        for first in 0..self.pages.len() {
+            let once = self.plan.once_every;
+            let before = self.pages[first].clone();
+            let again = |at: usize| once == 0 || !(first * crate::PAGE + at).is_multiple_of(once);
+            let _ = self.pages[first].claim(epoch, again);
+            for (at, state) in self.pages[first].states.iter().enumerate() {
+                if state.closed() && !before.states[at].closed() {
+                    self.receipts[first * crate::PAGE + at] += 1;
+                }
+            }
+        }
+        let pace = crate::turn::Pace::new(self.plan.slots * self.plan.halls);
+        self.owners.push(Owner {
+            epoch,
+            asleep_until: 0,
+            dead: false,
+            under_way: Default::default(),
+            mail: Vec::new(),
+            pace,
+        });
+    }
+
+    /// A receipt is written only if the page lets it.
+    fn receipt(&mut self, owner: usize, job: usize, state: crate::page::State) {
+        let epoch = self.owners[owner].epoch;
+        if state == (crate::page::State::Done { status: 200, body: String::new() }) && self.runs[job] == 0 {
+            self.report.invented += 1;
+        }
+        if self.pages[job / crate::PAGE].close(job % crate::PAGE, epoch, state).is_ok() {
+            self.receipts[job] += 1;
+            self.report.last_ms = self.now;
+        }
+    }
+
+    fn act(&mut self, at: usize) {
+        if self.owners[at].dead || self.now < self.owners[at].asleep_until {
+            return;
+        }
+        for (job, whole) in std::mem::take(&mut self.owners[at].mail) {
+            self.owners[at].under_way.remove(&job);
+            if whole {
+                self.receipt(at, job, crate::page::State::Done { status: 200, body: String::new() });
+                self.owners[at].pace.good();
+            } else if self.repeatable(job) {
+                let epoch = self.owners[at].epoch;
+                let _ = self.pages[job / crate::PAGE].unrun(job % crate::PAGE, epoch);
+            } else {
+                self.receipt(at, job, crate::page::State::Unknown);
+            }
+        }
+        let left_ms = self.plan.window_ms.saturating_sub(self.now);
+        let epoch = self.owners[at].epoch;
+        let waiting = |job: &usize| {
+            let page = &self.pages[job / crate::PAGE];
+            page.epoch == epoch && page.states[job % crate::PAGE] == crate::page::State::Waiting
+        };
+        let waiting: Vec<usize> = (0..self.plan.jobs).filter(waiting).collect();
+        if left_ms == 0 {
+            waiting.into_iter().for_each(|job| self.receipt(at, job, crate::page::State::Missed));
+            return;
+        }
+        let free = self.owners[at].pace.free(self.owners[at].under_way.len(), self.now);
+        let view = crate::turn::View { id: "b", left_ms, window_ms: self.plan.window_ms, waiting };
+        for send in crate::turn::next(&[view], free) {
+            self.send(at, send);
+        }
+    }
+
+    fn send(&mut self, at: usize, send: crate::turn::Send) {
+        let share = if send.press == crate::turn::Press::Near { 0.75 } else { 0.5 };
+        let room = (self.plan.slots as f64 * share) as usize;
+        let fit = self.engines.iter().enumerate().filter(|(_, engine)| engine.up && engine.running.len() < room);
+        let Some((place, _)) = fit.min_by_key(|(_, engine)| engine.running.len()) else {
+            self.report.refused += 1;
+            let now = self.now;
+            return self.owners[at].pace.refused(None, now);
+        };
+        let (page, slot, epoch) = (send.job / crate::PAGE, send.job % crate::PAGE, self.owners[at].epoch);
+        // Durable before it is sent.
+        if self.pages[page].begin(slot, epoch).is_err() {
+            return;
+        }
+        self.runs[send.job] += 1;
+        self.owners[at].under_way.insert(send.job);
+        let crowd = self.engines[place].running.len() as f64 / self.plan.slots as f64;
+        let ends = self.now + (self.plan.job_ms as f64 * (1.0 + crowd)) as u64;
+        self.engines[place].running.push(Run { ends, work: Work::Job { at: send.job, owner: at } });
+    }
+
+    fn close(mut self) -> Report {
+        for state in self.pages.iter().flat_map(|page| &page.states) {
+            match state {
+                crate::page::State::Done { .. } => self.report.done += 1,
+                crate::page::State::Unknown => self.report.unknown += 1,
+                crate::page::State::Missed | crate::page::State::Cancelled => self.report.missed += 1,
+                _ => self.report.open += 1,
+            }
+        }
+        self.report.twice_answered = self.receipts.iter().filter(|count| **count > 1).count();
+        let once = |job: &usize| !self.repeatable(*job) && self.runs[*job] > 1;
+        self.report.twice_run = (0..self.plan.jobs).filter(once).count();
+        self.waits.sort_unstable();
+        let at = |share: f64| self.waits.get((self.waits.len() as f64 * share) as usize).copied().unwrap_or(0);
+        (self.report.p50_ms, self.report.p99_ms, self.report.served) = (at(0.5), at(0.99), self.waits.len());
+        self.report
+    }
+}
+
+/// The off-peak run of the documentation, at a size of one's own.
+pub fn plan(seed: u64, jobs: usize) -> Plan {
+    let window_ms = 30_000 + 120 * jobs as u64;
+    Plan {
+        seed,
+        jobs,
+        once_every: 3,
+        window_ms,
+        halls: 3,
+        engines: 3,
+        slots: 8,
+        rate: 30.0,
+        work_ms: 120,
+        job_ms: 900,
+        leave: vec![(window_ms / 4, 0), (window_ms / 2, 1)],
+        crash: vec![window_ms / 5],
+        freeze: vec![(window_ms * 2 / 5, 4500)],
+        lease_ms: 3000,
+    }
+}
--- /dev/null
+++ b/batch/src/page.rs
@@ -0,0 +1,156 @@
+//! The durable state of up to `PAGE` jobs: what one key of the ledger holds.
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum State {
+    #[default]
+    Waiting,
+    /// Sent, by the owner of the page's epoch: it may run.
+    Begun,
+    /// Answered: the one receipt.
+    Done {
+        status: u16,
+        body: String,
+    },
+    /// It may have run and may not be repeated; its answer is lost.
+    Unknown,
+    /// It could not make its window. It has not run, or its runs gave no answer.
+    Missed,
+    Cancelled,
+}
+
+impl State {
+    /// A receipt: final, never changed again.
+    pub fn closed(&self) -> bool {
+        !matches!(self, State::Waiting | State::Begun)
+    }
+
+    pub fn word(&self) -> &'static str {
+        match self {
+            State::Waiting => "waiting",
+            State::Begun => "running",
+            State::Done { .. } => "done",
+            State::Unknown => "unknown",
+            State::Missed => "missed",
+            State::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// Invariants: `epoch` never falls, and only the owner under it changes the page; a closed state is
+/// never changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Page {
+    pub epoch: u64,
+    pub states: Vec<State>,
+}
+
+/// Why a change is not made: another owner holds the page, or the job has its receipt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bar {
+    Epoch,
+    Closed,
+}
+
+impl Page {
+    pub fn new(count: usize) -> Page {
+        Page { epoch: 0, states: vec![State::Waiting; count] }
+    }
+
+    /// A new owner takes the page over. What the last one sent may have run: it is run again only
+    /// where that is allowed, else its outcome is unknown.
+    pub fn claim(&mut self, epoch: u64, repeatable: impl Fn(usize) -> bool) -> Result<(), Bar> {
+        if epoch <= self.epoch {
+            return Err(Bar::Epoch);
+        }
+        self.epoch = epoch;
+        for (at, state) in self.states.iter_mut().enumerate() {
+            if *state == State::Begun {
+                *state = if repeatable(at) { State::Waiting } else { State::Unknown };
+            }
+        }
+        Ok(())
+    }
+
+    /// Must be durable before the job is sent.
+    pub fn begin(&mut self, at: usize, epoch: u64) -> Result<(), Bar> {
+        self.set(at, epoch, State::Begun)
+    }
+
+    /// It has not run: it waits again.
+    pub fn unrun(&mut self, at: usize, epoch: u64) -> Result<(), Bar> {
+        self.set(at, epoch, State::Waiting)
+    }
+
+    pub fn close(&mut self, at: usize, epoch: u64, state: State) -> Result<(), Bar> {
+        self.set(at, epoch, state)
+    }
+
+    fn set(&mut self, at: usize, epoch: u64, state: State) -> Result<(), Bar> {
+        if epoch != self.epoch {
+            return Err(Bar::Epoch);
+        }
+        let Some(held) = self.states.get_mut(at).filter(|held| !held.closed()) else { return Err(Bar::Closed) };
+        *held = state;
+        Ok(())
+    }
+
+    pub fn closed(&self) -> bool {
+        self.states.iter().all(State::closed)
+    }
+}
+
+macro_rules! body {
+    ($kind:ty) => {
+        impl $kind {
+            pub fn read_bytes(body: &[u8]) -> Option<Self> {
+                let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
+                room.extend_from_slice(body);
+                rkyv::from_bytes::<$kind, rkyv::rancor::Error>(&room).ok()
+            }
+
+            pub fn write_bytes(&self) -> Vec<u8> {
+                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
+            }
+        }
+    };
+}
+
+body!(Page);
+body!(crate::sheet::Batch);
+
+#[cfg(test)]
+mod tests {
+    use super::{Bar, Page, State};
+
+    #[test]
+    fn a_receipt_is_never_changed_and_an_old_owner_changes_nothing() {
+        let mut page = Page::new(3);
+        page.claim(1, |_| true).expect("first");
+        page.begin(0, 1).expect("own");
+        page.claim(2, |_| true).expect("rises");
+        assert_eq!(page.claim(2, |_| true), Err(Bar::Epoch));
+        let done = State::Done { status: 200, body: "a".into() };
+        assert_eq!(page.close(0, 1, done.clone()), Err(Bar::Epoch));
+        page.close(0, 2, done.clone()).expect("own");
+        assert_eq!(page.close(0, 2, State::Missed), Err(Bar::Closed));
+        assert_eq!(page.states[0], done);
+    }
+
+    #[test]
+    fn what_was_sent_is_run_again_only_where_allowed() {
+        let mut page = Page::new(2);
+        page.claim(1, |_| false).expect("first");
+        page.begin(0, 1).expect("own");
+        page.begin(1, 1).expect("own");
+        page.claim(2, |at| at == 0).expect("rises");
+        assert_eq!(page.states, [State::Waiting, State::Unknown]);
+    }
+
+    #[test]
+    fn pages_and_batches_come_back_from_their_bytes() {
+        let mut page = Page::new(2);
+        page.claim(7, |_| false).expect("first");
+        assert_eq!(Page::read_bytes(&page.write_bytes()), Some(page));
+        assert_eq!(Page::read_bytes(&[1, 2, 3]), None);
+    }
+}
