--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -62,6 +62,22 @@
         fit
     }
 
+    /// Is there room beside interactive work: makers under a share of their slots, and readers, where
+    /// there are any, with next to nothing to read?
+    pub fn idle(&self, share: f64) -> bool {
+        let calm = |half: Half, bound: &dyn Fn(&crate::park::Stall) -> f64| {
+            let open = self.open(half);
+            let fits = |at: &usize| {
+                let stall = &self.park.list[*at];
+                stall.cold_until <= self.now && stall.pressure(self.now, self.seats) < bound(stall)
+            };
+            open.is_empty() || open.iter().filter(|at| fits(at)).count() * 2 > open.len()
+        };
+        !self.open(Half::Decode).is_empty()
+            && calm(Half::Decode, &|stall| share * f64::from(stall.slots))
+            && (!self.has(Half::Prefill) || calm(Half::Prefill, &|_| 1.0 + share))
+    }
+
     /// Does the service have engines of this half at all, reachable or not?
     pub fn has(&self, half: Half) -> bool {
         let part = |stall: &crate::park::Stall| match half {
@@ -120,7 +136,7 @@
 }
 
 /// How much longer a maker takes for a prompt than a reader: half the pace, in smaller pieces.
-const SLOWER: f64 = 2.5;
+const SLOWER: f64 = 3.5;
 
 fn owned(held: &[(usize, u32)], at: usize) -> u32 {
     held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0)
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -92,3 +92,20 @@
     park.list[at].cold_until = 0;
     assert_eq!(id(&park, view(&park, &[], &[]).decode(10, &[], None, 1)), "d-a");
 }
+
+#[test]
+fn deferrable_work_is_let_in_only_beside_calm_halves() {
+    let mut park = park();
+    assert!(view(&park, &[], &[]).idle(0.3));
+    for id in ["d-a", "d-b"] {
+        let at = park.find(id).expect("known");
+        park.list[at].report("4,0,8", 900);
+    }
+    assert!(!view(&park, &[], &[]).idle(0.3));
+    assert!(view(&park, &[], &[]).idle(0.6), "nearer to its end it may press harder");
+    for id in ["p-a", "p-b"] {
+        let at = park.find(id).expect("known");
+        park.list[at].report("3,0,8", 900);
+    }
+    assert!(!view(&park, &[], &[]).idle(0.6), "never where readers are pressed");
+}
--- /dev/null
+++ b/keeper/src/batches.rs
@@ -0,0 +1,205 @@
+//! Batches at the operator's door: submit, state, results, cancel. What is read here is committed.
+use crate::control::Receipt;
+
+pub const KEY: &str = "batch/";
+
+/// The key of one page of a batch's jobs.
+pub fn page_key(id: &str, page: usize) -> String {
+    format!("{KEY}{id}/{page}")
+}
+
+pub fn batch_key(id: &str) -> String {
+    format!("{KEY}{id}")
+}
+
+/// A batch as the board has it.
+pub fn batch(board: &crate::hall::Board, id: &str) -> Option<batch::sheet::Batch> {
+    batch::sheet::Batch::read_bytes(&board.entries.get(&batch_key(id))?.body)
+}
+
+/// A page as the board has it; one that was never written has all jobs waiting.
+pub fn page(board: &crate::hall::Board, id: &str, batch: &batch::sheet::Batch, number: usize) -> batch::page::Page {
+    let held = board.entries.get(&page_key(id, number)).and_then(|entry| batch::page::Page::read_bytes(&entry.body));
+    held.unwrap_or_else(|| blank(batch, number))
+}
+
+pub fn blank(batch: &batch::sheet::Batch, number: usize) -> batch::page::Page {
+    batch::page::Page::new(batch.jobs.len().saturating_sub(number * batch::PAGE).min(batch::PAGE))
+}
+
+/// Ids of all batches that are not expired.
+pub fn ids(board: &crate::hall::Board) -> Vec<String> {
+    let keys = board.entries.keys().filter_map(|key| key.strip_prefix(KEY));
+    let whole = keys.filter(|rest| !rest.contains('/')).map(str::to_string);
+    whole.filter(|id| batch(board, id).is_some_and(|batch| !batch.expired)).collect()
+}
+
+/// What batches may take up on disk and in memory: a share of what the machine has.
+fn room(env: &kernel::env::Env) -> usize {
+    let disk = if env.limits.disk_mb == 0 { env.limits.memory_mb / 2 } else { env.limits.disk_mb };
+    (disk.min(env.limits.memory_mb) as usize) << 17
+}
+
+pub struct Batches(pub std::sync::Arc<crate::hall::Hall>);
+pub struct One(pub std::sync::Arc<crate::hall::Hall>);
+pub struct Results(pub std::sync::Arc<crate::hall::Hall>);
+
+impl Batches {
+    async fn submit(&self, key: &str, text: &str) -> Receipt {
+        let hall = &self.0;
+        let held = hall.board.lock().expect("board").config.clone();
+        let Some((_, config)) = held else { return Receipt::Bad(409, "no configuration yet: no routes".into()) };
+        let Ok(config) = wire::config::read(&String::from_utf8_lossy(&config)) else { return Receipt::Unclear };
+        let route = |host: &str, path: &str| {
+            let fits = |route: &&wire::config::Route| {
+                route.hostname.eq_ignore_ascii_case(host) && path.starts_with(&route.path_prefix)
+            };
+            let best = config.route_table.iter().filter(fits).max_by_key(|route| route.path_prefix.len())?;
+            Some(best.route_type == "idempotent" || (best.route_type == "streaming" && best.resumable))
+        };
+        let batch = match batch::sheet::read(key, text, &route) {
+            Ok(batch) => batch,
+            Err(words) => return Receipt::Bad(400, words),
+        };
+        let id = batch::sheet::id(key);
+        {
+            let board = hall.board.lock().expect("board");
+            let ids = ids(&board);
+            let bytes: usize = ids.iter().filter_map(|id| self::batch(&board, id)).map(|held| held.bytes()).sum();
+            let answers = batch.jobs.len() * batch::ANSWER;
+            let new = !ids.contains(&id);
+            let full = ids.len() >= batch::BATCHES || bytes + batch.bytes() + answers > room(&hall.env);
+            if new && full {
+                return Receipt::Full(60_000);
+            }
+        }
+        let body = batch.write_bytes();
+        let judge = |held: &[u8]| match batch::sheet::Batch::read_bytes(held) {
+            Some(held) if held.expired => {
+                let words = "Idempotency-Key: its batch has expired; use another";
+                crate::council::Verdict::Answer(Receipt::Bad(409, words.into()))
+            }
+            Some(held) if held.digest == batch.digest => crate::council::Verdict::Answer(Receipt::Good),
+            Some(_) => {
+                let words = "Idempotency-Key: used for a batch with other content";
+                crate::council::Verdict::Answer(Receipt::Bad(409, words.into()))
+            }
+            None => crate::council::Verdict::Write(body.clone(), Receipt::Good),
+        };
+        match hall.change(&batch_key(&id), crate::control::wait_ms(hall), judge).await {
+            Some(Receipt::Good) => {
+                kernel::say!(crate::event::BATCH, "batch" => id.clone(), "jobs" => batch.jobs.len());
+                Receipt::Text(serde_json::json!({ "batch": id, "jobs": batch.jobs.len() }).to_string().into_bytes())
+            }
+            Some(other) => other,
+            None => Receipt::Unclear,
+        }
+    }
+
+    fn list(&self) -> Receipt {
+        let board = self.0.board.lock().expect("board");
+        Receipt::Text(serde_json::json!({ "batches": ids(&board) }).to_string().into_bytes())
+    }
+}
+
+impl One {
+    fn state(&self, id: &str) -> Receipt {
+        let board = self.0.board.lock().expect("board");
+        let Some(held) = batch(&board, id) else { return Receipt::Bad(404, format!("batch `{id}`: not known")) };
+        let mut counts: std::collections::BTreeMap<&str, usize> = Default::default();
+        for number in 0..held.pages() {
+            for state in page(&board, id, &held, number).states {
+                *counts.entry(state.word()).or_default() += 1;
+            }
+        }
+        let open = counts.get("waiting").unwrap_or(&0) + counts.get("running").unwrap_or(&0);
+        let word = match (held.expired, held.cancelled, open) {
+            (true, _, _) => "expired",
+            (_, true, _) => "cancelled",
+            (_, _, 0) => "finished",
+            _ => "open",
+        };
+        let value = serde_json::json!({
+            "batch": id, "state": word, "jobs": held.jobs.len(), "counts": counts,
+            "window_ms": held.window_ms, "left_ms": held.left_ms(),
+        });
+        Receipt::Text(value.to_string().into_bytes())
+    }
+
+    async fn cancel(&self, id: &str) -> Receipt {
+        let judge = |body: &[u8]| match batch::sheet::Batch::read_bytes(body) {
+            None => crate::council::Verdict::Answer(Receipt::Bad(404, format!("batch `{id}`: not known"))),
+            Some(held) if held.cancelled || held.expired => crate::council::Verdict::Answer(Receipt::Good),
+            Some(held) => {
+                let next = batch::sheet::Batch { cancelled: true, ..held };
+                crate::council::Verdict::Write(next.write_bytes(), Receipt::Good)
+            }
+        };
+        let done = self.0.change(&batch_key(id), crate::control::wait_ms(&self.0), judge).await;
+        done.unwrap_or(Receipt::Unclear)
+    }
+}
+
+impl Results {
+    /// Only receipts: what is still open has none.
+    fn read(&self, id: &str) -> Receipt {
+        let board = self.0.board.lock().expect("board");
+        let Some(held) = batch(&board, id) else { return Receipt::Bad(404, format!("batch `{id}`: not known")) };
+        let mut list = Vec::new();
+        for (at, job) in held.jobs.iter().enumerate() {
+            let page = page(&board, id, &held, at / batch::PAGE);
+            let Some(state) = page.states.get(at % batch::PAGE).filter(|state| state.closed()) else { continue };
+            let mut value = serde_json::json!({ "name": job.name, "outcome": state.word() });
+            if let batch::page::State::Done { status, body } = state {
+                value["status"] = (*status).into();
+                value["body"] = body.as_str().into();
+            }
+            list.push(value);
+        }
+        Receipt::Text(serde_json::json!({ "batch": id, "receipts": list }).to_string().into_bytes())
+    }
+}
+
+impl poem::Endpoint for Batches {
+    type Output = poem::Response;
+
+    async fn call(&self, mut req: poem::Request) -> poem::Result<poem::Response> {
+        match req.method().as_str() {
+            "GET" => return Ok(crate::control::write(self.list())),
+            "POST" => {}
+            _ => return Ok(crate::control::write(Receipt::Bad(405, "method: GET or POST".into()))),
+        }
+        let key = req.header("idempotency-key").unwrap_or("").to_string();
+        let most = 2 * batch::BYTES;
+        let Ok(body) = req.take_body().into_bytes_limit(most).await else {
+            return Ok(crate::control::write(Receipt::Bad(413, format!("body: cut short or over {most} bytes"))));
+        };
+        let Ok(text) = String::from_utf8(body.to_vec()) else {
+            return Ok(crate::control::write(Receipt::Bad(400, "body: not UTF-8".into())));
+        };
+        Ok(crate::control::write(self.submit(&key, &text).await))
+    }
+}
+
+impl poem::Endpoint for One {
+    type Output = poem::Response;
+
+    async fn call(&self, req: poem::Request) -> poem::Result<poem::Response> {
+        let id = req.path_params::<String>().unwrap_or_default();
+        let receipt = match req.method().as_str() {
+            "GET" => self.state(&id),
+            "DELETE" => self.cancel(&id).await,
+            _ => Receipt::Bad(405, "method: GET or DELETE".into()),
+        };
+        Ok(crate::control::write(receipt))
+    }
+}
+
+impl poem::Endpoint for Results {
+    type Output = poem::Response;
+
+    async fn call(&self, req: poem::Request) -> poem::Result<poem::Response> {
+        let id = req.path_params::<String>().unwrap_or_default();
+        Ok(crate::control::write(self.read(&id)))
+    }
+}
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -18,6 +18,7 @@
 part!(JOIN, "join", 3, crate::join::start);
 part!(PLATFORM, "platform", 4, crate::platform::start);
 part!(DUTY, "duty", 5, crate::duty::start);
+part!(BATCHES, "batches", 8, crate::runner::start);
 part!(BALANCE, "balance", 7, crate::balance::start);
 part!(CONTROL, "control", 6, crate::control::start);
 part!(FELLOWS, "fellows", 1, fellows);
@@ -90,6 +91,7 @@
         helms: Default::default(),
         calls: Default::default(),
         taken: Default::default(),
+        tallies: Default::default(),
         polls: tokio::sync::Semaphore::new(1),
         env,
     });
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -2,7 +2,7 @@
 //! writes it.
 
 /// How long a call may take before it is answered as unclear: well inside `ack_ms`.
-fn wait_ms(hall: &crate::hall::Hall) -> u64 {
+pub fn wait_ms(hall: &crate::hall::Hall) -> u64 {
     (hall.env.bounds.ack_ms / 2).clamp(800, 2500)
 }
 
@@ -11,10 +11,12 @@
     Text(Vec<u8>),
     /// Status and what is wrong.
     Bad(u16, String),
+    /// No room; come back after so many ms.
+    Full(u64),
     Unclear,
 }
 
-fn write(receipt: Receipt) -> poem::Response {
+pub fn write(receipt: Receipt) -> poem::Response {
     let json = |status: u16, body: Vec<u8>| {
         let code = poem::http::StatusCode::from_u16(status).unwrap_or(poem::http::StatusCode::INTERNAL_SERVER_ERROR);
         poem::Response::builder().status(code).content_type("application/json").body(body)
@@ -26,6 +28,13 @@
             kernel::say!(crate::event::REFUSED, "status" => status, "error" => words.clone());
             json(status, serde_json::json!({ "error": words }).to_string().into_bytes())
         }
+        Receipt::Full(wait) => {
+            let mut reply = json(503, serde_json::json!({ "error": "no room for it now" }).to_string().into_bytes());
+            if let Ok(value) = poem::http::HeaderValue::from_str(&format!("{:.1}", wait as f64 / 1000.0)) {
+                reply.headers_mut().insert("retry-after", value);
+            }
+            reply
+        }
         Receipt::Unclear => {
             kernel::say!(crate::event::UNCLEAR);
             let mut reply =
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -2,6 +2,7 @@
 
 pub const CATALOG: &str = "duty/catalog";
 pub const BALANCE: &str = "duty/balance";
+pub const BATCH: &str = "duty/batch";
 
 /// What this life of this keeper took. Invariant: a duty is done only while the board names this
 /// keeper under the same epoch and the board is sure.
@@ -9,7 +10,7 @@
 pub struct Taken(std::collections::BTreeMap<String, (u64, u64)>);
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    for key in [CATALOG, BALANCE] {
+    for key in [CATALOG, BALANCE, BATCH] {
         let hall = hall.clone();
         tokio::spawn(async move {
             let mut beat = tokio::time::interval(std::time::Duration::from_millis(400));
@@ -50,6 +51,10 @@
     if !hall.sure(now) || now < 1200 || held(hall, key, now).is_some() {
         return;
     }
+    // Taken only once there is something to do.
+    if key == BATCH && crate::batches::ids(&hall.board.lock().expect("board")).is_empty() {
+        return;
+    }
     let (epoch, holder) = hall.board.lock().expect("board").duties.get(key).cloned().unwrap_or_default();
     let take = {
         let roster = hall.roster.lock().expect("roster");
--- a/keeper/src/event.rs
+++ b/keeper/src/event.rs
@@ -16,3 +16,5 @@
 pub const LEAVE: Event = Event { code: 140, text: "leaving" };
 pub const DUTY: Event = Event { code: 150, text: "duty taken" };
 pub const ORDER: Event = Event { code: 151, text: "engine ordered to change its part" };
+pub const BATCH: Event = Event { code: 160, text: "batch taken" };
+pub const JOB: Event = Event { code: 161, text: "job answered" };
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -14,20 +14,14 @@
         fit: gossip.fit,
         seats: gossip.seats,
         busy: gossip.busy.clone(),
+        doors: gossip.doors.clone(),
         resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::hall::LIVE_MS)).collect(),
     };
     roster.hear(&gossip.ip, fellow);
     for ip in &gossip.fellows {
         if ip.parse::<std::net::Ipv4Addr>().is_ok() && *ip != roster.me && !roster.keepers.contains_key(ip) {
-            let unseen = roster::Fellow {
-                area: String::new(),
-                life: 0,
-                heard: 0,
-                fit: false,
-                seats: 0,
-                busy: Vec::new(),
-                resting: Vec::new(),
-            };
+            let unseen =
+                roster::Fellow { area: String::new(), life: 0, heard: 0, fit: false, seats: 0, ..Default::default() };
             roster.keepers.insert(ip.clone(), unseen);
         }
     }
@@ -56,11 +50,11 @@
 fn tell(hall: &crate::hall::Hall) {
     let now = kernel::clock::now();
     let core = hall.core();
-    let (fellows, seats, busy, resting) = {
+    let (fellows, seats, busy, resting, doors) = {
         let mut roster = hall.roster.lock().expect("roster");
         roster.sweep(now);
         let live: Vec<String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).cloned().collect();
-        (live, roster.routers.len() as u32, roster.own_pressure(), roster.own_resting(now))
+        (live, roster.routers.len() as u32, roster.own_pressure(), roster.own_resting(now), roster.own_doors())
     };
     let (sheets, floors) = {
         let held = hall.sheets.lock().expect("sheets");
@@ -76,6 +70,7 @@
         seats,
         busy,
         resting,
+        doors,
         sheets,
         floors,
     };
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -17,6 +17,7 @@
     pub helms: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::council::Helms>>>,
     pub calls: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<wire::link::Caller>>>,
     pub taken: std::sync::Mutex<crate::duty::Taken>,
+    pub tallies: std::sync::Mutex<crate::runner::Tallies>,
     pub polls: tokio::sync::Semaphore,
 }
 
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -1,11 +1,13 @@
 //! The control plane: knows which engines and daemons exist, holds and delivers the configuration.
 mod balance;
+mod batches;
 mod boot;
 mod control;
 mod council;
 mod crew;
 mod disk;
 mod duty;
+mod errands;
 mod event;
 mod gossip;
 mod hall;
@@ -13,6 +15,7 @@
 mod message;
 mod news;
 mod platform;
+mod runner;
 mod state;
 
 mod flags {
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -4,7 +4,7 @@
     /// A router renews its lease, tells what it has and gets what it lacks.
     pub fn follow(&self, mouth: wire::link::Mouth, id: u64, follow: wire::msg::Follow) {
         let now = kernel::clock::now();
-        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS, follow.busy);
+        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS, follow.busy, follow.door);
         self.sheets.lock().expect("sheets").raise(&follow.sheets);
         let mut follower = crate::crew::Follower {
             mouth,
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -1,7 +1,7 @@
 //! Who is there: leases of keepers and routers, and the order in which duties fall to them. Pure:
 //! time comes in with every call.
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Fellow {
     pub area: String,
     pub life: u64,
@@ -11,6 +11,16 @@
     /// Requests of its routers under way, by engine.
     pub busy: Vec<(String, u32)>,
     pub resting: Vec<(String, u64)>,
+    /// Where clients reach its routers.
+    pub doors: Vec<String>,
+}
+
+/// A router's lease, with what it told when it renewed it.
+#[derive(Clone, Debug, Default)]
+pub struct Seat {
+    pub until: u64,
+    pub busy: Vec<(String, u32)>,
+    pub door: String,
 }
 
 /// Invariants: `heard` never goes back; a fellow is live while it was heard within `span` ms; a
@@ -21,7 +31,7 @@
     pub area: String,
     pub span: u64,
     pub keepers: std::collections::BTreeMap<String, Fellow>,
-    pub routers: std::collections::BTreeMap<String, (u64, Vec<(String, u32)>)>,
+    pub routers: std::collections::BTreeMap<String, Seat>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
 }
@@ -37,15 +47,30 @@
         self.keepers.insert(ip.into(), Fellow { heard, ..fellow });
     }
 
-    pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>) {
-        let held = self.routers.get(router).map_or(0, |held| held.0);
-        self.routers.insert(router.into(), (until.max(held), busy));
+    pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>, door: String) {
+        let held = self.routers.get(router).map_or(0, |held| held.until);
+        self.routers.insert(router.into(), Seat { until: until.max(held), busy, door });
+    }
+
+    pub fn own_doors(&self) -> Vec<String> {
+        self.routers.values().map(|seat| seat.door.clone()).filter(|door| !door.is_empty()).collect()
+    }
+
+    /// A router to send to, in turn: own ones first, as they are near.
+    pub fn door(&self, now: u64, turn: usize) -> Option<String> {
+        let mut list = self.own_doors();
+        if list.is_empty() {
+            let live = self.keepers.values().filter(|fellow| now < fellow.heard + self.span);
+            list = live.flat_map(|fellow| fellow.doors.clone()).collect();
+        }
+        let at = turn.checked_rem(list.len())?;
+        Some(list.swap_remove(at))
     }
 
     /// Requests under way at each engine, from the routers that hold a lease here.
     pub fn own_pressure(&self) -> Vec<(String, u32)> {
         let mut sum: std::collections::BTreeMap<&str, u32> = Default::default();
-        for (id, busy) in self.routers.values().flat_map(|(_, busy)| busy) {
+        for (id, busy) in self.routers.values().flat_map(|seat| &seat.busy) {
             *sum.entry(id).or_default() += busy;
         }
         sum.into_iter().map(|(id, busy)| (id.to_string(), busy)).collect()
@@ -73,7 +98,7 @@
     }
 
     pub fn sweep(&mut self, now: u64) {
-        self.routers.retain(|_, (until, _)| *until > now);
+        self.routers.retain(|_, seat| seat.until > now);
     }
 
     pub fn live(&self, ip: &str, now: u64) -> bool {
@@ -97,7 +122,7 @@
 
     pub fn seats(&self, now: u64) -> u32 {
         let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
-        self.routers.values().filter(|(until, _)| *until > now).count() as u32
+        self.routers.values().filter(|seat| seat.until > now).count() as u32
             + far.map(|fellow| fellow.seats).sum::<u32>()
     }
 
@@ -132,7 +157,7 @@
             fit: true,
             seats: 3,
             busy: vec![("i-1".into(), 2)],
-            resting: Vec::new(),
+            ..Default::default()
         }
     }
 
@@ -160,7 +185,8 @@
     fn seats_count_own_leases_and_those_of_fellows() {
         let mut list = super::Roster::new("10.0.0.1", "a", 1000);
         list.hear("10.0.0.2", fellow("b", 100));
-        list.lease("edge-1", 500, vec![("i-1".into(), 5)]);
+        list.lease("edge-1", 500, vec![("i-1".into(), 5)], "10.0.0.9:80".into());
+        assert_eq!(list.door(400, 7).as_deref(), Some("10.0.0.9:80"));
         assert_eq!(list.pressure(400).get("i-1"), Some(&7));
         assert_eq!(list.seats(400), 4);
         assert_eq!(list.seats(600), 3);
--- a/router/src/errand.rs
+++ b/router/src/errand.rs
@@ -13,11 +13,19 @@
     pub parts: Vec<catalog::Part>,
     pub keys: Vec<u64>,
     pub last: Option<http::HeaderValue>,
+    /// Deferrable work: it only fills what is idle. The share of places it leaves free.
+    pub spare: Option<f64>,
 }
 
 const HOP: [&str; 8] =
     ["connection", "keep-alive", "proxy-connection", "transfer-encoding", "te", "trailer", "upgrade", "content-length"];
 
+/// The mark of deferrable work, and the share of an engine's places up to which it is let in: little
+/// by day, more when its window comes near; interactive work has the rest.
+pub const DEFER: &str = "deferrable";
+const IDLE: f64 = 0.3;
+const NEAR: f64 = 0.5;
+
 /// Removes what concerns one connection, and what `Connection` names.
 pub fn strip(head: &mut http::HeaderMap) {
     let named: Vec<String> = head
@@ -85,6 +93,7 @@
         let mut head = parts.headers;
         strip(&mut head);
         head.remove(http::header::EXPECT);
+        let spare = head.remove(DEFER).map(|press| if press == "near" { NEAR } else { IDLE });
         let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
         let list = text.and_then(catalog::parts).unwrap_or_default();
@@ -102,6 +111,7 @@
             born,
             parts: list,
             keys,
+            spare,
         }
     }
 
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -114,6 +114,7 @@
         closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).collect(),
         sheets,
         busy,
+        door: yard.env.bind_addresses.frontend.clone().filter(|_| !yard.leaving()).unwrap_or_default(),
     }
 }
 
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -53,16 +53,15 @@
 /// How urgent a read is: a short one goes before long ones, which it hardly delays, while behind them
 /// it would miss its aim; among alike the operator's rank decides.
 fn rush(trip: &crate::trip::Trip, reads: u32) -> u32 {
+    if trip.errand.spare.is_some() {
+        return 9;
+    }
     let size = match reads {
         0..1024 => 0,
         1024..4096 => 2,
         _ => 4,
     };
-    (1 + size + trip.priority.min(1)).min(9)
-}
-
-fn urgency(trip: &crate::trip::Trip) -> Option<u32> {
-    Some((4 + trip.priority).min(9))
+    (1 + size + trip.priority.min(1)).min(8)
 }
 
 /// Notes an owner here and tells the catalog; gives the number of registrations sent.
@@ -117,7 +116,7 @@
         };
         let reads = if handle.is_some() { 0 } else { tokens };
         let source = handle.as_ref().map(|handle| format!("{}/{}", handle.addr, handle.id));
-        let extra = crate::send::Extra { source, urgency: urgency(trip), last: None, ..Default::default() };
+        let extra = crate::send::Extra { source, urgency: trip.urgency(), ..Default::default() };
         let wait = trip.silence_ms();
         trip.sends += 1;
         match trip.send(at, extra, reads, wait).await {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -37,8 +37,14 @@
     crate::receipt::Receipt::Lost
 }
 
+/// How long deferrable work stands back when interactive work needs the places.
+const STAND_BACK_MS: u64 = 500;
+
 /// Chooses the path and follows it to an answer.
 pub async fn go(mut trip: crate::trip::Trip) -> Result<http::Response<crate::receipt::Body>, crate::receipt::Receipt> {
+    if trip.errand.spare.is_some_and(|share| !trip.view(|view| view.idle(share))) {
+        return Err(crate::receipt::Receipt::Refused(STAND_BACK_MS));
+    }
     let split = !trip.errand.keys.is_empty()
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
@@ -62,7 +68,7 @@
         }
         let wait = trip.silence_ms();
         trip.sends += 1;
-        match trip.send(at, crate::send::Extra::default(), 0, wait).await {
+        match trip.send(at, crate::send::Extra { urgency: trip.urgency(), ..Default::default() }, 0, wait).await {
             crate::send::Outcome::Answer(answer) => {
                 let again = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
                 if !again {
@@ -104,7 +110,7 @@
                 Some(last) => http::HeaderValue::from_str(last).ok(),
                 None => self.errand.last.clone(),
             };
-            let extra = crate::send::Extra { last, ..Default::default() };
+            let extra = crate::send::Extra { last, urgency: self.urgency(), ..Default::default() };
             let wait = self.left();
             self.sends += 1;
             match self.send(next, extra, tokens, wait).await {
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -48,6 +48,15 @@
         self.errand.left(kernel::clock::now())
     }
 
+    /// Deferrable work is the least urgent there is; the rest goes by the operator's rank where the
+    /// request has halves to be ranked in.
+    pub fn urgency(&self) -> Option<u32> {
+        if self.errand.spare.is_some() {
+            return Some(9);
+        }
+        (!self.errand.keys.is_empty()).then_some((4 + self.priority).min(8))
+    }
+
     pub fn streams(&self) -> bool {
         self.kind == crate::table::Kind::Streaming
     }
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -113,6 +113,8 @@
     pub busy: Vec<(String, u32)>,
     /// Engines about to change their part.
     pub resting: Vec<String>,
+    /// Where clients reach the routers that hold a lease here.
+    pub doors: Vec<String>,
     /// The stamps of the engine lists held: who has newer ones sends them.
     pub sheets: Vec<(String, u64, u64)>,
     /// Turns of lists that routers told of.
@@ -151,6 +153,8 @@
     pub sheets: Vec<(String, u64, u64)>,
     /// Own requests under way, by engine.
     pub busy: Vec<(String, u32)>,
+    /// Where clients reach it.
+    pub door: String,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
