--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -137,6 +137,29 @@
     }
 }
 
+/// The last log events of this keeper, for the tracer.
+struct Journal;
+
+/// Who is there as this keeper sees it, and which configuration each router has in force.
+struct Fleet(std::sync::Arc<crate::hall::Hall>);
+
+impl poem::Endpoint for Journal {
+    type Output = poem::Response;
+
+    async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
+        let list: Vec<String> = kernel::log::since(0).into_iter().map(|(_, line)| line).collect();
+        Ok(write(Receipt::Text(serde_json::json!({ "events": list }).to_string().into_bytes())))
+    }
+}
+
+impl poem::Endpoint for Fleet {
+    type Output = poem::Response;
+
+    async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
+        Ok(write(Receipt::Text(self.0.fleet().to_string().into_bytes())))
+    }
+}
+
 impl poem::Endpoint for Config {
     type Output = poem::Response;
 
@@ -176,7 +199,14 @@
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let Some(addr) = hall.env.bind_addresses.control_plane.clone() else { return };
     let app = std::sync::Arc::new(
-        poem::Route::new().at("/config", Config(hall.clone())).at("/evacuation/:zone", Evacuation(hall.clone())),
+        poem::Route::new()
+            .at("/config", Config(hall.clone()))
+            .at("/journal", Journal)
+            .at("/fleet", Fleet(hall.clone()))
+            .at("/batches", crate::batches::Batches(hall.clone()))
+            .at("/batches/:id", crate::batches::One(hall.clone()))
+            .at("/batches/:id/results", crate::batches::Results(hall.clone()))
+            .at("/evacuation/:zone", Evacuation(hall.clone())),
     );
     tokio::spawn(async move {
         loop {
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -1,22 +1,4 @@
 //! The control plane: knows which engines and daemons exist, holds and delivers the configuration.
-mod balance;
-mod batches;
-mod boot;
-mod control;
-mod council;
-mod crew;
-mod disk;
-mod duty;
-mod errands;
-mod event;
-mod gossip;
-mod hall;
-mod join;
-mod message;
-mod news;
-mod platform;
-mod runner;
-mod state;
 
 mod flags {
     xflags::xflags! {
@@ -55,5 +37,5 @@
         eprintln!("keeper: no runtime");
         return std::process::ExitCode::from(3);
     };
-    runtime.block_on(boot::run(env))
+    runtime.block_on(keeper::boot::run(env))
 }
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -72,4 +72,24 @@
         }
         news
     }
+
+    /// The view of the fleet for those who operate it.
+    pub fn fleet(&self) -> serde_json::Value {
+        let now = kernel::clock::now();
+        let core = self.core();
+        let members: Vec<&str> = core.list.iter().map(|member| member.ip.as_str()).collect();
+        let sure = self.sure(now);
+        let revision = self.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+        let duties = self.board.lock().expect("board").duties.clone();
+        let roster = self.roster.lock().expect("roster");
+        let keepers: Vec<&String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).collect();
+        let crew = self.crew.lock().expect("crew");
+        let routers: std::collections::BTreeMap<&String, u64> =
+            crew.list.iter().map(|(node, follower)| (node, follower.config)).collect();
+        serde_json::json!({
+            "node_name": self.env.node_name, "sure": sure, "revision": revision, "core": members,
+            "core_stamp": core.stamp, "core_settled": core.settled, "live_keepers": keepers,
+            "duties": duties, "routers": routers,
+        })
+    }
 }
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -72,7 +72,8 @@
             board.entries.insert(key.into(), entry.clone());
             if !same {
                 fold(&mut board, key, &entry.body);
-                kernel::say!(crate::event::LEARNED, "key" => key, "turn" => entry.ballot.turn, "step" => entry.step);
+                let revision = board.config.as_ref().map_or(0, |config| config.0);
+                kernel::say!(crate::event::LEARNED, "key" => key, "revision" => revision, "turn" => entry.ballot.turn, "step" => entry.step);
             }
         }
         if key == ledger::CORE {
--- a/kernel/src/journal.rs
+++ b/kernel/src/journal.rs
@@ -1,6 +1,6 @@
 //! The in-memory journal: events are appended, views are folded from it. Bounded: the oldest go.
 
-/// Invariants: `list.len() <= ROOM`; numbers rise by one and are never used again.
+/// Invariants: `list.len() <= room`; numbers rise by one and are never used again.
 pub struct Journal<E> {
     list: std::collections::VecDeque<(u64, u64, E)>,
     next: u64,
@@ -33,6 +33,14 @@
         view
     }
 
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
     pub fn last(&self) -> u64 {
         self.next - 1
     }
--- a/kernel/src/log.rs
+++ b/kernel/src/log.rs
@@ -6,6 +6,24 @@
     pub text: &'static str,
 }
 
+/// The last events of this process, for those who ask it.
+static BOOK: std::sync::Mutex<Option<crate::journal::Journal<String>>> = std::sync::Mutex::new(None);
+
+/// How many events are kept.
+const ROOM: usize = 512;
+
+/// Numbered lines after `mark`.
+pub fn since(mark: u64) -> Vec<(u64, String)> {
+    let book = BOOK.lock().expect("book");
+    let Some(book) = book.as_ref() else { return Vec::new() };
+    let mut number = book.last().saturating_sub(book.len() as u64).max(mark);
+    book.fold(mark, Vec::new(), |mut list, _, line| {
+        number += 1;
+        list.push((number, line.clone()));
+        list
+    })
+}
+
 static ROOT: std::sync::OnceLock<slog::Logger> = std::sync::OnceLock::new();
 
 /// One line an event: steady milliseconds, code, text, then key=value pairs.
@@ -30,6 +48,9 @@
         use std::io::Write;
         let mut text = format!("{} {} {}", crate::clock::now(), record.level().as_short_str(), record.msg());
         let _ = record.kv().serialize(record, &mut Pairs(&mut text));
+        let mut book = BOOK.lock().expect("book");
+        book.get_or_insert_with(|| crate::journal::Journal::new(ROOM)).push(crate::clock::now(), text.clone());
+        drop(book);
         text.push('\n');
         let _ = std::io::stdout().write_all(text.as_bytes());
         Ok(())
--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -28,6 +28,9 @@
     if table.revision == 0 {
         return Err(crate::receipt::Receipt::Refused(300));
     }
+    if !table.seen.swap(true, std::sync::atomic::Ordering::Relaxed) {
+        kernel::say!(crate::event::FIRST, "revision" => table.revision);
+    }
     let host = parts.headers.get(http::header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
     let Some(route) = table.find(host, parts.uri.path()) else {
         return Err(crate::receipt::Receipt::NoRoute);
--- a/router/src/event.rs
+++ b/router/src/event.rs
@@ -6,6 +6,7 @@
 pub const CONFIG: Event = Event { code: 210, text: "configuration in force" };
 pub const BAD_CONFIG: Event = Event { code: 211, text: "configuration from a keeper could not be read" };
 pub const CLOSED: Event = Event { code: 212, text: "evacuation in force" };
+pub const FIRST: Event = Event { code: 213, text: "first request under a configuration" };
 pub const HOME: Event = Event { code: 220, text: "following another keeper" };
 pub const CATALOG: Event = Event { code: 221, text: "catalog changed hands" };
 pub const STRIKE: Event = Event { code: 230, text: "engine gave no answer" };
--- /dev/null
+++ b/router/src/lib.rs
@@ -0,0 +1,18 @@
+//! The data plane: takes clients' requests and carries them to engines.
+pub mod boot;
+mod carry;
+mod door;
+mod errand;
+mod event;
+mod follow;
+mod halves;
+mod lookup;
+mod plan;
+mod pool;
+mod receipt;
+mod relay;
+mod send;
+mod stream;
+mod table;
+mod trip;
+mod yard;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,21 +1,4 @@
 //! The data plane: takes clients' requests and carries them to engines.
-mod boot;
-mod carry;
-mod door;
-mod errand;
-mod event;
-mod follow;
-mod halves;
-mod lookup;
-mod plan;
-mod pool;
-mod receipt;
-mod relay;
-mod send;
-mod stream;
-mod table;
-mod trip;
-mod yard;
 
 mod flags {
     xflags::xflags! {
@@ -54,5 +37,5 @@
         eprintln!("router: no runtime");
         return std::process::ExitCode::from(3);
     };
-    runtime.block_on(boot::run(env))
+    runtime.block_on(router::boot::run(env))
 }
--- a/router/src/table.rs
+++ b/router/src/table.rs
@@ -38,6 +38,8 @@
 #[derive(Default)]
 pub struct Table {
     pub revision: u64,
+    /// Has a request been read under it yet?
+    pub seen: std::sync::atomic::AtomicBool,
     hosts: std::collections::HashMap<String, Vec<Route>>,
     pub services: std::collections::HashMap<u32, Service>,
     pub header_bytes: usize,
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -1,1 +1,40 @@
-fn main() {}
+//! The command line beside the daemons.
+mod call;
+mod flags;
+mod rehearse;
+mod trace;
+
+fn main() -> std::process::ExitCode {
+    let flags = match flags::Tidepoint::from_env() {
+        Ok(flags) => flags,
+        Err(error) => error.exit(),
+    };
+    if flags.version {
+        println!("tidepoint {}", env!("CARGO_PKG_VERSION"));
+        return std::process::ExitCode::SUCCESS;
+    }
+    let done = match flags.subcommand {
+        flags::TidepointCmd::Check(check) => verify(check.path),
+        flags::TidepointCmd::Trace(trace) => trace::run(&trace),
+        flags::TidepointCmd::Fleet(fleet) => call::get(&fleet.at, "/fleet"),
+        flags::TidepointCmd::Submit(submit) => call::submit(&submit),
+        flags::TidepointCmd::Status(one) => call::get(&one.at, &format!("/batches/{}", one.batch)),
+        flags::TidepointCmd::Results(one) => call::get(&one.at, &format!("/batches/{}/results", one.batch)),
+        flags::TidepointCmd::Cancel(one) => call::cancel(&one.at, &one.batch),
+        flags::TidepointCmd::Rehearse(plan) => rehearse::run(&plan),
+    };
+    match done {
+        Ok(()) => std::process::ExitCode::SUCCESS,
+        Err(words) => {
+            eprintln!("tidepoint: {words}");
+            std::process::ExitCode::from(2)
+        }
+    }
+}
+
+fn verify(path: Option<String>) -> Result<(), String> {
+    let path = path.unwrap_or_else(kernel::env::path);
+    kernel::env::load(&path).map_err(|error| error.current_context().to_string())?;
+    println!("{path}: settings are good");
+    Ok(())
+}
