--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -136,7 +136,7 @@
 }
 
 /// How much longer a maker takes for a prompt than a reader: half the pace, in smaller pieces.
-const SLOWER: f64 = 3.5;
+const SLOWER: f64 = 5.0;
 
 fn owned(held: &[(usize, u32)], at: usize) -> u32 {
     held.iter().filter(|(owner, _)| *owner == at).map(|(_, have)| *have).max().unwrap_or(0)
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -3,11 +3,11 @@
 /// The parts of the keeper that announce themselves.
 #[kernel::plug::linkme::distributed_slice]
 #[linkme(crate = kernel::plug::linkme)]
-pub static PARTS: [kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>>];
+pub static KEEPER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>>];
 
 macro_rules! part {
     ($label:ident, $name:literal, $order:literal, $start:path) => {
-        #[kernel::plug::linkme::distributed_slice(PARTS)]
+        #[kernel::plug::linkme::distributed_slice(KEEPER_PARTS)]
         #[linkme(crate = kernel::plug::linkme)]
         static $label: kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>> =
             kernel::plug::Plug { name: $name, order: $order, start: $start };
@@ -96,7 +96,7 @@
         env,
     });
     let mut word = kernel::signal::watch();
-    kernel::plug::start(&PARTS, &hall);
+    kernel::plug::start(&KEEPER_PARTS, &hall);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
     kernel::say!(crate::event::LEAVE);
     // Calls under way get a moment; nothing else is owed, since all that was answered is on disk.
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -2,11 +2,11 @@
 
 #[kernel::plug::linkme::distributed_slice]
 #[linkme(crate = kernel::plug::linkme)]
-pub static PARTS: [kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>>];
+pub static ROUTER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>>];
 
 macro_rules! part {
     ($label:ident, $name:literal, $order:literal, $start:expr) => {
-        #[kernel::plug::linkme::distributed_slice(PARTS)]
+        #[kernel::plug::linkme::distributed_slice(ROUTER_PARTS)]
         #[linkme(crate = kernel::plug::linkme)]
         static $label: kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>> =
             kernel::plug::Plug { name: $name, order: $order, start: $start };
@@ -48,7 +48,7 @@
         env,
     });
     let mut word = kernel::signal::watch();
-    kernel::plug::start(&PARTS, &yard);
+    kernel::plug::start(&ROUTER_PARTS, &yard);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
     leave(&yard).await;
     std::process::ExitCode::SUCCESS
--- /dev/null
+++ b/tidepoint/tests/stand/mod.rs
@@ -0,0 +1,188 @@
+//! Stand-ins written for these tests: a platform, engines and a client, on loopback addresses.
+use std::io::{Read, Write};
+use std::sync::{Arc, Mutex};
+
+/// What an engine saw: its id, the stage, the attempt, the source it was to take.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Seen {
+    pub engine: String,
+    pub stage: &'static str,
+    pub attempt: String,
+    pub source: String,
+    pub last: String,
+}
+
+#[derive(Default)]
+pub struct World {
+    pub list: Mutex<Vec<serde_json::Value>>,
+    pub seen: Mutex<Vec<Seen>>,
+    /// Handles that were given out and not yet taken or freed.
+    pub handles: Mutex<Vec<String>>,
+    /// Engines that break off their next stream after two events.
+    pub breaks: Mutex<Vec<String>>,
+    pub count: std::sync::atomic::AtomicU64,
+}
+
+pub struct Head {
+    pub first: String,
+    pub fields: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Head {
+    pub fn get(&self, name: &str) -> &str {
+        let found = self.fields.iter().find(|(held, _)| held.eq_ignore_ascii_case(name));
+        found.map_or("", |(_, value)| value)
+    }
+}
+
+/// Reads one message: a head, and a body by length or in chunks. None at the end of the connection.
+pub fn read(stream: &mut impl Read) -> Option<Head> {
+    let mut text = Vec::new();
+    let mut byte = [0];
+    while !text.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).ok()?;
+        text.push(byte[0]);
+    }
+    let text = String::from_utf8(text).ok()?;
+    let mut lines = text.split("\r\n");
+    let first = lines.next()?.to_string();
+    let fields = lines.filter_map(|line| line.split_once(':')).map(|(name, value)| (name.into(), value.trim().into()));
+    let mut head = Head { first, fields: fields.collect(), body: Vec::new() };
+    if head.get("transfer-encoding") == "chunked" {
+        loop {
+            let mut line = Vec::new();
+            while !line.ends_with(b"\r\n") {
+                stream.read_exact(&mut byte).ok()?;
+                line.push(byte[0]);
+            }
+            let size = usize::from_str_radix(std::str::from_utf8(&line).ok()?.trim(), 16).ok()?;
+            let mut piece = vec![0; size + 2];
+            stream.read_exact(&mut piece).ok()?;
+            head.body.extend_from_slice(&piece[..size]);
+            if size == 0 {
+                return Some(head);
+            }
+        }
+    }
+    let size = head.get("content-length").parse().unwrap_or(0);
+    head.body = vec![0; size];
+    stream.read_exact(&mut head.body).ok()?;
+    Some(head)
+}
+
+fn answer(stream: &mut std::net::TcpStream, status: &str, fields: &str, body: &str) {
+    let text = format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
+    let _ = stream.write_all(text.as_bytes());
+}
+
+fn serve(addr: &str, each: impl Fn(&mut std::net::TcpStream, Head) + Send + Sync + 'static) {
+    let listener = std::net::TcpListener::bind(addr).expect("a free address");
+    let each = Arc::new(each);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let Ok(mut stream) = stream else { return };
+            let each = each.clone();
+            std::thread::spawn(move || {
+                while let Some(head) = read(&mut stream) {
+                    each(&mut stream, head);
+                }
+            });
+        }
+    });
+}
+
+/// The platform's list, all on one page.
+pub fn platform(world: Arc<World>, addr: &str) {
+    serve(addr, move |stream, head| {
+        let zone =
+            head.first.split("zone=").nth(1).and_then(|rest| rest.split([' ', '&']).next()).unwrap_or("").to_string();
+        let list = world.list.lock().expect("list").clone();
+        let list: Vec<_> = list.into_iter().filter(|item| item["zone"] == zone.as_str()).collect();
+        let body = serde_json::json!({"instance_list": list, "next_token": null}).to_string();
+        answer(stream, "200 OK", "Content-Type: application/json\r\n", &body);
+    });
+}
+
+/// An engine: joins the platform's list and serves both halves' calls as the protocol has them.
+pub fn engine(world: Arc<World>, id: &'static str, addr: &'static str, phase: &'static str) {
+    world.list.lock().expect("list").push(serde_json::json!({
+        "instance_id": id, "service": "s", "address": addr, "zone": "a", "revision": "v1", "slot_count": 8,
+        "oper_state": "up", "ramp_left_ms": 0, "phase": phase, "model_list": [{"name": "m"}]}));
+    serve(addr, move |stream, head| {
+        let attempt = head.get("attempt-id").to_string();
+        let back = format!("Attempt-Id: {attempt}\r\nServer-Load: 0,0,8\r\nKeep-Alive: timeout=9\r\n");
+        if let Some(handle) = head.first.strip_prefix("DELETE /kv-handle/") {
+            let handle = handle.split(' ').next().unwrap_or("").to_string();
+            world.handles.lock().expect("handles").retain(|held| *held != handle);
+            return answer(stream, "200 OK", &back, "");
+        }
+        if head.get("target-instance") != id {
+            return answer(stream, "421 Misdirected Request", &format!("{back}Instance-Id: {id}\r\n"), "");
+        }
+        let note = |stage| {
+            let (source, last) = (head.get("kv-source").to_string(), head.get("last-event-id").to_string());
+            let seen = Seen { engine: id.into(), stage, attempt: attempt.clone(), source, last };
+            world.seen.lock().expect("seen").push(seen);
+        };
+        if head.get("serving-phase") == "prefill" {
+            note("read");
+            let number = world.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            let handle = format!("h{number}");
+            world.handles.lock().expect("handles").push(handle.clone());
+            let body = serde_json::json!({"kv_handle": handle, "token_count": 9, "revision": 1}).to_string();
+            return answer(stream, "200 OK", &back, &body);
+        }
+        if let Some((_, handle)) = head.get("kv-source").split_once('/') {
+            let mut handles = world.handles.lock().expect("handles");
+            let Some(at) = handles.iter().position(|held| held == handle) else {
+                return answer(stream, "503 Service Unavailable", &format!("{back}Not-Executed: 1\r\n"), "");
+            };
+            handles.remove(at);
+        }
+        note("make");
+        let first = head.get("last-event-id").parse::<u32>().unwrap_or(0) + 1;
+        let cut = {
+            let mut breaks = world.breaks.lock().expect("breaks");
+            breaks.iter().position(|held| held == id).map(|at| breaks.remove(at)).is_some()
+        };
+        let top = format!(
+            "HTTP/1.1 200 OK\r\n{back}Response-Seal: seal-{attempt}\r\nContent-Type: text/event-stream\r\n\
+            Transfer-Encoding: chunked\r\n\r\n"
+        );
+        let _ = stream.write_all(top.as_bytes());
+        for event in first..=4 {
+            if cut && event == 3 {
+                let _ = stream.shutdown(std::net::Shutdown::Both);
+                return;
+            }
+            let text = format!("id: {event}\ndata: {}-{event}\n\n", String::from_utf8_lossy(&head.body));
+            let _ = stream.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes());
+        }
+        let _ = stream.write_all(b"0\r\n\r\n");
+    });
+}
+
+/// One call on a connection of its own. None: the connection ended without a whole answer.
+pub fn call(addr: &str, text: &str) -> Option<Head> {
+    let mut stream = std::net::TcpStream::connect(addr).ok()?;
+    stream.set_read_timeout(Some(std::time::Duration::from_secs(10))).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    read(&mut stream)
+}
+
+pub fn request(method: &str, path: &str, fields: &str, body: &str) -> String {
+    format!("{method} {path} HTTP/1.1\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Calls again and again until the answer is as wished: each call waits on a socket, none sleeps.
+pub fn until(addr: &str, text: &str, what: &str, good: impl Fn(&Head) -> bool) -> Head {
+    let begun = std::time::Instant::now();
+    while begun.elapsed().as_secs() < 30 {
+        if let Some(head) = call(addr, text).filter(&good) {
+            return head;
+        }
+        std::thread::yield_now();
+    }
+    panic!("waited for {what}");
+}
