--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -29,6 +29,9 @@
     /// Failures without an answer, in a row; it is left alone until `shy_until`.
     pub strikes: u32,
     pub shy_until: u64,
+    /// When it was last found silent, and whether it is being asked just now.
+    pub struck_at: u64,
+    pub asked: bool,
     pub full_until: u64,
     /// About to change its part: nothing new until then.
     pub rest_until: u64,
@@ -143,6 +146,8 @@
             load_at: 0,
             load_busy: 0,
             strikes: 0,
+            struck_at: 0,
+            asked: false,
             shy_until: 0,
             full_until: 0,
             rest_until: 0,
@@ -184,10 +189,11 @@
         self.dead = true;
     }
 
-    /// No answer: left alone for longer each time, up to two seconds.
-    pub fn strike(&mut self, now: u64) {
+    /// No answer: left alone for so long, unless it answers before.
+    pub fn strike(&mut self, now: u64, shy_ms: u64) {
         self.strikes += 1;
-        self.shy_until = now + (250u64 << self.strikes.min(3));
+        self.struck_at = now;
+        self.shy_until = now + shy_ms;
     }
 }
 
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -17,6 +17,7 @@
             }
         }
         wire::msg::Msg::Learn(pair) => hall.learn(&pair.0, &pair.1, false),
+        wire::msg::Msg::Doubt(doubt) => hall.doubt(&doubt.0, doubt.1),
         wire::msg::Msg::Follow(follow) => hall.follow(mouth, id, *follow),
         wire::msg::Msg::Query(query) => {
             let reply = find(hall, query.0, &query.1, now);
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -18,6 +18,20 @@
         self.crew.lock().expect("crew").list.insert(follow.node, follower);
     }
 
+    /// Doubt about an engine reaches all routers at once: each asks it for itself.
+    pub fn doubt(&self, engine: &str, passed: bool) {
+        let note = |passed| wire::msg::Msg::Doubt(Box::new((engine.to_string(), passed)));
+        for follower in self.crew.lock().expect("crew").list.values() {
+            follower.mouth.cast(&note(true));
+        }
+        if passed {
+            return;
+        }
+        for ip in self.known() {
+            self.fellow(&ip).cast(note(true));
+        }
+    }
+
     /// Sends to each follower what it lacks.
     pub fn push(&self) {
         let now = kernel::clock::now();
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -40,6 +40,7 @@
         pools: Default::default(),
         lookup: Default::default(),
         news: Default::default(),
+        home: Default::default(),
         dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
         ready: Default::default(),
         leaving: Default::default(),
--- /dev/null
+++ b/router/src/doubt.rs
@@ -0,0 +1,79 @@
+//! Doubt about an engine that gives no sign of life: settled by asking it, never by a client's
+//! request. `GET /report` takes no slot; a slow engine answers it, a dark one does not.
+
+/// How long a request may go without a sign of life from its engine before that is asked.
+pub const SIGN_MS: u64 = 250;
+/// How long the answer to a probe may take, and the pause to the next one.
+const WAIT_MS: u64 = 250;
+const PAUSE_MS: u64 = 300;
+/// While in doubt an engine is left alone; a probe that is answered ends it.
+const SHY_MS: u64 = 20_000;
+
+/// Asks an engine until it answers or is gone. One asker an engine at a time.
+pub fn raise(yard: &std::sync::Arc<crate::yard::Yard>, at: usize, tell: bool) {
+    {
+        let mut park = yard.park.lock().expect("park");
+        let Some(stall) = park.list.get_mut(at).filter(|stall| stall.here && !stall.asked) else { return };
+        stall.asked = true;
+    }
+    tokio::spawn(ask(yard.clone(), at, tell));
+}
+
+async fn ask(yard: std::sync::Arc<crate::yard::Yard>, at: usize, mut tell: bool) {
+    loop {
+        let (addr, id) = {
+            let park = yard.park.lock().expect("park");
+            (park.list[at].addr.clone(), park.list[at].id.clone())
+        };
+        let answer = probe(&addr).await;
+        let now = kernel::clock::now();
+        {
+            let mut park = yard.park.lock().expect("park");
+            let stall = &mut park.list[at];
+            match answer {
+                Some(name) if name.as_ref().is_none_or(|name| *name == id) => stall.good(now),
+                Some(_) => stall.over(),
+                None => stall.strike(now, SHY_MS),
+            }
+            if answer_ends(stall, now) {
+                stall.asked = false;
+                return;
+            }
+            kernel::say!(crate::event::STRIKE, "engine" => id.clone(), "strikes" => stall.strikes);
+        }
+        yard.pools.forget(&addr);
+        if std::mem::take(&mut tell) {
+            let home = yard.home.lock().expect("home").clone();
+            if let Some(home) = home {
+                home.cast(wire::msg::Msg::Doubt(Box::new((id.clone(), false))));
+            }
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
+    }
+}
+
+fn answer_ends(stall: &engines::park::Stall, now: u64) -> bool {
+    !stall.here || stall.shy_until <= now
+}
+
+/// Some: it answered, with its id where it gave one.
+async fn probe(addr: &str) -> Option<Option<String>> {
+    let wait = std::time::Duration::from_millis(WAIT_MS);
+    tokio::time::timeout(wait, report(addr)).await.ok()?
+}
+
+async fn report(addr: &str) -> Option<Option<String>> {
+    let stream = wire::sock::dial(addr, WAIT_MS, wire::sock::SILENCE_MS).await.ok()?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut link, conn) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    tokio::spawn(async move {
+        let _ = conn.await;
+    });
+    let mut request = http::Request::new(http_body_util::Empty::<bytes::Bytes>::new());
+    *request.uri_mut() = http::Uri::from_static("/report");
+    request.headers_mut().insert(http::header::HOST, http::HeaderValue::from_str(addr).ok()?);
+    request.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    let reply = link.send_request(request).await.ok()?;
+    let name = reply.headers().get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
+    Some(name.map(str::to_string))
+}
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -50,6 +50,7 @@
     let addr = format!("{home}:{}", yard.env.fellow_port());
     let (send, mut casts) = tokio::sync::mpsc::channel(64);
     let caller = std::sync::Arc::new(wire::link::Caller::start(addr, Some(send)));
+    *yard.home.lock().expect("home") = Some(caller.clone());
     let mut sure_at = kernel::clock::now();
     let mut misses = 0;
     let mut settled = false;
@@ -94,8 +95,13 @@
 }
 
 fn take(yard: &std::sync::Arc<crate::yard::Yard>, msg: wire::msg::Msg) {
-    if let wire::msg::Msg::News(news) = msg {
-        absorb(yard, *news);
+    match msg {
+        wire::msg::Msg::News(news) => absorb(yard, *news),
+        wire::msg::Msg::Doubt(doubt) => {
+            let at = yard.park.lock().expect("park").find(&doubt.0);
+            at.into_iter().for_each(|at| crate::doubt::raise(yard, at, false));
+        }
+        _ => {}
     }
 }
 
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -14,8 +14,7 @@
         let crate::plan::Plan::Read { at, reads } = plan else { return Err(()) };
         trip.yard.park.lock().expect("park").note_read(trip.service, reads);
         let extra = crate::send::Extra { stage: true, urgency: Some(rush(trip, reads)), ..Default::default() };
-        let wait = trip.left().min((2 * trip.target_ms).max(700));
-        match trip.send(at, extra, reads, wait).await {
+        match trip.send(at, extra, reads, true).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
             crate::send::Outcome::Unsent(_) => trip.tried.push(at),
             crate::send::Outcome::Unrun | crate::send::Outcome::Other => {
@@ -117,9 +116,9 @@
         let reads = if handle.is_some() { 0 } else { tokens };
         let source = handle.as_ref().map(|handle| format!("{}/{}", handle.addr, handle.id));
         let extra = crate::send::Extra { source, urgency: trip.urgency(), ..Default::default() };
-        let wait = trip.silence_ms();
         trip.sends += 1;
-        match trip.send(at, extra, reads, wait).await {
+        let again = trip.again();
+        match trip.send(at, extra, reads, again).await {
             crate::send::Outcome::Answer(answer) => {
                 trip.read(at);
                 if answer.head.status.is_success() {
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -2,6 +2,7 @@
 pub mod boot;
 mod carry;
 mod door;
+mod doubt;
 mod errand;
 mod event;
 mod follow;
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -66,9 +66,9 @@
         if !trip.allow() {
             return Err(give_up(trip));
         }
-        let wait = trip.silence_ms();
         trip.sends += 1;
-        match trip.send(at, crate::send::Extra { urgency: trip.urgency(), ..Default::default() }, 0, wait).await {
+        let (extra, again) = (crate::send::Extra { urgency: trip.urgency(), ..Default::default() }, trip.again());
+        match trip.send(at, extra, 0, again).await {
             crate::send::Outcome::Answer(answer) => {
                 let again = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
                 if !again {
@@ -94,7 +94,7 @@
     /// Goes on at another engine after a break, behind the last event that was passed on.
     async fn resume(&mut self, at: usize, last: Option<String>) -> Option<(usize, crate::send::Answer)> {
         self.ran = true;
-        self.yard.park.lock().expect("park").list[at].strike(kernel::clock::now());
+        crate::doubt::raise(&self.yard, at, true);
         self.tried.push(at);
         if !self.resumes() {
             return None;
@@ -111,9 +111,9 @@
                 None => self.errand.last.clone(),
             };
             let extra = crate::send::Extra { last, urgency: self.urgency(), ..Default::default() };
-            let wait = self.left();
             self.sends += 1;
-            match self.send(next, extra, tokens, wait).await {
+            let again = self.again();
+            match self.send(next, extra, tokens, again).await {
                 crate::send::Outcome::Answer(answer) if answer.head.status.is_success() => {
                     return Some((next, *answer));
                 }
@@ -159,8 +159,7 @@
 async fn run(trip: &mut crate::trip::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
     let mut split = crate::stream::Splitter::default();
     loop {
-        let stream = trip.streams();
-        let end = pump(trip, &mut answer, &mut split, pipe, stream).await;
+        let end = pump(trip, at, &mut answer, &mut split, pipe).await;
         trip.close(at);
         match end {
             End::Left => return,
@@ -185,20 +184,23 @@
 
 async fn pump(
     trip: &crate::trip::Trip,
+    at: usize,
     answer: &mut crate::send::Answer,
     split: &mut crate::stream::Splitter,
     pipe: &Pipe,
-    stream: bool,
 ) -> End {
     use http_body_util::BodyExt;
-    let silence = std::time::Duration::from_millis(trip.silence_ms().max(1));
+    let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS);
+    let (stream, resumes) = (trip.streams(), trip.resumes() && trip.again());
+    let mut heard = kernel::clock::now();
     loop {
         let frame = tokio::select! {
-            frame = tokio::time::timeout(silence, answer.body.frame()) => frame,
+            frame = tokio::time::timeout(span, answer.body.frame()) => frame,
             () = pipe.closed() => return End::Left,
         };
         let data = match frame {
-            Err(_) => return End::Broken,
+            Err(_) if trip.left() == 0 || (trip.silent(at, heard) && resumes) => return End::Broken,
+            Err(_) => continue,
             Ok(None) => {
                 let rest = split.end();
                 if !rest.is_empty() && pipe.send(Ok(http_body::Frame::data(rest))).await.is_err() {
@@ -209,6 +211,7 @@
             Ok(Some(Err(_))) => return End::Broken,
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
+        heard = kernel::clock::now();
         let out = if stream { split.feed(&data) } else { data };
         if !out.is_empty() && pipe.send(Ok(http_body::Frame::data(out))).await.is_err() {
             return End::Left;
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -65,12 +65,9 @@
         self.streams() && self.repeatable
     }
 
-    /// How long an engine may be silent before another is asked: only where that is allowed.
-    pub fn silence_ms(&self) -> u64 {
-        if self.repeatable && self.sends < self.tries {
-            return self.left().min((2 * self.target_ms).max(800));
-        }
-        self.left()
+    /// May the request be sent to another engine once this one is found dark?
+    pub fn again(&self) -> bool {
+        self.repeatable && self.sends < self.tries
     }
 
     pub fn addr(&self, at: usize) -> String {
@@ -130,14 +127,14 @@
     }
 
     /// One send to one engine, with what it shows about that engine noted.
-    /// `reads`: prompt tokens that the engine is to read. `silence_ms`: how long it may give no sign
-    /// of life; while it answers others it is only slow.
+    /// `reads`: prompt tokens that the engine is to read. `again`: it may be sent elsewhere when the
+    /// engine is found dark; one that answers others, or a probe, is only slow.
     pub async fn send(
         &mut self,
         at: usize,
         mut extra: crate::send::Extra,
         reads: u32,
-        silence_ms: u64,
+        again: bool,
     ) -> crate::send::Outcome {
         let now = kernel::clock::now();
         let tokens = u64::from(reads);
@@ -158,12 +155,11 @@
             let call = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, wait);
             tokio::pin!(call);
             loop {
-                let span = std::time::Duration::from_millis(silence_ms.clamp(1, wait.max(1)));
+                let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
                 if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
                     break outcome;
                 }
-                let seen = self.yard.park.lock().expect("park").list[at].good_at;
-                if seen + silence_ms <= kernel::clock::now() || self.left() == 0 {
+                if self.left() == 0 || (self.silent(at, now) && again) {
                     break crate::send::Outcome::Lost;
                 }
             }
@@ -181,6 +177,22 @@
         outcome
     }
 
+    /// Was the engine found dark since then? Raises doubt when it gave no sign of life for a while.
+    pub fn silent(&self, at: usize, since: u64) -> bool {
+        let now = kernel::clock::now();
+        let (seen, struck) = {
+            let park = self.yard.park.lock().expect("park");
+            (park.list[at].good_at.max(since), park.list[at].struck_at)
+        };
+        if struck > seen {
+            return true;
+        }
+        if now >= seen + crate::doubt::SIGN_MS {
+            crate::doubt::raise(&self.yard, at, true);
+        }
+        false
+    }
+
     /// Notes what an outcome shows about the engine.
     fn shown(&self, at: usize, outcome: &crate::send::Outcome) {
         let now = kernel::clock::now();
@@ -200,11 +212,8 @@
             }
             crate::send::Outcome::Unsent(crate::pool::Hitch::Full) => stall.full_until = now + 20,
             _ => {
-                stall.strike(now);
-                kernel::say!(crate::event::STRIKE, "engine" => stall.id.clone(), "strikes" => stall.strikes);
-                let addr = stall.addr.clone();
                 drop(park);
-                self.yard.pools.forget(&addr);
+                crate::doubt::raise(&self.yard, at, true);
             }
         }
     }
--- a/router/src/yard.rs
+++ b/router/src/yard.rs
@@ -14,6 +14,8 @@
     pub pools: crate::pool::Pools,
     pub lookup: crate::lookup::Lookup,
     pub news: std::sync::Mutex<News>,
+    /// The home keeper of now.
+    pub home: std::sync::Mutex<Option<std::sync::Arc<wire::link::Caller>>>,
     pub dice: std::sync::Mutex<kernel::clock::Dice>,
     pub ready: std::sync::atomic::AtomicBool,
     pub leaving: std::sync::atomic::AtomicBool,
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -198,5 +198,7 @@
     Flushed(Box<(u64, u32)>),
     /// Committed: a key and what it now holds.
     Learn(Box<(String, Entry)>),
+    /// An engine gave a router no sign of life; true: already passed on by a keeper.
+    Doubt(Box<(String, bool)>),
     No(Box<u16>),
 }
