--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -1,6 +1,7 @@
 //! Deferrable work: batches of jobs that wait for idle engines, each job answered exactly once.
 //! Pure: what is durable comes in and goes out as values; time comes in with every call.
 pub mod page;
+pub mod rehearsal;
 pub mod sheet;
 pub mod turn;
 
--- a/engines/src/balance.rs
+++ b/engines/src/balance.rs
@@ -14,9 +14,9 @@
 /// Reads under way per reader from which readers are pressed: prompts are read one after another.
 const READ_HIGH: f64 = 2.2;
 /// What the remaining readers may come to when one is taken away.
-const READ_LOW: f64 = 1.1;
+const READ_LOW: f64 = 0.8;
 /// The share of slots from which makers are pressed, and what the others may come to.
-const MAKE_HIGH: f64 = 0.6;
+const MAKE_HIGH: f64 = 0.35;
 const MAKE_LOW: f64 = 0.55;
 
 /// The engine to change and whether it shall read from then on. None: leave all as they are.
@@ -71,6 +71,7 @@
     #[test]
     fn nothing_changes_while_both_do_or_neither_can_help() {
         assert_eq!(super::judge(&list(&[1, 1], &[3, 3])), None);
+        assert_eq!(super::judge(&list(&[1, 1], &[5, 5])), None);
         assert_eq!(super::judge(&list(&[6, 6], &[8, 8])), None);
         assert_eq!(super::judge(&list(&[6], &[1])), None);
     }
--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -3,6 +3,8 @@
 /// How often pressure is looked at, and how often in a row a judgement must stand.
 const LOOK_MS: u64 = 400;
 const STANDS: u32 = 2;
+/// Readers are pressed for a moment whenever caches are cold: a maker is only taken for what lasts.
+const LASTS: u32 = 6;
 /// Routers get this long to turn away from an engine before it gets its order.
 const SPREAD_MS: u64 = 900;
 
@@ -34,7 +36,8 @@
 /// where engines do not check fences, no two holders' orders come within a lease of each other.
 fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
     let (epoch, since) = crate::duty::held(hall, crate::duty::BALANCE, now)?;
-    let wait = if hall.env.bounds.fencing { 0 } else { hall.env.bounds.lease_ms + 2 * crate::hall::SURE_MS };
+    let alone = hall.env.bounds.fencing || crate::duty::retaken(hall, crate::duty::BALANCE);
+    let wait = if alone { 0 } else { hall.env.bounds.lease_ms + 2 * crate::hall::SURE_MS };
     (now >= since + wait).then_some(epoch)
 }
 
@@ -73,7 +76,8 @@
         };
         let stand = balance.stands.entry(service.clone()).or_insert((usize::from(prefill), 0));
         *stand = (usize::from(prefill), if stand.0 == usize::from(prefill) { stand.1 + 1 } else { 1 });
-        if stand.1 < STANDS || balance.calm_until.get(&service).is_some_and(|until| now < *until) {
+        let need = if prefill { LASTS } else { STANDS };
+        if stand.1 < need || balance.calm_until.get(&service).is_some_and(|until| now < *until) {
             continue;
         }
         let wait = switch_ms(hall, &service);
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -7,7 +7,12 @@
 /// What this life of this keeper took. Invariant: a duty is done only while the board names this
 /// keeper under the same epoch and the board is sure.
 #[derive(Default)]
-pub struct Taken(std::collections::BTreeMap<String, (u64, u64)>);
+pub struct Taken {
+    /// By duty: epoch and when it was taken.
+    held: std::collections::BTreeMap<String, (u64, u64)>,
+    /// Duties whose last holder was an earlier life of this keeper: that one has ended for sure.
+    own: std::collections::BTreeSet<String>,
+}
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     for key in [CATALOG, BALANCE, BATCH] {
@@ -31,10 +36,15 @@
     let board = hall.board.lock().expect("board");
     let (epoch, holder) = board.duties.get(key)?;
     let sure = board.sure.is_some_and(|time| now < time + crate::hall::SURE_MS);
-    let taken = hall.taken.lock().expect("taken").0.get(key).copied()?;
+    let taken = hall.taken.lock().expect("taken").held.get(key).copied()?;
     (sure && holder == hall.me() && taken.0 == *epoch).then_some(taken)
 }
 
+/// Was the last holder an earlier life of this keeper, or nobody?
+pub fn retaken(hall: &crate::hall::Hall, key: &str) -> bool {
+    hall.taken.lock().expect("taken").own.contains(key)
+}
+
 /// The catalog answers only under the epoch held.
 fn shelve(hall: &crate::hall::Hall) {
     let epoch = held(hall, CATALOG, kernel::clock::now()).map_or(0, |taken| taken.0);
@@ -76,6 +86,15 @@
         crate::council::Verdict::Write(next.write(), epoch + 1)
     };
     let Some(epoch @ 1..) = hall.change(key, 1000, judge).await else { return };
-    hall.taken.lock().expect("taken").0.insert(key.into(), (epoch, kernel::clock::now()));
+    {
+        let mut taken = hall.taken.lock().expect("taken");
+        let first = taken.held.insert(key.into(), (epoch, kernel::clock::now())).is_none();
+        // Only an earlier life: one that lost the duty meanwhile to another must wait like anyone.
+        if first && (holder == hall.me() || holder.is_empty()) {
+            taken.own.insert(key.into());
+        } else {
+            taken.own.remove(key);
+        }
+    }
     kernel::say!(crate::event::DUTY, "duty" => key, "epoch" => epoch);
 }
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -9,6 +9,7 @@
 mod duty;
 mod errands;
 mod event;
+mod flight;
 mod gossip;
 mod hall;
 mod join;
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -3,10 +3,7 @@
 
 /// Header by which a router knows deferrable work; it never reaches an engine.
 pub const MARK: &str = "deferrable";
-const LOOK_MS: u64 = 250;
-/// A job never gets longer than this for one try, whatever its route says.
-const TRY_MS: u64 = 120_000;
-const TRIES: u32 = 6;
+pub const LOOK_MS: u64 = 250;
 
 /// What this life holds of the batches. Invariant: a job is in `under_way` from before its send to
 /// after its receipt.
@@ -33,12 +30,12 @@
     }
 }
 
-type Flight = std::sync::Arc<std::sync::Mutex<Air>>;
+pub type Flight = std::sync::Arc<std::sync::Mutex<Air>>;
 
-struct Air {
-    under_way: std::collections::HashSet<(String, usize)>,
-    tries: std::collections::HashMap<(String, usize), u32>,
-    pace: batch::turn::Pace,
+pub struct Air {
+    pub under_way: std::collections::HashSet<(String, usize)>,
+    pub tries: std::collections::HashMap<(String, usize), u32>,
+    pub pace: batch::turn::Pace,
 }
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
@@ -60,7 +57,7 @@
 }
 
 /// The epoch under which batches may be run now: the last owner has stopped by then.
-fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
+pub fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
     let (epoch, since) = crate::duty::held(hall, crate::duty::BATCH, now)?;
     (now >= since + hall.env.bounds.lease_ms).then_some(epoch)
 }
@@ -116,13 +113,13 @@
     };
     for send in sends {
         air.lock().expect("air").under_way.insert((send.id.clone(), send.job));
-        tokio::spawn(job(hall.clone(), client.clone(), air.clone(), send, epoch));
+        tokio::spawn(crate::flight::job(hall.clone(), client.clone(), air.clone(), send, epoch));
     }
 }
 
 /// Changes one page under this owner's epoch. Some(false): another owner holds it, or the job has its
 /// receipt; None: no clear outcome.
-async fn change(
+pub async fn change(
     hall: &crate::hall::Hall,
     id: &str,
     batch: &batch::sheet::Batch,
@@ -207,68 +204,3 @@
     }
     (!ends && !done).then_some(held)
 }
-
-async fn job(
-    hall: std::sync::Arc<crate::hall::Hall>,
-    client: reqwest::Client,
-    air: Flight,
-    send: batch::turn::Send,
-    epoch: u64,
-) {
-    run(&hall, &client, &air, &send, epoch).await;
-    air.lock().expect("air").under_way.remove(&(send.id.clone(), send.job));
-}
-
-async fn run(
-    hall: &std::sync::Arc<crate::hall::Hall>,
-    client: &reqwest::Client,
-    air: &Flight,
-    send: &batch::turn::Send,
-    epoch: u64,
-) -> Option<()> {
-    let (id, at) = (send.id.as_str(), send.job);
-    let batch = crate::batches::batch(&hall.board.lock().expect("board"), id)?;
-    let job = batch.jobs.get(at)?;
-    let (number, slot) = (at / batch::PAGE, at % batch::PAGE);
-    let door = hall.roster.lock().expect("roster").door(kernel::clock::now(), at)?;
-    let begun = change(hall, id, &batch, number, |page| page.begin(slot, epoch)).await;
-    if begun == Some(false) {
-        return None;
-    }
-    // Not durable, or no longer the owner at the moment of the send: it is not sent.
-    let sent = begun.is_some() && leave(hall, kernel::clock::now()) == Some(epoch);
-    let outcome = match sent {
-        true => crate::errands::send(client, &door, job, send.press, batch.left_ms().min(TRY_MS)).await,
-        false => crate::errands::Outcome::Unrun(None),
-    };
-    let now = kernel::clock::now();
-    let state = match outcome {
-        crate::errands::Outcome::Done(status, body) => {
-            air.lock().expect("air").pace.good();
-            batch::page::State::Done { status, body }
-        }
-        crate::errands::Outcome::Unrun(wait) => {
-            air.lock().expect("air").pace.refused(wait, now);
-            batch::page::State::Waiting
-        }
-        crate::errands::Outcome::Lost if job.repeatable => {
-            let mut flight = air.lock().expect("air");
-            let tries = flight.tries.entry((send.id.clone(), at)).or_default();
-            *tries += 1;
-            if *tries >= TRIES {
-                batch::page::State::Missed
-            } else {
-                batch::page::State::Waiting
-            }
-        }
-        crate::errands::Outcome::Lost => batch::page::State::Unknown,
-    };
-    if state.closed() {
-        kernel::say!(crate::event::JOB, "batch" => id, "job" => job.name.clone(), "outcome" => state.word());
-    }
-    // Until it is written or another owner holds the page: an answer in hand is not thrown away.
-    while change(hall, id, &batch, number, |page| page.close(slot, epoch, state.clone())).await.is_none() {
-        tokio::time::sleep(std::time::Duration::from_millis(LOOK_MS)).await;
-    }
-    Some(())
-}
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -45,7 +45,7 @@
         return Err(());
     }
     let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
-    trip.keep(crate::trip::Handle { at, addr, id: id.into(), until });
+    trip.keep(crate::handle::Handle { at, addr, id: id.into(), until });
     Ok(())
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod event;
 mod follow;
 mod halves;
+mod handle;
 mod lookup;
 mod plan;
 mod pool;
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -147,7 +147,7 @@
 }
 
 /// Gives the memory of a handle free; tried once, since it lapses by itself.
-pub async fn free(yard: &crate::yard::Yard, handle: &crate::trip::Handle, most: usize) {
+pub async fn free(yard: &crate::yard::Yard, handle: &crate::handle::Handle, most: usize) {
     let mut request = http::Request::new(http_body_util::Full::new(bytes::Bytes::new()));
     *request.method_mut() = http::Method::DELETE;
     let Ok(path) = format!("/kv-handle/{}", handle.id).parse() else { return };
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -1,14 +1,5 @@
 //! One request on its way: what was sent, what is open, what is held for it.
 
-/// The memory of a read prompt. Invariants: it serves this request only, is taken once, and is
-/// never named after `until`.
-pub struct Handle {
-    pub at: usize,
-    pub addr: String,
-    pub id: String,
-    pub until: u64,
-}
-
 /// One request on its way. Invariants: `sends` counts arrivals that the operator counts; `seats`
 /// are the engines at which it is under way; what is left open is closed on drop.
 pub struct Trip {
@@ -28,7 +19,7 @@
     pub ran: bool,
     pub tried: Vec<usize>,
     pub seats: Vec<(usize, u64)>,
-    pub handle: Option<Handle>,
+    pub handle: Option<crate::handle::Handle>,
 }
 
 impl Drop for Trip {
@@ -104,7 +95,7 @@
     }
 
     /// Connections that this router may have to one engine.
-    fn most(&self) -> usize {
+    pub fn most(&self) -> usize {
         let all = if self.spec.connections == 0 { 1024 } else { self.spec.connections };
         ((f64::from(all) * 0.9) / f64::from(self.yard.seats())).max(2.0) as usize
     }
@@ -217,36 +208,4 @@
             }
         }
     }
-
-    /// The engine whose memory is held.
-    pub fn reader(&self) -> Option<usize> {
-        self.handle.as_ref().map(|handle| handle.at)
-    }
-
-    pub fn keep(&mut self, handle: Handle) {
-        self.free();
-        self.handle = Some(handle);
-    }
-
-    /// The handle, if it may still be named. It is out of our hands from here on.
-    pub fn spend(&mut self) -> Option<Handle> {
-        let now = kernel::clock::now();
-        let good = self.handle.as_ref().is_some_and(|handle| {
-            let park = self.yard.park.lock().expect("park");
-            let stall = &park.list[handle.at];
-            now < handle.until && stall.here && !self.shut.contains(&stall.area)
-        });
-        if !good {
-            self.free();
-        }
-        self.handle.take()
-    }
-
-    /// Memory that nobody will take is given free at once.
-    pub fn free(&mut self) {
-        let Some(handle) = self.handle.take() else { return };
-        let yard = self.yard.clone();
-        let most = self.most();
-        tokio::spawn(async move { crate::send::free(&yard, &handle, most).await });
-    }
 }
