--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -224,3 +224,7 @@
         }
     });
 }
+
+#[cfg(test)]
+#[path = "control_tests.rs"]
+mod tests;
--- a/keeper/src/join.rs
+++ b/keeper/src/join.rs
@@ -153,3 +153,42 @@
     };
     let _ = hall.change(ledger::CORE, 1500, judge).await;
 }
+
+#[cfg(test)]
+mod tests {
+    fn core(ips: &[&str]) -> wire::msg::Core {
+        let list = ips.iter().map(|ip| wire::msg::Member { ip: ip.to_string(), area: String::new() }).collect();
+        wire::msg::Core { stamp: 4, list, prev: Vec::new(), settled: true }
+    }
+
+    fn roster(heard: &[(&str, u64)]) -> roster::Roster {
+        let mut list = roster::Roster::new("10.0.0.1", "a", crate::hall::LIVE_MS);
+        for (ip, heard) in heard {
+            let fellow = roster::Fellow { heard: *heard, fit: true, ..Default::default() };
+            list.hear(ip, fellow);
+        }
+        list
+    }
+
+    fn names(core: &wire::msg::Core) -> Vec<&str> {
+        core.list.iter().map(|member| member.ip.as_str()).collect()
+    }
+
+    #[test]
+    fn a_newcomer_is_added_and_then_the_one_that_is_gone_removed() {
+        let list = roster(&[("10.0.0.2", 9900), ("10.0.0.3", 5000), ("10.0.0.4", 9900)]);
+        let next = super::changed(&core(&["10.0.0.1", "10.0.0.2", "10.0.0.3"]), &list, 10_000).expect("added");
+        assert_eq!(names(&next), ["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]);
+        assert_eq!((next.stamp, next.settled, next.prev.len()), (5, false, 3));
+        let last = super::changed(&next, &list, 10_000).expect("removed");
+        assert_eq!(names(&last), ["10.0.0.1", "10.0.0.2", "10.0.0.4"]);
+    }
+
+    #[test]
+    fn nobody_is_removed_without_one_too_many_and_nobody_added_without_a_majority() {
+        let gone = roster(&[("10.0.0.2", 9900), ("10.0.0.3", 100)]);
+        assert_eq!(super::changed(&core(&["10.0.0.1", "10.0.0.2", "10.0.0.3"]), &gone, 10_000), None);
+        let few = roster(&[("10.0.0.2", 100), ("10.0.0.3", 100), ("10.0.0.4", 9900)]);
+        assert_eq!(super::changed(&core(&["10.0.0.1", "10.0.0.2", "10.0.0.3"]), &few, 10_000), None);
+    }
+}
--- a/ledger/src/store_tests.rs
+++ b/ledger/src/store_tests.rs
@@ -94,3 +94,31 @@
     assert_eq!(reopen(&dir).last(), Some(&deed(59, &body)));
     let _ = std::fs::remove_dir_all(dir);
 }
+
+fn fixture() -> std::path::PathBuf {
+    std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/disk-1")
+}
+
+/// Written once by version 1; later versions must still read it.
+#[test]
+#[ignore = "writes the fixture of this version"]
+fn write_fixture() {
+    let dir = fixture();
+    let _ = std::fs::remove_dir_all(&dir);
+    let (mut store, _) = super::Store::open(&dir).expect("opens");
+    store.append(&[deed(1, b"a")]).expect("written");
+    store.snapshot(&[deed(1, b"a"), crate::voter::Deed::Vote]).expect("written");
+    store.append(&[deed(2, b"b")]).expect("written");
+}
+
+#[test]
+fn the_disk_of_the_first_version_is_still_read() {
+    let dir = folder("first");
+    std::fs::create_dir_all(&dir).expect("made");
+    for item in std::fs::read_dir(fixture()).expect("the fixture") {
+        let item = item.expect("an item");
+        std::fs::copy(item.path(), dir.join(item.file_name())).expect("copied");
+    }
+    assert_eq!(reopen(&dir), [deed(1, b"a"), crate::voter::Deed::Vote, deed(2, b"b")]);
+    let _ = std::fs::remove_dir_all(dir);
+}
--- a/wire/src/frame_tests.rs
+++ b/wire/src/frame_tests.rs
@@ -38,3 +38,66 @@
         let _ = super::open(&torn);
     }
 }
+
+/// One message of each kind that version 1 sent, as it stood on the wire.
+fn first_version() -> Vec<crate::msg::Msg> {
+    use crate::msg::{Ask, Ballot, Core, Engine, Entry, Member, Msg, News, Poll, Sheet, Vote};
+    let ballot = Ballot { turn: 3, seat: 9 };
+    let core =
+        Core { stamp: 2, list: vec![Member { ip: "10.0.0.1".into(), area: "a".into() }], prev: vec![], settled: true };
+    let entry = Entry { ballot, step: 4, body: b"body".to_vec() };
+    let engine = Engine {
+        id: "i-1".into(),
+        service: "s".into(),
+        addr: "10.1.1.1:80".into(),
+        area: "a".into(),
+        phase: "decode".into(),
+        model: "m".into(),
+        slots: 64,
+        up: true,
+        cold_ms: 5,
+    };
+    let sheet = Sheet { area: "a".into(), turn: 1, count: 2, list: vec![engine] };
+    vec![
+        Msg::Poll(Box::new(Poll { core: core.clone(), ask: Ask::Accept { key: "k".into(), entry: entry.clone() } })),
+        Msg::Vote(Box::new(Vote::Promise { entry: Some(entry.clone()) })),
+        Msg::Sheet(Box::new(sheet.clone())),
+        Msg::News(Box::new(News {
+            sure: true,
+            config: Some((7, b"{}".to_vec())),
+            sheets: vec![sheet],
+            ..News::default()
+        })),
+        Msg::Query(Box::new((1, vec![5, 6]))),
+        Msg::Learn(Box::new(("k".into(), entry))),
+        Msg::Doubt(Box::new(("i-1".into(), true))),
+    ]
+}
+
+fn fixture() -> std::path::PathBuf {
+    std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/messages-1.bin")
+}
+
+/// Written once by version 1; later versions must still read it.
+#[test]
+#[ignore = "writes the fixture of this version"]
+fn write_fixture() {
+    let all: Vec<u8> =
+        first_version().iter().flat_map(|msg| super::seal(super::Kind::Cast, 1, msg).expect("sealed")).collect();
+    std::fs::write(fixture(), all).expect("written");
+}
+
+#[test]
+fn messages_of_the_first_version_are_still_read() {
+    let bytes = std::fs::read(fixture()).expect("the fixture");
+    let mut rest = bytes.as_slice();
+    let mut seen = Vec::new();
+    while !rest.is_empty() {
+        let (head, body) = split(rest);
+        let head = super::head(&head).expect("head");
+        assert_eq!(head.stamp, 1);
+        seen.push(super::open(&body[..head.len]).expect("body"));
+        rest = &body[head.len..];
+    }
+    assert_eq!(seen, first_version());
+}
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -199,3 +199,7 @@
         });
     }
 }
+
+#[cfg(test)]
+#[path = "link_tests.rs"]
+mod tests;
