--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -43,6 +43,8 @@
     index: std::collections::HashMap<String, usize>,
     services: std::collections::HashMap<String, u32>,
     areas: std::collections::HashMap<String, u32>,
+    /// By area: its region. An area that is not named is a region of its own.
+    regions: std::collections::HashMap<u32, String>,
     sheets: crate::sheet::Sheets,
     /// By service: the prompt tokens that a read takes on average, as sent from here.
     reads: std::collections::HashMap<u32, f64>,
@@ -62,6 +64,20 @@
         dense(&mut self.areas, name)
     }
 
+    pub fn region(&mut self, area: &str, region: &str) {
+        let area = self.area(area);
+        self.regions.insert(area, region.into());
+    }
+
+    /// 0: the same area; 1: the same region; 2: another region.
+    pub fn distance(&self, one: u32, two: u32) -> usize {
+        if one == two {
+            return 0;
+        }
+        let near = self.regions.get(&one).is_some_and(|region| self.regions.get(&two) == Some(region));
+        2 - usize::from(near)
+    }
+
     pub fn find(&self, id: &str) -> Option<usize> {
         self.index.get(id).copied()
     }
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -22,8 +22,13 @@
     Decode,
 }
 
-/// What it costs to reach another area, as a share of a prompt's tokens.
-const FAR: f64 = 0.08;
+/// What it costs to reach another area of the region, and another region, as a share of a prompt's
+/// tokens; the second also costs a journey's worth of tokens. It also keeps routers of different areas
+/// from turning to one engine all at once.
+const FAR: [f64; 3] = [0.0, 0.3, 1.0];
+const JOURNEY: [f64; 3] = [0.0, 0.0, 3000.0];
+/// How much longer memory is under way.
+const MOVE: [f64; 3] = [1.0, 2.0, 10.0];
 
 impl View<'_> {
     fn fits(&self, at: usize, stall: &crate::park::Stall, half: Half) -> bool {
@@ -99,8 +104,7 @@
             let have = if nobody && Some(at) == first { shared } else { owned(held, at) };
             let read = f64::from(tokens.saturating_sub(have));
             let queue = stall.pressure(self.now, self.seats) * mean;
-            let far = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) };
-            read + queue + far
+            read + queue + self.reach(stall, tokens)
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
     }
@@ -113,13 +117,18 @@
             let stall = &self.park.list[at];
             let lack = f64::from(tokens.saturating_sub(owned(held, at))) / 65536.0;
             let crowd = stall.pressure(self.now, self.seats) / f64::from(stall.slots);
-            let far = if stall.area == home { 1.0 } else { 2.0 };
-            let body = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) / 65536.0 };
-            crowd + lack * far + body
+            let body = self.reach(stall, tokens) / 65536.0;
+            crowd + lack * MOVE[self.park.distance(stall.area, home)] + body
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id)).map(|(at, _)| at)
     }
 
+    /// What it costs to send a prompt there from here, in tokens.
+    fn reach(&self, stall: &crate::park::Stall, tokens: u32) -> f64 {
+        let step = self.park.distance(stall.area, self.area);
+        FAR[step] * f64::from(tokens) + JOURNEY[step]
+    }
+
     /// A maker that reads the prompt itself, and its cost in the same measure as a reader's.
     pub fn alone(&self, tokens: u32, held: &[(usize, u32)], key: u64) -> Option<(usize, f64)> {
         let open = self.open(Half::Decode);
@@ -128,8 +137,7 @@
             let read = f64::from(tokens.saturating_sub(owned(held, at)));
             let others = stall.tokens as f64 * f64::from(self.seats).sqrt();
             let crowd = 1.0 + stall.pressure(self.now, self.seats) / f64::from(stall.slots);
-            let far = if stall.area == self.area { 0.0 } else { FAR * f64::from(tokens) };
-            (read + others) * SLOWER * crowd + far
+            (read + others) * SLOWER * crowd + self.reach(stall, tokens)
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
     }
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -12,6 +12,7 @@
     };
     let mut park = crate::park::Park::default();
     for area in ["a", "b"] {
+        park.region(area, "r");
         let list = vec![
             engine(&format!("p-{area}"), area, "prefill", true),
             engine(&format!("d-{area}"), area, "decode", true),
@@ -109,3 +110,13 @@
     }
     assert!(!view(&park, &[], &[]).idle(0.6), "never where readers are pressed");
 }
+
+#[test]
+fn another_region_is_reached_only_for_want_of_a_nearer_engine() {
+    let mut park = park();
+    park.region("b", "other");
+    let far = park.find("p-b").expect("known");
+    assert_eq!(id(&park, view(&park, &[], &[]).prefill(9000, &[(far, 6000)], 6000, 5).map(|best| best.0)), "p-a");
+    let tried = [park.find("p-a").expect("known")];
+    assert_eq!(id(&park, view(&park, &[], &tried).prefill(9000, &[], 6000, 5).map(|best| best.0)), "p-b");
+}
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -25,6 +25,9 @@
     let life = kernel::clock::life();
     let mut park = engines::park::Park::default();
     let area = park.area(&env.zone);
+    for (zone, region) in &env.zones {
+        park.region(zone, region);
+    }
     let bounds = env.bounds.clone();
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone());
     let yard = std::sync::Arc::new(crate::yard::Yard {
