--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -79,6 +79,7 @@
     hand_over(&world);
     resumed(&world);
     batches(&world);
+    evacuated(&world);
     drained(&world);
     let _ = std::fs::remove_dir_all(dir);
 }
@@ -186,6 +187,27 @@
     assert_eq!(runs, 5, "each job run once");
 }
 
+fn evacuated(world: &stand::World) {
+    let order = |method: &str, zone: &str| {
+        let text = stand::request(method, &format!("/evacuation/{zone}"), "Host: c\r\n", "");
+        status(&stand::call(CONTROL, &text).expect("an answer")).to_string()
+    };
+    assert_eq!(order("POST", "nowhere"), "404");
+    assert_eq!(order("POST", "a"), "200");
+    assert_eq!(order("POST", "a"), "200", "sent again");
+    let count = || world.seen.lock().expect("seen").len();
+    let refused = stand::until(DOOR, &ask("two.example", "v1", ""), "the evacuation", |head| status(head) == "503");
+    assert!(refused.get("retry-after").parse::<f64>().is_ok_and(|wait| wait > 0.0));
+    let before = count();
+    for at in 0..5 {
+        let reply = stand::call(DOOR, &ask("two.example", &format!("w{at}"), "")).expect("an answer");
+        assert_eq!(status(&reply), "503");
+    }
+    assert_eq!(count(), before, "nothing reaches an evacuated zone");
+    assert_eq!(order("DELETE", "a"), "200");
+    stand::until(DOOR, &ask("two.example", "x1", ""), "the zone taken back", |head| status(head) == "200");
+}
+
 fn drained(world: &stand::World) {
     for item in world.list.lock().expect("list").iter_mut().filter(|item| item["instance_id"] == "i-more") {
         item["oper_state"] = "draining".into();
