--- a/batch/src/offpeak.rs
+++ b/batch/src/offpeak.rs
@@ -83,7 +83,13 @@
                 self.leave(hall);
             }
         }
-        if self.plan.crash.contains(&now) {
+        if self.plan.lose_router.contains(&now) {
+            self.cut(2);
+        }
+        if self.plan.kill_all.contains(&now) {
+            self.cut(1);
+        }
+        if self.plan.crash.contains(&now) || self.plan.kill_all.contains(&now) {
             if let Some(owner) = self.owners.last_mut() {
                 owner.dead = true;
                 self.next_owner = Some(now + self.plan.lease_ms);
@@ -114,16 +120,6 @@
         }
     }
 
-    /// A hall leaves service at once: what runs there breaks off without an answer.
-    fn leave(&mut self, hall: usize) {
-        let mut cut = Vec::new();
-        for engine in self.engines.iter_mut().filter(|engine| engine.hall == hall) {
-            engine.up = false;
-            cut.append(&mut engine.running);
-        }
-        cut.into_iter().for_each(|run| self.end(run.work, false));
-    }
-
     fn end(&mut self, work: Work, whole: bool) {
         match work {
             Work::Errand { born } if whole => self.waits.push(self.now - born),
--- a/batch/src/offpeak_end.rs
+++ b/batch/src/offpeak_end.rs
@@ -1,6 +1,32 @@
-//! What a run came to.
+//! What breaks off in a run, and what the run came to.
 
 impl super::World<'_> {
+    /// Every so many of the streams under way breaks off without an answer; engines stay.
+    pub fn cut(&mut self, every: usize) {
+        let mut cut = Vec::new();
+        for engine in &mut self.engines {
+            let runs = std::mem::take(&mut engine.running);
+            for (at, run) in runs.into_iter().enumerate() {
+                if at.is_multiple_of(every) {
+                    cut.push(run)
+                } else {
+                    engine.running.push(run)
+                }
+            }
+        }
+        cut.into_iter().for_each(|run| self.end(run.work, false));
+    }
+
+    /// A hall leaves service at once: what runs there breaks off without an answer.
+    pub fn leave(&mut self, hall: usize) {
+        let mut cut = Vec::new();
+        for engine in self.engines.iter_mut().filter(|engine| engine.hall == hall) {
+            engine.up = false;
+            cut.append(&mut engine.running);
+        }
+        cut.into_iter().for_each(|run| self.end(run.work, false));
+    }
+
     pub fn close(mut self) -> super::Report {
         for state in self.pages.iter().flat_map(|page| &page.states) {
             match state {
--- a/batch/src/rehearsal.rs
+++ b/batch/src/rehearsal.rs
@@ -21,6 +21,10 @@
     /// When the owner freezes, and for how long.
     pub freeze: Vec<(u64, u64)>,
     pub lease_ms: u64,
+    /// When all processes of the system are killed at once: owner, routers, their streams.
+    pub kill_all: Vec<u64>,
+    /// When a router is lost: every other stream breaks off, the owner lives.
+    pub lose_router: Vec<u64>,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -58,5 +62,7 @@
         crash: vec![window_ms / 5],
         freeze: vec![(window_ms * 2 / 5, 4500)],
         lease_ms: 3000,
+        kill_all: vec![window_ms * 3 / 5],
+        lose_router: vec![window_ms * 7 / 10],
     }
 }
--- a/batch/src/sim.rs
+++ b/batch/src/sim.rs
@@ -48,11 +48,24 @@
     }
 }
 
+#[test]
+fn killing_everything_and_losing_routers_never_answers_twice() {
+    for seed in 1..=20 {
+        let mut dice = kernel::clock::Dice::new(seed);
+        let mut plan = crate::offpeak::plan(seed, 96);
+        plan.once_every = 1 + dice.below(3) as usize;
+        plan.kill_all = (0..3).map(|_| 500 + dice.below(plan.window_ms)).collect();
+        plan.lose_router = (0..4).map(|_| 500 + dice.below(plan.window_ms)).collect();
+        honest(&crate::offpeak::run(&plan, true), plan.jobs);
+    }
+}
+
 #[test]
 fn a_window_that_cannot_be_made_is_told_plainly() {
     let mut plan = crate::offpeak::plan(3, 200);
     plan.window_ms = 2500;
     (plan.leave, plan.crash, plan.freeze) = (Vec::new(), Vec::new(), Vec::new());
+    (plan.kill_all, plan.lose_router) = (Vec::new(), Vec::new());
     let report = crate::offpeak::run(&plan, true);
     honest(&report, plan.jobs);
     assert!(report.missed > 0 && report.done > 0, "{report:?}");
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -57,11 +57,11 @@
             let Some(job) = jobs.recv().await else { return };
             first = Some(job);
         }
-        let Ok(stream) = crate::sock::dial(&addr, 700, crate::sock::SILENCE_MS).await else {
+        let Ok(stream) = crate::sock::dial(&addr, 500, crate::sock::SILENCE_MS).await else {
             first = None;
             while jobs.try_recv().is_ok() {}
             tokio::time::sleep(std::time::Duration::from_millis(pause)).await;
-            pause = (pause * 2).min(400);
+            pause = (pause * 2).min(150);
             continue;
         };
         pause = 50;
