--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -4,9 +4,15 @@
 pub async fn serve(
     yard: std::sync::Arc<crate::yard::Yard>,
     request: http::Request<hyper::body::Incoming>,
+    look: &crate::frames::Look,
 ) -> http::Response<crate::receipt::Body> {
     let leaving = yard.leaving();
-    match enter(&yard, request).await {
+    if look.both() {
+        return crate::receipt::write(crate::receipt::Receipt::Malformed, leaving);
+    }
+    let entered = enter(&yard, request).await;
+    look.arm();
+    match entered {
         Ok(trip) => match crate::relay::go(trip).await {
             Ok(reply) => reply,
             Err(receipt) => crate::receipt::write(receipt, yard.leaving()),
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -64,11 +64,12 @@
 async fn client(yard: std::sync::Arc<crate::yard::Yard>, stream: tokio::net::TcpStream) {
     wire::sock::tune(&stream, 10_000);
     let table = yard.table();
-    let io = hyper_util::rt::TokioIo::new(stream);
+    let look = crate::frames::Look::new();
+    let io = hyper_util::rt::TokioIo::new(crate::frames::Stream::new(stream, look.clone()));
     let inner = yard.clone();
     let service = hyper::service::service_fn(move |request| {
-        let yard = inner.clone();
-        async move { Ok::<_, std::convert::Infallible>(crate::carry::serve(yard, request).await) }
+        let (yard, look) = (inner.clone(), look.clone());
+        async move { Ok::<_, std::convert::Infallible>(crate::carry::serve(yard, request, &look).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(hyper_util::rt::TokioTimer::new());
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod errand;
 mod event;
 mod follow;
+mod frames;
 mod halves;
 mod handle;
 mod lookup;
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -108,8 +108,9 @@
     let mut stream = std::net::TcpStream::connect(DOOR).expect("a door");
     stream.set_read_timeout(Some(std::time::Duration::from_secs(10))).expect("set");
     std::io::Write::write_all(&mut stream, two.as_bytes()).expect("sent");
-    // Both framings: what hides behind is never read as a request, and the connection ends.
-    assert_eq!(stand::read(&mut stream).expect("an answer").get("connection"), "close");
+    // Both framings: refused, what hides behind is never read as a request, and the connection ends.
+    let shape = stand::read(&mut stream).expect("an answer");
+    assert_eq!((status(&shape), shape.get("connection")), ("400", "close"));
     assert!(stand::read(&mut stream).is_none(), "nothing hidden is answered");
     let bad = "POST /x/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n";
     assert_eq!(stand::call(DOOR, bad).map(|head| status(&head).to_string()).as_deref(), Some("400"));
