--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -32,21 +32,15 @@
     });
 }
 
-/// May an order be given now? The last holder may have given one until it learned of this epoch;
-/// where engines do not check fences, no two holders' orders come within a lease of each other.
-fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
-    let (epoch, since) = crate::duty::held(hall, crate::duty::BALANCE, now)?;
-    let alone = hall.env.bounds.fencing || crate::duty::retaken(hall, crate::duty::BALANCE);
-    let wait = if alone { 0 } else { hall.env.bounds.lease_ms + 2 * crate::hall::SURE_MS };
-    (now >= since + wait).then_some(epoch)
-}
-
 async fn look(hall: &std::sync::Arc<crate::hall::Hall>, client: &reqwest::Client, balance: &mut Balance) {
     let now = kernel::clock::now();
     hall.roster.lock().expect("roster").resting.retain(|(_, until)| *until > now);
-    if leave(hall, now).is_none() {
+    let Some(epoch) = crate::duty::leave(hall, crate::duty::BALANCE, now) else {
         *balance = Balance::default();
         return;
+    };
+    if !crate::duty::clear(hall, crate::duty::BALANCE, epoch).await {
+        return;
     }
     let busy = hall.roster.lock().expect("roster").pressure(now);
     let mut services: std::collections::BTreeMap<String, Vec<(wire::msg::Engine, engines::balance::Seen)>> =
@@ -111,7 +105,10 @@
     tokio::time::sleep(std::time::Duration::from_millis(SPREAD_MS)).await;
     let now = kernel::clock::now();
     // Asleep for longer than meant, or no longer the holder: no order.
-    let Some(epoch) = leave(&hall, now).filter(|_| now < begun + 2 * SPREAD_MS) else { return };
+    let Some(epoch) = crate::duty::leave(&hall, crate::duty::BALANCE, now).filter(|_| now < begun + 2 * SPREAD_MS)
+    else {
+        return;
+    };
     let phase = if prefill { "prefill" } else { "decode" };
     let body = serde_json::json!({
         "opcode": "phase", "phase": phase, "owner": hall.env.node_name, "fence_token": epoch
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -10,7 +10,7 @@
 pub struct Taken {
     /// By duty: epoch and when it was taken.
     held: std::collections::BTreeMap<String, (u64, u64)>,
-    /// Duties whose last holder was an earlier life of this keeper: that one has ended for sure.
+    /// Duties that nobody else can have acted on lately.
     own: std::collections::BTreeSet<String>,
 }
 
@@ -34,17 +34,43 @@
 /// The epoch under which a duty is held here, and since when.
 pub fn held(hall: &crate::hall::Hall, key: &str, now: u64) -> Option<(u64, u64)> {
     let board = hall.board.lock().expect("board");
-    let (epoch, holder) = board.duties.get(key)?;
+    let (epoch, holder, _) = board.duties.get(key)?;
     let sure = board.sure.is_some_and(|time| now < time + crate::hall::SURE_MS);
     let taken = hall.taken.lock().expect("taken").held.get(key).copied()?;
     (sure && holder == hall.me() && taken.0 == *epoch).then_some(taken)
 }
 
-/// Was the last holder an earlier life of this keeper, or nobody?
-pub fn retaken(hall: &crate::hall::Hall, key: &str) -> bool {
+/// Was there no holder before, or was it an earlier life of this keeper that had waited?
+fn retaken(hall: &crate::hall::Hall, key: &str) -> bool {
     hall.taken.lock().expect("taken").own.contains(key)
 }
 
+/// The epoch under which the holder may act now, where two holders may not act within a lease.
+pub fn leave(hall: &crate::hall::Hall, key: &str, now: u64) -> Option<u64> {
+    let (epoch, since) = held(hall, key, now)?;
+    let sure_at = hall.board.lock().expect("board").sure?;
+    let held = roster::duty::Held { since, own: retaken(hall, key), sure_at };
+    let bounds = &hall.env.bounds;
+    roster::duty::may_act(held, now, bounds.fencing, bounds.lease_ms, crate::hall::SURE_MS).then_some(epoch)
+}
+
+/// Says in the register that the wait is over, once, before the first act.
+pub async fn clear(hall: &crate::hall::Hall, key: &str, epoch: u64) -> bool {
+    let said = hall.board.lock().expect("board").duties.get(key).is_some_and(|duty| duty.0 == epoch && duty.2);
+    if said {
+        return true;
+    }
+    let judge = |body: &[u8]| {
+        let held = crate::state::Duty::read(body);
+        if held.epoch != epoch || held.holder != hall.me() {
+            return crate::council::Verdict::Answer(false);
+        }
+        let next = crate::state::Duty { clear: true, ..held };
+        crate::council::Verdict::Write(next.write(), true)
+    };
+    hall.change(key, 1000, judge).await.unwrap_or(false)
+}
+
 /// The catalog answers only under the epoch held.
 fn shelve(hall: &crate::hall::Hall) {
     let epoch = held(hall, CATALOG, kernel::clock::now()).map_or(0, |taken| taken.0);
@@ -65,32 +91,37 @@
     if key == BATCH && crate::batches::ids(&hall.board.lock().expect("board")).is_empty() {
         return;
     }
-    let (epoch, holder) = hall.board.lock().expect("board").duties.get(key).cloned().unwrap_or_default();
+    let (epoch, holder, clear) = hall.board.lock().expect("board").duties.get(key).cloned().unwrap_or_default();
     let take = {
         let roster = hall.roster.lock().expect("roster");
-        // The last holder is left its lease before another steps in; one that started again takes a
-        // new epoch at once.
-        let gone = holder.is_empty() || roster.silent(&holder, now) > hall.env.bounds.lease_ms;
-        holder == hall.me() || (gone && roster.holder("", key, now) == hall.me())
+        roster::duty::may_take(roster::duty::Look {
+            me: hall.me(),
+            holder: &holder,
+            silent_ms: roster.silent(&holder, now),
+            first: roster.holder("", key, now) == hall.me(),
+            lease_ms: hall.env.bounds.lease_ms,
+        })
     };
     if !take {
         return;
     }
+    // Only an earlier life that had waited: one that had not may stand between two that acted.
+    let first = !hall.taken.lock().expect("taken").held.contains_key(key);
+    let own = holder.is_empty() || (first && holder == hall.me() && clear);
     let me = hall.me().to_string();
     let judge = |body: &[u8]| {
         let held = crate::state::Duty::read(body);
         if held.epoch != epoch {
             return crate::council::Verdict::Answer(0);
         }
-        let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone() };
+        let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone(), clear: own };
         crate::council::Verdict::Write(next.write(), epoch + 1)
     };
     let Some(epoch @ 1..) = hall.change(key, 1000, judge).await else { return };
     {
         let mut taken = hall.taken.lock().expect("taken");
-        let first = taken.held.insert(key.into(), (epoch, kernel::clock::now())).is_none();
-        // Only an earlier life: one that lost the duty meanwhile to another must wait like anyone.
-        if first && (holder == hall.me() || holder.is_empty()) {
+        taken.held.insert(key.into(), (epoch, kernel::clock::now()));
+        if own {
             taken.own.insert(key.into());
         } else {
             taken.own.remove(key);
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -32,8 +32,8 @@
     /// The configuration's number and text, and the evacuations with their stamps.
     pub config: Option<(u64, Vec<u8>)>,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
-    /// By key: epoch and holder.
-    pub duties: std::collections::BTreeMap<String, (u64, String)>,
+    /// By key: epoch, holder, and whether it has waited.
+    pub duties: std::collections::BTreeMap<String, (u64, String, bool)>,
 }
 
 /// The catalog as held here. Invariant: it answers only under `epoch`, and only while this keeper
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -69,7 +69,8 @@
                     *has = *stamp;
                 }
             }
-            news.catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
+            let catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
+            news.catalog = (catalog.0, catalog.1);
         }
         {
             let roster = self.roster.lock().expect("roster");
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -58,8 +58,7 @@
 
 /// The epoch under which batches may be run now: the last owner has stopped by then.
 pub fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
-    let (epoch, since) = crate::duty::held(hall, crate::duty::BATCH, now)?;
-    (now >= since + hall.env.bounds.lease_ms).then_some(epoch)
+    crate::duty::leave(hall, crate::duty::BATCH, now)
 }
 
 async fn look(hall: &std::sync::Arc<crate::hall::Hall>, client: &reqwest::Client, runner: &mut Runner, air: &Flight) {
@@ -73,6 +72,9 @@
         runner.looked = now;
         return;
     };
+    if !crate::duty::clear(hall, crate::duty::BATCH, epoch).await {
+        return;
+    }
     if epoch != runner.epoch {
         *runner = Runner { epoch, looked: now, ..Runner::default() };
     }
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -19,6 +19,8 @@
 pub struct Duty {
     pub epoch: u64,
     pub holder: String,
+    /// The holder has waited out whoever held it before, and said so before its first act.
+    pub clear: bool,
 }
 
 pub const CONFIG: &str = "config";
@@ -102,6 +104,6 @@
     }
     if key.starts_with(DUTY) {
         let duty = Duty::read(body);
-        board.duties.insert(key.into(), (duty.epoch, duty.holder));
+        board.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
     }
 }
--- /dev/null
+++ b/roster/src/duty.rs
@@ -0,0 +1,45 @@
+//! When a duty may be taken and when its holder may act: pure.
+
+/// What a keeper knows when it looks at a duty.
+#[derive(Clone, Copy, Debug)]
+pub struct Look<'a> {
+    pub me: &'a str,
+    /// The holder that a majority was last seen to name; empty: nobody yet.
+    pub holder: &'a str,
+    /// How long the holder has been silent here.
+    pub silent_ms: u64,
+    /// Is this keeper the first live one in the agreed order?
+    pub first: bool,
+    pub lease_ms: u64,
+}
+
+/// The last holder is left its lease; one that started again takes a new epoch at once.
+pub fn may_take(look: Look) -> bool {
+    let gone = look.holder.is_empty() || look.silent_ms > look.lease_ms;
+    look.holder == look.me || (gone && look.first)
+}
+
+/// How a duty is held here. Invariant: `since` is after the commit of the epoch.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    pub since: u64,
+    /// Nobody else can have acted lately: there was no holder before, or the last one was an earlier
+    /// life of this keeper that had said in the register that it had waited.
+    pub own: bool,
+    /// When the read began that last confirmed this epoch at a majority.
+    pub sure_at: u64,
+}
+
+/// May the holder act, where no two holders may act within a lease of each other? The last one may
+/// have acted until its confirmation ran out, which is at most `sure_ms` after this epoch was committed.
+pub fn may_act(held: Held, now: u64, fencing: bool, lease_ms: u64, sure_ms: u64) -> bool {
+    if now >= held.sure_at + sure_ms {
+        return false;
+    }
+    let wait = if fencing || held.own { 0 } else { lease_ms + 2 * sure_ms };
+    now >= held.since + wait
+}
+
+#[cfg(test)]
+#[path = "duty_tests.rs"]
+mod tests;
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -1,6 +1,8 @@
 //! Who is there: leases of keepers and routers, and the order in which duties fall to them. Pure:
 //! time comes in with every call.
 
+pub mod duty;
+
 #[derive(Clone, Debug, Default)]
 pub struct Fellow {
     pub area: String,
