--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -27,8 +27,6 @@
 /// from turning to one engine all at once.
 const FAR: [f64; 3] = [0.0, 0.2, 1.5];
 const JOURNEY: [f64; 3] = [0.0, 0.0, 3000.0];
-/// What reading a shared part again costs besides its time, in its own tokens: an engine has it.
-const AGAIN: f64 = 1.0;
 /// How much longer memory is under way.
 const MOVE: [f64; 3] = [1.0, 2.0, 10.0];
 
@@ -106,8 +104,7 @@
             let have = if nobody && Some(at) == first { shared } else { owned(held, at) };
             let read = f64::from(tokens.saturating_sub(have));
             let queue = stall.pressure(self.now, self.seats) * mean;
-            let again = AGAIN * f64::from(shared.saturating_sub(have));
-            read + again + queue + self.reach(stall, tokens)
+            read + queue + self.reach(stall, tokens)
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
     }
@@ -133,15 +130,14 @@
     }
 
     /// A maker that reads the prompt itself, and its cost in the same measure as a reader's.
-    pub fn alone(&self, tokens: u32, held: &[(usize, u32)], shared: u32, key: u64) -> Option<(usize, f64)> {
+    pub fn alone(&self, tokens: u32, held: &[(usize, u32)], key: u64) -> Option<(usize, f64)> {
         let open = self.open(Half::Decode);
         let cost = |at: usize| {
             let stall = &self.park.list[at];
             let read = f64::from(tokens.saturating_sub(owned(held, at)));
             let others = stall.tokens as f64 * f64::from(self.seats).sqrt();
             let crowd = 1.0 + stall.pressure(self.now, self.seats) / f64::from(stall.slots);
-            let again = AGAIN * f64::from(shared.saturating_sub(owned(held, at)));
-            (read + others) * SLOWER * crowd + again + self.reach(stall, tokens)
+            (read + others) * SLOWER * crowd + self.reach(stall, tokens)
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
     }
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -65,7 +65,7 @@
     park.note_read(0, 3000);
     let costs = |park: &crate::park::Park| {
         let view = view(park, &[], &[]);
-        (view.prefill(3000, &[], 0, 1).expect("reader").1, view.alone(3000, &[], 0, 1).expect("maker").1)
+        (view.prefill(3000, &[], 0, 1).expect("reader").1, view.alone(3000, &[], 1).expect("maker").1)
     };
     let (reader, alone) = costs(&park);
     assert!(reader < alone);
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -101,13 +101,13 @@
     trip: &mut crate::trip::Trip,
     reader: Option<usize>,
 ) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
-    let (tokens, shared, rank) = (trip.errand.tokens(), trip.errand.shared(), crate::plan::rank(&trip.errand));
+    let (tokens, rank) = (trip.errand.tokens(), crate::plan::rank(&trip.errand));
     let held = trip.held.clone();
     loop {
         let handle = trip.spend();
         let place = trip.view(|view| match handle {
             Some(_) => view.decode(tokens, &held, reader, rank),
-            None => view.alone(tokens, &held, shared, rank).map(|(at, _)| at),
+            None => view.alone(tokens, &held, rank).map(|(at, _)| at),
         });
         let (Some(at), true) = (place, trip.allow()) else {
             handle.into_iter().for_each(|handle| trip.keep(handle));
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -14,7 +14,7 @@
 pub fn read(view: &engines::place::View, errand: &crate::errand::Errand, held: &Held) -> Plan {
     let (tokens, rank) = (errand.tokens(), rank(errand));
     let Some((at, cost)) = view.prefill(tokens, held, errand.shared(), rank) else { return Plan::Alone };
-    if view.alone(tokens, held, errand.shared(), rank).is_some_and(|(_, alone)| alone < cost) {
+    if view.alone(tokens, held, rank).is_some_and(|(_, alone)| alone < cost) {
         return Plan::Alone;
     }
     let have = held.iter().find(|(owner, _)| *owner == at).map_or(0, |(_, have)| *have);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -99,10 +99,10 @@
         if !self.resumes() {
             return None;
         }
-        let (tokens, shared, rank) = (self.errand.tokens(), self.errand.shared(), crate::plan::rank(&self.errand));
+        let (tokens, rank) = (self.errand.tokens(), crate::plan::rank(&self.errand));
         for _ in 0..3 {
             let held = self.held.clone();
-            let next = self.view(|view| view.alone(tokens, &held, shared, rank))?.0;
+            let next = self.view(|view| view.alone(tokens, &held, rank))?.0;
             if self.left() == 0 || !self.allow() {
                 return None;
             }
