--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -83,6 +83,17 @@
             && (!self.has(Half::Prefill) || calm(Half::Prefill, &|_| 1.0 + share))
     }
 
+    /// Is every maker that may be sent to at or over a share of its slots? Then what is sent now waits
+    /// at an engine, and what ranks lower is better told at once.
+    pub fn full(&self, share: f64) -> bool {
+        let open = self.open(Half::Decode);
+        let over = |at: &usize| {
+            let stall = &self.park.list[*at];
+            stall.pressure(self.now, self.seats) >= share * f64::from(stall.slots)
+        };
+        !open.is_empty() && open.iter().all(over)
+    }
+
     /// Does the service have engines of this half at all, reachable or not?
     pub fn has(&self, half: Half) -> bool {
         let part = |stall: &crate::park::Stall| match half {
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -120,3 +120,17 @@
     let tried = [park.find("p-a").expect("known")];
     assert_eq!(id(&park, view(&park, &[], &tried).prefill(9000, &[], 6000, 5).map(|best| best.0)), "p-b");
 }
+
+#[test]
+fn it_is_full_only_when_every_maker_is() {
+    let mut park = park();
+    for (id, load) in [("d-a", "9,3,8"), ("d-b", "4,0,8")] {
+        let at = park.find(id).expect("known");
+        park.list[at].report(load, 900);
+    }
+    assert!(!view(&park, &[], &[]).full(1.25));
+    let at = park.find("d-b").expect("known");
+    park.list[at].report("8,2,8", 900);
+    assert!(view(&park, &[], &[]).full(1.25));
+    assert!(!view(&park, &[], &[]).full(1.5), "what ranks higher is let in for longer");
+}
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -37,6 +37,9 @@
     crate::receipt::Receipt::Lost
 }
 
+/// By rank: how far over its slots every maker may be before a request is refused at once.
+const LIMITS: [f64; 3] = [2.0, 1.5, 1.25];
+
 /// How long deferrable work stands back when interactive work needs the places.
 const STAND_BACK_MS: u64 = 500;
 
@@ -45,6 +48,10 @@
     if trip.errand.spare.is_some_and(|share| !trip.view(|view| view.idle(share))) {
         return Err(crate::receipt::Receipt::Refused(STAND_BACK_MS));
     }
+    let share = LIMITS[(trip.priority as usize).min(LIMITS.len() - 1)];
+    if trip.view(|view| view.full(share)) {
+        return Err(give_up(&trip));
+    }
     let split = !trip.errand.keys.is_empty()
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -114,6 +114,8 @@
     assert!(stand::read(&mut stream).is_none(), "nothing hidden is answered");
     let bad = "POST /x/1 HTTP/1.1\r\nHost: one.example\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n";
     assert_eq!(stand::call(DOOR, bad).map(|head| status(&head).to_string()).as_deref(), Some("400"));
+    let wide = stand::request("POST", "/x/1", &format!("Host: one.example\r\nX: {}\r\n", "h".repeat(20_000)), "");
+    assert_eq!(stand::call(DOOR, &wide).map(|head| status(&head).to_string()).as_deref(), Some("431"));
     let long = stand::request("POST", "/x/1", "Host: one.example\r\n", &"b".repeat(200_000));
     assert!(stand::call(DOOR, &long).is_none_or(|head| status(&head) == "413"));
 }
