--- a/batch/src/page.rs
+++ b/batch/src/page.rs
@@ -99,24 +99,8 @@
     }
 }
 
-macro_rules! body {
-    ($kind:ty) => {
-        impl $kind {
-            pub fn read_bytes(body: &[u8]) -> Option<Self> {
-                let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
-                room.extend_from_slice(body);
-                rkyv::from_bytes::<$kind, rkyv::rancor::Error>(&room).ok()
-            }
-
-            pub fn write_bytes(&self) -> Vec<u8> {
-                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
-            }
-        }
-    };
-}
-
-body!(Page);
-body!(crate::sheet::Batch);
+kernel::bytes!(Page);
+kernel::bytes!(crate::sheet::Batch);
 
 #[cfg(test)]
 mod tests {
--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -22,8 +22,7 @@
     let Ok(client) = client else { return };
     let hall = hall.clone();
     tokio::spawn(async move {
-        let mut beat = tokio::time::interval(wait(LOOK_MS));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut beat = kernel::entry::beat(LOOK_MS);
         let mut balance = Balance::default();
         loop {
             beat.tick().await;
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -54,7 +54,8 @@
 impl Config {
     async fn read(&self) -> Receipt {
         let wait = wait_ms(&self.0);
-        let judge = |body: &[u8]| crate::council::Verdict::Answer(crate::state::Held::read(body));
+        let judge =
+            |body: &[u8]| crate::council::Verdict::Answer(crate::state::Held::read_bytes(body).unwrap_or_default());
         match self.0.change(crate::state::CONFIG, wait, judge).await {
             Some(held) if held.revision > 0 => Receipt::Text(held.text.into_bytes()),
             Some(_) => Receipt::Bad(404, "no configuration yet".into()),
@@ -66,9 +67,15 @@
         let Some(base) = base else { return Receipt::Bad(400, "If-Match: missing or not a number".into()) };
         let mut mark = kernel::clock::hash(text.as_bytes());
         mark = kernel::clock::blend(mark, base * 2 + u64::from(patch));
-        let judge = |body: &[u8]| match verdict(&crate::state::Held::read(body), base, &text, patch, mark) {
+        let judge = |body: &[u8]| match verdict(
+            &crate::state::Held::read_bytes(body).unwrap_or_default(),
+            base,
+            &text,
+            patch,
+            mark,
+        ) {
             Ok(None) => crate::council::Verdict::Answer(Receipt::Good),
-            Ok(Some(next)) => crate::council::Verdict::Write(next.write(), Receipt::Good),
+            Ok(Some(next)) => crate::council::Verdict::Write(next.write_bytes(), Receipt::Good),
             Err((status, words)) => crate::council::Verdict::Answer(Receipt::Bad(status, words)),
         };
         let receipt = self.0.change(crate::state::CONFIG, wait_ms(&self.0), judge).await;
@@ -123,11 +130,11 @@
         }
         let key = format!("{}{area}", crate::state::CLOSED);
         let judge = |body: &[u8]| {
-            let held = crate::state::Closed::read(body);
+            let held = crate::state::Closed::read_bytes(body).unwrap_or_default();
             if held.on == on {
                 return crate::council::Verdict::Answer(());
             }
-            crate::council::Verdict::Write(crate::state::Closed { stamp: held.stamp + 1, on }.write(), ())
+            crate::council::Verdict::Write(crate::state::Closed { stamp: held.stamp + 1, on }.write_bytes(), ())
         };
         let done = self.0.change(&key, wait_ms(&self.0), judge).await;
         if done.is_some() {
--- a/keeper/src/control_tests.rs
+++ b/keeper/src/control_tests.rs
@@ -43,7 +43,7 @@
 #[test]
 fn what_is_held_comes_back_from_its_bytes() {
     let one = held(5);
-    let back = crate::state::Held::read(&one.write());
+    let back = crate::state::Held::read_bytes(&one.write_bytes()).unwrap_or_default();
     assert_eq!((back.revision, back.text, back.taken), (one.revision, one.text, one.taken));
-    assert_eq!(crate::state::Held::read(&[]).revision, 0);
+    assert_eq!(crate::state::Held::read_bytes(&[]).unwrap_or_default().revision, 0);
 }
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -18,8 +18,7 @@
     for key in [CATALOG, BALANCE, BATCH] {
         let hall = hall.clone();
         tokio::spawn(async move {
-            let mut beat = tokio::time::interval(std::time::Duration::from_millis(400));
-            beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+            let mut beat = kernel::entry::beat(400);
             loop {
                 beat.tick().await;
                 tend(&hall, key).await;
@@ -61,12 +60,12 @@
         return true;
     }
     let judge = |body: &[u8]| {
-        let held = crate::state::Duty::read(body);
+        let held = crate::state::Duty::read_bytes(body).unwrap_or_default();
         if held.epoch != epoch || held.holder != hall.me() {
             return crate::council::Verdict::Answer(false);
         }
         let next = crate::state::Duty { clear: true, ..held };
-        crate::council::Verdict::Write(next.write(), true)
+        crate::council::Verdict::Write(next.write_bytes(), true)
     };
     hall.change(key, 1000, judge).await.unwrap_or(false)
 }
@@ -110,12 +109,12 @@
     let own = holder.is_empty() || (first && holder == hall.me() && clear);
     let me = hall.me().to_string();
     let judge = |body: &[u8]| {
-        let held = crate::state::Duty::read(body);
+        let held = crate::state::Duty::read_bytes(body).unwrap_or_default();
         if held.epoch != epoch {
             return crate::council::Verdict::Answer(0);
         }
         let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone(), clear: own };
-        crate::council::Verdict::Write(next.write(), epoch + 1)
+        crate::council::Verdict::Write(next.write_bytes(), epoch + 1)
     };
     let Some(epoch @ 1..) = hall.change(key, 1000, judge).await else { return };
     {
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -37,8 +37,7 @@
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let hall = hall.clone();
     tokio::spawn(async move {
-        let mut beat = tokio::time::interval(std::time::Duration::from_millis(crate::hall::BEAT_MS));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut beat = kernel::entry::beat(crate::hall::BEAT_MS);
         loop {
             beat.tick().await;
             tell(&hall);
--- a/keeper/src/join.rs
+++ b/keeper/src/join.rs
@@ -3,8 +3,7 @@
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let hall = hall.clone();
     tokio::spawn(async move {
-        let mut beat = tokio::time::interval(std::time::Duration::from_millis(400));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut beat = kernel::entry::beat(400);
         loop {
             beat.tick().await;
             if !hall.voter.lock().expect("voter").able {
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -44,8 +44,7 @@
     let Ok(client) = client else { return };
     let hall = hall.clone();
     tokio::spawn(async move {
-        let mut beat = tokio::time::interval(wait(LOOK_MS));
-        beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut beat = kernel::entry::beat(LOOK_MS);
         let air = Air { under_way: Default::default(), tries: Default::default(), pace: batch::turn::Pace::new(64) };
         let air: Flight = std::sync::Arc::new(std::sync::Mutex::new(air));
         let mut runner = Runner::default();
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -27,28 +27,9 @@
 pub const CLOSED: &str = "evacuation/";
 pub const DUTY: &str = "duty/";
 
-macro_rules! body {
-    ($kind:ty) => {
-        impl $kind {
-            pub fn read(body: &[u8]) -> Self {
-                if body.is_empty() {
-                    return Self::default();
-                }
-                let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
-                room.extend_from_slice(body);
-                rkyv::from_bytes::<$kind, rkyv::rancor::Error>(&room).unwrap_or_default()
-            }
-
-            pub fn write(&self) -> Vec<u8> {
-                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
-            }
-        }
-    };
-}
-
-body!(Held);
-body!(Closed);
-body!(Duty);
+kernel::bytes!(Held);
+kernel::bytes!(Closed);
+kernel::bytes!(Duty);
 
 pub fn read_core(body: &[u8]) -> Option<wire::msg::Core> {
     let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
@@ -95,15 +76,15 @@
 
 fn fold(board: &mut crate::hall::Board, key: &str, body: &[u8]) {
     if key == CONFIG {
-        let held = Held::read(body);
+        let held = Held::read_bytes(body).unwrap_or_default();
         board.config = Some((held.revision, held.text.into_bytes()));
     }
     if let Some(area) = key.strip_prefix(CLOSED) {
-        let closed = Closed::read(body);
+        let closed = Closed::read_bytes(body).unwrap_or_default();
         board.closed.insert(area.into(), (closed.stamp, closed.on));
     }
     if key.starts_with(DUTY) {
-        let duty = Duty::read(body);
+        let duty = Duty::read_bytes(body).unwrap_or_default();
         board.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
     }
 }
--- /dev/null
+++ b/kernel/src/entry.rs
@@ -0,0 +1,55 @@
+//! The beginning of a daemon's process: settings read and checked, one thread, one runtime.
+
+/// `check` only checks the settings, `version` only tells the version.
+pub fn enter<F: std::future::Future<Output = std::process::ExitCode>>(
+    name: &str,
+    release: &str,
+    (check, version): (bool, bool),
+    run: impl FnOnce(crate::env::Env) -> F,
+) -> std::process::ExitCode {
+    if version {
+        println!("{name} {release}");
+        return std::process::ExitCode::SUCCESS;
+    }
+    let env = match crate::env::load(&crate::env::path()) {
+        Ok(env) => env,
+        Err(error) => {
+            eprintln!("{name}: {}", error.current_context());
+            return std::process::ExitCode::from(2);
+        }
+    };
+    if check {
+        println!("settings are good");
+        return std::process::ExitCode::SUCCESS;
+    }
+    let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
+        eprintln!("{name}: no runtime");
+        return std::process::ExitCode::from(3);
+    };
+    runtime.block_on(run(env))
+}
+
+/// A beat that does not hurry after a pause.
+pub fn beat(every_ms: u64) -> tokio::time::Interval {
+    let mut beat = tokio::time::interval(std::time::Duration::from_millis(every_ms));
+    beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    beat
+}
+
+/// Gives a type its form as bytes: validated when read.
+#[macro_export]
+macro_rules! bytes {
+    ($kind:ty) => {
+        impl $kind {
+            pub fn read_bytes(body: &[u8]) -> Option<Self> {
+                let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
+                room.extend_from_slice(body);
+                rkyv::from_bytes::<$kind, rkyv::rancor::Error>(&room).ok()
+            }
+
+            pub fn write_bytes(&self) -> Vec<u8> {
+                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
+            }
+        }
+    };
+}
