Halves only for streams; an answer to a read is the answer; requests wait while a router starts

Ruled out: retries after failures (none happened). Change: the ordinary path is for streaming routes; a sealed answer to a read is passed on and nothing more is sent.

--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -21,6 +21,18 @@
     }
 }
 
+/// Bounds for a request that comes before the first configuration is known.
+const EARLY_BYTES: usize = 8 * 1024 * 1024;
+const EARLY_MS: u64 = 1000;
+
+/// Until this daemon is ready, or `end`.
+async fn starting(yard: &crate::yard::Yard, end: u64) {
+    let order = std::sync::atomic::Ordering::Relaxed;
+    while !yard.ready.load(order) && kernel::clock::now() < end {
+        tokio::time::sleep(std::time::Duration::from_millis(15)).await;
+    }
+}
+
 async fn enter(
     yard: &std::sync::Arc<crate::yard::Yard>,
     request: http::Request<hyper::body::Incoming>,
@@ -30,6 +42,15 @@
     if !crate::errand::sound(&parts.headers) {
         return Err(crate::receipt::Receipt::Malformed);
     }
+    let mut body = Some(body);
+    let mut whole = None;
+    if !yard.ready.load(std::sync::atomic::Ordering::Relaxed) {
+        // Just started: what is needed comes within moments. The body is read meanwhile.
+        let early = body.take().ok_or(crate::receipt::Receipt::Malformed)?;
+        whole = Some(crate::errand::body(early, EARLY_BYTES, EARLY_MS).await?);
+        let wait = crate::errand::number(&parts.headers, wire::word::BUDGET).unwrap_or(EARLY_MS) / 3;
+        starting(yard, born + wait.min(EARLY_MS)).await;
+    }
     let table = yard.table();
     if table.revision == 0 {
         return Err(crate::receipt::Receipt::Refused(300));
@@ -46,7 +67,11 @@
     if yard.held.load(order) > room {
         return Err(crate::receipt::Receipt::Refused(250));
     }
-    let body = crate::errand::body(body, table.body_bytes, table.idle_ms).await?;
+    let body = match (whole, body) {
+        (Some(whole), _) if whole.len() <= table.body_bytes => whole,
+        (None, Some(body)) => crate::errand::body(body, table.body_bytes, table.idle_ms).await?,
+        _ => return Err(crate::receipt::Receipt::TooLarge),
+    };
     let service = {
         let mut dice = yard.dice.lock().expect("dice");
         crate::table::split(&route.targets, dice.roll())
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -6,8 +6,16 @@
 /// How long the engine that came up short is not named for this key again.
 const HUSH_MS: u64 = 2000;
 
+/// What a read came to.
+enum Reading {
+    /// Its memory is held for this request.
+    Held,
+    /// The engine answered the request itself.
+    Answer(usize, crate::send::Answer),
+}
+
 /// A read takes up none of the counted sends unless it is turned away, or a read went before it.
-async fn read(trip: &mut crate::trip::Trip) -> Result<(), ()> {
+async fn read(trip: &mut crate::trip::Trip) -> Result<Reading, ()> {
     let held = trip.held.clone();
     for _ in 0..3 {
         let plan = trip.view(|view| crate::plan::read(view, &trip.errand, &held));
@@ -31,22 +39,29 @@
     Err(())
 }
 
-async fn taken(trip: &mut crate::trip::Trip, at: usize, answer: crate::send::Answer) -> Result<(), ()> {
+async fn taken(trip: &mut crate::trip::Trip, at: usize, answer: crate::send::Answer) -> Result<Reading, ()> {
+    if answer.head.headers.contains_key(wire::word::SEAL) {
+        // An engine that knows no halves has run it: this is the answer, and nothing more is sent.
+        (trip.sends, trip.arrived, trip.ran) = (trip.sends + 1, true, true);
+        return Ok(Reading::Answer(at, answer));
+    }
     let addr = trip.addr(at);
     let good = answer.head.status == 200;
     let wait = trip.left().min(1000);
     let got = kernel::clock::now();
     let text = crate::send::whole(&trip.yard, &addr, answer, 16 * 1024, wait).await;
     trip.close(at);
-    let value: serde_json::Value = text.and_then(|text| serde_json::from_slice(&text).ok()).ok_or(())?;
-    let Some(id) = value["kv_handle"].as_str().filter(|_| good) else { return Err(()) };
+    let value: serde_json::Value = text.and_then(|text| serde_json::from_slice(&text).ok()).unwrap_or_default();
+    let id = value["kv_handle"].as_str().filter(|_| good).unwrap_or("").to_string();
     let sound = !id.is_empty() && id.bytes().all(|byte| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte));
     if !sound {
+        // It may have been turned away: counted.
+        trip.arrived = true;
         return Err(());
     }
     let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
-    trip.keep(crate::handle::Handle { at, addr, id: id.into(), until });
-    Ok(())
+    trip.keep(crate::handle::Handle { at, addr, id, until });
+    Ok(Reading::Held)
 }
 
 /// How urgent a read is: a short one goes before long ones, which it hardly delays, while behind them
@@ -84,7 +99,11 @@
 pub async fn carry(trip: &mut crate::trip::Trip) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
     trip.held = crate::plan::owners(&trip.yard, &trip.errand).await;
     let mut reader = None;
-    if read(trip).await.is_ok() {
+    let reading = read(trip).await;
+    if let Ok(Reading::Answer(at, answer)) = reading {
+        return Ok((at, answer));
+    }
+    if reading.is_ok() {
         reader = trip.reader();
         if let Some(at) = reader {
             let sent = register(trip, at);
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -52,7 +52,8 @@
     if trip.view(|view| view.full(share)) {
         return Err(give_up(&trip));
     }
-    let split = !trip.errand.keys.is_empty()
+    let split = trip.streams()
+        && !trip.errand.keys.is_empty()
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
     let good = answer.head.status.is_success();
--- a/tidepoint/tests/stand/mod.rs
+++ b/tidepoint/tests/stand/mod.rs
@@ -125,7 +125,8 @@
             let seen = Seen { engine: id.into(), stage, attempt: attempt.clone(), source, last };
             world.seen.lock().expect("seen").push(seen);
         };
-        if head.get("serving-phase") == "prefill" {
+        let whole = head.get("x-whole") == "1";
+        if head.get("serving-phase") == "prefill" && !whole {
             note("read");
             let number = world.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
             let handle = format!("h{number}");
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -130,6 +130,11 @@
     assert_eq!(mine.iter().map(|seen| seen.stage).collect::<Vec<_>>(), ["read", "make"], "read apart, then made");
     assert!(mine[1].source.starts_with("127.0.77.2:7820/h"), "the memory is handed over: {}", mine[1].source);
     assert!(world.handles.lock().expect("handles").is_empty(), "taken once");
+    // An engine that knows no halves runs what it was to read: that is the answer, and the only run.
+    let reply = stand::call(DOOR, &ask("two.example", "a2", "X-Whole: 1\r\n")).expect("an answer");
+    assert_eq!((status(&reply), reply.get("response-seal")), ("200", "seal-a2"));
+    let runs = world.seen.lock().expect("seen").iter().filter(|seen| seen.attempt == "a2").count();
+    assert_eq!(runs, 1);
 }
 
 fn resumed(world: &Arc<stand::World>) {
