--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -27,6 +27,8 @@
 /// from turning to one engine all at once.
 const FAR: [f64; 3] = [0.0, 0.2, 1.5];
 const JOURNEY: [f64; 3] = [0.0, 0.0, 3000.0];
+/// What a request ahead counts for, of a mean read: short reads pass long ones, and reports are late.
+const QUEUE: f64 = 0.5;
 /// How much longer memory is under way.
 const MOVE: [f64; 3] = [1.0, 2.0, 10.0];
 
@@ -114,7 +116,7 @@
             let stall = &self.park.list[at];
             let have = if nobody && Some(at) == first { shared } else { owned(held, at) };
             let read = f64::from(tokens.saturating_sub(have));
-            let queue = stall.pressure(self.now, self.seats) * mean;
+            let queue = stall.pressure(self.now, self.seats) * mean * QUEUE;
             read + queue + self.reach(stall, tokens)
         };
         least(&open, cost, |at| rank(key, &self.park.list[at].id))
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -2,7 +2,7 @@
 //! request. `GET /report` takes no slot; a slow engine answers it, a dark one does not.
 
 /// How long a request may go without a sign of life from its engine before that is asked.
-pub const SIGN_MS: u64 = 250;
+pub const SIGN_MS: u64 = 150;
 /// How long the answer to a probe may take, and the pause to the next one.
 const WAIT_MS: u64 = 250;
 const PAUSE_MS: u64 = 300;
