--- a/tidepoint/tests/stand/mod.rs
+++ b/tidepoint/tests/stand/mod.rs
@@ -92,14 +92,22 @@
     });
 }
 
-/// The platform's list, all on one page.
+/// The platform's list, one engine a page; every fifth call is over the rate.
 pub fn platform(world: Arc<World>, addr: &str) {
     serve(addr, move |stream, head| {
-        let zone =
-            head.first.split("zone=").nth(1).and_then(|rest| rest.split([' ', '&']).next()).unwrap_or("").to_string();
+        if world.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed) % 5 == 4 {
+            return answer(stream, "429 Too Many Requests", "", "");
+        }
+        let field = |name: &str| {
+            let rest = head.first.split(&format!("{name}=")).nth(1).unwrap_or("");
+            rest.split([' ', '&']).next().unwrap_or("").to_string()
+        };
+        let (zone, page) = (field("zone"), field("page_token").trim_start_matches("p-").parse::<usize>().unwrap_or(0));
         let list = world.list.lock().expect("list").clone();
         let list: Vec<_> = list.into_iter().filter(|item| item["zone"] == zone.as_str()).collect();
-        let body = serde_json::json!({"instance_list": list, "next_token": null}).to_string();
+        let next = (page + 1 < list.len()).then(|| format!("p-{}", page + 1));
+        let items: Vec<_> = list.into_iter().skip(page).take(1).collect();
+        let body = serde_json::json!({"instance_list": items, "next_token": next}).to_string();
         answer(stream, "200 OK", "Content-Type: application/json\r\n", &body);
     });
 }
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -193,6 +193,12 @@
     let runs =
         world.seen.lock().expect("seen").iter().filter(|seen| seen.stage == "make" && seen.attempt.len() == 16).count();
     assert_eq!(runs, 5, "each job run once");
+    // Room is bounded, and full storage says when to come back.
+    let one = serde_json::json!({"window_s": 5, "jobs": [jobs[0].clone()]}).to_string();
+    let full = (0..batch::BATCHES).map(|at| submit(&format!("more-{at}"), &one)).find(|head| status(head) != "200");
+    let full = full.expect("full at last");
+    assert_eq!(status(&full), "503");
+    assert!(full.get("retry-after").parse::<f64>().is_ok_and(|wait| wait > 0.0));
 }
 
 fn evacuated(world: &stand::World) {
