--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -83,6 +83,9 @@
     }
 }
 
+/// How many refusals one poll bears before it is left to the next.
+const REFUSED: u32 = 4;
+
 async fn poll(
     hall: &crate::hall::Hall,
     client: &reqwest::Client,
@@ -92,12 +95,20 @@
     let mut list = Vec::new();
     let mut pages = 0;
     let mut token: Option<String> = None;
+    let mut refused = 0;
+    let gap = std::time::Duration::from_millis((1000.0 / hall.env.cloud_api.rate_per_s) as u64);
     loop {
         let mut url = format!("http://{}/instances?zone={area}", hall.env.cloud_api.address);
         if let Some(token) = &token {
             url.push_str(&format!("&page_token={token}"));
         }
         let reply = client.get(url).send().await.map_err(|_| ())?;
+        if reply.status() == reqwest::StatusCode::TOO_MANY_REQUESTS && refused < REFUSED {
+            // Over the shared rate: the same page again, what was read of the list stays.
+            refused += 1;
+            tokio::time::sleep(gap * refused * 2).await;
+            continue;
+        }
         if reply.status() != reqwest::StatusCode::OK {
             return Err(());
         }
@@ -109,7 +120,7 @@
         if token.is_none() || pages >= 1000 {
             return Ok((list, pages));
         }
-        tokio::time::sleep(std::time::Duration::from_millis((1000.0 / hall.env.cloud_api.rate_per_s) as u64)).await;
+        tokio::time::sleep(gap).await;
     }
 }
 
