--- a/ledger/src/sim.rs
+++ b/ledger/src/sim.rs
@@ -152,7 +152,12 @@
         }
         let Some(work) = seat.work.as_mut().filter(|work| work.id == id) else { return };
         match work.round.hear(&ip(from), vote, now) {
-            crate::round::Step::Wait | crate::round::Step::Core(_) => {}
+            crate::round::Step::Wait => {}
+            crate::round::Step::Core(core) => {
+                seat.work = None;
+                let deed = seat.voter.adopt(&core);
+                seat.wet.push((now + 2, deed.into_iter().collect(), None));
+            }
             crate::round::Step::Send(ask) => {
                 // The second half counts under a new number: votes of the first are not for it.
                 work.id = self.next;
--- a/ledger/src/sim_trouble.rs
+++ b/ledger/src/sim_trouble.rs
@@ -49,4 +49,62 @@
         }
         panic!("no reader became owner within a minute of virtual time");
     }
+
+    /// An empty machine at a new address: never a voter, so it may be added.
+    pub fn join(&mut self) -> usize {
+        let at = self.seats.len();
+        let core = self.seats[0].voter.core.clone();
+        let mut voter = crate::voter::Voter::new(&super::ip(at));
+        (voter.core, voter.able) = (core, true);
+        let seat = super::Seat {
+            disk: voter.clone(),
+            voter,
+            wet: Vec::new(),
+            helm: None,
+            work: None,
+            up: true,
+            life: 1,
+            born: self.now,
+            turn: 0,
+            reads: Default::default(),
+        };
+        self.seats.push(seat);
+        at
+    }
+
+    /// The next core, known at first to one seat only.
+    pub fn change(&mut self, list: Vec<usize>) -> super::Core {
+        let old = self.seats[0].voter.core.clone();
+        let list = list.into_iter().map(|at| super::Member { ip: super::ip(at), area: String::new() }).collect();
+        let core = super::Core { stamp: old.stamp + 1, list, prev: old.list, settled: false };
+        let deed = self.seats[0].voter.adopt(&core);
+        (self.seats[0].helm, self.seats[0].work) = (None, None);
+        self.seats[0].wet.push((self.now + 2, deed.into_iter().collect(), None));
+        core
+    }
+
+    /// Tells the members old and new of a core; true once majorities of both have it on disk.
+    pub fn spread(&mut self, core: &super::Core) -> bool {
+        let ask = super::Ask::Places;
+        for to in 0..self.seats.len() {
+            let poll = super::Poll { core: core.clone(), ask: ask.clone() };
+            self.post(0, to, super::Mail::Poll { round: 0, poll });
+        }
+        let knows = |ip: &str| {
+            self.seats.iter().any(|seat| seat.up && seat.voter.ip == ip && seat.disk.core.stamp >= core.stamp)
+        };
+        let most = |list: &[super::Member]| {
+            list.iter().filter(|member| knows(&member.ip)).count() >= crate::majority(list.len())
+        };
+        most(&core.list) && most(&core.prev)
+    }
+
+    /// Commits the key again under the core of now; true once done.
+    pub fn renewed(&mut self, stamp: u64) -> bool {
+        if self.seats[0].helm.as_ref().is_some_and(|helm| helm.core >= stamp) {
+            return true;
+        }
+        self.propose(0);
+        false
+    }
 }
