--- a/batch/src/sheet.rs
+++ b/batch/src/sheet.rs
@@ -137,6 +137,16 @@
         self.window_ms.saturating_sub(self.spent_ms)
     }
 
+    /// Counts steady time; a batch that has all its receipts expires once it was kept long enough. Only
+    /// its key stays, so that it is never used for other content.
+    pub fn tick(&mut self, spent_ms: u64, done: bool) {
+        self.spent_ms += spent_ms;
+        if done && self.spent_ms >= self.window_ms + crate::KEEP_MS {
+            self.expired = true;
+            self.jobs.clear();
+        }
+    }
+
     pub fn bytes(&self) -> usize {
         self.jobs.iter().map(|job| job.body.len() + job.path.len() + job.name.len()).sum()
     }
@@ -158,6 +168,18 @@
         assert_eq!((batch.jobs.len(), batch.window_ms, batch.pages()), (2, 60_000, 1));
     }
 
+    #[test]
+    fn a_finished_batch_expires_and_an_open_one_never_does() {
+        let mut open = read(|_| ()).expect("good");
+        open.tick(60_000 + crate::KEEP_MS, false);
+        assert!(!open.expired && open.left_ms() == 0 && open.jobs.len() == 2);
+        let mut done = read(|_| ()).expect("good");
+        done.tick(59_000 + crate::KEEP_MS, true);
+        assert!(!done.expired, "kept for its time");
+        done.tick(1000, true);
+        assert!(done.expired && done.jobs.is_empty() && !done.key.is_empty());
+    }
+
     #[test]
     fn each_flaw_names_the_job() {
         assert!(read(|value| value["jobs"][1]["name"] = "a".into())
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -166,19 +166,13 @@
     let step = (held.window_ms / 20).clamp(500, 30_000);
     let tally = hall.tallies.lock().expect("tallies").add(id, spent);
     let over = old + tally >= held.window_ms;
-    let keep = held.window_ms + batch::KEEP_MS;
     if tally >= step || (over && old < held.window_ms) {
         let gone = hall.tallies.lock().expect("tallies").take(id);
         let judge = |body: &[u8]| {
             let Some(mut next) = batch::sheet::Batch::read_bytes(body) else {
                 return crate::council::Verdict::Answer(());
             };
-            next.spent_ms += gone;
-            if done && next.spent_ms >= keep {
-                // Only the key stays, so that it is never used for other content.
-                next.expired = true;
-                next.jobs.clear();
-            }
+            next.tick(gone, done);
             crate::council::Verdict::Write(next.write_bytes(), ())
         };
         hall.change(&crate::batches::batch_key(id), 2000, judge).await?;
