--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -163,7 +163,7 @@
     };
     let old = held.spent_ms;
     // Written in steps, so that the count outlives this owner without a write for each look.
-    let step = (held.window_ms / 20).clamp(500, 30_000);
+    let step = if done { batch::KEEP_MS / 20 } else { (held.window_ms / 20).clamp(500, 30_000) };
     let tally = hall.tallies.lock().expect("tallies").add(id, spent);
     let over = old + tally >= held.window_ms;
     if tally >= step || (over && old < held.window_ms) {
