--- a/engines/src/park_tests.rs
+++ b/engines/src/park_tests.rs
@@ -39,3 +39,20 @@
     stall.report("nonsense", 30);
     assert_eq!(stall.load, (5, 1));
 }
+
+#[test]
+fn a_dark_engine_is_left_alone_until_it_answers_and_its_address_until_never() {
+    let mut park = super::Park::default();
+    park.take(&sheet(1, &[("i-1", true, 0), ("i-22", true, 0)]), 0);
+    park.list[0].strike(100, 20_000);
+    let open = |park: &super::Park, now| {
+        let view = crate::place::View { park, now, service: 0, area: 0, shut: &[], tried: &[], seats: 1, ramp: 0.0 };
+        view.open(crate::place::Half::Prefill)
+    };
+    assert_eq!(open(&park, 5000), [1], "no request tests it");
+    park.list[0].good(5000);
+    assert_eq!(open(&park, 5000), [0, 1]);
+    park.list[1].over();
+    park.take(&sheet(2, &[("i-1", true, 0), ("i-22", true, 0)]), 6000);
+    assert_eq!(open(&park, 6000), [0], "an id whose address went to another never comes back");
+}
