One fresh seat in the ledger's simulation; a page of receipts is read once, not per job

Results of a batch decoded the whole page anew for each of its jobs; the simulation built an empty seat in two places; Sheets::get had no caller.

--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -72,10 +72,6 @@
     pub fn floors(&self) -> Vec<(String, u64, u64)> {
         self.floor.iter().map(|(area, turn)| (area.clone(), *turn, 0)).collect()
     }
-
-    pub fn get(&self, area: &str) -> Option<&wire::msg::Sheet> {
-        self.list.get(area)
-    }
 }
 
 /// The same but for the running down of what is left of a cold time.
--- a/keeper/src/batches.rs
+++ b/keeper/src/batches.rs
@@ -146,15 +146,16 @@
         let board = self.0.board.lock().expect("board");
         let Some(held) = batch(&board, id) else { return Receipt::Bad(404, format!("batch `{id}`: not known")) };
         let mut list = Vec::new();
-        for (at, job) in held.jobs.iter().enumerate() {
-            let page = page(&board, id, &held, at / batch::PAGE);
-            let Some(state) = page.states.get(at % batch::PAGE).filter(|state| state.closed()) else { continue };
-            let mut value = serde_json::json!({ "name": job.name, "outcome": state.word() });
-            if let batch::page::State::Done { status, body } = state {
-                value["status"] = (*status).into();
-                value["body"] = body.as_str().into();
+        for (number, jobs) in held.jobs.chunks(batch::PAGE).enumerate() {
+            let page = page(&board, id, &held, number);
+            for (job, state) in jobs.iter().zip(&page.states).filter(|(_, state)| state.closed()) {
+                let mut value = serde_json::json!({ "name": job.name, "outcome": state.word() });
+                if let batch::page::State::Done { status, body } = state {
+                    value["status"] = (*status).into();
+                    value["body"] = body.as_str().into();
+                }
+                list.push(value);
             }
-            list.push(value);
         }
         Receipt::Text(serde_json::json!({ "batch": id, "receipts": list }).to_string().into_bytes())
     }
--- a/ledger/src/sim.rs
+++ b/ledger/src/sim.rs
@@ -60,31 +60,34 @@
     std::str::from_utf8(body).ok().and_then(|text| text.split('/').next()?.parse().ok()).unwrap_or(0)
 }
 
+impl Seat {
+    /// An empty machine that may vote where the core names it.
+    fn fresh(at: usize, core: Core, born: u64) -> Seat {
+        let mut voter = crate::voter::Voter::new(&ip(at));
+        (voter.core, voter.able) = (core, true);
+        Seat {
+            disk: voter.clone(),
+            voter,
+            wet: Vec::new(),
+            helm: None,
+            work: None,
+            up: true,
+            life: 1,
+            born,
+            turn: 0,
+            reads: Default::default(),
+        }
+    }
+}
+
 impl World {
     pub fn new(seed: u64, size: usize) -> World {
         let list = (0..size).map(|at| Member { ip: ip(at), area: String::new() }).collect();
         let core = Core { stamp: 1, list, prev: Vec::new(), settled: true };
-        let seat = |at: usize| {
-            let mut voter = crate::voter::Voter::new(&ip(at));
-            voter.core = core.clone();
-            voter.able = true;
-            Seat {
-                disk: voter.clone(),
-                voter,
-                wet: Vec::new(),
-                helm: None,
-                work: None,
-                up: true,
-                life: 1,
-                born: 0,
-                turn: 0,
-                reads: Default::default(),
-            }
-        };
         World {
             now: 0,
             dice: kernel::clock::Dice::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
-            seats: (0..size).map(seat).collect(),
+            seats: (0..size).map(|at| Seat::fresh(at, core.clone(), 0)).collect(),
             mail: Vec::new(),
             cut: Vec::new(),
             next: 1,
--- a/ledger/src/sim_trouble.rs
+++ b/ledger/src/sim_trouble.rs
@@ -54,21 +54,7 @@
     pub fn join(&mut self) -> usize {
         let at = self.seats.len();
         let core = self.seats[0].voter.core.clone();
-        let mut voter = crate::voter::Voter::new(&super::ip(at));
-        (voter.core, voter.able) = (core, true);
-        let seat = super::Seat {
-            disk: voter.clone(),
-            voter,
-            wet: Vec::new(),
-            helm: None,
-            work: None,
-            up: true,
-            life: 1,
-            born: self.now,
-            turn: 0,
-            reads: Default::default(),
-        };
-        self.seats.push(seat);
+        self.seats.push(super::Seat::fresh(at, core, self.now));
         at
     }
 
