--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -2,6 +2,7 @@
 //! daemon's slices of the shared bounds.
 pub mod balance;
 pub mod budget;
+pub mod floor;
 pub mod park;
 pub mod place;
 pub mod sheet;
--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -127,6 +127,15 @@
         self.average(at, load);
     }
 
+    /// Versions as a poller saw them.
+    pub fn weigh(&mut self, list: &[(String, String, u64)]) {
+        for (id, model, version) in list {
+            if let Some(at) = self.find(id) {
+                self.list[at].weigh(kernel::clock::hash(model.as_bytes()), Some(*version));
+            }
+        }
+    }
+
     /// What an engine told another router lately.
     pub fn hear(&mut self, told: &wire::msg::Pressure, now: u64) {
         let Some(at) = self.names.get(&told.name).copied() else { return };
--- a/engines/src/park_tests.rs
+++ b/engines/src/park_tests.rs
@@ -54,7 +54,17 @@
     park.take(&sheet(1, &[("i-1", true, 0), ("i-22", true, 0)]), 0);
     park.list[0].strike(100, 20_000);
     let open = |park: &super::Park, now| {
-        let view = crate::place::View { park, now, service: 0, area: 0, shut: &[], tried: &[], seats: 1, ramp: 0.0 };
+        let view = crate::place::View {
+            park,
+            now,
+            service: 0,
+            area: 0,
+            shut: &[],
+            tried: &[],
+            seats: 1,
+            ramp: 0.0,
+            weights: None,
+        };
         view.open(crate::place::Half::Prefill)
     };
     assert_eq!(open(&park, 5000), [1], "no request tests it");
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -14,6 +14,9 @@
     pub seats: u32,
     /// What one cold engine bears in a second, all routers together; 0: unbounded.
     pub ramp: f64,
+    /// For work bound by a limit on stale weights: the model, the oldest and the newest version. An engine
+    /// whose version is not known counts as past the limit.
+    pub weights: Option<(u64, u64, u64)>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -47,6 +50,9 @@
             && stall.rest_until <= self.now
             && !self.shut.contains(&stall.area)
             && !self.tried.contains(&at)
+            && self.weights.is_none_or(|(model, from, to)| {
+                stall.weight(model).is_some_and(|version| (from..=to).contains(&version))
+            })
     }
 
     fn ramped(&self, stall: &crate::park::Stall) -> bool {
--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -63,7 +63,7 @@
 
     /// Someone holds lists of these turns: routers outlive the keepers that made them.
     pub fn raise(&mut self, told: &[(String, u64, u64)]) {
-        for (area, turn, _) in told.iter().filter(|item| !item.0.is_empty()) {
+        for (area, turn, _) in told.iter().filter(|item| !wire::msg::hidden(&item.0)) {
             let floor = self.floor.entry(area.clone()).or_default();
             *floor = (*floor).max(*turn);
         }
--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -37,6 +37,8 @@
     pub full_until: u64,
     /// About to change its part: nothing new until then.
     pub rest_until: u64,
+    /// Weight versions by the hash of the model's name, as last listed or answered.
+    pub weights: Vec<(u64, u64)>,
 }
 
 impl Stall {
@@ -67,9 +69,20 @@
             shy_until: 0,
             full_until: 0,
             rest_until: 0,
+            weights: Vec::new(),
         }
     }
 
+    pub fn weight(&self, model: u64) -> Option<u64> {
+        self.weights.iter().find(|(name, _)| *name == model).map(|(_, version)| *version)
+    }
+
+    /// None: what it has is not known any more.
+    pub fn weigh(&mut self, model: u64, version: Option<u64>) {
+        self.weights.retain(|(name, _)| *name != model);
+        self.weights.extend(version.map(|version| (model, version)));
+    }
+
     /// What it told here, to be passed on while it is fresh.
     pub fn told(&self, now: u64) -> Option<wire::msg::Pressure> {
         let age_ms = now.saturating_sub(self.load_at);
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -86,6 +86,7 @@
         board: Default::default(),
         roster: std::sync::Mutex::new(roster::Roster::new(&env.ip, &env.zone, crate::hall::LIVE_MS)),
         sheets: Default::default(),
+        weights: Default::default(),
         crew: Default::default(),
         shelf: std::sync::Mutex::new(crate::hall::Desk {
             shelf,
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -212,6 +212,10 @@
             .at("/batches", crate::batches::Batches(hall.clone()))
             .at("/batches/:id", crate::batches::One(hall.clone()))
             .at("/batches/:id/results", crate::batches::Results(hall.clone()))
+            .at("/rollouts", crate::rollout_calls::Rollouts(hall.clone()))
+            .at("/rollouts/:service/:model", crate::rollout_calls::Rule(hall.clone()))
+            .at("/rollouts/:service/:model/latest", crate::rollout_calls::Latest(hall.clone(), false))
+            .at("/rollouts/:service/:model/rollback", crate::rollout_calls::Latest(hall.clone(), true))
             .at("/evacuation/:zone", Evacuation(hall.clone())),
     );
     tokio::spawn(async move {
--- a/keeper/src/crew.rs
+++ b/keeper/src/crew.rs
@@ -5,6 +5,10 @@
     pub mouth: wire::link::Mouth,
     pub area: String,
     pub config: u64,
+    /// The stamps of rules that it told in its last call: what it has confirmed.
+    pub rules: std::collections::BTreeMap<String, u64>,
+    /// Until when it holds its lease.
+    pub until: u64,
     /// The newest version of messages that it reads.
     pub reads: u64,
     pub closed: std::collections::BTreeMap<String, u64>,
--- a/keeper/src/event.rs
+++ b/keeper/src/event.rs
@@ -18,3 +18,5 @@
 pub const ORDER: Event = Event { code: 151, text: "engine ordered to change its part" };
 pub const BATCH: Event = Event { code: 160, text: "batch taken" };
 pub const JOB: Event = Event { code: 161, text: "job answered" };
+pub const RULE: Event = Event { code: 170, text: "limit on stale weights binds everywhere" };
+pub const UNSETTLED: Event = Event { code: 171, text: "a router keeps its lease without confirming a limit" };
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -1,6 +1,6 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: helms, voter, board, taken, roster, sheets, crew, shelf. No lock but a helm is held over an
+//! Lock order: helms, voter, board, taken, roster, sheets, weights, crew, shelf. No lock but a helm is held over an
 //! await.
 
 pub struct Hall {
@@ -12,6 +12,8 @@
     pub board: std::sync::Mutex<Board>,
     pub roster: std::sync::Mutex<roster::Roster>,
     pub sheets: std::sync::Mutex<engines::sheet::Sheets>,
+    /// Weight versions by area, kept only while there are rules.
+    pub weights: std::sync::Mutex<std::collections::BTreeMap<String, wire::msg::Versions>>,
     pub crew: std::sync::Mutex<crate::crew::Crew>,
     pub shelf: std::sync::Mutex<Desk>,
     pub helms: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::council::Helms>>>,
@@ -34,6 +36,8 @@
     /// The same as routers take it.
     pub deck: crate::deck::Deck,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
+    /// Limits on stale weights, removed ones too: their stamps must not start anew.
+    pub rules: std::collections::BTreeMap<String, wire::msg::Rule>,
     /// By key: epoch, holder, and whether it has waited.
     pub duties: std::collections::BTreeMap<String, (u64, String, bool)>,
 }
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -17,5 +17,8 @@
 mod message;
 mod news;
 mod platform;
+mod rollout_calls;
+mod rollouts;
+mod rules;
 mod runner;
 mod state;
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -32,6 +32,11 @@
             let mut desk = hall.shelf.lock().expect("shelf");
             note.told.iter().take(KEYS).for_each(|told| desk.gauge.note(told, now));
         }
+        wire::msg::Msg::Versions(list) => crate::rules::hear(hall, *list),
+        wire::msg::Msg::Settle(ask) => {
+            let reply = hall.settled(&ask.0, ask.1, now);
+            mouth.reply(id, &wire::msg::Msg::Settled(Box::new(reply)));
+        }
         wire::msg::Msg::Register(list) => register(hall, list.0, &list.1, now),
         wire::msg::Msg::Flush(flush) => {
             let mut desk = hall.shelf.lock().expect("shelf");
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -7,6 +7,8 @@
         self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS, follow.busy, follow.door);
         self.sheets.lock().expect("sheets").raise(&follow.sheets);
         let mut follower = crate::crew::Follower {
+            rules: crate::rules::told(&follow.closed),
+            until: now + crate::hall::SEAT_MS,
             mouth,
             area: follow.area,
             config: follow.config,
@@ -14,7 +16,9 @@
             closed: follow.closed.into_iter().collect(),
             sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
         };
-        let news = self.lack(&follow.node, &mut follower, now);
+        let mut news = self.lack(&follow.node, &mut follower, now);
+        // A lease on bound work is renewed only for one that has confirmed every rule known here.
+        news.sure &= self.confirmed(&follower);
         follower.mouth.reply(id, &wire::msg::Msg::News(Box::new(news)));
         self.crew.lock().expect("crew").list.insert(follow.node, follower);
     }
@@ -76,6 +80,9 @@
                     *has = *stamp;
                 }
             }
+            if follower.reads >= 2 {
+                crate::rules::send(&board, follower);
+            }
             let catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
             news.catalog = (catalog.0, catalog.1);
         }
@@ -93,6 +100,9 @@
                 news.sheets.push(sheet.clone());
             }
         }
+        if follower.reads >= 2 {
+            self.send_weights(follower);
+        }
         news
     }
 
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -4,6 +4,8 @@
 struct Model {
     #[serde(default)]
     name: String,
+    #[serde(default)]
+    revision: u64,
 }
 
 #[derive(serde::Deserialize)]
@@ -57,7 +59,7 @@
 }
 
 async fn run(hall: std::sync::Arc<crate::hall::Hall>, client: reqwest::Client, area: String) {
-    let mut turn = 0;
+    let (mut turn, mut polls) = (0, 0u32);
     let mut pages = 1;
     let mut wait = 0;
     loop {
@@ -70,8 +72,10 @@
             continue;
         }
         match poll(&hall, &client, &area).await {
-            Ok((list, count)) => {
+            Ok((list, weights, count)) => {
                 pages = count;
+                polls += 1;
+                crate::rules::seen(&hall, &area, weights, polls % AGAIN == 0);
                 let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, hall.seat, list);
                 if let Some(sheet) = sheet {
                     publish(&hall, sheet);
@@ -83,6 +87,12 @@
     }
 }
 
+/// Engine, model, version.
+type Weights = Vec<(String, String, u64)>;
+
+/// Versions go out again with every so many polls, for keepers that missed them.
+const AGAIN: u32 = 8;
+
 /// How many refusals one poll bears before it is left to the next.
 const REFUSED: u32 = 4;
 
@@ -90,9 +100,9 @@
     hall: &crate::hall::Hall,
     client: &reqwest::Client,
     area: &str,
-) -> Result<(Vec<wire::msg::Engine>, usize), ()> {
+) -> Result<(Vec<wire::msg::Engine>, Weights, usize), ()> {
     let _turn = hall.polls.acquire().await.map_err(|_| ())?;
-    let mut list = Vec::new();
+    let (mut list, mut weights) = (Vec::new(), Vec::new());
     let mut pages = 0;
     let mut token: Option<String> = None;
     let mut refused = 0;
@@ -114,11 +124,15 @@
         }
         let body = reply.bytes().await.map_err(|_| ())?;
         let page: Page = serde_json::from_slice(&body).map_err(|_| ())?;
+        for item in &page.instance_list {
+            let models = item.model_list.iter();
+            weights.extend(models.map(|model| (item.instance_id.clone(), model.name.clone(), model.revision)));
+        }
         list.extend(page.instance_list.into_iter().map(engine));
         pages += 1;
         token = page.next_token.filter(|token| !token.is_empty());
         if token.is_none() || pages >= 1000 {
-            return Ok((list, pages));
+            return Ok((list, weights, pages));
         }
         tokio::time::sleep(gap).await;
     }
--- /dev/null
+++ b/keeper/src/rollout_calls.rs
@@ -0,0 +1,149 @@
+//! The resources of rollouts: a rule, the trainer's latest, a rollback, and the state of it all.
+use crate::control::Receipt;
+
+/// Largest body taken.
+const BODY: usize = 256 * 1024;
+
+pub struct Rollouts(pub std::sync::Arc<crate::hall::Hall>);
+pub struct Rule(pub std::sync::Arc<crate::hall::Hall>);
+/// The trainer's latest; true: a rollback.
+pub struct Latest(pub std::sync::Arc<crate::hall::Hall>, pub bool);
+
+fn key(service: &str, model: &str) -> String {
+    format!("{}{service}/{model}", wire::msg::ROLLOUT)
+}
+
+fn named(req: &poem::Request) -> (String, String) {
+    req.path_params::<(String, String)>().unwrap_or_default()
+}
+
+async fn text(req: &mut poem::Request) -> Result<String, Receipt> {
+    let body = req.take_body().into_bytes_limit(BODY).await;
+    let body = body.map_err(|_| Receipt::Bad(413, format!("body: cut short or over {BODY} bytes")))?;
+    String::from_utf8(body.to_vec()).map_err(|_| Receipt::Bad(400, "body: not UTF-8".into()))
+}
+
+fn base(req: &poem::Request) -> Option<u64> {
+    req.header("if-match")?.trim().trim_matches('"').parse().ok()
+}
+
+impl Rule {
+    async fn put(&self, req: &mut poem::Request) -> Result<Receipt, Receipt> {
+        let ((service, model), base) = (named(req), base(req));
+        let text = text(req).await?;
+        let config = self.0.board.lock().expect("board").deck.held().cloned();
+        let config = config.ok_or_else(|| Receipt::Bad(409, "no configuration yet: no routes".into()))?;
+        let ask = crate::rollouts::read(&text, base, (&service, &model), &config);
+        let ask = ask.map_err(|(status, words)| Receipt::Bad(status, words))?;
+        let names = (service.as_str(), model.as_str());
+        Ok(crate::rollouts::carry(&self.0, &key(&service, &model), names, ask).await)
+    }
+
+    async fn remove(&self, req: &poem::Request) -> Receipt {
+        let (service, model) = named(req);
+        let Some(base) = base(req) else { return Receipt::Bad(400, "If-Match: missing or not a number".into()) };
+        let ask = crate::rollouts::Ask::Remove { base };
+        crate::rollouts::carry(&self.0, &key(&service, &model), (&service, &model), ask).await
+    }
+
+    /// The rule and how far it holds: replicas by zone and half, routers that confirmed.
+    async fn state(&self, service: &str, model: &str) -> Receipt {
+        let key = key(service, model);
+        let rule = self.0.board.lock().expect("board").rules.get(&key).cloned();
+        let Some(rule) = rule.filter(|rule| !rule.removed) else {
+            return Receipt::Bad(404, "no rule for this service and model".into());
+        };
+        let replies = self.0.ask_settled(&key, rule.stamp).await;
+        let (all, good) = replies.iter().flatten().fold((0, 0), |sum, (all, good)| (sum.0 + all, sum.1 + good));
+        let silent = replies.iter().filter(|reply| reply.is_none()).count();
+        let value = serde_json::json!({
+            "service": service, "model": model, "stamp": rule.stamp, "latest": rule.latest, "lag": rule.lag,
+            "floor": rule.floor(), "routes": rule.routes, "rollbacks": rule.rollbacks, "reason": rule.reason,
+            "replicas": self.replicas(&rule), "routers": all, "routers_confirmed": good, "keepers_silent": silent,
+        });
+        Receipt::Text(value.to_string().into_bytes())
+    }
+
+    fn replicas(&self, rule: &wire::msg::Rule) -> serde_json::Value {
+        let sheets = self.0.sheets.lock().expect("sheets");
+        let weights = self.0.weights.lock().expect("weights");
+        let versions: std::collections::HashMap<&str, u64> = weights
+            .values()
+            .flat_map(|list| &list.list)
+            .filter(|(_, model, _)| *model == rule.model)
+            .map(|(id, _, version)| (id.as_str(), *version))
+            .collect();
+        let mut zones: std::collections::BTreeMap<&str, std::collections::BTreeMap<&str, [u32; 3]>> =
+            Default::default();
+        let engines = sheets.all().flat_map(|sheet| &sheet.list).filter(|engine| engine.service == rule.service);
+        for engine in engines.filter(|engine| engine.up) {
+            let half = if engine.phase.is_empty() { "whole" } else { engine.phase.as_str() };
+            let place = match versions.get(engine.id.as_str()) {
+                Some(version) if *version >= rule.floor() => 0,
+                Some(_) => 1,
+                None => 2,
+            };
+            zones.entry(&engine.area).or_default().entry(half).or_default()[place] += 1;
+        }
+        let halves =
+            |counts: &[u32; 3]| serde_json::json!({"inside": counts[0], "past": counts[1], "unknown": counts[2]});
+        let zone = |(zone, list): (&&str, &std::collections::BTreeMap<&str, [u32; 3]>)| {
+            let list: serde_json::Map<String, serde_json::Value> =
+                list.iter().map(|(half, counts)| (half.to_string(), halves(counts))).collect();
+            (zone.to_string(), serde_json::Value::Object(list))
+        };
+        serde_json::Value::Object(zones.iter().map(zone).collect())
+    }
+}
+
+impl poem::Endpoint for Rollouts {
+    type Output = poem::Response;
+
+    async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
+        let board = self.0.board.lock().expect("board");
+        let live = board.rules.values().filter(|rule| !rule.removed);
+        let list: Vec<serde_json::Value> = live
+            .map(|rule| {
+                serde_json::json!({"service": rule.service, "model": rule.model, "stamp": rule.stamp,
+                    "floor": rule.floor(), "latest": rule.latest, "lag": rule.lag, "routes": rule.routes})
+            })
+            .collect();
+        let body = serde_json::json!({ "rollouts": list }).to_string().into_bytes();
+        Ok(crate::control::write(Receipt::Text(body)))
+    }
+}
+
+impl poem::Endpoint for Rule {
+    type Output = poem::Response;
+
+    async fn call(&self, mut req: poem::Request) -> poem::Result<poem::Response> {
+        let (service, model) = named(&req);
+        let receipt = match req.method().as_str() {
+            "GET" => self.state(&service, &model).await,
+            "PUT" => self.put(&mut req).await.unwrap_or_else(|receipt| receipt),
+            "DELETE" => self.remove(&req).await,
+            _ => Receipt::Bad(405, "method: GET, PUT or DELETE".into()),
+        };
+        Ok(crate::control::write(receipt))
+    }
+}
+
+impl poem::Endpoint for Latest {
+    type Output = poem::Response;
+
+    async fn call(&self, mut req: poem::Request) -> poem::Result<poem::Response> {
+        if req.method() != poem::http::Method::POST {
+            return Ok(crate::control::write(Receipt::Bad(405, "method: POST".into())));
+        }
+        let (service, model) = named(&req);
+        let ask = match text(&mut req).await {
+            Ok(text) => crate::rollouts::read_latest(&text, self.1),
+            Err(receipt) => return Ok(crate::control::write(receipt)),
+        };
+        let receipt = match ask {
+            Ok(ask) => crate::rollouts::carry(&self.0, &key(&service, &model), (&service, &model), ask).await,
+            Err((status, words)) => Receipt::Bad(status, words),
+        };
+        Ok(crate::control::write(receipt))
+    }
+}
--- /dev/null
+++ b/keeper/src/rules.rs
@@ -0,0 +1,124 @@
+//! Limits on stale weights on their way to routers: what a router lacks, what it has confirmed, and the
+//! wait until no router can send bound work under an older rule.
+
+/// The stamps of rules among what a router told.
+pub fn told(closed: &[(String, u64)]) -> std::collections::BTreeMap<String, u64> {
+    let rules = closed.iter().filter_map(|(name, stamp)| Some((name.strip_prefix('\0')?.to_string(), *stamp)));
+    rules.collect()
+}
+
+/// Sends the rules that a follower lacks.
+pub fn send(board: &crate::hall::Board, follower: &mut crate::crew::Follower) {
+    for (key, rule) in &board.rules {
+        let has = follower.closed.entry(wire::msg::hide(key)).or_default();
+        if rule.stamp > *has && follower.mouth.cast(&wire::msg::Msg::Rule(Box::new(rule.clone()))) {
+            *has = rule.stamp;
+        }
+    }
+}
+
+/// From a commit on, how long a router that has not heard of it may still send bound work: its keeper may
+/// be sure of what it read before for `SURE_MS`, and the lease that it then renews lasts `LEASE_MS`.
+pub const WAIT_MS: u64 = crate::hall::SURE_MS + engines::floor::LEASE_MS + 200;
+/// The pause between looks, and how long a keeper may take to answer one.
+const LOOK_MS: u64 = 60;
+const ANSWER_MS: u64 = 400;
+
+impl crate::hall::Hall {
+    /// Has this follower confirmed every rule known here?
+    pub fn confirmed(&self, follower: &crate::crew::Follower) -> bool {
+        let board = self.board.lock().expect("board");
+        board.rules.iter().all(|(key, rule)| follower.rules.get(key).is_some_and(|stamp| *stamp >= rule.stamp))
+    }
+
+    /// Routers that hold a lease here, and how many of them have confirmed a rule. None counts as
+    /// confirmed while it is not known here.
+    pub fn settled(&self, key: &str, stamp: u64, now: u64) -> (u32, u32) {
+        let known = self.board.lock().expect("board").rules.get(key).is_some_and(|rule| rule.stamp >= stamp);
+        let crew = self.crew.lock().expect("crew");
+        let live = crew.list.values().filter(|follower| follower.until > now);
+        let has = |follower: &&crate::crew::Follower| follower.rules.get(key).is_some_and(|held| *held >= stamp);
+        let (all, good) = live.fold((0, 0), |(all, good), follower| (all + 1, good + u32::from(has(&follower))));
+        // Not yet learned: whoever asks must ask again.
+        if known {
+            (all, good)
+        } else {
+            (all.max(1), 0)
+        }
+    }
+
+    /// Asks all other keepers. None for one that did not answer.
+    pub async fn ask_settled(&self, key: &str, stamp: u64) -> Vec<Option<(u32, u32)>> {
+        let asks = self.known().into_iter().map(|ip| {
+            let fellow = self.fellow(&ip);
+            async move {
+                let msg = wire::msg::Msg::Settle(Box::new((key.to_string(), stamp)));
+                match fellow.call(msg, ANSWER_MS).await {
+                    Some(wire::msg::Msg::Settled(reply)) => Some(*reply),
+                    _ => None,
+                }
+            }
+        });
+        let mut list = futures_util::future::join_all(asks).await;
+        list.push(Some(self.settled(key, stamp, kernel::clock::now())));
+        list
+    }
+
+    /// Waits until no router can send bound work under an older rule: each has confirmed this one or its
+    /// lease has lapsed. False: one keeps its lease without confirming.
+    pub async fn settle_rule(&self, key: &str, stamp: u64) -> bool {
+        let begun = kernel::clock::now();
+        loop {
+            let list = self.ask_settled(key, stamp).await;
+            let late = kernel::clock::now() >= begun + WAIT_MS;
+            // Who does not answer can be waited out; who answers must have settled.
+            let good = list.iter().all(|reply| reply.map_or(late, |(all, good)| all == good));
+            if good || late {
+                return good;
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(LOOK_MS)).await;
+        }
+    }
+
+    /// Sends the weight versions that a follower lacks.
+    pub fn send_weights(&self, follower: &mut crate::crew::Follower) {
+        for (area, list) in self.weights.lock().expect("weights").iter() {
+            let has = follower.sheets.entry(wire::msg::hide(area)).or_default();
+            let stamp = (list.turn, list.count);
+            if *has != stamp && follower.mouth.cast(&wire::msg::Msg::Versions(Box::new(list.clone()))) {
+                *has = stamp;
+            }
+        }
+    }
+}
+
+/// Versions from the poller of an area, or from the own poll.
+pub fn hear(hall: &crate::hall::Hall, list: wire::msg::Versions) {
+    {
+        let mut held = hall.weights.lock().expect("weights");
+        let old = held.get(&list.area).map(|held| (held.turn, held.count));
+        if old.is_some_and(|(turn, count)| turn == list.turn && count >= list.count) {
+            return;
+        }
+        held.insert(list.area.clone(), list);
+    }
+    hall.push();
+}
+
+/// What the poller of an area saw. Without rules nothing is kept and nothing sent.
+pub fn seen(hall: &crate::hall::Hall, area: &str, list: Vec<(String, String, u64)>, again: bool) {
+    if hall.board.lock().expect("board").rules.is_empty() {
+        return;
+    }
+    let held = hall.weights.lock().expect("weights").get(area).cloned().unwrap_or_default();
+    let same = held.turn == hall.seat && held.list == list;
+    if same && !again {
+        return;
+    }
+    let count = held.count + u64::from(!same);
+    let next = wire::msg::Versions { area: area.into(), turn: hall.seat, count, list };
+    for ip in hall.known() {
+        hall.fellow(&ip).cast(wire::msg::Msg::Versions(Box::new(next.clone())));
+    }
+    hear(hall, next);
+}
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -118,6 +118,11 @@
         let closed = Closed::read_bytes(body).unwrap_or_default();
         board.closed.insert(area.into(), (closed.stamp, closed.on));
     }
+    if key.starts_with(wire::msg::ROLLOUT) {
+        if let Some(rule) = wire::msg::Rule::read_bytes(body) {
+            board.rules.insert(key.into(), rule);
+        }
+    }
     if key.starts_with(DUTY) {
         let duty = Duty::read_bytes(body).unwrap_or_default();
         board.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
--- a/router/src/carry.rs
+++ b/router/src/carry.rs
@@ -82,6 +82,8 @@
     yard.budget.lock().expect("budget").errand(service, born);
     Ok(crate::trip::Trip {
         shut: crate::plan::shut(yard, &route.homes),
+        route: route.name.clone(),
+        exact: None,
         yard: yard.clone(),
         errand,
         kind: route.kind,
--- a/router/src/errand.rs
+++ b/router/src/errand.rs
@@ -7,6 +7,7 @@
     pub head: http::HeaderMap,
     pub body: bytes::Bytes,
     pub attempt: Option<http::HeaderValue>,
+    pub model: String,
     /// Steady time at which the client or the operator no longer wants it.
     pub horizon: u64,
     pub born: u64,
@@ -104,6 +105,7 @@
             method: parts.method,
             path,
             attempt: head.get(wire::word::ATTEMPT).cloned(),
+            model: String::from_utf8_lossy(model).into_owned(),
             last: head.get(wire::word::LAST).cloned(),
             head,
             body,
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -8,26 +8,48 @@
 /// How long news of engines that are about to change their part holds.
 const REST_MS: u64 = 1500;
 
+/// How long a keeper that fell silent, or was not sure, is passed over while there is another.
+const SHUN_LOST_MS: u64 = 5000;
+const SHUN_UNSURE_MS: u64 = 2500;
+
+/// Why a home was left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    Better,
+    Lost,
+    Unsure,
+}
+
 pub async fn run(yard: std::sync::Arc<crate::yard::Yard>) {
     let mut seeds = yard.env.seed_ips();
-    let mut at = 0usize;
+    let mut shunned = std::collections::HashMap::new();
     loop {
         let list = homes(&yard, &seeds);
-        if list.is_empty() {
+        let Some(home) = pick(&list, &shunned, kernel::clock::now()) else {
             tokio::time::sleep(std::time::Duration::from_millis(BEAT_MS)).await;
             continue;
+        };
+        let left = stay(&yard, &home, &list).await;
+        let now = kernel::clock::now();
+        match left {
+            Left::Better => {}
+            Left::Lost => drop(shunned.insert(home.clone(), now + SHUN_LOST_MS)),
+            Left::Unsure => drop(shunned.insert(home.clone(), now + SHUN_UNSURE_MS)),
         }
-        let home = list[at % list.len()].clone();
-        stay(&yard, &home, &list).await;
         if let Ok(env) = kernel::env::load(&kernel::env::path()) {
             seeds = env.seed_ips();
         }
-        at = (at + 1) % list.len();
         kernel::say!(crate::event::HOME, "left" => home);
         tokio::time::sleep(std::time::Duration::from_millis(30)).await;
     }
 }
 
+/// The first that is not passed over; when all are, the one that was left first.
+pub fn pick(list: &[String], shunned: &std::collections::HashMap<String, u64>, now: u64) -> Option<String> {
+    let until = |ip: &String| shunned.get(ip).copied().filter(|until| *until > now).unwrap_or(0);
+    list.iter().min_by_key(|ip| until(ip)).cloned()
+}
+
 /// Keepers in the order in which they are tried.
 fn homes(yard: &crate::yard::Yard, seeds: &[String]) -> Vec<String> {
     let mut list = yard.news.lock().expect("news").fellows.clone();
@@ -46,7 +68,7 @@
 }
 
 /// Until this home is to be left.
-async fn stay(yard: &std::sync::Arc<crate::yard::Yard>, home: &str, list: &[String]) {
+async fn stay(yard: &std::sync::Arc<crate::yard::Yard>, home: &str, list: &[String]) -> Left {
     let addr = format!("{home}:{}", yard.env.fellow_port());
     let (send, mut casts) = tokio::sync::mpsc::channel(256);
     let caller = std::sync::Arc::new(wire::link::Caller::start(addr, Some(send)));
@@ -55,6 +77,7 @@
     let mut misses = 0;
     let mut settled = false;
     loop {
+        let sent = kernel::clock::now();
         let msg = wire::msg::Msg::Follow(Box::new(standing(yard)));
         let call = caller.call(msg, 700);
         tokio::pin!(call);
@@ -74,26 +97,35 @@
                 misses = 0;
                 if news.sure {
                     sure_at = now;
+                    yard.floors.lock().expect("floors").renew(sent);
                 }
                 let better = news.fellows.first().is_some_and(|first| first != home && list.first() != Some(first));
                 let sure = news.sure;
                 absorb(yard, *news);
                 ready(yard, sure);
                 if !settled && better {
-                    return;
+                    return Left::Better;
                 }
                 settled = true;
             }
             _ => misses += 1,
         }
-        if misses >= 2 || now > sure_at + UNSURE_MS {
-            return;
+        if misses >= 2 || (misses == 1 && !settled) {
+            return Left::Lost;
+        }
+        if now > sure_at + UNSURE_MS {
+            return Left::Unsure;
         }
         let ready = yard.ready.load(std::sync::atomic::Ordering::Relaxed);
         let beat = if ready { BEAT_MS } else { BEAT_MS / 4 };
         let end = tokio::time::Instant::now() + std::time::Duration::from_millis(beat);
         while let Ok(Some(cast)) = tokio::time::timeout_at(end, casts.recv()).await {
+            let rule = matches!(cast, wire::msg::Msg::Rule(_));
             take(yard, cast);
+            if rule {
+                // Confirmed at once: somebody waits for it.
+                break;
+            }
         }
     }
 }
@@ -101,7 +133,9 @@
 fn take(yard: &std::sync::Arc<crate::yard::Yard>, msg: wire::msg::Msg) {
     match msg {
         wire::msg::Msg::News(news) => absorb(yard, *news),
-        wire::msg::Msg::Change(body) => change(yard, &body),
+        wire::msg::Msg::Change(body) => crate::turn::change(yard, &body),
+        wire::msg::Msg::Rule(rule) => crate::fresh::rule(yard, &rule),
+        wire::msg::Msg::Versions(list) => crate::fresh::versions(yard, &list),
         wire::msg::Msg::Doubt(doubt) => {
             let at = yard.park.lock().expect("park").find(&doubt.0);
             at.into_iter().for_each(|at| crate::doubt::raise(yard, at, false));
@@ -116,6 +150,8 @@
         let busy = park.list.iter().filter(|stall| stall.busy > 0).map(|stall| (stall.id.clone(), stall.busy));
         (park.stamps(), busy.collect())
     };
+    let (rules, weights) = crate::fresh::stamps(yard);
+    sheets.extend(weights);
     sheets.push(wire::msg::told());
     let news = yard.news.lock().expect("news");
     wire::msg::Follow {
@@ -123,7 +159,7 @@
         area: yard.env.zone.clone(),
         life: yard.life,
         config: news.config,
-        closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).collect(),
+        closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).chain(rules).collect(),
         sheets,
         busy,
         door: yard.env.bind_addresses.frontend.clone().filter(|_| !yard.leaving()).unwrap_or_default(),
@@ -147,7 +183,7 @@
 fn absorb(yard: &std::sync::Arc<crate::yard::Yard>, news: wire::msg::News) {
     let now = kernel::clock::now();
     if let Some((stamp, text)) = &news.config {
-        config(yard, *stamp, text);
+        crate::turn::config(yard, *stamp, text);
     }
     let mut left = Vec::new();
     {
@@ -190,44 +226,10 @@
     yard.park.lock().expect("park").sit(yard.mark(), yard.area, seats);
     if yard.lookup.hold(news.catalog.0, &news.catalog.1, yard.env.fellow_port()) {
         kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
-        tokio::spawn(again(yard.clone()));
+        tokio::spawn(crate::turn::again(yard.clone()));
     }
 }
 
-/// A whole configuration as text, from a keeper that knows no other form.
-fn config(yard: &crate::yard::Yard, stamp: u64, text: &[u8]) {
-    if stamp <= yard.news.lock().expect("news").config {
-        return;
-    }
-    let read = std::str::from_utf8(text).map_err(|error| error.to_string()).and_then(wire::config::read);
-    match read {
-        Ok(config) => turn(yard, &wire::change::Change::whole(&config)),
-        Err(error) => kernel::say!(crate::event::BAD_CONFIG, "stamp" => stamp, "error" => error),
-    }
-}
-
-/// One that can't be read counts for nothing: the next call tells what is held and the whole comes.
-fn change(yard: &crate::yard::Yard, body: &[u8]) {
-    match wire::change::Change::read(body) {
-        Some(change) => turn(yard, &change),
-        None => kernel::say!(crate::event::BAD_CONFIG, "stamp" => 0, "error" => "a change that can't be read"),
-    }
-}
-
-fn turn(yard: &crate::yard::Yard, change: &wire::change::Change) {
-    let old = yard.table();
-    let Some(table) = old.turn(change, &mut yard.park.lock().expect("park")) else { return };
-    *yard.table.lock().expect("table") = std::sync::Arc::new(table);
-    yard.news.lock().expect("news").config = change.to;
-    kernel::say!(crate::event::CONFIG, "revision" => change.to);
-}
-
-/// A new holder of the catalog starts empty: what is known here is registered again, in steps.
-async fn again(yard: std::sync::Arc<crate::yard::Yard>) {
-    let all = yard.record.lock().expect("record").all(kernel::clock::now());
-    for part in all.chunks(100) {
-        let list = part.iter().map(|(key, engine)| wire::msg::Record { key: *key, engine: engine.clone() }).collect();
-        yard.lookup.register(list, Vec::new());
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
-}
+#[cfg(test)]
+#[path = "follow_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/follow_tests.rs
@@ -0,0 +1,14 @@
+#[test]
+fn a_silent_keeper_is_passed_over_until_all_are() {
+    let list: Vec<String> = ["a", "b", "c"].iter().map(|ip| ip.to_string()).collect();
+    let mut shunned = std::collections::HashMap::new();
+    let pick = |shunned: &std::collections::HashMap<String, u64>, now| super::pick(&list, shunned, now);
+    assert_eq!(pick(&shunned, 10).as_deref(), Some("a"));
+    shunned.insert("a".to_string(), 5000);
+    shunned.insert("b".to_string(), 2500);
+    assert_eq!(pick(&shunned, 10).as_deref(), Some("c"), "no second is spent on one that was just silent");
+    shunned.insert("c".to_string(), 6000);
+    assert_eq!(pick(&shunned, 20).as_deref(), Some("b"), "all were: the one left first");
+    assert_eq!(pick(&shunned, 5000).as_deref(), Some("a"), "its own area again, once it may be back");
+    assert_eq!(super::pick(&[], &shunned, 0), None);
+}
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -25,7 +25,7 @@
         match trip.send(at, extra, reads, true).await {
             crate::send::Outcome::Answer(answer) => return taken(trip, at, *answer).await,
             crate::send::Outcome::Unsent(_) => trip.tried.push(at),
-            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other | crate::send::Outcome::Aged(_) => {
                 trip.tried.push(at);
                 trip.sends += 1;
                 // The last counted send is kept for the half that makes the tokens.
@@ -59,6 +59,12 @@
         trip.arrived = true;
         return Err(());
     }
+    if trip.weights().is_some() {
+        // Reader and maker of bound work agree: what was read with other weights is of no use to it.
+        let version = value["revision"].as_u64();
+        trip.learned(at, version);
+        trip.exact = version.or(trip.exact);
+    }
     let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
     trip.keep(crate::handle::Handle { at, addr, id, until });
     Ok(Reading::Held)
@@ -155,7 +161,7 @@
                     trip.keep(handle);
                 }
             }
-            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other | crate::send::Outcome::Aged(_) => {
                 trip.tried.push(at);
                 let Some(handle) = handle else { continue };
                 let now = kernel::clock::now();
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -22,6 +22,8 @@
     Full,
     /// Refused or silent.
     Down,
+    /// The limit on stale weights rose, or its lease lapsed, before anything was written.
+    Behind,
 }
 
 impl Pools {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -48,6 +48,10 @@
     if trip.errand.spare.is_some_and(|share| !trip.view(|view| view.idle(share))) {
         return Err(crate::receipt::Receipt::Refused(STAND_BACK_MS));
     }
+    if trip.weights().is_some() && trip.view(|view| view.open(engines::place::Half::Decode).is_empty()) {
+        trip.few();
+        return Err(give_up(&trip));
+    }
     let share = LIMITS[(trip.priority as usize).min(LIMITS.len() - 1)];
     if trip.view(|view| view.full(share)) {
         return Err(give_up(&trip));
@@ -57,6 +61,9 @@
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
     let good = answer.head.status.is_success();
+    if good && trip.weights().is_some() {
+        trip.exact = crate::send::version(&answer.head.headers).or(trip.exact);
+    }
     if good && !answer.head.headers.contains_key(wire::word::SEAL) {
         // Not an engine's answer, whatever it is.
         trip.ran = true;
@@ -86,7 +93,7 @@
                 trip.close(at);
             }
             crate::send::Outcome::Unsent(_) => trip.sends -= 1,
-            crate::send::Outcome::Unrun | crate::send::Outcome::Other => {}
+            crate::send::Outcome::Unrun | crate::send::Outcome::Other | crate::send::Outcome::Aged(_) => {}
             crate::send::Outcome::Lost => {
                 trip.ran = true;
                 if !trip.repeatable {
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -14,6 +14,8 @@
     Unrun,
     /// It has not run, and the address is another engine's.
     Other,
+    /// It has not run, since its weights have another version: this one, where it said so.
+    Aged(Option<u64>),
     /// It may have run.
     Lost,
 }
@@ -27,6 +29,27 @@
     pub source: Option<String>,
     pub last: Option<http::HeaderValue>,
     pub urgency: Option<u32>,
+    /// The version that its weights must have.
+    pub expect: Option<u64>,
+    /// The route, where a limit on stale weights binds it.
+    pub guard: Option<String>,
+}
+
+/// The version of the weights that an answer names.
+pub fn version(head: &http::HeaderMap) -> Option<u64> {
+    let text = head.get(wire::word::WEIGHTS)?.to_str().ok()?;
+    text.split(|sign: char| !sign.is_ascii_digit()).find(|part| !part.is_empty())?.parse().ok()
+}
+
+/// Immediately before a send: does what is expected of the engine still satisfy the limit?
+fn holds(yard: &crate::yard::Yard, service: u32, model: &str, extra: &Extra) -> bool {
+    let Some(route) = &extra.guard else { return true };
+    let limit = yard.floors.lock().expect("floors").limit(service, model, route, kernel::clock::now());
+    match limit {
+        engines::floor::Limit::Free => true,
+        engines::floor::Limit::From(floor) => extra.expect.is_some_and(|version| version >= floor),
+        engines::floor::Limit::Lapsed => false,
+    }
 }
 
 fn compose(errand: &crate::errand::Errand, extra: &Extra) -> http::Request<http_body_util::Full<bytes::Bytes>> {
@@ -51,6 +74,9 @@
     if let Some(urgency) = extra.urgency {
         set(wire::word::URGENCY, &urgency.to_string());
     }
+    if let Some(version) = extra.expect {
+        set(wire::word::EXPECT, &version.to_string());
+    }
     if let Some(last) = &extra.last {
         head.insert(wire::word::LAST, last.clone());
     }
@@ -61,6 +87,7 @@
 pub async fn send(
     yard: &crate::yard::Yard,
     errand: &crate::errand::Errand,
+    service: u32,
     addr: &str,
     most: usize,
     extra: &Extra,
@@ -76,6 +103,9 @@
                 Err(hitch) => return Outcome::Unsent(hitch),
             },
         };
+        if !holds(yard, service, &errand.model, extra) {
+            return Outcome::Unsent(crate::pool::Hitch::Behind);
+        }
         let reply = match tokio::time::timeout_at(end, wire.try_send_request(request)).await {
             Err(_) => return Outcome::Lost,
             Ok(Ok(reply)) => reply,
@@ -99,8 +129,14 @@
         if status == 421 || head.headers.contains_key(wire::word::UNRUN) {
             let name = head.headers.get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
             let other = status == 421 && name.is_some_and(|name| name != extra.target);
+            let aged = (status == 421 && !other && extra.expect.is_some()).then(|| version(&head.headers));
+            let aged = aged.filter(|version| *version != extra.expect);
             finish(yard, addr, Answer { head, body, wire }).await;
-            return if other { Outcome::Other } else { Outcome::Unrun };
+            return match (other, aged) {
+                (true, _) => Outcome::Other,
+                (false, Some(version)) => Outcome::Aged(version),
+                (false, None) => Outcome::Unrun,
+            };
         }
         return Outcome::Answer(Box::new(Answer { head, body, wire }));
     }
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -13,6 +13,10 @@
     pub service: u32,
     pub spec: crate::table::Service,
     pub shut: Vec<u32>,
+    /// The name of its route.
+    pub route: String,
+    /// Bound work goes on at this version only: its prompt was read, or its answer begun, with it.
+    pub exact: Option<u64>,
     pub held: crate::plan::Held,
     pub sends: u32,
     pub arrived: bool,
@@ -81,6 +85,7 @@
         let table = self.yard.table();
         let ramp = table.services.get(&self.service).map_or(0.0, |spec| spec.ramp_per_s);
         let seats = self.yard.seats();
+        let weights = self.weights();
         let park = self.yard.park.lock().expect("park");
         look(&engines::place::View {
             park: &park,
@@ -91,6 +96,7 @@
             tried: &self.tried,
             seats,
             ramp: ramp * self.yard.env.bounds.ramp_overage,
+            weights,
         })
     }
 
@@ -129,9 +135,12 @@
     ) -> crate::send::Outcome {
         let now = kernel::clock::now();
         let tokens = u64::from(reads);
+        let weights = self.weights();
+        extra.guard = weights.is_some().then(|| self.route.clone());
         let addr = {
             let mut park = self.yard.park.lock().expect("park");
             let stall = &mut park.list[at];
+            extra.expect = weights.and_then(|(model, _, _)| stall.weight(model));
             stall.busy += 1;
             stall.tokens += tokens;
             stall.ramp.note(now);
@@ -143,7 +152,7 @@
         extra.budget_ms = self.errand.left(now).max(1);
         let wait = self.errand.left(now);
         let outcome = {
-            let call = crate::send::send(&self.yard, &self.errand, &addr, self.most(), &extra, wait);
+            let call = crate::send::send(&self.yard, &self.errand, self.service, &addr, self.most(), &extra, wait);
             tokio::pin!(call);
             loop {
                 let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
@@ -192,6 +201,9 @@
         match outcome {
             crate::send::Outcome::Answer(answer) => {
                 stall.good(now);
+                if let Some(version) = crate::send::version(&answer.head.headers) {
+                    stall.weigh(kernel::clock::hash(self.errand.model.as_bytes()), Some(version));
+                }
                 if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
                     park.report(at, load, now);
                 }
@@ -201,6 +213,11 @@
                 stall.good(now);
                 stall.full_until = now + 60;
             }
+            crate::send::Outcome::Aged(version) => {
+                stall.good(now);
+                stall.weigh(kernel::clock::hash(self.errand.model.as_bytes()), *version);
+            }
+            crate::send::Outcome::Unsent(crate::pool::Hitch::Behind) => {}
             crate::send::Outcome::Unsent(crate::pool::Hitch::Full) => stall.full_until = now + 20,
             _ => {
                 drop(park);
--- a/router/src/yard.rs
+++ b/router/src/yard.rs
@@ -13,10 +13,16 @@
     pub budget: std::sync::Mutex<engines::budget::Budget>,
     pub pools: crate::pool::Pools,
     pub lookup: crate::lookup::Lookup,
+    /// Limits on stale weights. Taken last, never together with another.
+    pub floors: std::sync::Mutex<engines::floor::Floors>,
+    /// By area: the stamp of the weight versions held.
+    pub weights: std::sync::Mutex<std::collections::BTreeMap<String, (u64, u64)>>,
     pub news: std::sync::Mutex<News>,
     /// The home keeper of now.
     pub home: std::sync::Mutex<Option<std::sync::Arc<wire::link::Caller>>>,
     pub dice: std::sync::Mutex<kernel::clock::Dice>,
+    /// When the want of fresh replicas was last told.
+    pub few_at: std::sync::atomic::AtomicU64,
     pub ready: std::sync::atomic::AtomicBool,
     pub leaving: std::sync::atomic::AtomicBool,
     /// Requests between the reading of their head and the end of their answer.
--- a/wire/src/config.rs
+++ b/wire/src/config.rs
@@ -37,6 +37,14 @@
     pub allowed_regions: Vec<String>,
 }
 
+#[derive(
+    Clone, Debug, PartialEq, schematic::Config, serde::Serialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+#[config(allow_unknown_fields, rename_all = "snake_case")]
+pub struct Model {
+    pub name: String,
+}
+
 #[derive(
     Clone, Debug, PartialEq, schematic::Config, serde::Serialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
 )]
@@ -51,6 +59,8 @@
     pub kv_hold_s: f64,
     #[setting(default = 0.0)]
     pub role_switch_s: f64,
+    #[setting(nested)]
+    pub model_list: Vec<Model>,
 }
 
 #[derive(
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod frame;
 pub mod link;
 pub mod msg;
+pub mod rollout;
+pub mod seek;
 pub mod sock;
 pub mod word;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -1,5 +1,8 @@
 //! Messages between our own daemons. Every variant holds a box, so a new one never moves the others.
 
+pub use crate::rollout::{Rule, Versions, ROLLOUT};
+pub use crate::seek::{Note, Pressure, Seek, Sought};
+
 /// A ledger position: rises with each take-over (`turn`, ties by `seat`) and each change (`step`).
 /// Invariant: one owner acts under one (`turn`, `seat`); `step` restarts at 0 with each of them.
 #[derive(
@@ -208,43 +211,30 @@
     Sought(Box<Sought>),
     /// As `Register`, and what these engines told of their pressure. Since version 2.
     Note(Box<Note>),
+    /// A rule on stale weights, newer than what the router told. Since version 2.
+    Rule(Box<Rule>),
+    /// The weight versions of an area's engines as its poller saw them. Since version 2.
+    Versions(Box<Versions>),
+    /// Have all routers that hold a lease at this keeper confirmed a rule? Its key and stamp. Since version 2.
+    Settle(Box<(String, u64)>),
+    /// Routers that hold a lease, and those of them that confirmed. Since version 2.
+    Settled(Box<(u32, u32)>),
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Seek {
-    pub epoch: u64,
-    pub keys: Vec<u64>,
-    /// Engines by the hash of their id: a sample, however many there are.
-    pub sample: Vec<u64>,
-}
-
-/// What an engine last told anyone: the hash of its id, requests there, and how many ms ago.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Pressure {
-    pub name: u64,
-    pub load: u32,
-    pub age_ms: u32,
-}
+/// The newest version of these messages. Daemons tell it beside the stamps of their sheets, as the turn
+/// of the area without a name, which no sheet has: those that know nothing of it pass it over.
+pub const READS: u64 = 2;
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Sought {
-    pub epoch: u64,
-    pub owners: Vec<Vec<String>>,
-    /// Of the owners and of the sample, as far as known.
-    pub list: Vec<Pressure>,
+/// Not an area: told beside the stamps of areas.
+pub fn hidden(name: &str) -> bool {
+    name.is_empty() || name.starts_with('\0')
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub struct Note {
-    pub epoch: u64,
-    pub list: Vec<Record>,
-    pub told: Vec<Pressure>,
+/// The name under which the stamp of an area's weight versions, or of a rule, is told.
+pub fn hide(name: &str) -> String {
+    format!("\0{name}")
 }
 
-/// The newest version of these messages. Daemons tell it beside the stamps of their sheets, as the turn
-/// of the area without a name, which no sheet has: those that know nothing of it pass it over.
-pub const READS: u64 = 2;
-
 pub fn told() -> (String, u64, u64) {
     (String::new(), READS, 0)
 }
--- /dev/null
+++ b/wire/src/seek.rs
@@ -0,0 +1,32 @@
+//! What a router asks the catalog for a prompt, and what it tells it.
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Seek {
+    pub epoch: u64,
+    pub keys: Vec<u64>,
+    /// Engines by the hash of their id: a sample, however many there are.
+    pub sample: Vec<u64>,
+}
+
+/// What an engine last told anyone: the hash of its id, requests there, and how many ms ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Pressure {
+    pub name: u64,
+    pub load: u32,
+    pub age_ms: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Sought {
+    pub epoch: u64,
+    pub owners: Vec<Vec<String>>,
+    /// Of the owners and of the sample, as far as known.
+    pub list: Vec<Pressure>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Note {
+    pub epoch: u64,
+    pub list: Vec<crate::msg::Record>,
+    pub told: Vec<Pressure>,
+}
--- a/wire/src/word.rs
+++ b/wire/src/word.rs
@@ -11,5 +11,7 @@
 pub const STAGE: &str = "serving-phase";
 pub const SOURCE: &str = "kv-source";
 pub const URGENCY: &str = "urgency-class";
+pub const EXPECT: &str = "expected-version";
+pub const WEIGHTS: &str = "weight-versions";
 pub const MODEL: &str = "model";
 pub const INSTANCE: &str = "instance-id";
