--- a/tidepoint/src/call.rs
+++ b/tidepoint/src/call.rs
@@ -1,6 +1,6 @@
 //! Calls to a keeper's control address.
 
-fn send(call: impl FnOnce(reqwest::Client) -> reqwest::RequestBuilder) -> Result<String, String> {
+pub fn send(call: impl FnOnce(reqwest::Client) -> reqwest::RequestBuilder) -> Result<String, String> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|error| error.to_string())?;
     let wait = std::time::Duration::from_secs(10);
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -51,6 +51,52 @@
             required batch: String
         }
 
+        /// The limit on how far behind the trainer's latest weights a replica may fall.
+        cmd rollout {
+            /// Show one rule and how far it holds, or all rules.
+            cmd show {
+                required --at at: String
+                optional --service service: String
+                optional --model model: String
+            }
+            /// Make or replace a rule.
+            cmd set {
+                required --at at: String
+                required --service service: String
+                required --model model: String
+                /// The trainer's latest version.
+                required --latest latest: u64
+                /// How many versions a replica may be behind it.
+                required --lag lag: u64
+                /// A route that the rule binds.
+                repeated --route route: String
+                /// The stamp it builds on; 0 for a new rule.
+                optional --base base: u64
+            }
+            /// Report the trainer's latest version.
+            cmd latest {
+                required --at at: String
+                required --service service: String
+                required --model model: String
+                required version: u64
+            }
+            /// Serve an older version again, and say why.
+            cmd rollback {
+                required --at at: String
+                required --service service: String
+                required --model model: String
+                required --reason reason: String
+                required version: u64
+            }
+            /// Remove a rule.
+            cmd remove {
+                required --at at: String
+                required --service service: String
+                required --model model: String
+                required --base base: u64
+            }
+        }
+
         /// Play an off-peak run in the simulation: halls leave, the owner crashes and freezes.
         cmd rehearse {
             optional --jobs jobs: usize
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -2,6 +2,7 @@
 mod call;
 mod flags;
 mod rehearse;
+mod rollout;
 mod trace;
 
 fn main() -> std::process::ExitCode {
@@ -21,6 +22,7 @@
         flags::TidepointCmd::Status(one) => call::get(&one.at, &format!("/batches/{}", one.batch)),
         flags::TidepointCmd::Results(one) => call::get(&one.at, &format!("/batches/{}/results", one.batch)),
         flags::TidepointCmd::Cancel(one) => call::cancel(&one.at, &one.batch),
+        flags::TidepointCmd::Rollout(rollout) => rollout::run(&rollout.subcommand),
         flags::TidepointCmd::Rehearse(plan) => rehearse::run(&plan),
     };
     match done {
--- a/tidepoint/tests/stand/mod.rs
+++ b/tidepoint/tests/stand/mod.rs
@@ -3,13 +3,15 @@
 use std::sync::{Arc, Mutex};
 
 /// What an engine saw: its id, the stage, the attempt, the source it was to take.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct Seen {
     pub engine: String,
     pub stage: &'static str,
     pub attempt: String,
     pub source: String,
     pub last: String,
+    /// The version of its weights then.
+    pub version: u64,
 }
 
 #[derive(Default)]
@@ -21,6 +23,14 @@
     /// Engines that break off their next stream after two events.
     pub breaks: Mutex<Vec<String>>,
     pub count: std::sync::atomic::AtomicU64,
+    /// Weight versions by engine; 1 where none is set.
+    pub versions: Mutex<std::collections::HashMap<String, u64>>,
+}
+
+impl World {
+    pub fn version(&self, id: &str) -> u64 {
+        self.versions.lock().expect("versions").get(id).copied().unwrap_or(1)
+    }
 }
 
 pub struct Head {
@@ -104,7 +114,11 @@
         };
         let (zone, page) = (field("zone"), field("page_token").trim_start_matches("p-").parse::<usize>().unwrap_or(0));
         let list = world.list.lock().expect("list").clone();
-        let list: Vec<_> = list.into_iter().filter(|item| item["zone"] == zone.as_str()).collect();
+        let mut list: Vec<_> = list.into_iter().filter(|item| item["zone"] == zone.as_str()).collect();
+        for item in &mut list {
+            let version = world.version(item["instance_id"].as_str().unwrap_or(""));
+            item["model_list"] = serde_json::json!([{"name": "m", "revision": version}]);
+        }
         let next = (page + 1 < list.len()).then(|| format!("p-{}", page + 1));
         let items: Vec<_> = list.into_iter().skip(page).take(1).collect();
         let body = serde_json::json!({"instance_list": items, "next_token": next}).to_string();
@@ -114,12 +128,19 @@
 
 /// An engine: joins the platform's list and serves both halves' calls as the protocol has them.
 pub fn engine(world: Arc<World>, id: &'static str, addr: &'static str, phase: &'static str) {
+    engine_in(world, id, addr, phase, "a");
+}
+
+pub fn engine_in(world: Arc<World>, id: &'static str, addr: &'static str, phase: &'static str, zone: &'static str) {
     world.list.lock().expect("list").push(serde_json::json!({
-        "instance_id": id, "service": "s", "address": addr, "zone": "a", "revision": "v1", "slot_count": 8,
+        "instance_id": id, "service": "s", "address": addr, "zone": zone, "revision": "v1", "slot_count": 8,
         "oper_state": "up", "ramp_left_ms": 0, "phase": phase, "model_list": [{"name": "m"}]}));
     serve(addr, move |stream, head| {
         let attempt = head.get("attempt-id").to_string();
-        let back = format!("Attempt-Id: {attempt}\r\nServer-Load: 0,0,8\r\nKeep-Alive: timeout=9\r\n");
+        let version = world.version(id);
+        let back = format!(
+            "Attempt-Id: {attempt}\r\nServer-Load: 0,0,8\r\nKeep-Alive: timeout=9\r\nWeight-Versions: {version}\r\n"
+        );
         if let Some(handle) = head.first.strip_prefix("DELETE /kv-handle/") {
             let handle = handle.split(' ').next().unwrap_or("").to_string();
             world.handles.lock().expect("handles").retain(|held| *held != handle);
@@ -128,9 +149,20 @@
         if head.get("target-instance") != id {
             return answer(stream, "421 Misdirected Request", &format!("{back}Instance-Id: {id}\r\n"), "");
         }
+        if head.get("expected-version").parse::<u64>().is_ok_and(|wanted| wanted != version) {
+            return answer(stream, "421 Misdirected Request", &format!("{back}Instance-Id: {id}\r\n"), "");
+        }
         let note = |stage| {
             let (source, last) = (head.get("kv-source").to_string(), head.get("last-event-id").to_string());
-            let seen = Seen { engine: id.into(), stage, attempt: attempt.clone(), source, last };
+            let seen = Seen {
+                engine: id.into(),
+                stage,
+                attempt: attempt.clone(),
+                source,
+                last,
+                version,
+                at: std::time::Instant::now(),
+            };
             world.seen.lock().expect("seen").push(seen);
         };
         let whole = head.get("x-whole") == "1";
@@ -139,7 +171,7 @@
             let number = world.count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
             let handle = format!("h{number}");
             world.handles.lock().expect("handles").push(handle.clone());
-            let body = serde_json::json!({"kv_handle": handle, "token_count": 9, "revision": 1}).to_string();
+            let body = serde_json::json!({"kv_handle": handle, "token_count": 9, "revision": version}).to_string();
             return answer(stream, "200 OK", &back, &body);
         }
         if let Some((_, handle)) = head.get("kv-source").split_once('/') {
