--- a/tidepoint/tests/rollout.rs
+++ b/tidepoint/tests/rollout.rs
@@ -1,8 +1,11 @@
 //! A live rollout through the real daemons: three halls, a keeper and a router in each, engines with
 //! weight versions, clients that go on all the while. A router is killed, a keeper lost and a hall frozen
 //! midway. Counted at the engines and at the clients.
+#[path = "stand/daemon.rs"]
+mod daemon;
 #[allow(dead_code)] // Each test uses a part of the stand-ins.
 mod stand;
+use daemon::Daemon;
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -27,45 +30,6 @@
     kernel::env::parse(&text).expect("good settings")
 }
 
-/// A daemon in a thread of its own, which can be killed or frozen.
-struct Daemon {
-    kill: Option<tokio::sync::oneshot::Sender<()>>,
-    handle: tokio::runtime::Handle,
-}
-
-impl Daemon {
-    fn start<F: std::future::Future + 'static>(run: impl FnOnce() -> F + Send + 'static) -> Daemon {
-        let (kill, killed) = tokio::sync::oneshot::channel::<()>();
-        let (send, handle) = std::sync::mpsc::channel();
-        std::thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-            send.send(runtime.handle().clone()).expect("told");
-            runtime.block_on(async {
-                tokio::select! {
-                    _ = run() => {}
-                    _ = killed => {}
-                }
-            });
-            // All its tasks and sockets go with it, as when a process is killed.
-            runtime.shutdown_background();
-        });
-        Daemon { kill: Some(kill), handle: handle.recv().expect("started") }
-    }
-
-    fn kill(&mut self) {
-        self.kill.take().map(|kill| kill.send(()));
-    }
-
-    /// Nothing of it runs until the returned end is dropped.
-    fn freeze(&self) -> std::sync::mpsc::Sender<()> {
-        let (thaw, wait) = std::sync::mpsc::channel::<()>();
-        self.handle.spawn(async move {
-            let _ = wait.recv();
-        });
-        thaw
-    }
-}
-
 #[derive(Clone, Debug)]
 struct Sent {
     attempt: String,
--- a/tidepoint/tests/stand/mod.rs
+++ b/tidepoint/tests/stand/mod.rs
@@ -154,15 +154,7 @@
         }
         let note = |stage| {
             let (source, last) = (head.get("kv-source").to_string(), head.get("last-event-id").to_string());
-            let seen = Seen {
-                engine: id.into(),
-                stage,
-                attempt: attempt.clone(),
-                source,
-                last,
-                version,
-                at: std::time::Instant::now(),
-            };
+            let seen = Seen { engine: id.into(), stage, attempt: attempt.clone(), source, last, version };
             world.seen.lock().expect("seen").push(seen);
         };
         let whole = head.get("x-whole") == "1";
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -1,4 +1,5 @@
 //! The whole system beside stand-ins: a keeper, a router, engines, the platform and a client.
+#[allow(dead_code)] // Each test uses a part of the stand-ins.
 mod stand;
 use std::sync::Arc;
 
