--- /dev/null
+++ b/tidepoint/tests/stand/proc.rs
@@ -0,0 +1,80 @@
+//! A real daemon as a process, and what it costs by its own account of the system.
+
+pub struct Child {
+    child: std::process::Child,
+    from: std::sync::Mutex<(std::time::Instant, Cost)>,
+}
+
+/// Processor ms, bytes written to disk and log, memory held in MB.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    cpu_ms: f64,
+    written: f64,
+    memory_mb: f64,
+}
+
+impl Cost {
+    pub fn most(self, other: Cost) -> Cost {
+        Cost {
+            cpu_ms: self.cpu_ms.max(other.cpu_ms),
+            written: self.written.max(other.written),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+        }
+    }
+
+    /// A second's worth.
+    pub fn words(&self) -> String {
+        format!("{:6.1} ms/s, disk and log {:6.1} KB/s, {:5.1} MB", self.cpu_ms, self.written / 1000.0, self.memory_mb)
+    }
+}
+
+impl Child {
+    pub fn start(program: &std::path::Path, settings: &std::path::Path) -> Child {
+        let child = std::process::Command::new(program)
+            .env("TIDEPOINT_CONFIG", settings)
+            .stdout(std::process::Stdio::null())
+            .stderr(std::process::Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{}: {error}; build the programs first", program.display()));
+        let from = std::sync::Mutex::new((std::time::Instant::now(), Cost::default()));
+        Child { child, from }
+    }
+
+    fn field(&self, file: &str, name: &str) -> f64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/{file}", self.child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("");
+        line.trim_start_matches(':').split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or(0.0)
+    }
+
+    fn now(&self) -> Cost {
+        let text = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
+        let rest = text.rsplit(')').next().unwrap_or("");
+        let tick = |at: usize| rest.split_whitespace().nth(at).and_then(|word| word.parse::<f64>().ok()).unwrap_or(0.0);
+        // User and system time, in hundredths of a second.
+        let cpu_ms = (tick(11) + tick(12)) * 10.0;
+        let written = self.field("io", "wchar");
+        Cost { cpu_ms, written, memory_mb: self.field("status", "VmRSS") / 1000.0 }
+    }
+
+    /// Counting begins here.
+    pub fn mark(&self) {
+        *self.from.lock().expect("from") = (std::time::Instant::now(), self.now());
+    }
+
+    pub fn cost(&self) -> Cost {
+        let (from, old) = *self.from.lock().expect("from");
+        let (now, spent) = (self.now(), from.elapsed().as_secs_f64().max(0.001));
+        Cost {
+            cpu_ms: (now.cpu_ms - old.cpu_ms) / spent,
+            written: (now.written - old.written) / spent,
+            memory_mb: now.memory_mb,
+        }
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
