A home's first answer gets time, and the whole configuration goes out packed; fewer probes of a dark engine

Changes: 1.5 s for the first answer, doubled with each home that is lost; configurations packed on the wire. Also: of many routers only some eight at a time ask a dark engine, and who gets an answer tells the rest.

--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -34,6 +34,8 @@
     /// When it was last found silent, and whether it is being asked just now.
     pub struck_at: u64,
     pub asked: bool,
+    /// It answered a fellow since it was last asked here.
+    pub calm: bool,
     pub full_until: u64,
     /// About to change its part: nothing new until then.
     pub rest_until: u64,
@@ -66,6 +68,7 @@
             strikes: 0,
             struck_at: 0,
             asked: false,
+            calm: false,
             shy_until: 0,
             full_until: 0,
             rest_until: 0,
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -48,6 +48,7 @@
         home: Default::default(),
         dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
         few_at: Default::default(),
+        calm: Default::default(),
         ready: Default::default(),
         leaving: Default::default(),
         open: Default::default(),
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -3,9 +3,64 @@
 
 /// How long a request may go without a sign of life from its engine before that is asked.
 pub const SIGN_MS: u64 = 150;
-/// How long the answer to a probe may take, and the pause to the next one.
+/// How long the answer to a probe may take, and the pause to the next one where few ask.
 const WAIT_MS: u64 = 250;
 const PAUSE_MS: u64 = 300;
+/// Of many routers that doubt an engine only about so many ask in each pause: the rest are told when it
+/// answers one of them, and ask once more for themselves.
+const ASKERS: u64 = 8;
+const PAUSE_MOST_MS: u64 = 3000;
+/// How the name of an engine that answered again is told, beside the names of those in doubt. Fellows of the
+/// first version know no engine of such a name.
+const CALM: &str = "\0calm/";
+
+/// The pause to the next probe; the second comes soon, so that a false alarm is short.
+pub fn pause(strikes: u32, seats: u32, roll: u64) -> u64 {
+    if strikes < 2 {
+        return PAUSE_MS;
+    }
+    let mean = (PAUSE_MS * u64::from(seats) / ASKERS).clamp(PAUSE_MS, PAUSE_MOST_MS);
+    mean * 3 / 4 + roll % (mean / 2)
+}
+
+/// Word of an engine from a keeper: in doubt, or answering again.
+pub fn hear(yard: &std::sync::Arc<crate::yard::Yard>, name: &str) {
+    let calm = name.strip_prefix(CALM);
+    let at = {
+        let mut park = yard.park.lock().expect("park");
+        let at = park.find(calm.unwrap_or(name));
+        if let (Some(at), true) = (at, calm.is_some()) {
+            park.list[at].calm = true;
+        }
+        at
+    };
+    match (at, calm) {
+        (Some(at), None) => raise(yard, at, false),
+        (Some(_), Some(_)) => yard.calm.notify_waiters(),
+        _ => {}
+    }
+}
+
+/// Until the next probe is due (false), or a fellow got an answer (true).
+async fn rest(yard: &crate::yard::Yard, at: usize, wait_ms: u64) -> bool {
+    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
+    loop {
+        let woken = yard.calm.notified();
+        if std::mem::take(&mut yard.park.lock().expect("park").list[at].calm) {
+            return true;
+        }
+        if tokio::time::timeout_at(end, woken).await.is_err() {
+            return false;
+        }
+    }
+}
+
+fn tell(yard: &crate::yard::Yard, name: String) {
+    let home = yard.home.lock().expect("home").clone();
+    if let Some(home) = home {
+        home.cast(wire::msg::Msg::Doubt(Box::new((name, false))));
+    }
+}
 /// While in doubt an engine is left alone; a probe that is answered ends it.
 const SHY_MS: u64 = 20_000;
 
@@ -19,7 +74,8 @@
     tokio::spawn(ask(yard.clone(), at, tell));
 }
 
-async fn ask(yard: std::sync::Arc<crate::yard::Yard>, at: usize, mut tell: bool) {
+async fn ask(yard: std::sync::Arc<crate::yard::Yard>, at: usize, mut first: bool) {
+    let (mut asked, mut told) = (0u32, false);
     loop {
         let (addr, id) = {
             let park = yard.park.lock().expect("park");
@@ -37,18 +93,24 @@
             }
             if answer_ends(stall, now) {
                 stall.asked = false;
+                // Whoever was told need not tell.
+                let back = stall.here && asked > 0 && !told;
+                drop(park);
+                if back {
+                    tell(&yard, format!("{CALM}{id}"));
+                }
                 return;
             }
+            stall.calm = false;
             kernel::say!(crate::event::STRIKE, "engine" => id.clone(), "strikes" => stall.strikes);
         }
         yard.pools.forget(&addr);
-        if std::mem::take(&mut tell) {
-            let home = yard.home.lock().expect("home").clone();
-            if let Some(home) = home {
-                home.cast(wire::msg::Msg::Doubt(Box::new((id.clone(), false))));
-            }
+        if std::mem::take(&mut first) {
+            tell(&yard, id.clone());
         }
-        tokio::time::sleep(std::time::Duration::from_millis(PAUSE_MS)).await;
+        asked += 1;
+        let roll = yard.dice.lock().expect("dice").roll();
+        told = rest(&yard, at, pause(asked, yard.seats(), roll)).await;
     }
 }
 
@@ -77,3 +139,7 @@
     let name = reply.headers().get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
     Some(name.map(str::to_string))
 }
+
+#[cfg(test)]
+#[path = "doubt_tests.rs"]
+mod tests;
--- a/router/src/follow_tests.rs
+++ b/router/src/follow_tests.rs
@@ -1,3 +1,16 @@
+#[test]
+fn each_home_that_was_lost_is_followed_by_more_patience() {
+    let mut held = super::FIRST_MS;
+    let mut sum = 0;
+    for _ in 0..4 {
+        held = super::patience(held, super::Left::Lost);
+        sum += held;
+        assert!(held <= super::FIRST_MOST_MS);
+    }
+    assert!(held == super::FIRST_MOST_MS && sum > 10_000, "a slow link gets its time");
+    assert_eq!(super::patience(held, super::Left::Better), super::FIRST_MS);
+}
+
 #[test]
 fn a_silent_keeper_is_passed_over_until_all_are() {
     let list: Vec<String> = ["a", "b", "c"].iter().map(|ip| ip.to_string()).collect();
--- a/router/src/yard.rs
+++ b/router/src/yard.rs
@@ -23,6 +23,8 @@
     pub dice: std::sync::Mutex<kernel::clock::Dice>,
     /// When the want of fresh replicas was last told.
     pub few_at: std::sync::atomic::AtomicU64,
+    /// Woken when an engine in doubt answered a fellow.
+    pub calm: tokio::sync::Notify,
     pub ready: std::sync::atomic::AtomicBool,
     pub leaving: std::sync::atomic::AtomicBool,
     /// Requests between the reading of their head and the end of their answer.
--- a/wire/src/change.rs
+++ b/wire/src/change.rs
@@ -35,14 +35,21 @@
     }
 
     /// None: it is not whole, or of another shape.
-    pub fn read(body: &[u8]) -> Option<Change> {
+    pub fn read(packed: &[u8]) -> Option<Change> {
+        let size = u32::from_le_bytes(*packed.first_chunk::<4>()?) as usize;
+        if size > crate::frame::MOST {
+            return None;
+        }
+        let body = lz4_flex::decompress_size_prepended(packed).ok()?;
         let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
-        room.extend_from_slice(body);
+        room.extend_from_slice(&body);
         rkyv::from_bytes::<Change, rkyv::rancor::Error>(&room).ok()
     }
 
+    /// Packed: after a fall of everything all routers of a keeper ask for the whole at once.
     pub fn write(&self) -> Vec<u8> {
-        rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default()
+        let body = rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default();
+        lz4_flex::compress_prepend_size(&body)
     }
 }
 
