Rollouts: memory of a version past the limit is freed before a maker is chosen; first-version routers stay sure

Found on a last read: a handle read under an older floor could be sent to a newer maker, and a router of the first version would have left every home once a rule exists.

--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -18,7 +18,8 @@
         };
         let mut news = self.lack(&follow.node, &mut follower, now);
         // A lease on bound work is renewed only for one that has confirmed every rule known here.
-        news.sure &= self.confirmed(&follower);
+        // One of the first version holds none: it serves on, and no rule settles while it is there.
+        news.sure &= follower.reads < 2 || self.confirmed(&follower);
         follower.mouth.reply(id, &wire::msg::Msg::News(Box::new(news)));
         self.crew.lock().expect("crew").list.insert(follow.node, follower);
     }
--- a/router/src/fresh.rs
+++ b/router/src/fresh.rs
@@ -20,6 +20,18 @@
         }
     }
 
+    /// Before a maker is chosen: memory of a version that is past the limit by now is given free, and without
+    /// memory the version is not settled yet.
+    pub fn match_handle(&mut self) {
+        let fits = |(_, from, to): (u64, u64, u64)| self.exact.is_none_or(|exact| (from..=to).contains(&exact));
+        if !self.weights().is_none_or(fits) {
+            self.free();
+        }
+        if self.handle.is_none() && !self.ran {
+            self.exact = None;
+        }
+    }
+
     /// What an engine was seen to have.
     pub fn learned(&self, at: usize, version: Option<u64>) {
         if let Some(version) = version {
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -132,11 +132,18 @@
     let (tokens, rank) = (trip.errand.tokens(), crate::plan::rank(&trip.errand));
     let held = trip.held.clone();
     loop {
+        trip.match_handle();
         let handle = trip.spend();
         let place = trip.view(|view| match handle {
             Some(_) => view.decode(tokens, &held, reader, rank),
             None => view.alone(tokens, &held, rank).map(|(at, _)| at),
         });
+        if place.is_none() && handle.is_some() && trip.weights().is_some() {
+            // No maker has the version that read it: one inside the limit reads it itself.
+            handle.into_iter().for_each(|handle| trip.keep(handle));
+            trip.free();
+            continue;
+        }
         let (Some(at), true) = (place, trip.allow()) else {
             handle.into_iter().for_each(|handle| trip.keep(handle));
             return Err(crate::relay::give_up(trip));
