--- a/keeper/src/deck.rs
+++ b/keeper/src/deck.rs
@@ -55,19 +55,17 @@
         let steps: Vec<bytes::Bytes> =
             from.map_or(Vec::new(), |at| self.steps.iter().skip(at).map(|(_, step)| step.clone()).collect());
         let size: usize = steps.iter().map(bytes::Bytes::len).sum();
-        let few = steps.len() == 1 || self.whole.as_ref().is_some_and(|whole| size < whole.len());
-        if !steps.is_empty() && few {
+        // One step is as good as always the least: the whole need not be made to see it.
+        if steps.len() == 1 {
             return steps;
         }
         if self.whole.is_none() {
             self.whole = self.held.as_ref().and_then(|held| frame(&wire::change::Change::whole(held)));
         }
-        let whole = self.whole.clone().into_iter().collect::<Vec<_>>();
-        let less = whole.first().is_none_or(|whole| size < whole.len());
-        if !steps.is_empty() && less {
-            return steps;
+        match &self.whole {
+            Some(whole) if steps.is_empty() || size >= whole.len() => vec![whole.clone()],
+            _ => steps,
         }
-        whole
     }
 }
 
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -90,8 +90,8 @@
     /// May bodies be packed? Only while every keeper that lives is known to read them so.
     pub fn pack(&self) -> bool {
         let now = kernel::clock::now();
-        let roster = self.roster.lock().expect("roster");
         let core = self.core();
+        let roster = self.roster.lock().expect("roster");
         let reads = |ip: &str| roster.keepers.get(ip).is_some_and(|fellow| fellow.reads >= 2);
         let members = core.list.iter().all(|member| member.ip == self.me() || reads(&member.ip));
         members && roster.keepers.keys().all(|ip| !roster.live(ip, now) || reads(ip))
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -71,11 +71,15 @@
             wait = wait.min(FIRST_MS);
             continue;
         }
-        match poll(&hall, &client, &area).await {
+        // Without rules versions are neither read nor sent.
+        let ruled = !hall.board.lock().expect("board").rules.is_empty();
+        match poll(&hall, &client, &area, ruled).await {
             Ok((list, weights, count)) => {
                 pages = count;
                 polls += 1;
-                crate::rules::seen(&hall, &area, weights, polls % AGAIN == 0);
+                if ruled {
+                    crate::rules::seen(&hall, &area, weights, polls % AGAIN == 0);
+                }
                 let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, hall.seat, list);
                 if let Some(sheet) = sheet {
                     publish(&hall, sheet);
@@ -100,6 +104,7 @@
     hall: &crate::hall::Hall,
     client: &reqwest::Client,
     area: &str,
+    ruled: bool,
 ) -> Result<(Vec<wire::msg::Engine>, Weights, usize), ()> {
     let _turn = hall.polls.acquire().await.map_err(|_| ())?;
     let (mut list, mut weights) = (Vec::new(), Vec::new());
@@ -124,7 +129,7 @@
         }
         let body = reply.bytes().await.map_err(|_| ())?;
         let page: Page = serde_json::from_slice(&body).map_err(|_| ())?;
-        for item in &page.instance_list {
+        for item in page.instance_list.iter().filter(|_| ruled) {
             let models = item.model_list.iter();
             weights.extend(models.map(|model| (item.instance_id.clone(), model.name.clone(), model.revision)));
         }
--- a/keeper/src/rules.rs
+++ b/keeper/src/rules.rs
@@ -105,11 +105,8 @@
     hall.push();
 }
 
-/// What the poller of an area saw. Without rules nothing is kept and nothing sent.
+/// What the poller of an area saw, asked for only while there are rules.
 pub fn seen(hall: &crate::hall::Hall, area: &str, list: Vec<(String, String, u64)>, again: bool) {
-    if hall.board.lock().expect("board").rules.is_empty() {
-        return;
-    }
     let held = hall.weights.lock().expect("weights").get(area).cloned().unwrap_or_default();
     let same = held.turn == hall.seat && held.list == list;
     if same && !again {
--- a/router/src/errand.rs
+++ b/router/src/errand.rs
@@ -8,6 +8,8 @@
     pub body: bytes::Bytes,
     pub attempt: Option<http::HeaderValue>,
     pub model: String,
+    /// The hash of its name, by which engines' weight versions are kept.
+    pub model_key: u64,
     /// Steady time at which the client or the operator no longer wants it.
     pub horizon: u64,
     pub born: u64,
@@ -99,12 +101,14 @@
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
         let list = text.and_then(catalog::parts).unwrap_or_default();
         let model = head.get(wire::word::MODEL).map_or(&b""[..], http::HeaderValue::as_bytes);
-        let keys = catalog::keys(kernel::clock::blend(seed, kernel::clock::hash(model)), &list);
+        let model_key = kernel::clock::hash(model);
+        let keys = catalog::keys(kernel::clock::blend(seed, model_key), &list);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default();
         Errand {
             method: parts.method,
             path,
             attempt: head.get(wire::word::ATTEMPT).cloned(),
+            model_key,
             model: String::from_utf8_lossy(model).into_owned(),
             last: head.get(wire::word::LAST).cloned(),
             head,
--- a/router/src/fresh.rs
+++ b/router/src/fresh.rs
@@ -9,7 +9,7 @@
     pub fn weights(&self) -> Option<(u64, u64, u64)> {
         let now = kernel::clock::now();
         let floors = self.yard.floors.lock().expect("floors");
-        let model = kernel::clock::hash(self.errand.model.as_bytes());
+        let model = self.errand.model_key;
         match floors.limit(self.service, &self.errand.model, &self.route, now) {
             engines::floor::Limit::Free => None,
             engines::floor::Limit::Lapsed => Some((model, u64::MAX, 0)),
@@ -35,8 +35,7 @@
     /// What an engine was seen to have.
     pub fn learned(&self, at: usize, version: Option<u64>) {
         if let Some(version) = version {
-            let model = kernel::clock::hash(self.errand.model.as_bytes());
-            self.yard.park.lock().expect("park").list[at].weigh(model, Some(version));
+            self.yard.park.lock().expect("park").list[at].weigh(self.errand.model_key, Some(version));
         }
     }
 
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -202,7 +202,7 @@
             crate::send::Outcome::Answer(answer) => {
                 stall.good(now);
                 if let Some(version) = crate::send::version(&answer.head.headers) {
-                    stall.weigh(kernel::clock::hash(self.errand.model.as_bytes()), Some(version));
+                    stall.weigh(self.errand.model_key, Some(version));
                 }
                 if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
                     park.report(at, load, now);
@@ -215,7 +215,7 @@
             }
             crate::send::Outcome::Aged(version) => {
                 stall.good(now);
-                stall.weigh(kernel::clock::hash(self.errand.model.as_bytes()), *version);
+                stall.weigh(self.errand.model_key, *version);
             }
             crate::send::Outcome::Unsent(crate::pool::Hitch::Behind) => {}
             crate::send::Outcome::Unsent(crate::pool::Hitch::Full) => stall.full_until = now + 20,
