Orders go to one home keeper a key; committed changes travel as changes; heartbeats without engine loads

Heartbeats carried the load of each engine to every keeper, though only the one that balances reads it.

Change: the first live member in the order of a key is its home; the others relay (message version 3) and carry an order out themselves when no answer comes in 0.5 s, which the digests make harmless. A committed change is told as the operator sent it, checked by digests of the body before and after; what does not fit is fetched. Loads and router addresses go to the keeper that reads them.

--- a/keeper/src/config_change_tests.rs
+++ b/keeper/src/config_change_tests.rs
@@ -1,6 +1,7 @@
 //! Operators' changes of the configuration: races, orders sent again, invalid ones.
-use super::{ConfigChange, Outcome, Refusal};
+use super::{apply, Outcome, Refusal};
 use crate::state::Held;
+use wire::order::ConfigChange;
 
 fn text(revision: u64) -> String {
     serde_json::json!({"revision": revision, "service_table": [{"name": "s"}], "route_table": [{"name": "r",
@@ -17,12 +18,12 @@
 }
 
 fn next(change: &ConfigChange, held: &Held) -> Held {
-    let Ok(Outcome::Next(next)) = change.apply(held) else { panic!("a change to be committed") };
+    let Ok(Outcome::Next(next)) = apply(change, held) else { panic!("a change to be committed") };
     next
 }
 
 fn refused(change: &ConfigChange, held: &Held) -> Refusal {
-    let Err(refusal) = change.apply(held) else { panic!("refused") };
+    let Err(refusal) = apply(change, held) else { panic!("refused") };
     refusal
 }
 
@@ -48,9 +49,9 @@
 fn what_was_taken_is_taken_however_often_it_comes() {
     let change = whole(5, text(7));
     let first = next(&change, &held(5));
-    assert!(matches!(change.apply(&first), Ok(Outcome::TakenBefore)));
+    assert!(matches!(apply(&change, &first), Ok(Outcome::TakenBefore)));
     let later = next(&whole(7, text(9)), &first);
-    assert!(matches!(change.apply(&later), Ok(Outcome::TakenBefore)), "also behind a newer one");
+    assert!(matches!(apply(&change, &later), Ok(Outcome::TakenBefore)), "also behind a newer one");
 }
 
 #[test]
@@ -61,7 +62,7 @@
         current = next(&whole(revision - 1, text(revision)), &current);
     }
     assert_eq!(current.taken.len(), super::TAKEN, "what is kept is bounded");
-    assert!(matches!(change.apply(&current), Ok(Outcome::TakenBefore)));
+    assert!(matches!(apply(&change, &current), Ok(Outcome::TakenBefore)));
 }
 
 #[test]
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -1,17 +1,8 @@
 //! The operator's calls: one handler object a resource. A receipt is a small value; one place
 //! writes it.
 
-use crate::config_change::{ConfigChange, Outcome};
-use ledger::proposal::Verdict;
-
-/// How long a call may take before it is answered as unclear: well inside `ack_ms`.
-pub fn wait_ms(hall: &crate::hall::Hall) -> u64 {
-    (hall.env.bounds.ack_ms / 2).clamp(800, 2500)
-}
-
-/// The same for an evacuation: an order without a version must not be carried out after its sender gave up,
-/// sent it to another keeper, and then took it back there. Below a second, after which callers give up.
-pub const EVACUATE_MS: u64 = 900;
+pub use crate::orders::wait_ms;
+use wire::order::{ConfigChange, Order, OrderResult};
 
 pub enum Receipt {
     Good,
@@ -60,60 +51,41 @@
 
 impl Config {
     async fn read(&self) -> Receipt {
-        let wait = wait_ms(&self.0);
-        let judge = |body: &[u8]| Verdict::Answer(crate::state::Held::open(body));
-        match self.0.change(crate::state::CONFIG, wait, judge).await.flatten() {
-            Some(held) if held.revision > 0 => Receipt::Text(held.text.into_bytes()),
-            Some(_) => Receipt::Bad(404, "no configuration yet".into()),
-            None => Receipt::Unclear,
+        match crate::orders::submit(&self.0, Order::ReadConfig).await {
+            OrderResult::Found { body } => found(&body),
+            result => told(result),
         }
     }
 
     async fn change(&self, base: Option<u64>, text: String, partial: bool) -> Receipt {
         let Some(base) = base else { return Receipt::Bad(400, "If-Match: missing or not a number".into()) };
-        if self.0.orders_may_be_stale() {
-            return Receipt::Unclear;
-        }
-        let change = ConfigChange { base, text, partial };
-        let pack = self.0.pack();
-        let judge = |body: &[u8]| {
-            let Some(held) = crate::state::Held::open(body) else { return Verdict::Answer(Receipt::Unclear) };
-            match change.apply(&held) {
-                Ok(Outcome::TakenBefore) => Verdict::Answer(Receipt::Good),
-                Ok(Outcome::Next(next)) => Verdict::Write(next.seal(pack), Receipt::Good),
-                Err(refusal) => Verdict::Answer(Receipt::Bad(refusal.status(), refusal.to_string())),
-            }
-        };
-        let receipt = self.0.change(crate::state::CONFIG, wait_ms(&self.0), judge).await;
-        if let Some(Receipt::Good) = &receipt {
-            let stamp = self.0.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
-            kernel::say!(crate::event::CONFIG, "base" => base, "revision" => stamp);
-        }
-        receipt.unwrap_or(Receipt::Unclear)
+        let order = Order::Change(ConfigChange { base, text, partial });
+        told(crate::orders::submit(&self.0, order).await)
+    }
+}
+
+fn found(body: &[u8]) -> Receipt {
+    match crate::state::Held::open(body) {
+        Some(held) if held.revision > 0 => Receipt::Text(held.text.into_bytes()),
+        Some(_) => Receipt::Bad(404, "no configuration yet".into()),
+        None => Receipt::Unclear,
+    }
+}
+
+fn told(result: OrderResult) -> Receipt {
+    match result {
+        OrderResult::Done => Receipt::Good,
+        OrderResult::Refused { status, reason } => Receipt::Bad(status, reason),
+        OrderResult::Found { .. } | OrderResult::Unclear => Receipt::Unclear,
     }
 }
 
 impl Evacuation {
-    async fn set(&self, area: &str, on: bool) -> Receipt {
-        if self.0.orders_may_be_stale() {
-            return Receipt::Unclear;
-        }
-        if !self.0.env.zones.contains_key(area) {
-            return Receipt::Bad(404, format!("zone `{area}`: not known"));
-        }
-        let key = format!("{}{area}", crate::state::CLOSED);
-        let judge = |body: &[u8]| {
-            let held = crate::state::Closed::read_bytes(body).unwrap_or_default();
-            if held.on == on {
-                return Verdict::Answer(());
-            }
-            Verdict::Write(crate::state::Closed { stamp: held.stamp + 1, on }.write_bytes(), ())
-        };
-        let done = self.0.change(&key, EVACUATE_MS, judge).await;
-        if done.is_some() {
-            kernel::say!(crate::event::EVACUATION, "zone" => area, "on" => on);
+    async fn set(&self, zone: &str, on: bool) -> Receipt {
+        if !self.0.env.zones.contains_key(zone) {
+            return Receipt::Bad(404, format!("zone `{zone}`: not known"));
         }
-        done.map_or(Receipt::Unclear, |()| Receipt::Good)
+        told(crate::orders::submit(&self.0, Order::Evacuate { zone: zone.into(), on }).await)
     }
 }
 
--- a/keeper/src/council.rs
+++ b/keeper/src/council.rs
@@ -64,7 +64,7 @@
         key: &str,
         held: Option<ledger::round::Helm>,
         judge: &mut impl FnMut(&[u8]) -> Verdict<T>,
-    ) -> Option<(T, ledger::round::Helm)> {
+    ) -> Option<(T, ledger::round::Helm, bool)> {
         let core = self.core();
         if core.list.is_empty() {
             return None;
@@ -80,7 +80,7 @@
             match proposal.hear(&from, vote, judge, kernel::clock::now()) {
                 ledger::proposal::Progress::Wait => {}
                 ledger::proposal::Progress::Send(ask) => votes = self.ask(&core, ask, &members),
-                ledger::proposal::Progress::Finished { answer, owner, .. } => return Some((answer, owner)),
+                ledger::proposal::Progress::Finished { answer, owner, wrote } => return Some((answer, owner, wrote)),
                 ledger::proposal::Progress::Outbid(ballot) => {
                     self.seen(ballot.turn);
                     return None;
@@ -95,19 +95,31 @@
 
     /// Changes a key. `judge` sees what is committed and says what to do; it may be asked again, and
     /// an answer without a write is only given on what a quorum was just seen to hold.
-    pub async fn change<T>(&self, key: &str, wait_ms: u64, mut judge: impl FnMut(&[u8]) -> Verdict<T>) -> Outcome<T> {
+    pub async fn change<T>(&self, key: &str, wait_ms: u64, judge: impl FnMut(&[u8]) -> Verdict<T>) -> Outcome<T> {
+        let (answer, owner, _) = self.change_untold(key, wait_ms, judge).await?;
+        if !owner.is_blank() {
+            self.learn(key, &owner.entry, true);
+        }
+        Some(answer)
+    }
+
+    /// The same, and nobody is told of the committed entry: that is left to the caller, who gets it, and
+    /// whether a change was written.
+    pub async fn change_untold<T>(
+        &self,
+        key: &str,
+        wait_ms: u64,
+        mut judge: impl FnMut(&[u8]) -> Verdict<T>,
+    ) -> Outcome<(T, ledger::round::Helm, bool)> {
         let own = self.helms.lock().expect("helms").entry(key.into()).or_default().clone();
         let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
         let mut held = tokio::time::timeout_at(end, own.lock()).await.ok()?;
         let mut dice = kernel::clock::Dice::new(self.life ^ kernel::clock::now());
         let mut pause = FIRST_PAUSE_MS;
         while tokio::time::Instant::now() < end {
-            if let Some((answer, owner)) = self.propose(key, held.take(), &mut judge).await {
-                if !owner.is_blank() {
-                    self.learn(key, &owner.entry, true);
-                }
-                *held = Some(owner);
-                return Some(answer);
+            if let Some(done) = self.propose(key, held.take(), &mut judge).await {
+                *held = Some(done.1.clone());
+                return Some(done);
             }
             let rest = dice.below(pause) + 2;
             tokio::time::sleep(std::time::Duration::from_millis(rest)).await;
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -80,8 +80,18 @@
         sheets,
         floors,
     };
+    let holder = |duty: &str| hall.board.lock().expect("board").duties.get(duty).map(|duty| duty.1.clone());
+    let (balancer, batch_owner) = (holder(crate::duty::BALANCE), holder(crate::duty::BATCH));
     for ip in hall.known() {
-        hall.fellow(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip.clone())));
+        let mut gossip = gossip.clone();
+        // What grows with engines or routers goes to the one keeper that reads it.
+        if balancer.as_ref() != Some(&ip) {
+            gossip.busy.clear();
+        }
+        if batch_owner.as_ref() != Some(&ip) {
+            gossip.doors.clear();
+        }
+        hall.fellow(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip)));
     }
 }
 
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod message;
 mod news;
+mod orders;
 mod pause;
 mod platform;
 mod recovery;
--- a/keeper/src/membership.rs
+++ b/keeper/src/membership.rs
@@ -30,20 +30,21 @@
     });
 }
 
-/// The keeper that changes the core: the first live member in the agreed order that is not about to end.
-pub fn coordinator(core: &Core, roster: &roster::Roster, self_leaving: bool, now: u64) -> Option<String> {
+/// The first live member that is not about to end, in the order in which keepers agree for a key or duty.
+pub fn first_member(core: &Core, roster: &roster::Roster, self_leaving: bool, name: &str, now: u64) -> Option<String> {
     let leaving = |ip: &str| match ip == roster.me {
         true => self_leaving,
         false => roster.keepers.get(ip).is_some_and(|peer| peer.leaving),
     };
     let stays = |ip: &str| ledger::quorum::is_member(core, ip) && roster.live(ip, now) && !leaving(ip);
-    roster.order("", ledger::CORE).into_iter().find(|ip| stays(ip))
+    roster.order("", name).into_iter().find(|ip| stays(ip))
 }
 
+/// Is this keeper the one that changes the core?
 fn coordinates(hall: &crate::hall::Hall, core: &Core, now: u64) -> bool {
     let leaving = hall.leaving.load(std::sync::atomic::Ordering::Relaxed);
     let roster = hall.roster.lock().expect("roster");
-    coordinator(core, &roster, leaving, now).as_deref() == Some(hall.me())
+    first_member(core, &roster, leaving, ledger::CORE, now).as_deref() == Some(hall.me())
 }
 
 /// Settles a core that is changing, else begins the next change.
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -16,6 +16,14 @@
                 hall.push();
             }
         }
+        wire::msg::Msg::Order(order) => {
+            let hall = hall.clone();
+            tokio::spawn(async move {
+                let result = crate::orders::relayed(&hall, *order).await;
+                mouth.reply(id, &wire::msg::Msg::OrderDone(Box::new(result)));
+            });
+        }
+        wire::msg::Msg::Advance(advance) => crate::orders::advance(hall, &advance),
         wire::msg::Msg::Learn(pair) => hall.learn(&pair.0, &pair.1, false),
         wire::msg::Msg::Doubt(doubt) => hall.doubt(&doubt.0, doubt.1),
         wire::msg::Msg::Follow(follow) => hall.follow(mouth, id, *follow),
--- /dev/null
+++ b/keeper/src/orders.rs
@@ -0,0 +1,166 @@
+//! Operators' orders. One keeper is home to a key and carries out what concerns it, so that keepers do not
+//! outbid each other; the others relay to it, and carry an order out themselves when it does not answer.
+use crate::config_change::Outcome;
+use crate::state::{Closed, Held};
+use ledger::proposal::Verdict;
+use wire::order::{Advance, ConfigChange, Order, OrderResult};
+
+type Keeper = std::sync::Arc<crate::hall::Hall>;
+
+/// How long the home of a key may take before an order is carried out here.
+const RELAY_MS: u64 = 500;
+/// How long an evacuation may take: an order without a version must not be carried out after its sender gave
+/// up, sent it to another keeper, and then took it back there. Below a second, after which callers give up.
+pub const EVACUATE_MS: u64 = 900;
+
+/// How long an order on the configuration may take before its outcome is told to be unclear.
+pub fn wait_ms(hall: &crate::hall::Hall) -> u64 {
+    (hall.env.bounds.ack_ms / 2).clamp(800, 2500)
+}
+
+/// Carries an order out, at its home where that answers in time.
+pub async fn submit(hall: &Keeper, order: Order) -> OrderResult {
+    if hall.orders_may_be_stale() {
+        return OrderResult::Unclear;
+    }
+    let begun = kernel::clock::now();
+    if let Some(result) = relay(hall, &order).await {
+        return result;
+    }
+    let spent = kernel::clock::now() - begun;
+    execute(hall, &order, spent).await
+}
+
+/// An order that another keeper relayed. It is not relayed again.
+pub async fn relayed(hall: &Keeper, order: Order) -> OrderResult {
+    if hall.orders_may_be_stale() {
+        return OrderResult::Unclear;
+    }
+    execute(hall, &order, 0).await
+}
+
+fn key(order: &Order) -> String {
+    match order {
+        Order::Change(_) | Order::ReadConfig => crate::state::CONFIG.into(),
+        Order::Evacuate { zone, .. } => format!("{}{zone}", crate::state::CLOSED),
+    }
+}
+
+/// The keeper that is home to a key, if that is another one: the first live member in the agreed order. It
+/// has a disk and votes itself.
+fn home(hall: &crate::hall::Hall, key: &str) -> Option<String> {
+    let now = kernel::clock::now();
+    let core = hall.core();
+    let leaving = hall.leaving.load(std::sync::atomic::Ordering::Relaxed);
+    let roster = hall.roster.lock().expect("roster");
+    let first = crate::membership::first_member(&core, &roster, leaving, key, now)?;
+    let takes_orders = roster.keepers.get(&first).is_some_and(|peer| peer.reads >= wire::msg::RELAYED_ORDERS);
+    takes_orders.then_some(first)
+}
+
+/// None: it is to be carried out here.
+async fn relay(hall: &Keeper, order: &Order) -> Option<OrderResult> {
+    let home = home(hall, &key(order))?;
+    let message = wire::msg::Msg::Order(Box::new(order.clone()));
+    match hall.fellow(&home).call(message, RELAY_MS).await {
+        Some(wire::msg::Msg::OrderDone(result)) if *result != OrderResult::Unclear => Some(*result),
+        _ => None,
+    }
+}
+
+async fn execute(hall: &Keeper, order: &Order, spent: u64) -> OrderResult {
+    match order {
+        Order::Change(change) => change_config(hall, change).await,
+        Order::Evacuate { zone, on } => evacuate(hall, zone, *on, EVACUATE_MS.saturating_sub(spent)).await,
+        Order::ReadConfig => {
+            let judge = |body: &[u8]| Verdict::Answer(OrderResult::Found { body: body.to_vec() });
+            hall.change(crate::state::CONFIG, wait_ms(hall), judge).await.unwrap_or(OrderResult::Unclear)
+        }
+    }
+}
+
+async fn change_config(hall: &Keeper, change: &ConfigChange) -> OrderResult {
+    let pack = hall.pack();
+    let mut before = 0;
+    let judge = |body: &[u8]| {
+        let Some(held) = Held::open(body) else { return Verdict::Answer(OrderResult::Unclear) };
+        before = kernel::clock::hash(body);
+        match crate::config_change::apply(change, &held) {
+            Ok(Outcome::TakenBefore) => Verdict::Answer(OrderResult::Done),
+            Ok(Outcome::Next(next)) => Verdict::Write(next.seal(pack), OrderResult::Done),
+            Err(refusal) => {
+                let (status, reason) = (refusal.status(), refusal.to_string());
+                Verdict::Answer(OrderResult::Refused { status, reason })
+            }
+        }
+    };
+    let outcome = hall.change_untold(crate::state::CONFIG, wait_ms(hall), judge).await;
+    let Some((result, owner, wrote)) = outcome else { return OrderResult::Unclear };
+    if !owner.is_blank() {
+        tell(hall, &owner.entry, before, wrote.then_some(change), pack);
+    }
+    if result == OrderResult::Done {
+        let revision = hall.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+        kernel::say!(crate::event::CONFIG, "base" => change.base, "revision" => revision);
+    }
+    result
+}
+
+/// A committed configuration becomes known here and at the other keepers, as a change where they can make it.
+fn tell(hall: &Keeper, entry: &wire::msg::Entry, before: u64, change: Option<&ConfigChange>, pack: bool) {
+    hall.learn(crate::state::CONFIG, entry, false);
+    let after = kernel::clock::hash(&entry.body);
+    let change = change.cloned();
+    let (ballot, step) = entry.place();
+    let revision = hall.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+    let advance = Advance { key: crate::state::CONFIG.into(), ballot, step, before, after, change, revision, pack };
+    let short = wire::msg::Msg::Advance(Box::new(advance));
+    let whole = wire::msg::Msg::Learn(Box::new((crate::state::CONFIG.into(), entry.clone())));
+    for peer in hall.known() {
+        let reads = hall.roster.lock().expect("roster").keepers.get(&peer).map_or(0, |peer| peer.reads);
+        let message = if reads >= wire::msg::RELAYED_ORDERS { &short } else { &whole };
+        hall.fellow(&peer).cast(message.clone());
+    }
+}
+
+/// Makes a change that another keeper committed. What does not fit is left to the next confirmation, which
+/// fetches the whole.
+pub fn advance(hall: &crate::hall::Hall, advance: &Advance) {
+    let held = hall.board.lock().expect("board").entries.get(&advance.key).cloned();
+    let Some(held) = held.filter(|held| held.place() < (advance.ballot, advance.step)) else { return };
+    if let Some(body) = next_body(&held.body, advance) {
+        let entry = wire::msg::Entry { ballot: advance.ballot, step: advance.step, body };
+        hall.learn(&advance.key, &entry, false);
+    }
+}
+
+/// The body after the change, if it is the one that was committed.
+fn next_body(body: &[u8], advance: &Advance) -> Option<Vec<u8>> {
+    if kernel::clock::hash(body) != advance.before {
+        return None;
+    }
+    let Some(change) = &advance.change else { return Some(body.to_vec()) };
+    let next = crate::config_change::repeat(change, advance.revision, &Held::open(body)?)?;
+    let body = next.seal(advance.pack);
+    (kernel::clock::hash(&body) == advance.after).then_some(body)
+}
+
+async fn evacuate(hall: &Keeper, zone: &str, on: bool, wait_ms: u64) -> OrderResult {
+    let key = format!("{}{zone}", crate::state::CLOSED);
+    let judge = |body: &[u8]| {
+        let held = Closed::read_bytes(body).unwrap_or_default();
+        if held.on == on {
+            return Verdict::Answer(());
+        }
+        Verdict::Write(Closed { stamp: held.stamp + 1, on }.write_bytes(), ())
+    };
+    if hall.change(&key, wait_ms, judge).await.is_none() {
+        return OrderResult::Unclear;
+    }
+    kernel::say!(crate::event::EVACUATION, "zone" => zone, "on" => on);
+    OrderResult::Done
+}
+
+#[cfg(test)]
+#[path = "orders_tests.rs"]
+mod tests;
--- a/keeper/src/simulation/history.rs
+++ b/keeper/src/simulation/history.rs
@@ -60,7 +60,7 @@
         let Some(order) = self.orders.get(&attempt) else { return };
         match (order, answer) {
             (Order::Change(change), Answer::Good) => {
-                let (base, digest) = (change.base, change.digest());
+                let (base, digest) = (change.base, crate::config_change::digest(change));
                 let same_base = self.acknowledged.iter().find(|one| one.base == base && one.digest != digest);
                 if same_base.is_some() {
                     self.violations.push(format!("{now}: two changes of version {base} were acknowledged"));
@@ -103,7 +103,7 @@
         }
         for attempt in &self.refused {
             let Some(Order::Change(change)) = self.orders.get(attempt) else { continue };
-            if last.taken.contains(&change.digest()) {
+            if last.taken.contains(&crate::config_change::digest(change)) {
                 self.violations.push(format!("a change of version {} was taken and refused", change.base));
             }
         }
--- a/keeper/src/simulation/members.rs
+++ b/keeper/src/simulation/members.rs
@@ -53,7 +53,8 @@
 
     fn coordinates(&self, at: usize, core: &Core) -> bool {
         let node = &self.nodes[at];
-        let first = crate::membership::coordinator(core, &node.roster, node.leaving.is_some(), self.now);
+        let leaving = node.leaving.is_some();
+        let first = crate::membership::first_member(core, &node.roster, leaving, ledger::CORE, self.now);
         first.as_deref() == Some(&node.voter.ip)
     }
 
--- a/keeper/src/simulation/operator.rs
+++ b/keeper/src/simulation/operator.rs
@@ -2,14 +2,15 @@
 //! clear answer.
 use super::changes::Purpose;
 use super::network::{Address, Message};
-use crate::config_change::{ConfigChange, Outcome};
+use crate::config_change::Outcome;
 use crate::state::{Closed, Held};
 use ledger::proposal::Verdict;
+use wire::order::ConfigChange;
 
 /// How long an operator waits for an answer, and a keeper for an outcome.
 const SILENCE_MS: u64 = 1000;
 const CHANGE_MS: u64 = 2000;
-const EVACUATE_MS: u64 = crate::control::EVACUATE_MS;
+const EVACUATE_MS: u64 = crate::orders::EVACUATE_MS;
 const UNHEARD_CLOSE_ONE_OF: u64 = 4;
 pub const EVACUATION: &str = "evacuation/z";
 
@@ -211,7 +212,7 @@
     if !digests {
         held.taken.clear();
     }
-    match change.apply(&held) {
+    match crate::config_change::apply(change, &held) {
         Ok(Outcome::TakenBefore) => Verdict::Answer(Some(Answer::Good)),
         Ok(Outcome::Next(next)) => Verdict::Write(next.write_bytes(), Some(Answer::Good)),
         Err(_) => Verdict::Answer(Some(Answer::Refused)),
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod frame;
 pub mod link;
 pub mod msg;
+pub mod order;
 pub mod rollout;
 pub mod seek;
 pub mod sock;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -219,6 +219,11 @@
     Settle(Box<(String, u64)>),
     /// Routers that hold a lease, and those of them that confirmed. Since version 2.
     Settled(Box<(u32, u32)>),
+    /// An operator's order, to the keeper that is home to its key. Since version 3.
+    Order(Box<crate::order::Order>),
+    OrderDone(Box<crate::order::OrderResult>),
+    /// As `Learn`, for those that hold the entry before. Since version 3.
+    Advance(Box<crate::order::Advance>),
 }
 
 /// The newest version of these messages. Daemons tell it beside the stamps of their sheets, as the turn
@@ -227,6 +232,8 @@
 
 /// Keepers from this version on count joint quorums while the core changes.
 pub const JOINT_QUORUMS: u64 = 3;
+/// Keepers from this version on take orders that others relay, and changes in place of whole entries.
+pub const RELAYED_ORDERS: u64 = 3;
 
 /// Not an area: told beside the stamps of areas.
 pub fn hidden(name: &str) -> bool {
--- /dev/null
+++ b/wire/src/order.rs
@@ -0,0 +1,53 @@
+//! Operators' orders as keepers relay them to the one that is home to their key, and how what became of
+//! them reaches the others.
+use crate::msg::Ballot;
+
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum Order {
+    Change(ConfigChange),
+    Evacuate { zone: String, on: bool },
+    ReadConfig,
+}
+
+/// A whole configuration or a change of named items, as an operator sent it.
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct ConfigChange {
+    /// The version that it builds on.
+    pub base: u64,
+    pub text: String,
+    /// Named items only: the rest stays as it is.
+    pub partial: bool,
+}
+
+/// What became of an order.
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub enum OrderResult {
+    Done,
+    /// What the key holds, as it was committed.
+    Found {
+        body: Vec<u8>,
+    },
+    Refused {
+        status: u16,
+        reason: String,
+    },
+    /// It may have been carried out, or may yet be.
+    Unclear,
+}
+
+/// A key has a newer committed entry, told to keepers that hold the one before it. Invariant: whoever holds
+/// a body with the digest `before` gets one with the digest `after` by making the change.
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+pub struct Advance {
+    pub key: String,
+    pub ballot: Ballot,
+    pub step: u64,
+    pub before: u64,
+    pub after: u64,
+    /// None: the same body was committed again.
+    pub change: Option<ConfigChange>,
+    /// The version of the configuration after the change.
+    pub revision: u64,
+    /// Whether the body is packed when it is long.
+    pub pack: bool,
+}
