--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -51,10 +51,10 @@
     let life = kernel::clock::life();
     let mut voter = ledger::voter::Voter::new(&env.ip);
     let mut store = None;
-    let mut deeds = Vec::new();
+    let mut empty = true;
     if let Some(dir) = &env.data_dir {
-        match ledger::store::Store::open(std::path::Path::new(dir)) {
-            Ok((open, found)) => (store, deeds) = (Some(open), found),
+        match crate::disk::open(std::path::Path::new(dir), &mut voter) {
+            Ok((open, found_empty)) => (store, empty) = (Some(open), found_empty),
             Err(error) => {
                 kernel::say!(crate::event::BAD_DISK, "cause" => error.to_string());
                 eprintln!("keeper: {error}");
@@ -62,10 +62,6 @@
             }
         }
     }
-    let empty = deeds.is_empty();
-    for deed in deeds {
-        voter.fold(deed);
-    }
     let mut first = Vec::new();
     if empty && env.bootstrap {
         voter.core = found(&env);
--- a/keeper/src/disk.rs
+++ b/keeper/src/disk.rs
@@ -1,68 +1,139 @@
 //! The disk has a thread of its own, so that one that stalls holds up votes and nothing else. What
 //! is handed over is written in that order; an answer leaves once all before it is on disk.
 
-type After = Box<dyn FnOnce() + Send>;
+use ledger::record::LogRecord;
+use ledger::store::{Store, StoreError};
+use ledger::voter::Voter;
+
+/// The pause before a write that failed is tried again.
+const RETRY: std::time::Duration = std::time::Duration::from_millis(100);
+/// How often a disk that refuses is tried when the process starts, before it ends.
+const OPEN_TRIES: u32 = 50;
+
+type Completion = Box<dyn FnOnce() + Send>;
+
+struct WriteRequest {
+    records: Vec<LogRecord>,
+    completion: Option<Completion>,
+}
 
 pub struct Disk {
-    send: std::sync::mpsc::Sender<(Vec<ledger::voter::Deed>, Option<After>)>,
+    queue: std::sync::mpsc::Sender<WriteRequest>,
 }
 
 impl Disk {
-    /// Without a folder everything is kept in memory only.
-    pub fn start(store: Option<ledger::store::Store>, first: ledger::voter::Voter) -> Disk {
-        let (send, jobs) = std::sync::mpsc::channel();
-        std::thread::spawn(move || run(store, first, &jobs));
-        Disk { send }
+    /// Without a store everything is kept in memory only. `voter` is what the store holds.
+    pub fn start(store: Option<Store>, voter: Voter) -> Disk {
+        let (queue, requests) = std::sync::mpsc::channel();
+        std::thread::spawn(move || run(store, voter, &requests));
+        Disk { queue }
     }
 
-    pub fn write(&self, deeds: Vec<ledger::voter::Deed>) {
-        let _ = self.send.send((deeds, None));
+    pub fn write(&self, records: Vec<LogRecord>) {
+        let _ = self.queue.send(WriteRequest { records, completion: None });
     }
 
-    pub fn then(&self, deeds: Vec<ledger::voter::Deed>, after: impl FnOnce() + Send + 'static) {
-        let _ = self.send.send((deeds, Some(Box::new(after))));
+    /// Runs `completion` once the records, and all before them, are on disk.
+    pub fn then(&self, records: Vec<LogRecord>, completion: impl FnOnce() + Send + 'static) {
+        let _ = self.queue.send(WriteRequest { records, completion: Some(Box::new(completion)) });
     }
 }
 
-/// `mirror` follows what is on disk, for snapshots. A failed write is tried again for as long as it
-/// fails: nothing behind it is answered before.
-fn run(
-    mut store: Option<ledger::store::Store>,
-    mut mirror: ledger::voter::Voter,
-    jobs: &std::sync::mpsc::Receiver<(Vec<ledger::voter::Deed>, Option<After>)>,
-) {
-    while let Ok((mut deeds, after)) = jobs.recv() {
-        let mut waits: Vec<After> = after.into_iter().collect();
-        while let Ok((more, after)) = jobs.try_recv() {
-            deeds.extend(more);
-            waits.extend(after);
+/// Opens the store of a voter. A disk that refuses is tried again for a while: one in trouble is no
+/// reason to end, a damaged one is. The second value tells whether the disk was empty.
+pub fn open(path: &std::path::Path, voter: &mut Voter) -> Result<(Store, bool), StoreError> {
+    let ip = voter.ip.clone();
+    let mut tries = 0;
+    loop {
+        *voter = Voter::new(&ip);
+        let mut empty = true;
+        let opened = Store::open(path, &mut |record| {
+            empty = false;
+            voter.fold(record);
+        });
+        tries += 1;
+        match opened {
+            Err(error @ StoreError::Io(..)) if tries < OPEN_TRIES => report(&error, tries == 1),
+            outcome => return outcome.map(|store| (store, empty)),
+        }
+        std::thread::sleep(RETRY);
+    }
+}
+
+/// `synced_voter` follows what is on disk, for snapshots.
+fn run(mut store: Option<Store>, mut synced_voter: Voter, requests: &std::sync::mpsc::Receiver<WriteRequest>) {
+    while let Ok(first) = requests.recv() {
+        let mut records = Vec::new();
+        let mut completions = Vec::new();
+        for request in std::iter::once(first).chain(requests.try_iter()) {
+            records.extend(request.records);
+            completions.extend(request.completion);
+        }
+        if let (Some(store), false) = (&mut store, records.is_empty()) {
+            persist(store, newest(records), &mut synced_voter);
         }
-        if let (Some(store), false) = (&mut store, deeds.is_empty()) {
-            persist(store, &deeds, &mut mirror);
+        for completion in completions {
+            completion();
         }
-        for wait in waits {
-            wait();
+    }
+}
+
+/// Of the records of one write only the last of each kind and key: none of them counts before all are on
+/// disk. The leave to vote goes last, so that a torn write never holds it without what it rests on.
+fn newest(records: Vec<LogRecord>) -> Vec<LogRecord> {
+    let mut keys = std::collections::HashSet::new();
+    let (mut core, mut vote) = (false, false);
+    let mut kept = Vec::with_capacity(records.len());
+    for record in records.into_iter().rev() {
+        let first = match &record {
+            LogRecord::Slot(slot) => keys.insert(slot.key.clone()),
+            LogRecord::Core(_) => !std::mem::replace(&mut core, true),
+            LogRecord::Vote => {
+                vote = true;
+                false
+            }
+        };
+        if first {
+            kept.push(record);
         }
     }
+    kept.reverse();
+    kept.extend(vote.then_some(LogRecord::Vote));
+    kept
 }
 
-fn persist(store: &mut ledger::store::Store, deeds: &[ledger::voter::Deed], mirror: &mut ledger::voter::Voter) {
-    let pause = std::time::Duration::from_millis(100);
-    let mut told = false;
-    while let Err(error) = store.append(deeds) {
-        if !told {
-            kernel::say!(crate::event::DISK_WAIT, "cause" => error.to_string());
+/// A failed write is tried again for as long as it fails: nothing behind it is answered before.
+fn persist(store: &mut Store, records: Vec<LogRecord>, synced_voter: &mut Voter) {
+    let mut first = true;
+    while let Err(error) = store.append(&records) {
+        report(&error, first);
+        first = false;
+        if store.full() {
+            snapshot(store, synced_voter);
         }
-        told = true;
-        std::thread::sleep(pause);
+        std::thread::sleep(RETRY);
     }
-    for deed in deeds {
-        mirror.fold(deed.clone());
+    for record in records {
+        synced_voter.fold(record);
     }
-    if !store.full() {
-        return;
+    if store.full() {
+        snapshot(store, synced_voter);
     }
-    if let Err(error) = store.snapshot(&mirror.whole()) {
+}
+
+fn snapshot(store: &mut Store, synced_voter: &Voter) {
+    if let Err(error) = store.snapshot(&synced_voter.whole()) {
+        report(&error, true);
+    }
+}
+
+/// `first`: not a repetition of the same.
+fn report(error: &StoreError, first: bool) {
+    if first {
         kernel::say!(crate::event::DISK_WAIT, "cause" => error.to_string());
     }
 }
+
+#[cfg(test)]
+#[path = "disk_tests.rs"]
+mod tests;
--- /dev/null
+++ b/keeper/src/disk_tests.rs
@@ -0,0 +1,54 @@
+use ledger::record::LogRecord;
+use ledger::voter::Voter;
+
+fn slot(key: &str, turn: u64) -> LogRecord {
+    let ballot = wire::msg::Ballot { turn, seat: 1 };
+    LogRecord::Slot(wire::msg::Slot { key: key.into(), promised: ballot, entry: None })
+}
+
+fn core(stamp: u64) -> LogRecord {
+    LogRecord::Core(wire::msg::Core { stamp, ..Default::default() })
+}
+
+fn folded(records: &[LogRecord]) -> Vec<LogRecord> {
+    let mut voter = Voter::new("10.0.0.1");
+    records.iter().for_each(|record| voter.fold(record.clone()));
+    voter.whole()
+}
+
+#[test]
+fn of_one_write_the_last_of_each_key_counts_and_the_leave_to_vote_goes_last() {
+    let records = vec![slot("a", 1), core(1), LogRecord::Vote, slot("b", 2), slot("a", 3), core(2)];
+    let kept = super::newest(records.clone());
+    assert_eq!(kept, [slot("b", 2), slot("a", 3), core(2), LogRecord::Vote]);
+    assert_eq!(folded(&kept), folded(&records));
+}
+
+#[test]
+fn hundreds_of_waiting_changes_of_one_key_are_one_record() {
+    let records: Vec<LogRecord> = (1..500).map(|turn| slot("config", turn)).collect();
+    assert_eq!(super::newest(records), [slot("config", 499)]);
+}
+
+#[test]
+fn what_was_completed_is_found_when_the_store_is_opened_again() {
+    let path = std::env::temp_dir().join(format!("tidepoint-disk-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&path);
+    let mut voter = Voter::new("10.0.0.1");
+    let (store, empty) = super::open(&path, &mut voter).expect("opens");
+    assert!(empty && voter.whole().len() == 1);
+    let disk = super::Disk::start(Some(store), voter);
+    let (done, wait) = std::sync::mpsc::channel();
+    disk.write(vec![core(1), LogRecord::Vote]);
+    for turn in 1..=300 {
+        let done = done.clone();
+        disk.then(vec![slot("config", turn)], move || done.send(turn).expect("awaited"));
+    }
+    let order: Vec<u64> = wait.iter().take(300).collect();
+    assert_eq!(order, (1..=300).collect::<Vec<u64>>(), "in the order in which they were handed over");
+    let mut found = Voter::new("10.0.0.1");
+    let (_, empty) = super::open(&path, &mut found).expect("opens");
+    assert!(!empty);
+    assert_eq!(found.whole(), folded(&[core(1), LogRecord::Vote, slot("config", 300)]));
+    let _ = std::fs::remove_dir_all(path);
+}
--- /dev/null
+++ b/ledger/src/folder.rs
@@ -0,0 +1,101 @@
+//! The few file operations that the store needs, behind traits, so that tests can put a simulated
+//! disk with power losses, full disks and failed syncs in place of the real one.
+
+use std::io::Result;
+use std::path::{Path, PathBuf};
+
+/// One folder with files in it. A name that was made, changed or removed lasts once `sync` returned.
+pub trait Folder: Send {
+    fn names(&self) -> Result<Vec<String>>;
+    fn open(&self, name: &str) -> Result<Box<dyn DataFile>>;
+    /// Creates an empty file; one of that name is emptied.
+    fn create(&self, name: &str) -> Result<Box<dyn DataFile>>;
+    fn rename(&self, from: &str, to: &str) -> Result<()>;
+    fn remove(&self, name: &str) -> Result<()>;
+    fn sync(&self) -> Result<()>;
+    /// Where a file is, for messages.
+    fn path(&self, name: &str) -> PathBuf;
+}
+
+/// One file. Its content lasts once `sync` returned; after a failed `sync` what was written since the
+/// last good one must be written again.
+pub trait DataFile: Send {
+    fn size(&self) -> Result<u64>;
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> Result<()>;
+    fn write_at(&self, offset: u64, bytes: &[u8]) -> Result<()>;
+    fn truncate(&self, size: u64) -> Result<()>;
+    fn sync(&self) -> Result<()>;
+}
+
+/// A folder of the machine's file system.
+pub struct DiskFolder {
+    path: PathBuf,
+}
+
+impl DiskFolder {
+    /// Opens the folder, and makes it where it is missing.
+    pub fn open(path: &Path) -> Result<DiskFolder> {
+        if !path.exists() {
+            std::fs::create_dir_all(path)?;
+            if let Some(parent) = path.parent().filter(|parent| !parent.as_os_str().is_empty()) {
+                std::fs::File::open(parent)?.sync_all()?;
+            }
+        }
+        Ok(DiskFolder { path: path.into() })
+    }
+}
+
+impl Folder for DiskFolder {
+    fn names(&self) -> Result<Vec<String>> {
+        std::fs::read_dir(&self.path)?.map(|item| Ok(item?.file_name().to_string_lossy().into_owned())).collect()
+    }
+
+    fn open(&self, name: &str) -> Result<Box<dyn DataFile>> {
+        let file = std::fs::OpenOptions::new().read(true).write(true).open(self.path(name))?;
+        Ok(Box::new(file))
+    }
+
+    fn create(&self, name: &str) -> Result<Box<dyn DataFile>> {
+        let mut options = std::fs::OpenOptions::new();
+        options.read(true).write(true).create(true).truncate(true);
+        Ok(Box::new(options.open(self.path(name))?))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> Result<()> {
+        std::fs::rename(self.path(from), self.path(to))
+    }
+
+    fn remove(&self, name: &str) -> Result<()> {
+        std::fs::remove_file(self.path(name))
+    }
+
+    fn sync(&self) -> Result<()> {
+        std::fs::File::open(&self.path)?.sync_all()
+    }
+
+    fn path(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+}
+
+impl DataFile for std::fs::File {
+    fn size(&self) -> Result<u64> {
+        Ok(self.metadata()?.len())
+    }
+
+    fn read_at(&self, offset: u64, buffer: &mut [u8]) -> Result<()> {
+        std::os::unix::fs::FileExt::read_exact_at(self, buffer, offset)
+    }
+
+    fn write_at(&self, offset: u64, bytes: &[u8]) -> Result<()> {
+        std::os::unix::fs::FileExt::write_all_at(self, bytes, offset)
+    }
+
+    fn truncate(&self, size: u64) -> Result<()> {
+        self.set_len(size)
+    }
+
+    fn sync(&self) -> Result<()> {
+        self.sync_all()
+    }
+}
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -1,7 +1,13 @@
 //! Control state. Each key is a register of its own: one owner at a time under a rising ballot, a
 //! change on a majority of the disks before any answer. No common log, no leader for all.
+mod folder;
+mod listing;
+pub mod record;
+mod recovery;
 pub mod round;
+mod segment;
 pub mod store;
+mod store_error;
 pub mod voter;
 
 pub const CORE: &str = "core";
@@ -27,3 +33,9 @@
 
 #[cfg(test)]
 mod sim;
+#[cfg(test)]
+mod simulated_disk;
+#[cfg(test)]
+mod simulated_folder;
+#[cfg(test)]
+mod store_model;
--- /dev/null
+++ b/ledger/src/listing.rs
@@ -0,0 +1,49 @@
+//! The files of a store by name: segments `log-N`, snapshots `snap-N`, and a snapshot being written.
+
+use crate::folder::Folder;
+use crate::store_error::{io, StoreError};
+
+/// A snapshot that is being written.
+pub const DRAFT: &str = "draft";
+
+pub fn segment_name(number: u64) -> String {
+    format!("log-{number:08}")
+}
+
+pub fn snapshot_name(number: u64) -> String {
+    format!("snap-{number:08}")
+}
+
+/// The numbered files of a store, ascending.
+#[derive(Default)]
+pub struct Listing {
+    pub snapshots: Vec<u64>,
+    pub segments: Vec<u64>,
+}
+
+impl Listing {
+    pub fn read(folder: &dyn Folder) -> Result<Listing, StoreError> {
+        let mut listing = Listing::default();
+        for name in folder.names().map_err(io(folder, ""))? {
+            let number = |prefix: &str| name.strip_prefix(prefix).and_then(|rest| rest.parse::<u64>().ok());
+            listing.snapshots.extend(number("snap-").filter(|number| snapshot_name(*number) == name));
+            listing.segments.extend(number("log-").filter(|number| segment_name(*number) == name));
+        }
+        listing.snapshots.sort_unstable();
+        listing.segments.sort_unstable();
+        Ok(listing)
+    }
+
+    /// The number of the newest snapshot: segments below it are of no more use.
+    pub fn first(&self) -> u64 {
+        self.snapshots.last().copied().unwrap_or(1)
+    }
+
+    /// The segments that count. None: one of them is missing.
+    pub fn live(&self) -> Option<Vec<u64>> {
+        let live: Vec<u64> = self.segments.iter().copied().filter(|number| *number >= self.first()).collect();
+        let unbroken = live.iter().copied().eq(self.first()..self.first() + live.len() as u64);
+        let missing = live.is_empty() && !(self.snapshots.is_empty() && self.segments.is_empty());
+        (unbroken && !missing).then_some(live)
+    }
+}
--- /dev/null
+++ b/ledger/src/record.rs
@@ -0,0 +1,63 @@
+//! The binary form of one log record: a header with a check sum, followed by the body.
+//!
+//! Header: magic (4 bytes), body length (4), the length of the segment known to be synced when the
+//! record was written (8), check sum of all the rest (4), zero (4). Numbers are little-endian.
+
+pub use crate::voter::Deed as LogRecord;
+
+pub const MAGIC: [u8; 4] = *b"tdp1";
+pub const HEADER_BYTES: usize = 24;
+const CHECKED_HEADER_BYTES: usize = 16;
+
+/// The header of a record whose magic fits; the body is not checked yet.
+pub struct Header {
+    pub body_bytes: usize,
+    /// Everything before this offset of the segment was synced before the record was written.
+    pub synced_before: u64,
+    check_sum: u32,
+}
+
+impl Header {
+    /// None: these bytes do not begin with the header of a record.
+    pub fn parse(bytes: &[u8; HEADER_BYTES]) -> Option<Header> {
+        let rest = bytes.strip_prefix(&MAGIC)?;
+        let (length, rest) = rest.split_first_chunk::<4>()?;
+        let (synced, rest) = rest.split_first_chunk::<8>()?;
+        let (sum, _) = rest.split_first_chunk::<4>()?;
+        Some(Header {
+            body_bytes: u32::from_le_bytes(*length) as usize,
+            synced_before: u64::from_le_bytes(*synced),
+            check_sum: u32::from_le_bytes(*sum),
+        })
+    }
+}
+
+fn check_sum(header: &[u8], body: &[u8]) -> u32 {
+    let mut sum = crc32fast::Hasher::new();
+    sum.update(&header[..CHECKED_HEADER_BYTES]);
+    sum.update(body);
+    sum.finalize()
+}
+
+/// Appends the binary form of a record to `out`.
+pub fn encode(record: &LogRecord, synced_before: u64, out: &mut Vec<u8>) {
+    let body = rkyv::to_bytes::<rkyv::rancor::Error>(record).expect("a log record can always be written");
+    let start = out.len();
+    out.extend_from_slice(&MAGIC);
+    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
+    out.extend_from_slice(&synced_before.to_le_bytes());
+    let sum = check_sum(&out[start..], &body);
+    out.extend_from_slice(&sum.to_le_bytes());
+    out.extend_from_slice(&[0; 4]);
+    out.extend_from_slice(&body);
+}
+
+/// Decodes a record from its header and body. None: the check sum or the body does not fit.
+pub fn decode(header_bytes: &[u8; HEADER_BYTES], header: &Header, body: &[u8]) -> Option<LogRecord> {
+    if check_sum(header_bytes, body) != header.check_sum {
+        return None;
+    }
+    let mut aligned = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
+    aligned.extend_from_slice(body);
+    rkyv::from_bytes::<LogRecord, rkyv::rancor::Error>(&aligned).ok()
+}
--- /dev/null
+++ b/ledger/src/recovery.rs
@@ -0,0 +1,81 @@
+//! What is done when a store is opened: reading files, finding the torn end, making it last.
+
+use crate::folder::{DataFile, Folder};
+use crate::listing::segment_name;
+use crate::record::LogRecord;
+use crate::segment::SegmentReader;
+use crate::store_error::{io, StoreError};
+
+/// How the records of one file ended.
+pub struct FileEnd {
+    /// The length that holds whole records.
+    pub whole: u64,
+    /// Up to here a record tells that the file was synced.
+    pub synced: u64,
+}
+
+/// Reads the records of one file. `may_be_torn`: its end may have been written and not synced.
+pub fn read_file(
+    folder: &dyn Folder,
+    name: &str,
+    may_be_torn: bool,
+    apply: &mut dyn FnMut(LogRecord),
+) -> Result<FileEnd, StoreError> {
+    let file = folder.open(name).map_err(io(folder, name))?;
+    let mut reader = SegmentReader::new(&*file).map_err(io(folder, name))?;
+    let mut synced = 0;
+    while let Some(stored) = reader.next().map_err(io(folder, name))? {
+        synced = stored.synced_before;
+        apply(stored.record);
+    }
+    let end = FileEnd { whole: reader.offset(), synced };
+    if reader.at_end() {
+        return Ok(end);
+    }
+    let damaged = |what| Err(StoreError::Damaged { file: folder.path(name), offset: end.whole, what });
+    if !may_be_torn {
+        return damaged("not a whole record, in a file that was synced whole");
+    }
+    if reader.synced_later().map_err(io(folder, name))? {
+        return damaged("not a whole record, yet a later one says it was synced");
+    }
+    if reader.is_foreign().map_err(io(folder, name))? {
+        return damaged("not a file of a store");
+    }
+    Ok(end)
+}
+
+/// The last segment with bytes in it, or the first: only its end can be torn, since a segment is
+/// written only once the one before it is on disk.
+pub fn active_segment(folder: &dyn Folder, live: &[u64]) -> Result<u64, StoreError> {
+    for number in live.iter().rev() {
+        let name = segment_name(*number);
+        let size = folder.open(&name).and_then(|file| file.size()).map_err(io(folder, &name))?;
+        if size > 0 {
+            return Ok(*number);
+        }
+    }
+    Ok(live[0])
+}
+
+/// Cuts off a torn end, and writes again what may stand in memory only: after a sync that failed in an
+/// earlier life of the process, the kernel gives pages back as if they were on disk.
+pub fn settle_tail(segment: &dyn DataFile, end: &FileEnd) -> std::io::Result<()> {
+    segment.truncate(end.whole)?;
+    let from = end.synced.min(end.whole);
+    let mut tail = vec![0; (end.whole - from) as usize];
+    segment.read_at(from, &mut tail)?;
+    segment.write_at(from, &tail)?;
+    segment.sync()
+}
+
+/// The segments behind the active one read as empty, but cutting off what a failed write left there may
+/// never have been synced: they must stay empty after the next power loss.
+pub fn settle_empty(folder: &dyn Folder, live: &[u64], active: u64) -> Result<(), StoreError> {
+    for number in live.iter().filter(|number| **number > active) {
+        let name = segment_name(*number);
+        let emptied = folder.open(&name).and_then(|file| file.truncate(0).and_then(|()| file.sync()));
+        emptied.map_err(io(folder, &name))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/ledger/src/simulated_disk.rs
@@ -0,0 +1,247 @@
+//! A simulated disk for tests of the store. What was not synced may be kept, lost or torn block by
+//! block at a power loss; names that were not synced are kept or lost one by one; a failed sync drops
+//! what it should have written, while reads still give it.
+
+use std::collections::BTreeMap;
+use std::io::{Error, ErrorKind, Result};
+use std::sync::{Arc, Mutex};
+
+const BLOCK_BYTES: usize = 64;
+const LOST_PROCESS: &str = "the process is gone";
+
+#[derive(Clone)]
+pub enum FileChange {
+    Write(usize, Vec<u8>),
+    Truncate(usize),
+}
+
+/// Each tells the file that it is about: it does nothing to another file of that name.
+#[derive(Clone)]
+pub enum NameChange {
+    Create(String, usize),
+    Rename(String, String, usize),
+    Remove(String, usize),
+}
+
+/// Invariant: `cached` is what reads give; `stored` with all of `pending` done would be the same,
+/// unless a sync failed.
+#[derive(Default)]
+pub struct Inode {
+    pub cached: Vec<u8>,
+    stored: Vec<u8>,
+    pub pending: Vec<FileChange>,
+}
+
+/// What goes wrong, and guards of the store that are made to do nothing.
+#[derive(Clone, Default)]
+pub struct Faults {
+    /// Out of a thousand writes, syncs and name changes.
+    pub errors: u64,
+    pub capacity: usize,
+    /// The process ends in the middle of the operation this many ahead.
+    pub crash_in: Option<u64>,
+    pub folder_sync_ignored: bool,
+    pub file_sync_ignored: Option<&'static str>,
+    /// Bytes written over the same bytes do not reach the disk.
+    pub rewrites_ignored: bool,
+    pub truncations_ignored: bool,
+    /// Names last only by a sync of the folder, not by a sync of the new file.
+    pub strict_names: bool,
+}
+
+pub struct Disk {
+    pub inodes: Vec<Inode>,
+    pub names: BTreeMap<String, usize>,
+    stored_names: BTreeMap<String, usize>,
+    pending_names: Vec<NameChange>,
+    dice: kernel::clock::Dice,
+    pub faults: Faults,
+    pub crashed: bool,
+}
+
+pub type SharedDisk = Arc<Mutex<Disk>>;
+
+fn apply_write(content: &mut Vec<u8>, offset: usize, bytes: &[u8]) {
+    if content.len() < offset + bytes.len() {
+        content.resize(offset + bytes.len(), 0);
+    }
+    content[offset..offset + bytes.len()].copy_from_slice(bytes);
+}
+
+fn apply_name(names: &mut BTreeMap<String, usize>, change: &NameChange) {
+    match change {
+        NameChange::Create(name, inode) => drop(names.insert(name.clone(), *inode)),
+        NameChange::Remove(name, inode) => remove_name(names, name, *inode),
+        NameChange::Rename(from, to, inode) => {
+            remove_name(names, from, *inode);
+            names.insert(to.clone(), *inode);
+        }
+    }
+}
+
+fn remove_name(names: &mut BTreeMap<String, usize>, name: &str, inode: usize) {
+    if names.get(name) == Some(&inode) {
+        names.remove(name);
+    }
+}
+
+impl Inode {
+    fn store(&mut self, change: &FileChange) {
+        match change {
+            FileChange::Write(offset, bytes) => apply_write(&mut self.stored, *offset, bytes),
+            FileChange::Truncate(size) => self.stored.resize(*size, 0),
+        }
+    }
+
+    /// Some blocks of each write reach the disk, others do not.
+    fn store_in_part(&mut self, change: &FileChange, dice: &mut kernel::clock::Dice, kept_of_ten: u64) {
+        let FileChange::Write(offset, bytes) = change else { return };
+        for (place, block) in bytes.chunks(BLOCK_BYTES).enumerate() {
+            if dice.below(10) < kept_of_ten {
+                let size = if dice.below(8) == 0 { dice.below(block.len() as u64) as usize } else { block.len() };
+                apply_write(&mut self.stored, offset + place * BLOCK_BYTES, &block[..size]);
+            }
+        }
+    }
+}
+
+impl Disk {
+    pub fn new(seed: u64) -> SharedDisk {
+        let dice = kernel::clock::Dice::new(kernel::clock::blend(seed, 77));
+        Arc::new(Mutex::new(Disk {
+            inodes: Vec::new(),
+            names: BTreeMap::new(),
+            stored_names: BTreeMap::new(),
+            pending_names: Vec::new(),
+            dice,
+            faults: Faults { capacity: usize::MAX, ..Faults::default() },
+            crashed: false,
+        }))
+    }
+
+    /// Bytes that files with a name take.
+    pub fn used(&self) -> usize {
+        self.names.values().map(|inode| self.inodes[*inode].cached.len()).sum()
+    }
+
+    /// Memory is lost with the power, and the next process finds what the disk holds.
+    pub fn lose_power(&mut self) {
+        // At some losses all that was not synced is gone, at some all is there.
+        let kept_of_ten = [0, 2, 5, 8, 10][self.dice.below(5) as usize];
+        let changes = std::mem::take(&mut self.pending_names);
+        for change in changes {
+            if self.dice.below(10) < kept_of_ten {
+                apply_name(&mut self.stored_names, &change);
+            }
+        }
+        for inode in &mut self.inodes {
+            for change in std::mem::take(&mut inode.pending) {
+                match change {
+                    FileChange::Truncate(_) if self.dice.below(10) < kept_of_ten => inode.store(&change),
+                    _ => inode.store_in_part(&change, &mut self.dice, kept_of_ten),
+                }
+            }
+            inode.cached = inode.stored.clone();
+        }
+        self.names = self.stored_names.clone();
+        self.restart();
+    }
+
+    /// A process ends and the next begins; what the kernel holds stays.
+    pub fn restart(&mut self) {
+        (self.crashed, self.faults.crash_in) = (false, None);
+    }
+
+    /// An error where the process is gone, ends here, or the disk refuses.
+    pub fn operate(&mut self) -> Result<()> {
+        if self.crashed {
+            return Err(Error::other(LOST_PROCESS));
+        }
+        if let Some(left) = &mut self.faults.crash_in {
+            if *left == 0 {
+                self.crashed = true;
+                return Err(Error::other(LOST_PROCESS));
+            }
+            *left -= 1;
+        }
+        if self.dice.below(1000) < self.faults.errors {
+            return Err(Error::other("the disk refuses"));
+        }
+        Ok(())
+    }
+
+    pub fn change_name(&mut self, change: NameChange) {
+        apply_name(&mut self.names, &change);
+        self.pending_names.push(change);
+    }
+
+    fn name_of(&self, inode: usize) -> String {
+        self.names.iter().find(|(_, held)| **held == inode).map(|(name, _)| name.clone()).unwrap_or_default()
+    }
+
+    pub fn write(&mut self, inode: usize, offset: usize, bytes: &[u8]) -> Result<()> {
+        let outcome = self.operate();
+        let cached = &self.inodes[inode].cached;
+        let growth = (offset + bytes.len()).saturating_sub(cached.len());
+        let room = self.faults.capacity.saturating_sub(self.used());
+        let full = growth > room;
+        // A write that fails may have been done in part.
+        let size = match outcome.is_err() || full {
+            true => {
+                self.dice.below((bytes.len() + 1).min(bytes.len().saturating_sub(growth) + room + 1) as u64) as usize
+            }
+            false => bytes.len(),
+        };
+        let held = &mut self.inodes[inode];
+        let same = held.cached.get(offset..offset + size) == Some(&bytes[..size]);
+        apply_write(&mut held.cached, offset, &bytes[..size]);
+        if !(same && self.faults.rewrites_ignored) {
+            held.pending.push(FileChange::Write(offset, bytes[..size].to_vec()));
+        }
+        outcome?;
+        match full {
+            true => Err(Error::new(ErrorKind::StorageFull, "the disk is full")),
+            false => Ok(()),
+        }
+    }
+
+    pub fn sync_file(&mut self, inode: usize) -> Result<()> {
+        let outcome = self.operate();
+        let name = self.name_of(inode);
+        if outcome.is_ok() && self.faults.file_sync_ignored.is_some_and(|prefix| name.starts_with(prefix)) {
+            return Ok(());
+        }
+        if outcome.is_err() && self.crashed {
+            return outcome;
+        }
+        let held = &mut self.inodes[inode];
+        for change in std::mem::take(&mut held.pending) {
+            match (&outcome, &change) {
+                (Ok(()), _) => held.store(&change),
+                // The length of a file stands in the journal of the file system, which is tried again.
+                (Err(_), FileChange::Truncate(_)) => held.pending.push(change),
+                (Err(_), FileChange::Write(..)) => held.store_in_part(&change, &mut self.dice, 5),
+            }
+        }
+        if outcome.is_ok() && !self.faults.strict_names {
+            let made = |change: &NameChange| matches!(change, NameChange::Create(_, held) if *held == inode);
+            if let Some(place) = self.pending_names.iter().position(made) {
+                let change = self.pending_names.remove(place);
+                apply_name(&mut self.stored_names, &change);
+            }
+        }
+        outcome
+    }
+
+    /// All names last from now on.
+    pub fn sync_names(&mut self) -> Result<()> {
+        self.operate()?;
+        if self.faults.folder_sync_ignored {
+            return Ok(());
+        }
+        for change in std::mem::take(&mut self.pending_names) {
+            apply_name(&mut self.stored_names, &change);
+        }
+        Ok(())
+    }
+}
--- a/ledger/src/store.rs
+++ b/ledger/src/store.rs
@@ -1,205 +1,208 @@
-//! The disk: a log in segments, a snapshot beside it. A record counts once its check sum fits. A
-//! torn end is cut off; a flaw before something that was synced is told with file and offset.
-
-const MARK: [u8; 4] = *b"tdp1";
-const HEAD: usize = 24;
-/// Invariant: a segment larger than this is followed by a snapshot and a new segment.
-const SEGMENT: u64 = 2 * 1024 * 1024;
-
-#[derive(Debug)]
-pub enum BadDisk {
-    Io(std::path::PathBuf, std::io::Error),
-    Flaw { file: std::path::PathBuf, offset: u64, what: &'static str },
-}
-
-impl std::fmt::Display for BadDisk {
-    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
-        match self {
-            BadDisk::Io(file, error) => write!(out, "{}: {error}", file.display()),
-            BadDisk::Flaw { file, offset, what } => write!(out, "{} at offset {offset}: {what}", file.display()),
-        }
-    }
-}
-
-impl std::error::Error for BadDisk {}
-
-/// Invariants: `synced` bytes of the current segment are on disk; the snapshot numbered N holds
-/// everything of the segments below N.
+//! The disk of a voter: a log in numbered segments with a snapshot beside it (docs/storage.md).
+//!
+//! A record counts once its check sum fits. A torn end is cut off when the store is opened; damage in
+//! front of something that was synced is told with file and offset.
+
+use crate::folder::{DataFile, DiskFolder, Folder};
+use crate::listing::{segment_name, snapshot_name, Listing, DRAFT};
+use crate::record::{encode, LogRecord};
+use crate::recovery::{active_segment, read_file, settle_empty, settle_tail, FileEnd};
+use crate::store_error::io;
+pub use crate::store_error::StoreError;
+
+/// A segment longer than this is followed by a snapshot and a new segment.
+const SEGMENT_BYTES: u64 = 2 * 1024 * 1024;
+/// After a snapshot failed, the next is tried when the log has grown by this part of a segment.
+const SNAPSHOT_RETRY_PART: u64 = 8;
+/// A log of this many segments takes no more records before a snapshot was made: the disk keeps room.
+const MOST_SEGMENTS: u64 = 4;
+/// Records are gathered up to this size before they are written.
+const WRITE_BYTES: usize = 1024 * 1024;
+
+/// Invariants: the first `synced` bytes of the active segment are on disk; every segment before it is on
+/// disk as a whole; the snapshot numbered N holds everything of the segments below N.
 pub struct Store {
-    dir: std::path::PathBuf,
-    file: std::fs::File,
+    folder: Box<dyn Folder>,
+    segment: Box<dyn DataFile>,
     number: u64,
-    size: u64,
     synced: u64,
+    /// Bytes of the segments before the active one that no snapshot replaces yet.
+    earlier_bytes: u64,
+    /// The number of the newest snapshot that is on disk.
+    snapshot_number: u64,
+    /// A write or sync failed: what stands behind `synced` counts for nothing and must be cut off.
+    tail_unknown: bool,
+    segment_bytes: u64,
+    snapshot_from: u64,
 }
 
-fn io(path: &std::path::Path) -> impl FnOnce(std::io::Error) -> BadDisk + '_ {
-    |error| BadDisk::Io(path.to_path_buf(), error)
-}
-
-/// Record: mark, length, offset known to be on disk when written, check sum, zero, body.
-fn record(deed: &crate::voter::Deed, synced: u64) -> Vec<u8> {
-    let body = rkyv::to_bytes::<rkyv::rancor::Error>(deed).expect("deeds can always be written");
-    let mut out = Vec::with_capacity(HEAD + body.len());
-    out.extend_from_slice(&MARK);
-    out.extend_from_slice(&(body.len() as u32).to_le_bytes());
-    out.extend_from_slice(&synced.to_le_bytes());
-    let mut sum = crc32fast::Hasher::new();
-    sum.update(&out);
-    sum.update(&body);
-    out.extend_from_slice(&sum.finalize().to_le_bytes());
-    out.extend_from_slice(&[0; 4]);
-    out.extend_from_slice(&body);
-    out
-}
-
-/// The record at the start of `bytes`: its length, its synced mark, the deed.
-fn parse(bytes: &[u8]) -> Option<(usize, u64, crate::voter::Deed)> {
-    if bytes.len() < HEAD || bytes[..4] != MARK {
-        return None;
-    }
-    let len = u32::from_le_bytes(bytes[4..8].try_into().ok()?) as usize;
-    let body = bytes.get(HEAD..HEAD.checked_add(len)?)?;
-    let mut sum = crc32fast::Hasher::new();
-    sum.update(&bytes[..16]);
-    sum.update(body);
-    if sum.finalize().to_le_bytes() != bytes[16..20] {
-        return None;
+impl Store {
+    /// Opens a folder; hands all records found there to `apply`, oldest first. When it returns, all of
+    /// them are on disk.
+    pub fn open(path: &std::path::Path, apply: &mut dyn FnMut(LogRecord)) -> Result<Store, StoreError> {
+        let folder = DiskFolder::open(path).map_err(|error| StoreError::Io(path.to_path_buf(), error))?;
+        Store::open_folder(Box::new(folder), SEGMENT_BYTES, apply)
     }
-    let mut room = rkyv::util::AlignedVec::<16>::with_capacity(len);
-    room.extend_from_slice(body);
-    let deed = rkyv::from_bytes::<crate::voter::Deed, rkyv::rancor::Error>(&room).ok()?;
-    Some((HEAD + len, u64::from_le_bytes(bytes[8..16].try_into().ok()?), deed))
-}
 
-/// Reads one file into `deeds`; gives the length that holds. `torn` allows for an unsynced end.
-fn scan(file: &std::path::Path, torn: bool, deeds: &mut Vec<crate::voter::Deed>) -> Result<u64, BadDisk> {
-    let bytes = std::fs::read(file).map_err(io(file))?;
-    let mut at = 0;
-    while at < bytes.len() {
-        let Some((len, _, deed)) = parse(&bytes[at..]) else { break };
-        deeds.push(deed);
-        at += len;
-    }
-    if at == bytes.len() {
-        return Ok(at as u64);
-    }
-    let flaw = |what| BadDisk::Flaw { file: file.to_path_buf(), offset: at as u64, what };
-    if !torn {
-        return Err(flaw("not a whole record, in a file that was synced whole"));
+    pub(crate) fn open_folder(
+        folder: Box<dyn Folder>,
+        segment_bytes: u64,
+        apply: &mut dyn FnMut(LogRecord),
+    ) -> Result<Store, StoreError> {
+        let listing = Listing::read(&*folder)?;
+        let Some(mut live) = listing.live() else {
+            let file = folder.path(&segment_name(listing.first()));
+            return Err(StoreError::Damaged { file, offset: 0, what: "a segment of the log is missing" });
+        };
+        if live.is_empty() {
+            let name = segment_name(1);
+            folder.create(&name).and_then(|file| file.sync()).map_err(io(&*folder, &name))?;
+            live.push(1);
+        }
+        if let Some(number) = listing.snapshots.last() {
+            read_file(&*folder, &snapshot_name(*number), false, apply)?;
+        }
+        let number = active_segment(&*folder, &live)?;
+        let mut end = FileEnd { whole: 0, synced: 0 };
+        let mut earlier_bytes = 0;
+        for segment in live.iter().copied().filter(|segment| *segment <= number) {
+            earlier_bytes += end.whole;
+            end = read_file(&*folder, &segment_name(segment), segment == number, apply)?;
+        }
+        let name = segment_name(number);
+        let segment = folder.open(&name).map_err(io(&*folder, &name))?;
+        settle_tail(&*segment, &end).map_err(io(&*folder, &name))?;
+        settle_empty(&*folder, &live, number)?;
+        folder.sync().map_err(io(&*folder, ""))?;
+        let store = Store {
+            folder,
+            segment,
+            number,
+            synced: end.whole,
+            earlier_bytes,
+            snapshot_number: listing.first(),
+            tail_unknown: false,
+            segment_bytes,
+            snapshot_from: segment_bytes,
+        };
+        store.remove_older();
+        Ok(store)
     }
-    // Whatever stands behind a torn record must not claim that the torn part was synced.
-    for next in at + 1..bytes.len() {
-        if bytes[next..].starts_with(&MARK) && parse(&bytes[next..]).is_some_and(|(_, synced, _)| synced > at as u64) {
-            return Err(flaw("not a whole record, yet a later one says it was synced"));
+
+    /// Writes and syncs; on an error nothing of it may be answered for.
+    pub fn append(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
+        if self.overdue() {
+            return Err(StoreError::SnapshotOverdue);
         }
+        self.cut_unknown_tail()?;
+        self.tail_unknown = true;
+        let end = write_records(&*self.segment, self.synced, self.synced, records)
+            .and_then(|end| self.segment.sync().map(|()| end))
+            .map_err(io(&*self.folder, &segment_name(self.number)))?;
+        self.tail_unknown = false;
+        self.synced = end;
+        Ok(())
     }
-    if at == 0 && bytes.len() >= 4 && bytes[..4] != MARK && bytes.iter().any(|byte| *byte != 0) {
-        return Err(flaw("not a file of ours"));
+
+    /// Is a snapshot due?
+    pub fn full(&self) -> bool {
+        self.synced > self.snapshot_from || self.overdue()
     }
-    Ok(at as u64)
-}
 
-fn names(dir: &std::path::Path) -> Result<(Option<u64>, Vec<u64>), BadDisk> {
-    let mut snap = None;
-    let mut logs = Vec::new();
-    for item in std::fs::read_dir(dir).map_err(io(dir))? {
-        let name = item.map_err(io(dir))?.file_name().to_string_lossy().into_owned();
-        let number = |head: &str| name.strip_prefix(head).and_then(|rest| rest.parse::<u64>().ok());
-        if let Some(number) = number("snap-") {
-            snap = snap.max(Some(number));
-        }
-        if let Some(number) = number("log-") {
-            logs.push(number);
-        }
+    fn overdue(&self) -> bool {
+        self.earlier_bytes + self.synced > MOST_SEGMENTS * self.segment_bytes
     }
-    logs.sort_unstable();
-    Ok((snap, logs))
-}
 
-impl Store {
-    /// Opens a folder; gives all deeds found there, oldest first.
-    pub fn open(dir: &std::path::Path) -> Result<(Store, Vec<crate::voter::Deed>), BadDisk> {
-        std::fs::create_dir_all(dir).map_err(io(dir))?;
-        let (snap, logs) = names(dir)?;
-        let first = snap.unwrap_or(0);
-        let mut deeds = Vec::new();
-        if let Some(number) = snap {
-            scan(&dir.join(format!("snap-{number:08}")), false, &mut deeds)?;
-        }
-        let live: Vec<u64> = logs.iter().copied().filter(|number| *number >= first).collect();
-        let number = live.last().copied().unwrap_or(first.max(1));
-        let mut size = 0;
-        for log in &live {
-            size = scan(&dir.join(format!("log-{log:08}")), *log == number, &mut deeds)?;
-        }
-        let path = dir.join(format!("log-{number:08}"));
-        let file =
-            std::fs::OpenOptions::new().create(true).truncate(false).write(true).open(&path).map_err(io(&path))?;
-        file.set_len(size).map_err(io(&path))?;
-        file.sync_all().map_err(io(&path))?;
-        let store = Store { dir: dir.into(), file, number, size, synced: size };
-        store.sync_dir()?;
-        for old in logs.iter().filter(|number| **number < first) {
-            let _ = std::fs::remove_file(dir.join(format!("log-{old:08}")));
+    /// A new segment, then a snapshot of everything before it; the old files go last. After an error
+    /// the log goes on, in the old segment or the new one, and nothing is lost.
+    pub fn snapshot(&mut self, whole: &[LogRecord]) -> Result<(), StoreError> {
+        self.remove_older();
+        let made = self.begin_segment().and_then(|()| self.write_snapshot(whole));
+        if made.is_err() {
+            self.snapshot_from = self.synced + self.segment_bytes / SNAPSHOT_RETRY_PART;
+            let _ = self.folder.remove(DRAFT);
+            return made;
         }
-        Ok((store, deeds))
+        self.snapshot_from = self.segment_bytes;
+        (self.snapshot_number, self.earlier_bytes) = (self.number, 0);
+        self.remove_older();
+        Ok(())
     }
 
-    /// Writes and syncs; on an error nothing of it may be answered for.
-    pub fn append(&mut self, deeds: &[crate::voter::Deed]) -> Result<(), BadDisk> {
-        let mut block = Vec::new();
-        for deed in deeds {
-            block.extend_from_slice(&record(deed, self.synced));
+    /// Nothing to do while the active one is empty.
+    fn begin_segment(&mut self) -> Result<(), StoreError> {
+        self.cut_unknown_tail()?;
+        if self.synced == 0 {
+            return Ok(());
         }
-        let path = self.dir.join(format!("log-{:08}", self.number));
-        use std::os::unix::fs::FileExt;
-        self.file.write_all_at(&block, self.synced).map_err(io(&path))?;
-        self.file.sync_data().map_err(io(&path))?;
-        self.synced += block.len() as u64;
-        self.size = self.synced;
+        let next = self.number + 1;
+        let name = segment_name(next);
+        let segment = self.folder.create(&name).map_err(io(&*self.folder, &name))?;
+        segment.sync().map_err(io(&*self.folder, &name))?;
+        self.folder.sync().map_err(io(&*self.folder, ""))?;
+        self.earlier_bytes += self.synced;
+        (self.segment, self.number, self.synced) = (segment, next, 0);
         Ok(())
     }
 
-    pub fn full(&self) -> bool {
-        self.size > SEGMENT
+    /// The snapshot appears under its name only once its content is on disk.
+    fn write_snapshot(&self, whole: &[LogRecord]) -> Result<(), StoreError> {
+        let draft = self.folder.create(DRAFT).map_err(io(&*self.folder, DRAFT))?;
+        write_records(&*draft, 0, 0, whole).map_err(io(&*self.folder, DRAFT))?;
+        draft.sync().map_err(io(&*self.folder, DRAFT))?;
+        let name = snapshot_name(self.number);
+        self.folder.rename(DRAFT, &name).map_err(io(&*self.folder, &name))?;
+        self.folder.sync().map_err(io(&*self.folder, ""))
     }
 
-    /// A snapshot of everything, then a new segment; the old files go last.
-    pub fn snapshot(&mut self, whole: &[crate::voter::Deed]) -> Result<(), BadDisk> {
-        let next = self.number + 1;
-        let path = self.dir.join(format!("snap-{next:08}"));
-        let draft = self.dir.join("draft");
-        let block: Vec<u8> = whole.iter().flat_map(|deed| record(deed, 0)).collect();
-        let mut file = std::fs::File::create(&draft).map_err(io(&draft))?;
-        use std::io::Write;
-        file.write_all(&block).map_err(io(&draft))?;
-        file.sync_all().map_err(io(&draft))?;
-        let log = self.dir.join(format!("log-{next:08}"));
-        let fresh = std::fs::File::create(&log).map_err(io(&log))?;
-        fresh.sync_all().map_err(io(&log))?;
-        std::fs::rename(&draft, &path).map_err(io(&path))?;
-        self.sync_dir()?;
-        (self.file, self.number, self.size, self.synced) = (fresh, next, 0, 0);
-        let (_, logs) = names(&self.dir)?;
-        for old in logs.iter().filter(|number| **number < next) {
-            let _ = std::fs::remove_file(self.dir.join(format!("log-{old:08}")));
-        }
-        for old in 1..next {
-            let name = self.dir.join(format!("snap-{old:08}"));
-            if name.exists() {
-                let _ = std::fs::remove_file(name);
-            }
+    /// After a failed write or sync: what stands behind the synced part must never be read again.
+    fn cut_unknown_tail(&mut self) -> Result<(), StoreError> {
+        if !self.tail_unknown {
+            return Ok(());
         }
+        let cut = self.segment.truncate(self.synced).and_then(|()| self.segment.sync());
+        cut.map_err(io(&*self.folder, &segment_name(self.number)))?;
+        self.tail_unknown = false;
         Ok(())
     }
 
-    fn sync_dir(&self) -> Result<(), BadDisk> {
-        let folder = std::fs::File::open(&self.dir).map_err(io(&self.dir))?;
-        folder.sync_all().map_err(io(&self.dir))
+    /// Removes what a snapshot that is on disk replaces. What stays is removed another time.
+    fn remove_older(&self) {
+        let first = self.snapshot_number;
+        let Ok(listing) = Listing::read(&*self.folder) else { return };
+        let _ = self.folder.remove(DRAFT);
+        let segments = listing.segments.into_iter().filter(|number| *number < first).map(segment_name);
+        let snapshots = listing.snapshots.into_iter().filter(|number| *number < first).map(snapshot_name);
+        for name in segments.chain(snapshots) {
+            let _ = self.folder.remove(&name);
+        }
     }
 }
 
+/// Writes records one after the other from `offset` on; gives where they end.
+fn write_records(
+    file: &dyn DataFile,
+    mut offset: u64,
+    synced_before: u64,
+    records: &[LogRecord],
+) -> std::io::Result<u64> {
+    let mut block = Vec::new();
+    for record in records {
+        encode(record, synced_before, &mut block);
+        if block.len() >= WRITE_BYTES {
+            file.write_at(offset, &block)?;
+            offset += block.len() as u64;
+            block.clear();
+        }
+    }
+    file.write_at(offset, &block)?;
+    Ok(offset + block.len() as u64)
+}
+
 #[cfg(test)]
 #[path = "store_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "store_model_tests.rs"]
+mod model_tests;
--- /dev/null
+++ b/ledger/src/store_model.rs
@@ -0,0 +1,195 @@
+//! The store at random work on a simulated disk that loses power, ends the process, fills up and refuses.
+//! After each opening all that was reported as synced must be there, and nothing but part of what was
+//! under way may be new.
+
+use crate::record::LogRecord;
+use crate::simulated_disk::{Disk, Faults, SharedDisk};
+use crate::simulated_folder::SimulatedFolder;
+use crate::store::{Store, StoreError};
+use crate::voter::Voter;
+use kernel::clock::Dice;
+
+const SEGMENT_BYTES: u64 = 2000;
+const KEYS: u64 = 5;
+const MOST_BODY: u64 = 300;
+/// The disk of a whole run: the store must never need more.
+const CAPACITY: usize = 16_000;
+/// What remains after a snapshot: all keys, the members, and a new segment with little in it.
+const SETTLED_BYTES: usize = 4_000;
+
+/// The store under test, and what must be found on its disk.
+pub struct Run {
+    pub disk: SharedDisk,
+    pub dice: Dice,
+    /// All that was reported as synced.
+    acknowledged: Voter,
+    /// Batches whose writing failed and that nothing has overwritten for certain.
+    under_way: Vec<Vec<LogRecord>>,
+    turn: u64,
+}
+
+fn after(voter: &Voter, records: &[LogRecord]) -> Voter {
+    let mut next = voter.clone();
+    records.iter().for_each(|record| next.fold(record.clone()));
+    next
+}
+
+impl Run {
+    pub fn new(seed: u64, faults: Faults) -> Run {
+        let disk = Disk::new(seed);
+        disk.lock().expect("disk").faults = Faults { capacity: CAPACITY, ..faults };
+        let acknowledged = Voter::new("10.0.0.1");
+        Run { disk, dice: Dice::new(kernel::clock::blend(seed, 3)), acknowledged, under_way: Vec::new(), turn: 0 }
+    }
+
+    pub fn faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut self.disk.lock().expect("disk").faults);
+    }
+
+    pub fn crashed(&self) -> bool {
+        self.disk.lock().expect("disk").crashed
+    }
+
+    fn record(&mut self) -> LogRecord {
+        self.turn += 1;
+        match self.dice.below(12) {
+            0 => return LogRecord::Vote,
+            1 => return LogRecord::Core(wire::msg::Core { stamp: self.turn, ..Default::default() }),
+            _ => {}
+        }
+        let ballot = wire::msg::Ballot { turn: self.turn, seat: 1 };
+        let body = vec![self.turn as u8; self.dice.below(MOST_BODY) as usize];
+        let entry = Some(wire::msg::Entry { ballot, step: 0, body });
+        LogRecord::Slot(wire::msg::Slot { key: format!("k{}", self.dice.below(KEYS)), promised: ballot, entry })
+    }
+
+    fn batch(&mut self) -> Vec<LogRecord> {
+        let count = 1 + self.dice.below(4);
+        (0..count).map(|_| self.record()).collect()
+    }
+
+    fn end_process(&mut self) {
+        let mut disk = self.disk.lock().expect("disk");
+        match self.dice.below(3) {
+            0 => disk.restart(),
+            _ => disk.lose_power(),
+        }
+    }
+
+    /// Opens again and again until it works, as the keeper does.
+    pub fn open(&mut self) -> Result<Store, String> {
+        for attempt in 0.. {
+            if attempt == 20 {
+                self.faults(|faults| (faults.errors, faults.capacity) = (0, CAPACITY));
+            }
+            let mut found = Voter::new("10.0.0.1");
+            let folder = Box::new(SimulatedFolder(self.disk.clone()));
+            match Store::open_folder(folder, SEGMENT_BYTES, &mut |record| found.fold(record)) {
+                Ok(store) => {
+                    self.check(&found)?;
+                    self.acknowledged = found;
+                    self.under_way.clear();
+                    return Ok(store);
+                }
+                Err(error @ StoreError::Damaged { .. }) => return Err(format!("taken for damaged: {error}")),
+                Err(StoreError::Io(..)) if self.crashed() => self.end_process(),
+                Err(error) if attempt > 40 => return Err(format!("never opens: {error}")),
+                Err(_) => {}
+            }
+        }
+        unreachable!("the loop has no end")
+    }
+
+    fn check(&self, found: &Voter) -> Result<(), String> {
+        let may_be = |records: &[LogRecord]| after(&self.acknowledged, records).whole() == found.whole();
+        let fits =
+            may_be(&[]) || self.under_way.iter().any(|batch| (1..=batch.len()).any(|length| may_be(&batch[..length])));
+        match fits {
+            true => Ok(()),
+            false => Err(format!("found {:?}\nwanted {:?}", found.whole(), self.acknowledged.whole())),
+        }
+    }
+
+    pub fn append(&mut self, store: &mut Store) {
+        let mut batch = self.batch();
+        for _ in 0..4 {
+            if store.append(&batch).is_ok() {
+                self.acknowledged = after(&self.acknowledged, &batch);
+                self.under_way.clear();
+                return;
+            }
+            self.under_way.push(batch.clone());
+            if self.crashed() {
+                return;
+            }
+            if store.full() {
+                self.snapshot(store);
+            }
+            if self.dice.below(2) == 0 {
+                batch = self.batch();
+            }
+        }
+    }
+
+    pub fn snapshot(&mut self, store: &mut Store) {
+        if store.snapshot(&self.acknowledged.whole()).is_ok() {
+            self.under_way.clear();
+        }
+    }
+
+    fn trouble(&mut self) {
+        let used = self.disk.lock().expect("disk").used();
+        let room = self.dice.below(1500) as usize;
+        let ahead = self.dice.below(40);
+        match self.dice.below(5) {
+            0 => self.faults(|faults| faults.errors = 0),
+            1 => self.faults(|faults| faults.errors = 40),
+            2 => self.faults(|faults| faults.errors = 300),
+            3 => self.faults(|faults| faults.capacity = (used + room).min(CAPACITY)),
+            _ => self.faults(|faults| faults.capacity = CAPACITY),
+        }
+        if self.dice.below(2) == 0 {
+            self.faults(|faults| faults.crash_in = Some(ahead));
+        }
+    }
+
+    pub fn steps(&mut self, count: u64) -> Result<(), String> {
+        let mut store = self.open()?;
+        for _ in 0..count {
+            match self.dice.below(10) {
+                0 | 1 => self.trouble(),
+                2 => self.snapshot(&mut store),
+                _ => self.append(&mut store),
+            }
+            if store.full() {
+                self.snapshot(&mut store);
+            }
+            if self.crashed() {
+                self.end_process();
+                store = self.open()?;
+            }
+        }
+        drop(store);
+        self.end_process();
+        self.faults(|faults| (faults.errors, faults.capacity, faults.crash_in) = (0, CAPACITY, None));
+        self.finish()
+    }
+
+    /// Once the disk is well again, everything works and what is not needed is gone.
+    pub fn finish(&mut self) -> Result<(), String> {
+        let mut store = self.open()?;
+        if store.full() {
+            store.snapshot(&self.acknowledged.whole()).map_err(|error| format!("no snapshot: {error}"))?;
+        }
+        let batch = self.batch();
+        store.append(&batch).map_err(|error| format!("stays full: {error}"))?;
+        self.acknowledged = after(&self.acknowledged, &batch);
+        store.snapshot(&self.acknowledged.whole()).map_err(|error| format!("no snapshot: {error}"))?;
+        let used = self.disk.lock().expect("disk").used();
+        if used > SETTLED_BYTES {
+            return Err(format!("{used} bytes stay on the disk"));
+        }
+        self.disk.lock().expect("disk").lose_power();
+        self.open().map(drop)
+    }
+}
--- a/ledger/src/store_tests.rs
+++ b/ledger/src/store_tests.rs
@@ -1,44 +1,52 @@
+use crate::record::LogRecord;
+
 fn folder(name: &str) -> std::path::PathBuf {
     let dir = std::env::temp_dir().join(format!("tidepoint-store-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&dir);
     dir
 }
 
-fn deed(turn: u64, body: &[u8]) -> crate::voter::Deed {
+fn record(turn: u64, body: &[u8]) -> LogRecord {
     let ballot = wire::msg::Ballot { turn, seat: 1 };
     let entry = Some(wire::msg::Entry { ballot, step: 0, body: body.to_vec() });
-    crate::voter::Deed::Slot(wire::msg::Slot { key: "k".into(), promised: ballot, entry })
+    LogRecord::Slot(wire::msg::Slot { key: "k".into(), promised: ballot, entry })
+}
+
+fn open(dir: &std::path::Path) -> Result<(super::Store, Vec<LogRecord>), super::StoreError> {
+    let mut records = Vec::new();
+    let store = super::Store::open(dir, &mut |record| records.push(record))?;
+    Ok((store, records))
 }
 
-fn reopen(dir: &std::path::Path) -> Vec<crate::voter::Deed> {
-    super::Store::open(dir).expect("opens").1
+fn reopen(dir: &std::path::Path) -> Vec<LogRecord> {
+    open(dir).expect("opens").1
 }
 
 #[test]
 fn what_was_appended_comes_back_and_snapshots_replace_it() {
     let dir = folder("plain");
-    let (mut store, found) = super::Store::open(&dir).expect("opens");
+    let (mut store, found) = open(&dir).expect("opens");
     assert!(found.is_empty());
-    store.append(&[deed(1, b"a"), deed(2, b"b")]).expect("written");
-    assert_eq!(reopen(&dir), [deed(1, b"a"), deed(2, b"b")]);
-    store.snapshot(&[deed(2, b"b")]).expect("written");
-    store.append(&[deed(3, b"c")]).expect("written");
-    assert_eq!(reopen(&dir), [deed(2, b"b"), deed(3, b"c")]);
+    store.append(&[record(1, b"a"), record(2, b"b")]).expect("written");
+    assert_eq!(reopen(&dir), [record(1, b"a"), record(2, b"b")]);
+    store.snapshot(&[record(2, b"b")]).expect("written");
+    store.append(&[record(3, b"c")]).expect("written");
+    assert_eq!(reopen(&dir), [record(2, b"b"), record(3, b"c")]);
     let _ = std::fs::remove_dir_all(dir);
 }
 
 #[test]
 fn a_torn_end_is_cut_off_at_every_length() {
     let dir = folder("torn");
-    let (mut store, _) = super::Store::open(&dir).expect("opens");
-    store.append(&[deed(1, b"a")]).expect("written");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, b"a")]).expect("written");
     let file = dir.join("log-00000001");
     let kept = std::fs::read(&file).expect("read").len();
-    store.append(&[deed(2, b"bbbb")]).expect("written");
+    store.append(&[record(2, b"bbbb")]).expect("written");
     let whole = std::fs::read(&file).expect("read");
     for len in kept..whole.len() {
         std::fs::write(&file, &whole[..len]).expect("written");
-        assert_eq!(reopen(&dir), [deed(1, b"a")], "length {len}");
+        assert_eq!(reopen(&dir), [record(1, b"a")], "length {len}");
         // Missing rather than short: zeros where the write should be.
         let mut hole = whole[..len].to_vec();
         hole.resize(whole.len(), 0);
@@ -46,7 +54,7 @@
             continue; // what is missing was zero: nothing is
         }
         std::fs::write(&file, &hole).expect("written");
-        assert_eq!(reopen(&dir), [deed(1, b"a")], "hole at {len}");
+        assert_eq!(reopen(&dir), [record(1, b"a")], "hole at {len}");
     }
     let _ = std::fs::remove_dir_all(dir);
 }
@@ -54,14 +62,14 @@
 #[test]
 fn a_flaw_before_what_was_synced_is_refused_with_file_and_offset() {
     let dir = folder("flaw");
-    let (mut store, _) = super::Store::open(&dir).expect("opens");
-    store.append(&[deed(1, b"a")]).expect("written");
-    store.append(&[deed(2, b"b")]).expect("written");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, b"a")]).expect("written");
+    store.append(&[record(2, b"b")]).expect("written");
     let file = dir.join("log-00000001");
     let mut bytes = std::fs::read(&file).expect("read");
     bytes[30] ^= 0x10;
     std::fs::write(&file, &bytes).expect("written");
-    let error = super::Store::open(&dir).err().expect("refused").to_string();
+    let error = open(&dir).err().expect("refused").to_string();
     assert!(error.contains("log-00000001") && error.contains("offset 0"), "{error}");
     assert_eq!(std::fs::read(&file).expect("read"), bytes, "left as it was");
     let _ = std::fs::remove_dir_all(dir);
@@ -72,26 +80,26 @@
     let dir = folder("foreign");
     std::fs::create_dir_all(&dir).expect("made");
     std::fs::write(dir.join("log-00000001"), b"#!/bin/sh\necho of another program\n").expect("written");
-    let error = super::Store::open(&dir).err().expect("refused").to_string();
-    assert!(error.contains("not a file of ours"), "{error}");
+    let error = open(&dir).err().expect("refused").to_string();
+    assert!(error.contains("not a file of a store"), "{error}");
     let _ = std::fs::remove_dir_all(dir);
 }
 
 #[test]
 fn a_storm_of_large_changes_stays_within_a_bounded_size() {
     let dir = folder("storm");
-    let (mut store, _) = super::Store::open(&dir).expect("opens");
+    let (mut store, _) = open(&dir).expect("opens");
     let body = vec![7; 300_000];
     for turn in 1..60 {
-        store.append(&[deed(turn, &body)]).expect("written");
+        store.append(&[record(turn, &body)]).expect("written");
         if store.full() {
-            store.snapshot(&[deed(turn, &body)]).expect("written");
+            store.snapshot(&[record(turn, &body)]).expect("written");
         }
     }
     let size: u64 =
         std::fs::read_dir(&dir).expect("listed").map(|item| item.expect("item").metadata().expect("size").len()).sum();
     assert!(size < 4 * 1024 * 1024, "{size}");
-    assert_eq!(reopen(&dir).last(), Some(&deed(59, &body)));
+    assert_eq!(reopen(&dir).last(), Some(&record(59, &body)));
     let _ = std::fs::remove_dir_all(dir);
 }
 
@@ -105,10 +113,10 @@
 fn write_fixture() {
     let dir = fixture();
     let _ = std::fs::remove_dir_all(&dir);
-    let (mut store, _) = super::Store::open(&dir).expect("opens");
-    store.append(&[deed(1, b"a")]).expect("written");
-    store.snapshot(&[deed(1, b"a"), crate::voter::Deed::Vote]).expect("written");
-    store.append(&[deed(2, b"b")]).expect("written");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, b"a")]).expect("written");
+    store.snapshot(&[record(1, b"a"), LogRecord::Vote]).expect("written");
+    store.append(&[record(2, b"b")]).expect("written");
 }
 
 #[test]
@@ -119,6 +127,46 @@
         let item = item.expect("an item");
         std::fs::copy(item.path(), dir.join(item.file_name())).expect("copied");
     }
-    assert_eq!(reopen(&dir), [deed(1, b"a"), crate::voter::Deed::Vote, deed(2, b"b")]);
+    assert_eq!(reopen(&dir), [record(1, b"a"), LogRecord::Vote, record(2, b"b")]);
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+/// A snapshot that failed leaves an empty segment behind; the log goes on in the one before it.
+#[test]
+fn a_torn_end_before_an_empty_segment_is_cut_off() {
+    let dir = folder("empty-segment");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, b"a")]).expect("written");
+    store.append(&[record(2, b"bbbb")]).expect("written");
+    let file = dir.join("log-00000001");
+    let whole = std::fs::read(&file).expect("read");
+    std::fs::write(&file, &whole[..whole.len() - 5]).expect("written");
+    std::fs::write(dir.join("log-00000002"), b"").expect("made");
+    assert_eq!(reopen(&dir), [record(1, b"a")]);
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+#[test]
+fn a_first_write_of_which_only_later_blocks_are_there_is_no_foreign_file() {
+    let dir = folder("first-block");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, &[7; 5000])]).expect("written");
+    let file = dir.join("log-00000001");
+    let mut bytes = std::fs::read(&file).expect("read");
+    bytes[..4096].fill(0);
+    std::fs::write(&file, &bytes).expect("written");
+    assert_eq!(reopen(&dir), []);
+    let _ = std::fs::remove_dir_all(dir);
+}
+
+#[test]
+fn a_missing_segment_is_refused() {
+    let dir = folder("missing");
+    let (mut store, _) = open(&dir).expect("opens");
+    store.append(&[record(1, b"a")]).expect("written");
+    store.snapshot(&[record(1, b"a")]).expect("written");
+    std::fs::remove_file(dir.join("log-00000002")).expect("removed");
+    let error = open(&dir).err().expect("refused").to_string();
+    assert!(error.contains("log-00000002") && error.contains("missing"), "{error}");
     let _ = std::fs::remove_dir_all(dir);
 }
