Followers: a keeper never takes a dropped push for sent, and a lease counts until it lapses

Cause, found by reading: pushes go into a bounded buffer, and what was dropped there was noted as sent, until the next call of the router told otherwise; a router could be told that it is current in an answer whose configuration had been dropped. A router whose connection was gone or full was forgotten at once, so a limit on stale weights could be confirmed while that router still held a lease under the older one (up to 1.2 s).

Change: what a follower has rises only once all of it was handed to its connection; after a drop nothing more is pushed before it calls again, and it is not told that it is current. A follower is forgotten once its connection is gone and its lease has lapsed: a raise that follows on a router's end is now confirmed up to 1.6 s later. Deck is now ConfigHistory, its steps are changes.

--- a/keeper/src/crew.rs
+++ b/keeper/src/crew.rs
@@ -1,10 +1,13 @@
 //! The routers that follow this keeper.
 
-/// Invariant: `has` is what was last sent or told; a follower never gets an older stamp.
+/// Invariant: what it says to have is what was handed to its connection or what it told in its last call;
+/// a follower never gets an older stamp.
 pub struct Follower {
     pub mouth: wire::link::Mouth,
     pub area: String,
     pub config: u64,
+    /// Something for it was dropped: nothing more is pushed before it calls again and tells what it has.
+    pub behind: bool,
     /// The stamps of rules that it told in its last call: what it has confirmed.
     pub rules: std::collections::BTreeMap<String, u64>,
     /// Until when it holds its lease.
@@ -15,7 +18,36 @@
     pub sheets: std::collections::BTreeMap<String, (u64, u64)>,
 }
 
+impl Follower {
+    /// Sends a message; one that is dropped is noted. True: it was handed to the connection.
+    pub fn send(&mut self, msg: &wire::msg::Msg) -> bool {
+        let sent = self.mouth.cast(msg);
+        self.behind |= !sent;
+        sent
+    }
+}
+
+/// The followers by node name.
 #[derive(Default)]
 pub struct Crew {
     pub list: std::collections::BTreeMap<String, Follower>,
 }
+
+impl Crew {
+    /// Forgets followers whose connection is gone, once their leases have lapsed: a lease holds without
+    /// the connection over which it was given.
+    pub fn forget_lapsed(&mut self, now: u64) {
+        self.list.retain(|_, follower| follower.until > now || !follower.mouth.gone());
+    }
+
+    /// How many followers hold a lease, and how many of them have confirmed a rule.
+    pub fn confirmations(&self, key: &str, stamp: u64, now: u64) -> (u32, u32) {
+        let live = self.list.values().filter(|follower| follower.until > now);
+        let confirmed = |follower: &Follower| follower.rules.get(key).is_some_and(|held| *held >= stamp);
+        live.fold((0, 0), |(all, good), follower| (all + 1, good + u32::from(confirmed(follower))))
+    }
+}
+
+#[cfg(test)]
+#[path = "crew_tests.rs"]
+mod tests;
--- a/keeper/src/hall.rs
+++ b/keeper/src/hall.rs
@@ -34,7 +34,7 @@
     /// The configuration's number and text, and the evacuations with their stamps.
     pub config: Option<(u64, Vec<u8>)>,
     /// The same as routers take it.
-    pub deck: crate::deck::Deck,
+    pub history: crate::config_history::ConfigHistory,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
     /// Limits on stale weights, removed ones too: their stamps must not start anew.
     pub rules: std::collections::BTreeMap<String, wire::msg::Rule>,
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -2,10 +2,10 @@
 mod balance;
 mod batches;
 pub mod boot;
+mod config_history;
 mod control;
 mod council;
 mod crew;
-mod deck;
 mod disk;
 mod duty;
 mod errands;
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -12,6 +12,7 @@
             mouth,
             area: follow.area,
             config: follow.config,
+            behind: false,
             reads: wire::msg::reads(&follow.sheets),
             closed: follow.closed.into_iter().collect(),
             sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
@@ -20,6 +21,8 @@
         // A lease on bound work is renewed only for one that has confirmed every rule known here.
         // One of the first version holds none: it serves on, and no rule settles while it is there.
         news.sure &= follower.reads < 2 || self.confirmed(&follower);
+        // Whoever is told that it is current must have been sent all.
+        news.sure &= !follower.behind;
         follower.mouth.reply(id, &wire::msg::Msg::News(Box::new(news)));
         self.crew.lock().expect("crew").list.insert(follow.node, follower);
     }
@@ -42,20 +45,18 @@
     pub fn push(&self) {
         let now = kernel::clock::now();
         let mut list = std::mem::take(&mut self.crew.lock().expect("crew").list);
-        list.retain(|node, follower| {
-            if follower.mouth.gone() {
-                return false;
-            }
+        let reachable = list.iter_mut().filter(|(_, follower)| !follower.behind && !follower.mouth.gone());
+        for (node, follower) in reachable {
             let news = self.lack(node, follower, now);
-            if news.config.is_none() && news.closed.is_empty() && news.sheets.is_empty() {
-                return true;
+            if news.config.is_some() || !news.closed.is_empty() || !news.sheets.is_empty() {
+                follower.send(&wire::msg::Msg::News(Box::new(news)));
             }
-            follower.mouth.cast(&wire::msg::Msg::News(Box::new(news)))
-        });
+        }
         let mut crew = self.crew.lock().expect("crew");
         for (node, follower) in list {
             crew.list.entry(node).or_insert(follower);
         }
+        crew.forget_lapsed(now);
     }
 
     fn lack(&self, node: &str, follower: &mut crate::crew::Follower, now: u64) -> wire::msg::News {
@@ -66,10 +67,9 @@
                 // Before the configuration: no route is served whose rule is known here and not there.
                 crate::rules::send(&board, follower);
                 // Before the news: whoever is told that it is current has it by then.
-                for frame in board.deck.frames(follower.config) {
-                    follower.mouth.cast_frame(frame);
-                }
-                follower.config = follower.config.max(board.deck.revision());
+                let mouth = &follower.mouth;
+                let sent = board.history.send_missing(&mut follower.config, |frame| mouth.cast_frame(frame));
+                follower.behind |= !sent;
             } else if let Some((stamp, text)) = &board.config {
                 if *stamp > follower.config {
                     news.config = Some((*stamp, text.clone()));
--- a/keeper/src/rollout_calls.rs
+++ b/keeper/src/rollout_calls.rs
@@ -31,7 +31,7 @@
     async fn put(&self, req: &mut poem::Request) -> Result<Receipt, Receipt> {
         let ((service, model), base) = (named(req), base(req));
         let text = text(req).await?;
-        let config = self.0.board.lock().expect("board").deck.held().cloned();
+        let config = self.0.board.lock().expect("board").history.current().cloned();
         let config = config.ok_or_else(|| Receipt::Bad(409, "no configuration yet: no routes".into()))?;
         let ask = crate::rollouts::read(&text, base, (&service, &model), &config);
         let ask = ask.map_err(|(status, words)| Receipt::Bad(status, words))?;
--- a/keeper/src/rules.rs
+++ b/keeper/src/rules.rs
@@ -11,8 +11,12 @@
 pub fn send(board: &crate::hall::Board, follower: &mut crate::crew::Follower) {
     for (key, rule) in &board.rules {
         let has = follower.closed.entry(wire::msg::hide(key)).or_default();
-        if rule.stamp > *has && follower.mouth.cast(&wire::msg::Msg::Rule(Box::new(rule.clone()))) {
-            *has = rule.stamp;
+        if rule.stamp <= *has {
+            continue;
+        }
+        match follower.mouth.cast(&wire::msg::Msg::Rule(Box::new(rule.clone()))) {
+            true => *has = rule.stamp,
+            false => follower.behind = true,
         }
     }
 }
@@ -36,9 +40,7 @@
     pub fn settled(&self, key: &str, stamp: u64, now: u64) -> (u32, u32) {
         let known = self.board.lock().expect("board").rules.get(key).is_some_and(|rule| rule.stamp >= stamp);
         let crew = self.crew.lock().expect("crew");
-        let live = crew.list.values().filter(|follower| follower.until > now);
-        let has = |follower: &&crate::crew::Follower| follower.rules.get(key).is_some_and(|held| *held >= stamp);
-        let (all, good) = live.fold((0, 0), |(all, good), follower| (all + 1, good + u32::from(has(&follower))));
+        let (all, good) = crew.confirmations(key, stamp, now);
         // Not yet learned, or started so lately that routers may hold a lease from a life before: whoever asks
         // must ask again.
         match known && now >= WAIT_MS {
@@ -85,8 +87,12 @@
         for (area, list) in self.weights.lock().expect("weights").iter() {
             let has = follower.sheets.entry(wire::msg::hide(area)).or_default();
             let stamp = (list.turn, list.count);
-            if *has != stamp && follower.mouth.cast(&wire::msg::Msg::Versions(Box::new(list.clone()))) {
-                *has = stamp;
+            if *has == stamp {
+                continue;
+            }
+            match follower.mouth.cast(&wire::msg::Msg::Versions(Box::new(list.clone()))) {
+                true => *has = stamp,
+                false => follower.behind = true,
             }
         }
     }
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -110,7 +110,7 @@
         let Some(held) = Held::open(body) else { return };
         // Checked before it was committed.
         if let Ok(config) = wire::config::read(&held.text) {
-            board.deck.turn(config);
+            board.history.advance(config);
         }
         board.config = Some((held.revision, held.text.into_bytes()));
     }
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -152,6 +152,11 @@
 }
 
 impl Mouth {
+    /// One whose frames are taken from the other end of `out`.
+    pub fn new(out: tokio::sync::mpsc::Sender<bytes::Bytes>) -> Mouth {
+        Mouth { out }
+    }
+
     /// False: the fellow does not read, or is gone.
     pub fn cast(&self, msg: &crate::msg::Msg) -> bool {
         self.put(crate::frame::Kind::Cast, 0, msg)
@@ -189,7 +194,7 @@
         tokio::spawn(async move {
             let (mut read, mut write) = stream.into_split();
             let (out, mut queue) = tokio::sync::mpsc::channel::<bytes::Bytes>(BUFFER);
-            let mouth = Mouth { out };
+            let mouth = Mouth::new(out);
             let writer = tokio::spawn(async move {
                 while let Some(frame) = queue.recv().await {
                     if put(&mut write, &frame).await.is_none() {
