--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -17,7 +17,7 @@
             closed: follow.closed.into_iter().collect(),
             sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
         };
-        let mut news = self.lack(&follow.node, &mut follower, now);
+        let mut news = self.missing(&follow.node, &mut follower, now);
         // A lease on bound work is renewed only for one that has confirmed every rule known here.
         // One of the first version holds none: it serves on, and no rule settles while it is there.
         news.sure &= follower.reads < 2 || self.confirmed(&follower);
@@ -47,7 +47,7 @@
         let mut list = std::mem::take(&mut self.crew.lock().expect("crew").list);
         let reachable = list.iter_mut().filter(|(_, follower)| !follower.behind && !follower.mouth.gone());
         for (node, follower) in reachable {
-            let news = self.lack(node, follower, now);
+            let news = self.missing(node, follower, now);
             if news.config.is_some() || !news.closed.is_empty() || !news.sheets.is_empty() {
                 follower.send(&wire::msg::Msg::News(Box::new(news)));
             }
@@ -59,40 +59,52 @@
         crew.forget_lapsed(now);
     }
 
-    fn lack(&self, node: &str, follower: &mut crate::crew::Follower, now: u64) -> wire::msg::News {
+    /// What a follower lacks. What has a message of its own is sent at once, the rest goes into the news.
+    fn missing(&self, node: &str, follower: &mut crate::crew::Follower, now: u64) -> wire::msg::News {
         let mut news = wire::msg::News { sure: self.sure(now), ..Default::default() };
-        {
-            let mut board = self.board.lock().expect("board");
-            if follower.reads >= 2 {
-                // Before the configuration: no route is served whose rule is known here and not there.
-                crate::rules::send(&board, follower);
-                // Before the news: whoever is told that it is current has it by then.
-                let mouth = &follower.mouth;
-                let sent = board.history.send_missing(&mut follower.config, |frame| mouth.cast_frame(frame));
-                follower.behind |= !sent;
-            } else if let Some((stamp, text)) = &board.config {
-                if *stamp > follower.config {
-                    news.config = Some((*stamp, text.clone()));
-                    follower.config = *stamp;
-                }
-            }
-            for (area, (stamp, on)) in &board.closed {
-                let has = follower.closed.entry(area.clone()).or_default();
-                if *stamp > *has {
-                    news.closed.push((area.clone(), *stamp, *on));
-                    *has = *stamp;
-                }
-            }
-            let catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
-            news.catalog = (catalog.0, catalog.1);
+        self.add_control_state(&mut news, follower);
+        self.add_roster(&mut news, node, follower, now);
+        self.add_engine_lists(&mut news, follower);
+        if follower.reads >= 2 {
+            self.send_weights(follower);
         }
+        news
+    }
+
+    fn add_control_state(&self, news: &mut wire::msg::News, follower: &mut crate::crew::Follower) {
+        let mut board = self.board.lock().expect("board");
+        if follower.reads >= 2 {
+            // Before the configuration: no route is served whose rule is known here and not there.
+            crate::rules::send(&board, follower);
+            // Before the news: whoever is told that it is current has it by then.
+            let mouth = &follower.mouth;
+            let sent = board.history.send_missing(&mut follower.config, |frame| mouth.cast_frame(frame));
+            follower.behind |= !sent;
+        } else if let Some((revision, text)) = board.config.as_ref().filter(|(revision, _)| *revision > follower.config)
         {
-            let roster = self.roster.lock().expect("roster");
-            news.seats = roster.seats(now);
-            news.resting = roster.resting(now);
-            // An order of its own for each router, so that the keepers of an area share them.
-            news.fellows = roster.order(&follower.area, node);
+            news.config = Some((*revision, text.clone()));
+            follower.config = *revision;
+        }
+        for (zone, (version, on)) in &board.closed {
+            let has = follower.closed.entry(zone.clone()).or_default();
+            if *version > *has {
+                news.closed.push((zone.clone(), *version, *on));
+                *has = *version;
+            }
         }
+        let catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
+        news.catalog = (catalog.0, catalog.1);
+    }
+
+    fn add_roster(&self, news: &mut wire::msg::News, node: &str, follower: &crate::crew::Follower, now: u64) {
+        let roster = self.roster.lock().expect("roster");
+        news.seats = roster.seats(now);
+        news.resting = roster.resting(now);
+        // An order of its own for each router, so that the keepers of a zone share them.
+        news.fellows = roster.order(&follower.area, node);
+    }
+
+    fn add_engine_lists(&self, news: &mut wire::msg::News, follower: &mut crate::crew::Follower) {
         for sheet in self.sheets.lock().expect("sheets").all() {
             let has = follower.sheets.entry(sheet.area.clone()).or_default();
             if (sheet.turn, sheet.count) > *has {
@@ -100,10 +112,6 @@
                 news.sheets.push(sheet.clone());
             }
         }
-        if follower.reads >= 2 {
-            self.send_weights(follower);
-        }
-        news
     }
 
     /// The view of the fleet for those who operate it.
--- a/wire/src/change.rs
+++ b/wire/src/change.rs
@@ -1,8 +1,8 @@
-//! A configuration as routers take it: whole, or what changed since the one before. What it costs goes
-//! by what changed, not by how long the configuration has become.
+//! A configuration as routers take it: whole, or what changed since another revision. The size of a
+//! change goes by what changed, not by the length of the configuration.
 
-/// Invariants: `from` is 0 for a whole one; otherwise it counts only on top of the revision `from`. What
-/// it names was checked by the keeper that made it.
+/// The way from one revision to another. Invariants: `from` is 0 for a whole one; otherwise it applies only
+/// to the revision `from`. What it names was checked by the keeper that made it.
 #[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Change {
     pub from: u64,
@@ -16,6 +16,7 @@
 }
 
 impl Change {
+    /// Everything that a configuration holds.
     pub fn whole(config: &crate::config::Config) -> Change {
         Change {
             from: 0,
@@ -28,13 +29,14 @@
         }
     }
 
+    /// What brings one that holds `old` to `new`.
     pub fn between(old: &crate::config::Config, new: &crate::config::Config) -> Change {
-        let (routes, gone) = apart(&old.route_table, &new.route_table, |route| route.name.as_str());
-        let (services, lost) = apart(&old.service_table, &new.service_table, |service| service.name.as_str());
+        let (routes, gone) = difference(&old.route_table, &new.route_table, |route| route.name.as_str());
+        let (services, lost) = difference(&old.service_table, &new.service_table, |service| service.name.as_str());
         Change { from: old.revision, to: new.revision, routes, gone, services, lost, limits: new.limits.clone() }
     }
 
-    /// None: it is not whole, or of another shape.
+    /// Decodes the packed form. None: it is cut short, or no change.
     pub fn read(packed: &[u8]) -> Option<Change> {
         let size = u32::from_le_bytes(*packed.first_chunk::<4>()?) as usize;
         if size > crate::frame::MOST {
@@ -46,20 +48,20 @@
         rkyv::from_bytes::<Change, rkyv::rancor::Error>(&room).ok()
     }
 
-    /// Packed: after a fall of everything all routers of a keeper ask for the whole at once.
+    /// The packed form: after a loss of power everywhere all routers of a keeper ask for the whole at once.
     pub fn write(&self) -> Vec<u8> {
-        let body = rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|body| body.to_vec()).unwrap_or_default();
+        let body = rkyv::to_bytes::<rkyv::rancor::Error>(self).expect("a change can always be written");
         lz4_flex::compress_prepend_size(&body)
     }
 }
 
-/// What is new or other, and the names of what is gone.
-fn apart<T: Clone + PartialEq>(old: &[T], new: &[T], name: impl Fn(&T) -> &str) -> (Vec<T>, Vec<String>) {
+/// The items that were added or replaced, and the names of those that were removed.
+fn difference<T: Clone + PartialEq>(old: &[T], new: &[T], name: impl Fn(&T) -> &str) -> (Vec<T>, Vec<String>) {
     let held: std::collections::HashMap<&str, &T> = old.iter().map(|item| (name(item), item)).collect();
     let kept: std::collections::HashSet<&str> = new.iter().map(&name).collect();
-    let fresh = new.iter().filter(|item| held.get(name(item)) != Some(item)).cloned().collect();
-    let gone = old.iter().map(&name).filter(|name| !kept.contains(name)).map(str::to_string).collect();
-    (fresh, gone)
+    let changed = new.iter().filter(|item| held.get(name(item)) != Some(item)).cloned().collect();
+    let removed = old.iter().map(&name).filter(|name| !kept.contains(name)).map(str::to_string).collect();
+    (changed, removed)
 }
 
 #[cfg(test)]
