--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -1,11 +1,17 @@
 //! Control state. Each key is a register of its own: one owner at a time under a rising ballot, a
 //! change on a majority of the disks before any answer. No common log, no leader for all.
 pub mod confirmation;
+mod folder;
+mod listing;
 pub mod membership;
 pub mod proposal;
 pub mod quorum;
+pub mod record;
+mod recovery;
 pub mod round;
+mod segment;
 pub mod store;
+mod store_error;
 pub mod voter;
 
 pub const CORE: &str = "core";
@@ -23,3 +29,9 @@
 
 #[cfg(test)]
 mod sim;
+#[cfg(test)]
+mod simulated_disk;
+#[cfg(test)]
+mod simulated_folder;
+#[cfg(test)]
+mod store_model;
