A call between daemons that was given up before it was sent is never sent

Cause: a call whose caller had timed out stayed in the queue behind a slow connection and went out later, when its caller may have turned to another. Now it is dropped unsent, and what comes too late for a connection that has ended is kept for the next one. New tests: answers in any order and twice, a connection that breaks under a call, a call given up behind a large message. cargo test -p wire passes.

--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -30,7 +30,8 @@
         &self.addr
     }
 
-    /// None: no answer within `wait_ms`, for whatever cause; it may have been acted on.
+    /// None: no answer within `wait_ms`, for whatever cause; it may have been acted on, and is not sent any more
+    /// if it was not yet.
     pub async fn call(&self, msg: crate::msg::Msg, wait_ms: u64) -> Option<crate::msg::Msg> {
         let (back, reply) = tokio::sync::oneshot::channel();
         let job = Job { kind: crate::frame::Kind::Ask, msg, back: Some(back) };
@@ -103,14 +104,20 @@
     loop {
         let job = match first.take() {
             Some(job) => job,
+            // What came too late for this connection is kept for the next.
             None => tokio::select! {
+                biased;
+                _ = &mut ended => break,
                 job = jobs.recv() => match job {
                     Some(job) => job,
                     None => { alive = None; break }
                 },
-                _ = &mut ended => break,
             },
         };
+        if job.back.as_ref().is_some_and(tokio::sync::oneshot::Sender::is_closed) {
+            // Its caller has given up, and may have turned to another.
+            continue;
+        }
         let Ok(frame) = crate::frame::seal(job.kind, next, &job.msg) else { continue };
         if let Some(back) = job.back {
             let mut list = waits.lock().expect("waits");
--- a/wire/src/link_tests.rs
+++ b/wire/src/link_tests.rs
@@ -40,3 +40,79 @@
     }
     assert!(good.call(msg, 5000).await.is_some(), "others feel nothing");
 }
+
+fn query(number: u64) -> crate::msg::Msg {
+    crate::msg::Msg::Query(Box::new((number, Vec::new())))
+}
+
+/// A caller and the listener that it calls.
+async fn pair() -> (super::Caller, tokio::net::TcpListener) {
+    let listener = crate::sock::listen("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address").to_string();
+    (super::Caller::start(addr, None), listener)
+}
+
+async fn accept(
+    listener: &tokio::net::TcpListener,
+) -> (tokio::net::tcp::OwnedReadHalf, tokio::net::tcp::OwnedWriteHalf) {
+    listener.accept().await.expect("a caller").0.into_split()
+}
+
+async fn answer(write: &mut tokio::net::tcp::OwnedWriteHalf, id: u64, msg: &crate::msg::Msg) {
+    let frame = crate::frame::seal(crate::frame::Kind::Receipt, id, msg).expect("sealed");
+    write.write_all(&frame).await.expect("written");
+}
+
+#[tokio::test]
+async fn each_caller_gets_its_own_answer_in_whatever_order_and_however_often_they_come() {
+    let (caller, listener) = pair().await;
+    let serve = async {
+        let (mut read, mut write) = accept(&listener).await;
+        let one = super::take(&mut read).await.expect("the first");
+        let two = super::take(&mut read).await.expect("the second");
+        for (head, msg) in [&two, &one, &two, &one] {
+            answer(&mut write, head.id, msg).await;
+        }
+        let three = super::take(&mut read).await.expect("the third");
+        answer(&mut write, one.0.id, &one.1).await;
+        answer(&mut write, three.0.id, &three.1).await;
+    };
+    let calls = async {
+        let (one, two) = tokio::join!(caller.call(query(1), 5000), caller.call(query(2), 5000));
+        assert_eq!((one, two), (Some(query(1)), Some(query(2))));
+        assert_eq!(caller.call(query(3), 5000).await, Some(query(3)));
+    };
+    tokio::join!(serve, calls);
+}
+
+#[tokio::test]
+async fn a_call_whose_connection_breaks_fails_and_is_not_sent_again() {
+    let (caller, listener) = pair().await;
+    let serve = async {
+        let (mut read, write) = accept(&listener).await;
+        assert_eq!(super::take(&mut read).await.expect("the first").1, query(1));
+        drop((read, write));
+        let (mut read, mut write) = accept(&listener).await;
+        let (head, msg) = super::take(&mut read).await.expect("the next call");
+        assert_eq!(msg, query(2));
+        answer(&mut write, head.id, &msg).await;
+    };
+    let calls = async {
+        assert_eq!(caller.call(query(1), 60_000).await, None, "at once, long before its time is up");
+        assert_eq!(caller.call(query(2), 5000).await, Some(query(2)));
+    };
+    tokio::join!(serve, calls);
+}
+
+#[tokio::test]
+async fn a_call_given_up_before_it_was_sent_is_never_sent() {
+    let (caller, listener) = pair().await;
+    // More than sockets take in while nobody reads: what follows waits here.
+    let large = crate::msg::Msg::Query(Box::new((0, vec![7; 1_400_000])));
+    assert!(caller.cast(large.clone()));
+    assert_eq!(caller.call(query(1), 1).await, None);
+    assert!(caller.cast(query(2)));
+    let (mut read, _write) = accept(&listener).await;
+    assert_eq!(super::take(&mut read).await.expect("the large one").1, large);
+    assert_eq!(super::take(&mut read).await.expect("the next").1, query(2));
+}
