Answers and connections of engines: whose answer, may it have run, is it whole

Cause (each was shown by a test that failed before): 408, 429 and 503 without the engine's word were passed on as promises; a success that bears Not-Executed was followed by another send; 101 was taken for an answer; a request without Attempt-Id took any answer, one with two was sent; a body without length or chunks looked whole when its connection broke; a stream was joined with an unsealed one, or begun anew where its events bore no ids; Kv-Source and the like were taken from clients; a repeat after a failure drew on the budget twice; connections kept to an engine went to its successor at the same address; Keep-Alive of 0 kept a connection.

Change: verdict.rs judges the head of an answer in one place; feed.rs ends a body as whole only by an explicit end; kept connections belong to one engine.

--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -17,44 +17,9 @@
 part!(FOLLOW, "news", 2, |yard| drop(tokio::spawn(crate::follow::run(yard.clone()))));
 part!(DOOR, "frontend", 3, |yard| drop(tokio::spawn(crate::door::frontend(yard.clone()))));
 
-/// What a record may grow to, and for how long an owner counts that was not heard of again.
-const RECORD: usize = 20_000;
-const STALE_MS: u64 = 30_000;
-
 pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
-    let life = kernel::clock::life();
-    let mut park = engines::park::Park::default();
-    let area = park.area(&env.zone);
-    for (zone, region) in &env.zones {
-        park.region(zone, region);
-    }
-    let bounds = env.bounds.clone();
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone());
-    let yard = std::sync::Arc::new(crate::yard::Yard {
-        life,
-        area,
-        table: Default::default(),
-        park: std::sync::Mutex::new(park),
-        record: std::sync::Mutex::new(catalog::record::Record::new(RECORD, STALE_MS)),
-        budget: std::sync::Mutex::new(engines::budget::Budget::new(
-            bounds.retry_budget,
-            (bounds.budget_window_s * 1000.0) as u64,
-        )),
-        pools: Default::default(),
-        lookup: Default::default(),
-        floors: Default::default(),
-        weights: Default::default(),
-        news: Default::default(),
-        home: Default::default(),
-        dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
-        few_at: Default::default(),
-        calm: Default::default(),
-        ready: Default::default(),
-        leaving: Default::default(),
-        open: Default::default(),
-        held: Default::default(),
-        env,
-    });
+    let yard = crate::yard::Yard::new(env);
     let mut word = kernel::signal::watch();
     kernel::plug::start(&ROUTER_PARTS, &yard);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
--- a/router/src/door.rs
+++ b/router/src/door.rs
@@ -61,7 +61,8 @@
     }
 }
 
-async fn client(yard: std::sync::Arc<crate::yard::Yard>, stream: tokio::net::TcpStream) {
+/// Serves one client's connection until it ends.
+pub async fn client(yard: std::sync::Arc<crate::yard::Yard>, stream: tokio::net::TcpStream) {
     wire::sock::tune(&stream, 10_000);
     let table = yard.table();
     let look = crate::frames::Look::new();
--- a/router/src/errand.rs
+++ b/router/src/errand.rs
@@ -29,6 +29,11 @@
 const IDLE: f64 = 0.3;
 const NEAR: f64 = 0.5;
 
+/// What the system alone tells engines. From a client these would lead to another request's memory, or have its
+/// own request only read.
+const SYSTEM: [&str; 5] =
+    [wire::word::TARGET, wire::word::STAGE, wire::word::SOURCE, wire::word::URGENCY, wire::word::EXPECT];
+
 /// Removes what concerns one connection, and what `Connection` names.
 pub fn strip(head: &mut http::HeaderMap) {
     let named: Vec<String> = head
@@ -53,7 +58,8 @@
     let count = |name: http::header::HeaderName| head.get_all(name).iter().count();
     let framed = count(http::header::TRANSFER_ENCODING);
     let sized = count(http::header::CONTENT_LENGTH);
-    framed <= 1 && sized <= 1 && framed + sized <= 1 && count(http::header::HOST) == 1
+    let ids = head.get_all(wire::word::ATTEMPT).iter().count();
+    framed <= 1 && sized <= 1 && framed + sized <= 1 && count(http::header::HOST) == 1 && ids <= 1
 }
 
 /// Reads a body within the limit; the pause between pieces is bounded by `idle_ms`.
@@ -96,6 +102,9 @@
         let mut head = parts.headers;
         strip(&mut head);
         head.remove(http::header::EXPECT);
+        for name in SYSTEM {
+            head.remove(name);
+        }
         let spare = head.remove(DEFER).map(|press| if press == "near" { NEAR } else { IDLE });
         let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -45,11 +45,11 @@
         (trip.sends, trip.arrived, trip.ran) = (trip.sends + 1, true, true);
         return Ok(Reading::Answer(at, answer));
     }
-    let addr = trip.addr(at);
+    let reader = trip.endpoint(at);
     let good = answer.head.status == 200;
     let wait = trip.left().min(1000);
     let got = kernel::clock::now();
-    let text = crate::send::whole(&trip.yard, &addr, answer, 16 * 1024, wait).await;
+    let text = crate::send::whole(&trip.yard, &reader, answer, 16 * 1024, wait).await;
     trip.close(at);
     let value: serde_json::Value = text.and_then(|text| serde_json::from_slice(&text).ok()).unwrap_or_default();
     let id = value["kv_handle"].as_str().filter(|_| good).unwrap_or("").to_string();
@@ -66,7 +66,7 @@
         trip.exact = version.or(trip.exact);
     }
     let until = got + trip.spec.hold_ms.saturating_sub(MARGIN_MS);
-    trip.keep(crate::handle::Handle { at, addr, id, until });
+    trip.keep(crate::handle::Handle { at, reader, id, until });
     Ok(Reading::Held)
 }
 
@@ -149,7 +149,7 @@
             return Err(crate::relay::give_up(trip));
         };
         let reads = if handle.is_some() { 0 } else { tokens };
-        let source = handle.as_ref().map(|handle| format!("{}/{}", handle.addr, handle.id));
+        let source = handle.as_ref().map(|handle| format!("{}/{}", handle.reader.addr, handle.id));
         let extra = crate::send::Extra { source, urgency: trip.urgency(), ..Default::default() };
         trip.sends += 1;
         let again = trip.again();
@@ -194,6 +194,9 @@
             crate::send::Outcome::Lost => {
                 trip.ran = true;
                 trip.tried.push(at);
+                // Where it was not taken nobody else may name it: this maker may yet come for it.
+                handle.into_iter().for_each(|handle| trip.keep(handle));
+                trip.free();
                 if !trip.repeatable {
                     return Err(crate::relay::give_up(trip));
                 }
--- /dev/null
+++ b/router/src/halves_tests.rs
@@ -0,0 +1,156 @@
+//! Requests whose prompt one engine reads and another answers: whose memory is named, and how often.
+use crate::stand_in::{answer, engines, events, not_executed, seen, Act, Engine, Seen};
+use crate::stand_in_router::{ask, router, status};
+
+const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
+
+/// The answer of an engine that has read a prompt; the handle is named after the request.
+fn held(seen: &Seen) -> String {
+    handle(seen.attempt(), seen.attempt())
+}
+
+fn handle(attempt: &str, id: &str) -> String {
+    let body = format!("{{\"kv_handle\":\"h{id}\",\"token_count\":150,\"revision\":1}}");
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nKeep-Alive: timeout=30\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// Readers that give a handle and take it back, and makers that follow a script.
+async fn fleet(
+    read: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static,
+    make: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static,
+) -> Vec<Engine> {
+    let mut list = engines("prefill", 2, read).await;
+    list.extend(engines("decode", 2, make).await);
+    list
+}
+
+fn reads(list: &[Engine]) -> Vec<Seen> {
+    let all = seen(&list[..2]).into_iter();
+    all.filter(|seen| seen.header("serving-phase") == Some("prefill")).collect()
+}
+
+fn frees(list: &[Engine]) -> Vec<String> {
+    let all = seen(&list[..2]).into_iter();
+    all.filter(|seen| seen.head.starts_with("DELETE")).map(|seen| seen.head).collect()
+}
+
+/// What each request to a maker names as the source of its memory.
+fn sources(list: &[Engine]) -> Vec<Option<String>> {
+    seen(&list[2..]).iter().map(|seen| seen.header("kv-source").map(str::to_string)).collect()
+}
+
+fn source(list: &[Engine], id: &str) -> Option<String> {
+    let reader = list[..2].iter().find(|engine| !engine.seen().is_empty()).expect("a reader was asked");
+    Some(format!("{}/h{id}", reader.addr))
+}
+
+fn stream(seen: &Seen) -> Act {
+    Act::Send(events(seen, 1, 3, true))
+}
+
+#[tokio::test]
+async fn each_request_goes_on_with_the_memory_of_its_own_prompt() {
+    let list = fleet(|seen, _| Act::Send(held(seen)), |seen, _| stream(seen)).await;
+    let yard = router(&list);
+    let (one, two) = tokio::join!(ask(&yard, "stream", "1", PROMPT), ask(&yard, "resume", "2", PROMPT));
+    assert!(one.contains("seal-1") && two.contains("seal-2"), "{one}{two}");
+    let made = seen(&list[2..]);
+    assert_eq!(made.len(), 2);
+    for seen in made {
+        let source = seen.header("kv-source").expect("named").to_string();
+        assert!(source.ends_with(&format!("/h{}", seen.attempt())), "{source} for {}", seen.attempt());
+    }
+}
+
+#[tokio::test]
+async fn a_reads_answer_that_is_another_requests_names_no_memory() {
+    let others: [fn(&Seen) -> String; 3] = [
+        |_| handle("another", "another"),
+        |_| handle("another", "another").replace("Attempt-Id: another\r\n", ""),
+        |seen| handle(seen.attempt(), "another/../x"),
+    ];
+    for other in others {
+        let list = fleet(move |seen, _| Act::Send(other(seen)), |seen, _| stream(seen)).await;
+        let text = ask(&router(&list), "stream", "1", PROMPT).await;
+        assert_eq!(status(&text), "200", "{text}");
+        assert_eq!(sources(&list), [None]);
+        assert_eq!(reads(&list).len(), 1, "a read is not repeated on a guess");
+    }
+}
+
+#[tokio::test]
+async fn a_read_without_an_answer_is_not_repeated() {
+    for fault in [Act::SendAndReset as fn(String) -> Act, Act::SendAndClose] {
+        let list = fleet(move |_, _| fault(String::new()), |seen, _| stream(seen)).await;
+        let text = ask(&router(&list), "stream", "1", PROMPT).await;
+        assert_eq!(status(&text), "200", "{text}");
+        assert_eq!((reads(&list).len(), sources(&list)), (1, vec![None]));
+    }
+}
+
+#[tokio::test]
+async fn an_unrepeatable_request_reaches_one_maker_whatever_becomes_of_its_answer() {
+    let faults: [fn(&Seen) -> Act; 4] = [
+        |_| Act::SendAndReset(String::new()),
+        |seen| Act::Send(answer(seen, "503 Service Unavailable", "")),
+        |seen| Act::Send(held(seen)),
+        |seen| Act::SendAndReset(events(seen, 1, 2, false)),
+    ];
+    for (at, fault) in faults.into_iter().enumerate() {
+        let list = fleet(|seen, _| Act::Send(held(seen)), move |seen, _| fault(seen)).await;
+        let text = ask(&router(&list), "stream", "1", PROMPT).await;
+        assert_eq!(sources(&list), [source(&list, "1")], "fault {at}");
+        assert!(status(&text) == "502" || (at == 3 && !text.ends_with("0\r\n\r\n")), "fault {at}: {text}");
+        assert!(!text.contains("kv_handle"), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_handle_is_named_to_one_maker_that_may_have_taken_it() {
+    let list = fleet(
+        |seen, _| Act::Send(held(seen)),
+        |seen, before| if before == 0 { Act::SendAndReset(String::new()) } else { stream(seen) },
+    )
+    .await;
+    let text = ask(&router(&list), "resume", "1", PROMPT).await;
+    assert_eq!(status(&text), "200", "{text}");
+    let named: Vec<_> = sources(&list).into_iter().flatten().collect();
+    assert_eq!((named.len(), seen(&list[2..]).len()), (1, 2), "{named:?}");
+}
+
+#[tokio::test]
+async fn memory_that_a_maker_could_not_have_is_given_free_and_the_prompt_read_there() {
+    let freed = std::sync::Arc::new(tokio::sync::Notify::new());
+    let now = freed.clone();
+    let list = fleet(
+        move |seen, _| {
+            if seen.head.starts_with("DELETE") {
+                now.notify_one();
+            }
+            Act::Send(held(seen))
+        },
+        |seen, before| if before == 0 { Act::Send(not_executed(seen)) } else { stream(seen) },
+    )
+    .await;
+    let text = ask(&router(&list), "stream", "1", PROMPT).await;
+    assert_eq!(status(&text), "200", "{text}");
+    freed.notified().await;
+    assert!(frees(&list)[0].starts_with("DELETE /kv-handle/h1 "), "{:?}", frees(&list));
+    let named: Vec<_> = sources(&list).into_iter().flatten().collect();
+    assert_eq!((named.len(), seen(&list[2..]).len()), (1, 2), "{named:?}");
+}
+
+#[tokio::test]
+async fn a_reader_that_takes_nothing_up_is_followed_by_another_within_the_count() {
+    let list = fleet(
+        |seen, before| Act::Send(if before == 0 { not_executed(seen) } else { held(seen) }),
+        |seen, _| stream(seen),
+    )
+    .await;
+    let text = ask(&router(&list), "stream", "1", PROMPT).await;
+    assert_eq!(status(&text), "200", "{text}");
+    assert!(reads(&list).len() <= 2 && seen(&list[2..]).len() == 1);
+}
--- a/router/src/handle.rs
+++ b/router/src/handle.rs
@@ -4,7 +4,8 @@
 /// never named after `until`.
 pub struct Handle {
     pub at: usize,
-    pub addr: String,
+    /// The engine that holds it.
+    pub reader: crate::pool::Endpoint,
     pub id: String,
     pub until: u64,
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 mod doubt;
 mod errand;
 mod event;
+mod feed;
 mod follow;
 mod frames;
 mod fresh;
@@ -20,4 +21,23 @@
 mod table;
 mod trip;
 mod turn;
+mod verdict;
 mod yard;
+
+#[cfg(test)]
+mod stand_in;
+
+#[cfg(test)]
+mod stand_in_router;
+
+#[cfg(test)]
+#[path = "exchange_tests.rs"]
+mod exchange_tests;
+
+#[cfg(test)]
+#[path = "reuse_tests.rs"]
+mod reuse_tests;
+
+#[cfg(test)]
+#[path = "halves_tests.rs"]
+mod halves_tests;
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -2,10 +2,27 @@
 
 pub type Wire = hyper::client::conn::http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
 
+/// Where an engine is reached. An address may pass to another engine; what was kept to the one before is of no
+/// use to it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    pub addr: String,
+    /// The engine's id.
+    pub engine: String,
+}
+
+/// A connection that waits to be used again.
+struct Idle {
+    wire: Wire,
+    /// Its engine may close it after this.
+    until: u64,
+    engine: String,
+}
+
 /// Invariant: `count` is the number of connections to one address that are open or being opened.
 #[derive(Default)]
 struct Pool {
-    idle: Vec<(Wire, u64)>,
+    idle: Vec<Idle>,
     count: std::sync::Arc<std::sync::atomic::AtomicUsize>,
 }
 
@@ -14,6 +31,8 @@
 
 /// An idle connection whose engine named no time is used again only this soon.
 const SHORT_MS: u64 = 700;
+/// How much sooner than its engine a router gives a connection up.
+const EARLY_MS: u64 = 300;
 const DIAL_MS: u64 = 400;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,26 +46,27 @@
 }
 
 impl Pools {
-    pub fn idle(&self, addr: &str) -> Option<Wire> {
+    /// A kept connection to this very engine. Those that are of no use any more are dropped on the way.
+    pub fn idle(&self, to: &Endpoint) -> Option<Wire> {
         let now = kernel::clock::now();
         let mut pools = self.0.lock().expect("pools");
-        let pool = pools.get_mut(addr)?;
-        while let Some((wire, until)) = pool.idle.pop() {
-            if now < until && wire.is_ready() {
-                return Some(wire);
+        let pool = pools.get_mut(&to.addr)?;
+        while let Some(idle) = pool.idle.pop() {
+            if now < idle.until && idle.engine == to.engine && idle.wire.is_ready() {
+                return Some(idle.wire);
             }
         }
         None
     }
 
-    pub async fn dial(&self, addr: &str, most: usize) -> Result<Wire, Hitch> {
-        let count = self.0.lock().expect("pools").entry(addr.to_string()).or_default().count.clone();
+    pub async fn dial(&self, to: &Endpoint, most: usize) -> Result<Wire, Hitch> {
+        let count = self.0.lock().expect("pools").entry(to.addr.clone()).or_default().count.clone();
         if count.load(std::sync::atomic::Ordering::Relaxed) >= most.max(1) {
             return Err(Hitch::Full);
         }
         count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let hold = Hold(count);
-        let stream = wire::sock::dial(addr, DIAL_MS, wire::sock::SILENCE_MS).await.map_err(|_| Hitch::Down)?;
+        let stream = wire::sock::dial(&to.addr, DIAL_MS, wire::sock::SILENCE_MS).await.map_err(|_| Hitch::Down)?;
         let io = hyper_util::rt::TokioIo::new(stream);
         let (wire, conn) = hyper::client::conn::http1::handshake(io).await.map_err(|_| Hitch::Down)?;
         tokio::spawn(async move {
@@ -58,13 +78,22 @@
 
     /// Takes a connection back once its answer was read whole. `keep` is what the engine named, in
     /// whole seconds cut down; None when it named nothing.
-    pub fn put(&self, addr: &str, wire: Wire, keep: Option<u64>) {
+    pub fn put(&self, to: &Endpoint, wire: Wire, keep: Option<u64>) {
         let now = kernel::clock::now();
-        let span = keep.map_or(SHORT_MS, |keep| (keep * 1000).saturating_sub(300));
+        let span = keep.map_or(SHORT_MS, |keep| (keep * 1000).saturating_sub(EARLY_MS));
         let mut pools = self.0.lock().expect("pools");
-        let pool = pools.entry(addr.to_string()).or_default();
-        pool.idle.retain(|(wire, until)| now < *until && !wire.is_closed());
-        pool.idle.push((wire, now + span));
+        let pool = pools.entry(to.addr.clone()).or_default();
+        pool.idle.retain(|idle| now < idle.until && !idle.wire.is_closed());
+        if span > 0 {
+            pool.idle.push(Idle { wire, until: now + span, engine: to.engine.clone() });
+        }
+    }
+
+    /// Kept connections that may still be used.
+    #[cfg(test)]
+    pub fn ready_count(&self) -> usize {
+        let pools = self.0.lock().expect("pools");
+        pools.values().flat_map(|pool| &pool.idle).filter(|idle| idle.wire.is_ready()).count()
     }
 
     pub fn forget(&self, addr: &str) {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,24 +1,5 @@
 //! Passing an engine's answer on as it comes, and going on at another engine where that is allowed.
-
-type Pipe = tokio::sync::mpsc::Sender<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>;
-
-pub struct Feed(tokio::sync::mpsc::Receiver<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>, Option<u64>);
-
-impl http_body::Body for Feed {
-    type Data = bytes::Bytes;
-    type Error = std::io::Error;
-
-    fn poll_frame(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>> {
-        self.0.poll_recv(cx)
-    }
-
-    fn size_hint(&self) -> http_body::SizeHint {
-        self.1.map_or_else(http_body::SizeHint::default, http_body::SizeHint::with_exact)
-    }
-}
+use crate::feed::Pipe;
 
 /// When a refused client may come back: soon, and later the more is waiting.
 fn comeback(trip: &crate::trip::Trip) -> u64 {
@@ -60,11 +41,13 @@
         && !trip.errand.keys.is_empty()
         && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
     let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
-    let good = answer.head.status.is_success();
-    if good && trip.weights().is_some() {
-        trip.exact = crate::send::version(&answer.head.headers).or(trip.exact);
+    if !answer.head.status.is_success() {
+        return Ok(pass(trip, at, answer));
     }
-    if good && !answer.head.headers.contains_key(wire::word::SEAL) {
+    if trip.weights().is_some() {
+        trip.exact = crate::verdict::version(&answer.head.headers).or(trip.exact);
+    }
+    if !sealed(&answer) {
         // Not an engine's answer, whatever it is.
         trip.ran = true;
         return Err(give_up(&trip));
@@ -72,21 +55,28 @@
     Ok(pass(trip, at, answer))
 }
 
+/// A success as an engine gives it.
+fn sealed(answer: &crate::send::Answer) -> bool {
+    answer.head.status.is_success() && answer.head.headers.contains_key(wire::word::SEAL)
+}
+
 /// Services without halves: one engine, and another where that is allowed.
 async fn plain(trip: &mut crate::trip::Trip) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+    // A failed answer is given up only once the next send is granted.
+    let mut granted = false;
     loop {
         let rank = kernel::clock::blend(trip.errand.born, trip.errand.body.len() as u64);
         let place = trip.view(|view| view.decode(0, &[], None, rank));
         let Some(at) = place else { return Err(give_up(trip)) };
-        if !trip.allow() {
+        if !std::mem::take(&mut granted) && !trip.allow() {
             return Err(give_up(trip));
         }
         trip.sends += 1;
         let (extra, again) = (crate::send::Extra { urgency: trip.urgency(), ..Default::default() }, trip.again());
         match trip.send(at, extra, 0, again).await {
             crate::send::Outcome::Answer(answer) => {
-                let again = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
-                if !again {
+                granted = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
+                if !granted {
                     return Ok((at, *answer));
                 }
                 trip.ran = true;
@@ -107,11 +97,11 @@
 
 impl crate::trip::Trip {
     /// Goes on at another engine after a break, behind the last event that was passed on.
-    async fn resume(&mut self, at: usize, last: Option<String>) -> Option<(usize, crate::send::Answer)> {
+    async fn resume(&mut self, at: usize, split: &crate::stream::Splitter) -> Option<(usize, crate::send::Answer)> {
         self.ran = true;
         crate::doubt::raise(&self.yard, at, true);
         self.tried.push(at);
-        if !self.resumes() {
+        if !self.resumes() || !split.resumable() {
             return None;
         }
         let (tokens, rank) = (self.errand.tokens(), crate::plan::rank(&self.errand));
@@ -121,7 +111,7 @@
             if self.left() == 0 || !self.allow() {
                 return None;
             }
-            let last = match &last {
+            let last = match &split.last {
                 Some(last) => http::HeaderValue::from_str(last).ok(),
                 None => self.errand.last.clone(),
             };
@@ -129,7 +119,7 @@
             self.sends += 1;
             let again = self.again();
             match self.send(next, extra, tokens, again).await {
-                crate::send::Outcome::Answer(answer) if answer.head.status.is_success() => {
+                crate::send::Outcome::Answer(answer) if sealed(&answer) => {
                     return Some((next, *answer));
                 }
                 crate::send::Outcome::Answer(_) => self.close(next),
@@ -164,11 +154,11 @@
     if trip.yard.leaving() {
         reply.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
-    let (pipe, feed) = tokio::sync::mpsc::channel(16);
+    let (pipe, feed) = crate::feed::pipe(length);
     tokio::spawn(async move {
         run(&mut trip, at, answer, &pipe).await;
     });
-    reply.map(|()| crate::receipt::Body::new(Feed(feed, length)))
+    reply.map(|()| crate::receipt::Body::new(feed))
 }
 
 async fn run(trip: &mut crate::trip::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
@@ -179,21 +169,16 @@
         match end {
             End::Left => return,
             End::Whole => {
-                let addr = trip.addr(at);
-                crate::send::give_back(&trip.yard, &addr, &answer.head.headers, answer.wire).await;
+                pipe.end().await;
+                let to = trip.endpoint(at);
+                crate::send::give_back(&trip.yard, &to, &answer.head.headers, answer.wire).await;
                 return;
             }
             End::Broken => {}
         }
         split.cut();
-        let last = split.last.clone();
-        match trip.resume(at, last).await {
-            Some((next, more)) => (at, answer) = (next, more),
-            None => {
-                let _ = pipe.send(Err(std::io::ErrorKind::ConnectionAborted.into())).await;
-                return;
-            }
-        }
+        let Some((next, more)) = trip.resume(at, &split).await else { return };
+        (at, answer) = (next, more);
     }
 }
 
@@ -207,6 +192,7 @@
     use http_body_util::BodyExt;
     let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS);
     let (stream, resumes) = (trip.streams(), trip.resumes() && trip.again());
+    let framed = answer.framed();
     let mut heard = kernel::clock::now();
     loop {
         let frame = tokio::select! {
@@ -216,19 +202,14 @@
         let data = match frame {
             Err(_) if trip.left() == 0 || (trip.silent(at, heard) && resumes) => return End::Broken,
             Err(_) => continue,
-            Ok(None) => {
-                let rest = split.end();
-                if !rest.is_empty() && pipe.send(Ok(http_body::Frame::data(rest))).await.is_err() {
-                    return End::Left;
-                }
-                return End::Whole;
-            }
+            Ok(None) if !framed => return End::Broken,
+            Ok(None) => return if pipe.data(split.end()).await { End::Whole } else { End::Left },
             Ok(Some(Err(_))) => return End::Broken,
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         heard = kernel::clock::now();
         let out = if stream { split.feed(&data) } else { data };
-        if !out.is_empty() && pipe.send(Ok(http_body::Frame::data(out))).await.is_err() {
+        if !pipe.data(out).await {
             return End::Left;
         }
     }
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -23,7 +23,6 @@
 /// What is set on a send besides the client's own headers.
 #[derive(Default)]
 pub struct Extra {
-    pub target: String,
     pub budget_ms: u64,
     pub stage: bool,
     pub source: Option<String>,
@@ -35,10 +34,14 @@
     pub guard: Option<String>,
 }
 
-/// The version of the weights that an answer names.
-pub fn version(head: &http::HeaderMap) -> Option<u64> {
-    let text = head.get(wire::word::WEIGHTS)?.to_str().ok()?;
-    text.split(|sign: char| !sign.is_ascii_digit()).find(|part| !part.is_empty())?.parse().ok()
+impl Answer {
+    /// Does the end of its body show whether it is whole? Where nothing frames it, a break looks like the end.
+    pub fn framed(&self) -> bool {
+        use hyper::body::Body;
+        self.body.is_end_stream()
+            || self.body.size_hint().exact().is_some()
+            || self.head.headers.contains_key(http::header::TRANSFER_ENCODING)
+    }
 }
 
 /// Immediately before a send: does what is expected of the engine still satisfy the limit?
@@ -52,7 +55,11 @@
     }
 }
 
-fn compose(errand: &crate::errand::Errand, extra: &Extra) -> http::Request<http_body_util::Full<bytes::Bytes>> {
+fn compose(
+    errand: &crate::errand::Errand,
+    engine: &str,
+    extra: &Extra,
+) -> http::Request<http_body_util::Full<bytes::Bytes>> {
     let mut request = http::Request::new(http_body_util::Full::new(errand.body.clone()));
     *request.method_mut() = errand.method.clone();
     *request.uri_mut() = errand.path.clone();
@@ -63,7 +70,7 @@
             head.insert(name, value);
         }
     };
-    set(wire::word::TARGET, &extra.target);
+    set(wire::word::TARGET, engine);
     set(wire::word::BUDGET, &extra.budget_ms.to_string());
     if extra.stage {
         set(wire::word::STAGE, "prefill");
@@ -88,17 +95,17 @@
     yard: &crate::yard::Yard,
     errand: &crate::errand::Errand,
     service: u32,
-    addr: &str,
+    to: &crate::pool::Endpoint,
     most: usize,
     extra: &Extra,
     silence_ms: u64,
 ) -> Outcome {
-    let mut request = compose(errand, extra);
+    let mut request = compose(errand, &to.engine, extra);
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(silence_ms);
     loop {
-        let (mut wire, fresh) = match yard.pools.idle(addr) {
+        let (mut wire, fresh) = match yard.pools.idle(to) {
             Some(wire) => (wire, false),
-            None => match yard.pools.dial(addr, most).await {
+            None => match yard.pools.dial(to, most).await {
                 Ok(wire) => (wire, true),
                 Err(hitch) => return Outcome::Unsent(hitch),
             },
@@ -120,42 +127,50 @@
             },
         };
         let (head, body) = reply.into_parts();
-        if errand.attempt.is_some() && head.headers.get(wire::word::ATTEMPT) != errand.attempt.as_ref() {
-            // A surplus answer of an earlier request: this connection can't be trusted any more.
-            kernel::say!(crate::event::MISFIT, "engine" => extra.target.clone(), "status" => head.status.as_u16());
+        return judged(yard, errand, to, extra, Answer { head, body, wire }).await;
+    }
+}
+
+/// What an answer comes to. One that is not passed on is read to its end, so that its connection is of use again.
+async fn judged(
+    yard: &crate::yard::Yard,
+    errand: &crate::errand::Errand,
+    to: &crate::pool::Endpoint,
+    extra: &Extra,
+    answer: Answer,
+) -> Outcome {
+    let asked = crate::verdict::Asked { attempt: errand.attempt.as_ref(), target: &to.engine, version: extra.expect };
+    let outcome = match crate::verdict::judge(&answer.head, &asked) {
+        crate::verdict::Verdict::Executed => return Outcome::Answer(Box::new(answer)),
+        crate::verdict::Verdict::Foreign => {
+            let status = answer.head.status.as_u16();
+            kernel::say!(crate::event::MISFIT, "engine" => to.engine.clone(), "status" => status);
             return Outcome::Lost;
         }
-        let status = head.status.as_u16();
-        if status == 421 || head.headers.contains_key(wire::word::UNRUN) {
-            let name = head.headers.get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
-            let other = status == 421 && name.is_some_and(|name| name != extra.target);
-            let aged = (status == 421 && !other && extra.expect.is_some()).then(|| version(&head.headers));
-            let aged = aged.filter(|version| *version != extra.expect);
-            finish(yard, addr, Answer { head, body, wire }).await;
-            return match (other, aged) {
-                (true, _) => Outcome::Other,
-                (false, Some(version)) => Outcome::Aged(version),
-                (false, None) => Outcome::Unrun,
-            };
-        }
-        return Outcome::Answer(Box::new(Answer { head, body, wire }));
-    }
+        crate::verdict::Verdict::Unproven => Outcome::Lost,
+        crate::verdict::Verdict::NotExecuted => Outcome::Unrun,
+        crate::verdict::Verdict::OtherEngine => Outcome::Other,
+        crate::verdict::Verdict::OtherVersion(version) => Outcome::Aged(version),
+    };
+    finish(yard, to, answer).await;
+    outcome
 }
 
 /// Reads the rest of an answer that nobody needs and takes the connection back.
-pub async fn finish(yard: &crate::yard::Yard, addr: &str, answer: Answer) {
-    let _ = whole(yard, addr, answer, 64 * 1024, 200).await;
+pub async fn finish(yard: &crate::yard::Yard, to: &crate::pool::Endpoint, answer: Answer) {
+    let _ = whole(yard, to, answer, 64 * 1024, 200).await;
 }
 
 /// Reads a small answer whole.
 pub async fn whole(
     yard: &crate::yard::Yard,
-    addr: &str,
+    to: &crate::pool::Endpoint,
     answer: Answer,
     most: usize,
     wait_ms: u64,
 ) -> Option<bytes::Bytes> {
     use http_body_util::BodyExt;
+    let framed = answer.framed();
     let Answer { head, mut body, wire } = answer;
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
     let mut text = bytes::BytesMut::new();
@@ -167,18 +182,23 @@
             return None;
         }
     }
-    give_back(yard, addr, &head.headers, wire).await;
-    Some(text.freeze())
+    give_back(yard, to, &head.headers, wire).await;
+    framed.then(|| text.freeze())
 }
 
 /// A connection whose answer was read to its end.
-pub async fn give_back(yard: &crate::yard::Yard, addr: &str, head: &http::HeaderMap, mut wire: crate::pool::Wire) {
+pub async fn give_back(
+    yard: &crate::yard::Yard,
+    to: &crate::pool::Endpoint,
+    head: &http::HeaderMap,
+    mut wire: crate::pool::Wire,
+) {
     if crate::pool::closes(head) {
         return;
     }
     let ready = tokio::time::timeout(std::time::Duration::from_millis(20), wire.ready()).await;
     if matches!(ready, Ok(Ok(()))) {
-        yard.pools.put(addr, wire, crate::pool::keep(head));
+        yard.pools.put(to, wire, crate::pool::keep(head));
     }
 }
 
@@ -188,12 +208,12 @@
     *request.method_mut() = http::Method::DELETE;
     let Ok(path) = format!("/kv-handle/{}", handle.id).parse() else { return };
     *request.uri_mut() = path;
-    if let Ok(host) = http::HeaderValue::from_str(&handle.addr) {
+    if let Ok(host) = http::HeaderValue::from_str(&handle.reader.addr) {
         request.headers_mut().insert(http::header::HOST, host);
     }
-    let mut wire = match yard.pools.idle(&handle.addr) {
+    let mut wire = match yard.pools.idle(&handle.reader) {
         Some(wire) => wire,
-        None => match yard.pools.dial(&handle.addr, most).await {
+        None => match yard.pools.dial(&handle.reader, most).await {
             Ok(wire) => wire,
             Err(_) => return,
         },
@@ -201,5 +221,9 @@
     let wait = std::time::Duration::from_millis(500);
     let Ok(Ok(reply)) = tokio::time::timeout(wait, wire.send_request(request)).await else { return };
     let (head, body) = reply.into_parts();
-    finish(yard, &handle.addr, Answer { head, body, wire }).await;
+    if !crate::verdict::answers(&head.headers, None) {
+        // Another request's: the answer to this one would be the next that comes.
+        return;
+    }
+    finish(yard, &handle.reader, Answer { head, body, wire }).await;
 }
--- /dev/null
+++ b/router/src/stand_in.rs
@@ -0,0 +1,230 @@
+//! Engines in the test's own process, on real connections over the loopback.
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// A request as an engine saw it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    /// Which of the engine's connections it came on, counted from 0.
+    pub connection: usize,
+    pub head: String,
+    pub body: Vec<u8>,
+}
+
+impl Seen {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    pub fn attempt(&self) -> &str {
+        self.header("attempt-id").unwrap_or("")
+    }
+}
+
+/// The value of a header in the text of a head.
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    lines.find(|(found, _)| found.eq_ignore_ascii_case(name)).map(|(_, value)| value.trim())
+}
+
+/// What an engine does with a request.
+pub enum Act {
+    /// Sends these bytes and serves on.
+    Send(String),
+    /// Sends these bytes and closes the connection.
+    SendAndClose(String),
+    /// Sends these bytes and resets the connection.
+    SendAndReset(String),
+    /// Sends these bytes, and the others once the test says so.
+    SendAndLater(String, std::sync::Arc<tokio::sync::Notify>, String),
+    /// Says nothing and keeps the connection open.
+    Silence,
+}
+
+type Script = std::sync::Arc<dyn Fn(&Seen) -> Act + Send + Sync>;
+
+/// Engines that follow one script, which is also told how many requests came before to any of them.
+pub async fn engines(
+    phase: &'static str,
+    count: usize,
+    script: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static,
+) -> Vec<Engine> {
+    let script = std::sync::Arc::new(script);
+    let before = std::sync::Arc::new(std::sync::atomic::AtomicUsize::new(0));
+    let mut list = Vec::new();
+    for at in 0..count {
+        let (script, before) = (script.clone(), before.clone());
+        let each = move |seen: &Seen| script(seen, before.fetch_add(1, std::sync::atomic::Ordering::Relaxed));
+        list.push(Engine::start(&format!("{phase}-{at}"), phase, each).await);
+    }
+    list
+}
+
+/// All requests that a list of engines saw.
+pub fn seen(engines: &[Engine]) -> Vec<Seen> {
+    engines.iter().flat_map(Engine::seen).collect()
+}
+
+/// An engine that follows a script. Probes (`GET /report`) are answered and not recorded.
+pub struct Engine {
+    pub id: String,
+    pub addr: String,
+    pub phase: &'static str,
+    seen: std::sync::Arc<std::sync::Mutex<Vec<Seen>>>,
+    ended: tokio::sync::watch::Receiver<usize>,
+}
+
+impl Engine {
+    pub async fn start(id: &str, phase: &'static str, script: impl Fn(&Seen) -> Act + Send + Sync + 'static) -> Engine {
+        Engine::start_greeting(id, phase, "", script).await
+    }
+
+    /// One that sends `greeting` on each new connection before it has read anything.
+    pub async fn start_greeting(
+        id: &str,
+        phase: &'static str,
+        greeting: &str,
+        script: impl Fn(&Seen) -> Act + Send + Sync + 'static,
+    ) -> Engine {
+        let greeting = greeting.to_string();
+        let listener = wire::sock::listen("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("its address").to_string();
+        let seen = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
+        let (end, ended) = tokio::sync::watch::channel(0);
+        let engine = Engine { id: id.into(), addr, phase, seen: seen.clone(), ended };
+        let script: Script = std::sync::Arc::new(script);
+        tokio::spawn(async move {
+            let end = std::sync::Arc::new(end);
+            for connection in 0.. {
+                let Ok((mut stream, _)) = listener.accept().await else { return };
+                let _ = stream.write_all(greeting.as_bytes()).await;
+                let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
+                tokio::spawn(async move {
+                    follow(stream, connection, script, seen).await;
+                    end.send_modify(|count| *count += 1);
+                });
+            }
+        });
+        engine
+    }
+
+    pub fn seen(&self) -> Vec<Seen> {
+        self.seen.lock().expect("seen").clone()
+    }
+
+    /// Waits until so many connections have ended.
+    pub async fn ended(&self, count: usize) {
+        let mut ended = self.ended.clone();
+        ended.wait_for(|now| *now >= count).await.expect("the engine lives");
+    }
+
+    /// Its line in the platform's list.
+    pub fn entry(&self) -> wire::msg::Engine {
+        wire::msg::Engine {
+            id: self.id.clone(),
+            service: "s".into(),
+            addr: self.addr.clone(),
+            area: "a".into(),
+            phase: self.phase.into(),
+            model: String::new(),
+            slots: 8,
+            up: true,
+            cold_ms: 0,
+        }
+    }
+}
+
+async fn follow(
+    mut stream: tokio::net::TcpStream,
+    connection: usize,
+    script: Script,
+    seen: std::sync::Arc<std::sync::Mutex<Vec<Seen>>>,
+) {
+    let mut unread = Vec::new();
+    while let Some((head, body)) = request(&mut stream, &mut unread).await {
+        if head.starts_with("GET /report") {
+            let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}").await;
+            return;
+        }
+        let request = Seen { connection, head, body };
+        seen.lock().expect("seen").push(request.clone());
+        match script(&request) {
+            Act::Send(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
+            Act::SendAndClose(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                return;
+            }
+            Act::SendAndReset(text) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                let _ = socket2::SockRef::from(&stream).set_linger(Some(std::time::Duration::ZERO));
+                return;
+            }
+            Act::SendAndLater(text, when, later) => {
+                let _ = stream.write_all(text.as_bytes()).await;
+                when.notified().await;
+                let _ = stream.write_all(later.as_bytes()).await;
+            }
+            Act::Silence => {}
+        }
+    }
+}
+
+/// The next request on a connection: its head and its body. None: the connection ended.
+async fn request(stream: &mut tokio::net::TcpStream, unread: &mut Vec<u8>) -> Option<(String, Vec<u8>)> {
+    let end = loop {
+        if let Some(at) = unread.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(unread).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&unread[..end]).into_owned();
+    let length = header(&head, "content-length").and_then(|text| text.parse::<usize>().ok()).unwrap_or(0);
+    while unread.len() < end + length {
+        if stream.read_buf(unread).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let body = unread[end..end + length].to_vec();
+    unread.drain(..end + length);
+    Some((head, body))
+}
+
+/// An engine's answer to a request, with the seal and the id that belong there.
+pub fn answer(seen: &Seen, status: &str, body: &str) -> String {
+    sealed(seen.attempt(), status, body)
+}
+
+pub fn sealed(attempt: &str, status: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\nKeep-Alive: timeout=30\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// An engine's word that it did not run a request.
+pub fn not_executed(seen: &Seen) -> String {
+    let attempt = seen.attempt();
+    format!("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// The head of a stream and events `from..to`; the end only where it is `whole`.
+pub fn events(seen: &Seen, from: u32, to: u32, whole: bool) -> String {
+    let attempt = seen.attempt();
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    for id in from..to {
+        let event = format!("id: {id}\ndata: token-{id}\n\n");
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if whole {
+        text.push_str("0\r\n\r\n");
+    }
+    text
+}
--- /dev/null
+++ b/router/src/stand_in_router.rs
@@ -0,0 +1,99 @@
+//! A router in the test's own process, and clients of it, on real connections over the loopback.
+use crate::stand_in::Engine;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const SETTINGS: &str = r#"
+node_name = "edge-1"
+ip = "127.0.0.1"
+zone = "a"
+internal_ports = [7300, 7315]
+zones = { a = "r" }
+limits = { memory_mb = 256, fd_limit = 1000 }
+bounds = { retry_budget = 1.0, budget_slack = 0.0 }
+cloud_api = { address = "127.0.0.1:1", rate_per_s = 1.0 }
+"#;
+
+/// A ready router with one route of each kind to one service.
+pub fn router(engines: &[Engine]) -> std::sync::Arc<crate::yard::Yard> {
+    let yard = crate::yard::Yard::new(kernel::env::parse(SETTINGS).expect("good settings"));
+    let route = |name: &str, kind: &str, resumable: bool| {
+        serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "route_type": kind,
+            "timeout_ms": 20000, "target_ms": 1000, "retry_count": 2, "service": "s", "resumable": resumable})
+    };
+    let config = serde_json::json!({"revision": 1, "service_table": [{"name": "s", "engine": {"kv_hold_s": 5.0}}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000},
+        "route_table": [route("once", "non_idempotent", false), route("again", "idempotent", false),
+            route("stream", "streaming", false), route("resume", "streaming", true)]});
+    crate::turn::config(&yard, 1, config.to_string().as_bytes());
+    list(&yard, 1, engines);
+    yard.ready.store(true, std::sync::atomic::Ordering::Relaxed);
+    yard
+}
+
+/// Tells the router which engines there are.
+pub fn list(yard: &crate::yard::Yard, count: u64, engines: &[Engine]) {
+    let list = engines.iter().map(Engine::entry).collect();
+    let sheet = wire::msg::Sheet { area: "a".into(), turn: 1, count, list };
+    yard.park.lock().expect("park").take(&sheet, kernel::clock::now());
+}
+
+/// A client's connection to a router.
+pub struct Client(pub tokio::net::TcpStream);
+
+impl Client {
+    pub async fn connect(yard: &std::sync::Arc<crate::yard::Yard>) -> Client {
+        let listener = wire::sock::listen("127.0.0.1:0").expect("a free port");
+        let addr = listener.local_addr().expect("its address");
+        let yard = yard.clone();
+        tokio::spawn(async move {
+            let (stream, _) = listener.accept().await.expect("a client");
+            crate::door::client(yard, stream).await;
+        });
+        Client(tokio::net::TcpStream::connect(addr).await.expect("connected"))
+    }
+
+    pub async fn write(&mut self, text: &str) {
+        self.0.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    /// Reads until the router has closed the connection.
+    pub async fn rest(&mut self) -> String {
+        let mut bytes = Vec::new();
+        let _ = self.0.read_to_end(&mut bytes).await;
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+
+    /// Reads until `mark` has come.
+    pub async fn until(&mut self, mark: &str) -> String {
+        let mut bytes = Vec::new();
+        while !String::from_utf8_lossy(&bytes).contains(mark) {
+            assert_ne!(self.0.read_buf(&mut bytes).await.expect("read"), 0, "closed before {mark:?}");
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
+/// A client's request; `more` holds further header lines.
+pub fn post(route: &str, attempt: &str, more: &str) -> String {
+    format!("POST /{route}/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: {attempt}\r\nContent-Length: 4\r\n{more}\r\nbody")
+}
+
+/// One request on a connection of its own, and all that came back.
+pub async fn ask(yard: &std::sync::Arc<crate::yard::Yard>, route: &str, attempt: &str, more: &str) -> String {
+    let mut client = Client::connect(yard).await;
+    client.write(&post(route, attempt, &format!("Connection: close\r\n{more}"))).await;
+    client.rest().await
+}
+
+/// Waits until the router holds so many kept connections to engines.
+pub async fn kept(yard: &crate::yard::Yard, count: usize) {
+    while yard.pools.ready_count() != count {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// The status of the first answer in a text.
+pub fn status(text: &str) -> &str {
+    text.split(' ').nth(1).unwrap_or("none")
+}
--- a/router/src/stream.rs
+++ b/router/src/stream.rs
@@ -1,12 +1,13 @@
 //! Cutting a stream of events at its joints, so that only whole events are passed on.
 
 /// Invariant: what `feed` gave out ends at the end of an event; `rest` holds the bytes of an event
-/// that is not whole; `last` is the id of the last event given out.
+/// that is not whole; `last` is the id of the last event given out; `torn` once this does not hold any more.
 #[derive(Default)]
 pub struct Splitter {
     rest: bytes::BytesMut,
     pub last: Option<String>,
     pub events: u64,
+    torn: bool,
 }
 
 /// Larger than any event; a body without joints is passed on rather than held.
@@ -18,6 +19,7 @@
         self.rest.extend_from_slice(data);
         let Some(end) = joint(&self.rest, scan) else {
             if self.rest.len() > MOST {
+                self.torn = true;
                 return self.rest.split().freeze();
             }
             return bytes::Bytes::new();
@@ -40,6 +42,11 @@
         }
     }
 
+    /// Can another engine go on behind what was given out? Not where that does not end at an event with an id.
+    pub fn resumable(&self) -> bool {
+        !self.torn && (self.events == 0 || self.last.is_some())
+    }
+
     /// What is left at the end of a body that ended as it should.
     pub fn end(&mut self) -> bytes::Bytes {
         self.rest.split().freeze()
--- a/router/src/trip.rs
+++ b/router/src/trip.rs
@@ -65,8 +65,9 @@
         self.repeatable && self.sends < self.tries
     }
 
-    pub fn addr(&self, at: usize) -> String {
-        self.yard.park.lock().expect("park").list[at].addr.clone()
+    pub fn endpoint(&self, at: usize) -> crate::pool::Endpoint {
+        let park = self.yard.park.lock().expect("park");
+        crate::pool::Endpoint { addr: park.list[at].addr.clone(), engine: park.list[at].id.clone() }
     }
 
     /// May one more send be made that the operator counts? The first arrival draws on no budget.
@@ -137,22 +138,21 @@
         let tokens = u64::from(reads);
         let weights = self.weights();
         extra.guard = weights.is_some().then(|| self.route.clone());
-        let addr = {
+        let to = self.endpoint(at);
+        {
             let mut park = self.yard.park.lock().expect("park");
             let stall = &mut park.list[at];
             extra.expect = weights.and_then(|(model, _, _)| stall.weight(model));
             stall.busy += 1;
             stall.tokens += tokens;
             stall.ramp.note(now);
-            extra.target.clone_from(&stall.id);
-            stall.addr.clone()
-        };
+        }
         self.seats.push((at, tokens));
         let stage = extra.stage;
         extra.budget_ms = self.errand.left(now).max(1);
         let wait = self.errand.left(now);
         let outcome = {
-            let call = crate::send::send(&self.yard, &self.errand, self.service, &addr, self.most(), &extra, wait);
+            let call = crate::send::send(&self.yard, &self.errand, self.service, &to, self.most(), &extra, wait);
             tokio::pin!(call);
             loop {
                 let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
@@ -201,7 +201,7 @@
         match outcome {
             crate::send::Outcome::Answer(answer) => {
                 stall.good(now);
-                if let Some(version) = crate::send::version(&answer.head.headers) {
+                if let Some(version) = crate::verdict::version(&answer.head.headers) {
                     stall.weigh(self.errand.model_key, Some(version));
                 }
                 if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
--- a/router/src/yard.rs
+++ b/router/src/yard.rs
@@ -44,7 +44,44 @@
     pub seats: Vec<(u64, u32)>,
 }
 
+/// What a record may grow to, and for how long an owner counts that was not heard of again.
+const RECORD: usize = 20_000;
+const STALE_MS: u64 = 30_000;
+
 impl Yard {
+    /// The state of a process that has just started: it knows its settings and nothing else.
+    pub fn new(env: kernel::env::Env) -> std::sync::Arc<Yard> {
+        let life = kernel::clock::life();
+        let mut park = engines::park::Park::default();
+        let area = park.area(&env.zone);
+        for (zone, region) in &env.zones {
+            park.region(zone, region);
+        }
+        let window_ms = (env.bounds.budget_window_s * 1000.0) as u64;
+        std::sync::Arc::new(Yard {
+            life,
+            area,
+            table: Default::default(),
+            park: std::sync::Mutex::new(park),
+            record: std::sync::Mutex::new(catalog::record::Record::new(RECORD, STALE_MS)),
+            budget: std::sync::Mutex::new(engines::budget::Budget::new(env.bounds.retry_budget, window_ms)),
+            pools: Default::default(),
+            lookup: Default::default(),
+            floors: Default::default(),
+            weights: Default::default(),
+            news: Default::default(),
+            home: Default::default(),
+            dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
+            few_at: Default::default(),
+            calm: Default::default(),
+            ready: Default::default(),
+            leaving: Default::default(),
+            open: Default::default(),
+            held: Default::default(),
+            env,
+        })
+    }
+
     /// How many routers share the bounds: the most that was told in the last ten seconds.
     pub fn seats(&self) -> u32 {
         let news = self.news.lock().expect("news");
