--- a/router/src/exchange_tests.rs
+++ b/router/src/exchange_tests.rs
@@ -1,6 +1,6 @@
 //! One request and its answer, with engines that misbehave: whose answer a client gets, and how often a
 //! request reaches an engine.
-use crate::stand_in::{answer, engines, events, not_executed, sealed, seen, Act};
+use crate::stand_in::{answer, engines, not_executed, sealed, seen, Act, Engine};
 use crate::stand_in_router::{ask, router, status};
 
 const UNREPEATABLE: [&str; 2] = ["once", "stream"];
@@ -131,7 +131,7 @@
 async fn an_answer_that_comes_before_its_request_is_nobodys() {
     let stale = sealed("stale", "200 OK", "of another");
     for route in UNREPEATABLE {
-        let list = [crate::stand_in::Engine::start_greeting("g", "decode", &stale, |_| Act::Silence).await];
+        let list = [Engine::start_greeting("g", "decode", &stale, |_| Act::Silence).await];
         let text = ask(&router(&list), route, "1", "Time-Budget: 2000\r\n").await;
         assert!(!text.contains("of another"), "{text}");
         assert!(["502", "503"].contains(&status(&text)), "{text}");
@@ -180,78 +180,6 @@
     }
 }
 
-#[tokio::test]
-async fn an_answer_that_ends_early_does_not_look_complete() {
-    let faults: [fn(&crate::stand_in::Seen) -> Act; 4] = [
-        |seen| Act::SendAndClose(events(seen, 1, 3, false)),
-        |seen| Act::SendAndReset(events(seen, 1, 3, false)),
-        |seen| Act::SendAndClose(format!("{}5\r\nid: ", events(seen, 1, 3, false))),
-        // Without a length or chunks nobody can tell a break from the end.
-        |seen| Act::SendAndClose(answer(seen, "200 OK", "id: 1\n\n").replace("Content-Length: 7\r\n", "")),
-    ];
-    for (at, fault) in faults.into_iter().enumerate() {
-        for route in UNREPEATABLE {
-            let list = engines("decode", 2, move |seen, _| fault(seen)).await;
-            let text = ask(&router(&list), route, "1", "").await;
-            assert!(!text.ends_with("\r\n0\r\n\r\n"), "fault {at} on {route}: {text}");
-            assert_eq!(seen(&list).len(), 1, "fault {at} on {route}");
-        }
-    }
-    let list = engines("decode", 1, |seen, _| {
-        Act::SendAndClose(answer(seen, "200 OK", "part").replace("Content-Length: 4", "Content-Length: 9"))
-    })
-    .await;
-    let text = ask(&router(&list), "once", "1", "").await;
-    assert!(text.to_lowercase().contains("content-length: 9"), "{text}");
-}
-
-#[tokio::test]
-async fn a_cut_stream_goes_on_behind_its_last_whole_event() {
-    let list = engines("decode", 2, |seen, before| match before {
-        0 => Act::SendAndReset(format!("{}b\r\nid: 3\ndata: \r\n", events(seen, 1, 3, false))),
-        _ => Act::Send(events(seen, 3, 5, true)),
-    })
-    .await;
-    let text = ask(&router(&list), "resume", "1", "").await;
-    let ids: Vec<&str> = text.lines().filter_map(|line| line.strip_prefix("id: ")).collect();
-    assert_eq!(ids, ["1", "2", "3", "4"]);
-    assert!(text.ends_with("0\r\n\r\n"), "{text}");
-    let lasts: Vec<_> =
-        seen(&list).iter().filter_map(|seen| seen.header("last-event-id").map(str::to_string)).collect();
-    assert_eq!(lasts, ["2"]);
-}
-
-#[tokio::test]
-async fn a_stream_is_not_joined_with_what_is_no_engines_stream() {
-    let joins: [fn(&crate::stand_in::Seen) -> String; 3] = [
-        |seen| events(seen, 2, 4, true).replace("Response-Seal", "Other"),
-        |seen| events(seen, 2, 4, true).replace("Attempt-Id: 1", "Attempt-Id: 2"),
-        |seen| answer(seen, "500 Internal Server Error", "id: 2\n\n"),
-    ];
-    for join in joins {
-        let list = engines("decode", 2, move |seen, before| match before {
-            0 => Act::SendAndReset(events(seen, 1, 2, false)),
-            _ => Act::Send(join(seen)),
-        })
-        .await;
-        let text = ask(&router(&list), "resume", "1", "").await;
-        assert!(text.contains("id: 1") && !text.contains("id: 2"), "{text}");
-        assert!(!text.ends_with("0\r\n\r\n"), "{text}");
-    }
-}
-
-#[tokio::test]
-async fn a_stream_whose_events_bear_no_ids_is_not_begun_anew() {
-    let list = engines("decode", 2, |seen, before| match before {
-        0 => Act::SendAndReset(events(seen, 1, 3, false).replace("id: ", "in: ")),
-        _ => Act::Send(events(seen, 1, 5, true)),
-    })
-    .await;
-    let text = ask(&router(&list), "resume", "1", "").await;
-    assert_eq!(text.matches("token-1").count(), 1, "{text}");
-    assert!(!text.ends_with("0\r\n\r\n"), "{text}");
-}
-
 #[tokio::test]
 async fn what_only_the_system_may_set_is_not_taken_from_a_client() {
     let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "x"))).await;
@@ -265,3 +193,30 @@
     assert_eq!(seen.header("target-instance"), Some("decode-0"));
     assert_eq!(seen.header("x-other"), Some("kept"));
 }
+
+/// Engines that say nothing; each is found dark as soon as a request has come to it.
+async fn dark_once_asked(yard: std::sync::Arc<std::sync::OnceLock<std::sync::Arc<crate::yard::Yard>>>) -> Vec<Engine> {
+    engines("decode", 2, move |seen, before| {
+        let yard = yard.get().expect("set");
+        let now = kernel::clock::now() + 1;
+        if before == 0 {
+            yard.park.lock().expect("park").list.iter_mut().for_each(|engine| engine.strike(now, 0));
+            return Act::Silence;
+        }
+        Act::Send(answer(seen, "200 OK", "second"))
+    })
+    .await
+}
+
+#[tokio::test]
+async fn only_a_repeatable_request_leaves_an_engine_that_is_found_dark() {
+    for route in ["once", "stream", "again", "resume"] {
+        let cell = std::sync::Arc::new(std::sync::OnceLock::new());
+        let list = dark_once_asked(cell.clone()).await;
+        let yard = router(&list);
+        assert!(cell.set(yard.clone()).is_ok());
+        let text = ask(&yard, route, "1", "Time-Budget: 500\r\n").await;
+        let expected = if UNREPEATABLE.contains(&route) { ("504", 1) } else { ("200", 2) };
+        assert_eq!((status(&text), seen(&list).len()), expected, "{route}: {text}");
+    }
+}
--- a/router/src/halves_tests.rs
+++ b/router/src/halves_tests.rs
@@ -27,6 +27,16 @@
     list
 }
 
+/// The script of a reader that tells when a handle is given free.
+fn holder(freed: std::sync::Arc<tokio::sync::Notify>) -> impl Fn(&Seen, usize) -> Act + Send + Sync + 'static {
+    move |seen, _| {
+        if seen.head.starts_with("DELETE") {
+            freed.notify_one();
+        }
+        Act::Send(held(seen))
+    }
+}
+
 fn reads(list: &[Engine]) -> Vec<Seen> {
     let all = seen(&list[..2]).into_iter();
     all.filter(|seen| seen.header("serving-phase") == Some("prefill")).collect()
@@ -110,8 +120,9 @@
 
 #[tokio::test]
 async fn a_handle_is_named_to_one_maker_that_may_have_taken_it() {
+    let freed = std::sync::Arc::new(tokio::sync::Notify::new());
     let list = fleet(
-        |seen, _| Act::Send(held(seen)),
+        holder(freed.clone()),
         |seen, before| if before == 0 { Act::SendAndReset(String::new()) } else { stream(seen) },
     )
     .await;
@@ -119,19 +130,22 @@
     assert_eq!(status(&text), "200", "{text}");
     let named: Vec<_> = sources(&list).into_iter().flatten().collect();
     assert_eq!((named.len(), seen(&list[2..]).len()), (1, 2), "{named:?}");
+    freed.notified().await;
+    assert_eq!(frees(&list).len(), 1);
+}
+
+#[tokio::test]
+async fn a_handle_near_its_end_is_not_named() {
+    let list = fleet(|seen, _| Act::Send(held(seen)), |seen, _| stream(seen)).await;
+    let text = ask(&crate::stand_in_router::router_holding(&list, 0.4), "stream", "1", PROMPT).await;
+    assert_eq!((status(&text), sources(&list)), ("200", vec![None]), "{text}");
 }
 
 #[tokio::test]
 async fn memory_that_a_maker_could_not_have_is_given_free_and_the_prompt_read_there() {
     let freed = std::sync::Arc::new(tokio::sync::Notify::new());
-    let now = freed.clone();
     let list = fleet(
-        move |seen, _| {
-            if seen.head.starts_with("DELETE") {
-                now.notify_one();
-            }
-            Act::Send(held(seen))
-        },
+        holder(freed.clone()),
         |seen, before| if before == 0 { Act::Send(not_executed(seen)) } else { stream(seen) },
     )
     .await;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -38,6 +38,10 @@
 #[path = "reuse_tests.rs"]
 mod reuse_tests;
 
+#[cfg(test)]
+#[path = "stream_end_tests.rs"]
+mod stream_end_tests;
+
 #[cfg(test)]
 #[path = "halves_tests.rs"]
 mod halves_tests;
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -15,12 +15,17 @@
 
 /// A ready router with one route of each kind to one service.
 pub fn router(engines: &[Engine]) -> std::sync::Arc<crate::yard::Yard> {
+    router_holding(engines, 5.0)
+}
+
+/// One whose engines hold the memory of a prompt for so long.
+pub fn router_holding(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::yard::Yard> {
     let yard = crate::yard::Yard::new(kernel::env::parse(SETTINGS).expect("good settings"));
     let route = |name: &str, kind: &str, resumable: bool| {
         serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "route_type": kind,
             "timeout_ms": 20000, "target_ms": 1000, "retry_count": 2, "service": "s", "resumable": resumable})
     };
-    let config = serde_json::json!({"revision": 1, "service_table": [{"name": "s", "engine": {"kv_hold_s": 5.0}}],
+    let config = serde_json::json!({"revision": 1, "service_table": [{"name": "s", "engine": {"kv_hold_s": hold_s}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000},
         "route_table": [route("once", "non_idempotent", false), route("again", "idempotent", false),
