--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -2,52 +2,52 @@
 
 #[kernel::plug::linkme::distributed_slice]
 #[linkme(crate = kernel::plug::linkme)]
-pub static ROUTER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>>];
+pub static ROUTER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::state::State>>];
 
 macro_rules! part {
     ($label:ident, $name:literal, $order:literal, $start:expr) => {
         #[kernel::plug::linkme::distributed_slice(ROUTER_PARTS)]
         #[linkme(crate = kernel::plug::linkme)]
-        static $label: kernel::plug::Plug<std::sync::Arc<crate::yard::Yard>> =
+        static $label: kernel::plug::Plug<std::sync::Arc<crate::state::State>> =
             kernel::plug::Plug { name: $name, order: $order, start: $start };
     };
 }
 
-part!(READY, "readiness", 1, |yard| drop(tokio::spawn(crate::door::readiness(yard.clone()))));
-part!(FOLLOW, "news", 2, |yard| drop(tokio::spawn(crate::follow::run(yard.clone()))));
-part!(DOOR, "frontend", 3, |yard| drop(tokio::spawn(crate::door::frontend(yard.clone()))));
+part!(READY, "readiness", 1, |state| drop(tokio::spawn(crate::server::readiness(state.clone()))));
+part!(FOLLOW, "news", 2, |state| drop(tokio::spawn(crate::follow::run(state.clone()))));
+part!(DOOR, "frontend", 3, |state| drop(tokio::spawn(crate::server::frontend(state.clone()))));
 
 pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone());
-    let yard = crate::yard::Yard::new(env);
+    let state = crate::state::State::new(env);
     let mut word = kernel::signal::watch();
-    kernel::plug::start(&ROUTER_PARTS, &yard);
+    kernel::plug::start(&ROUTER_PARTS, &state);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
-    leave(&yard).await;
+    leave(&state).await;
     std::process::ExitCode::SUCCESS
 }
 
 /// Unready at once; new connections are still served until the platform has seen it; then what is
 /// under way is finished, all well inside the grace.
-async fn leave(yard: &std::sync::Arc<crate::yard::Yard>) {
+async fn leave(state: &std::sync::Arc<crate::state::State>) {
     let order = std::sync::atomic::Ordering::Relaxed;
-    yard.leaving.store(true, order);
+    state.leaving.store(true, order);
     let begun = kernel::clock::now();
-    let counts = yard.record.lock().expect("record").counts;
-    kernel::say!(crate::event::LEAVE, "open" => yard.open.load(order));
+    let counts = state.record.lock().expect("record").counts;
+    kernel::say!(crate::event::LEAVE, "open" => state.open.load(order));
     kernel::say!(crate::event::COUNTS, "queries" => counts.queries, "hits" => counts.hits, "no_owner" => counts.no_owner,
         "stale" => counts.stale_owner, "transfer" => counts.transfer_error, "unanswered" => counts.unanswered,
         "dropped" => counts.dropped);
-    let grace = (yard.env.bounds.grace_s * 1000.0) as u64;
+    let grace = (state.env.bounds.grace_s * 1000.0) as u64;
     // Two missed calls for readiness, a second apart, and what was already on its way.
     let calm = (grace / 2).min(3200);
     let last = grace.saturating_sub(600);
     loop {
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
         let spent = kernel::clock::now() - begun;
-        let idle = yard.open.load(order) == 0;
+        let idle = state.open.load(order) == 0;
         if (idle && spent >= calm) || spent >= last {
-            kernel::say!(crate::event::GONE, "open" => yard.open.load(order));
+            kernel::say!(crate::event::GONE, "open" => state.open.load(order));
             return;
         }
     }
--- a/router/src/turn.rs
+++ b/router/src/config.rs
@@ -1,39 +1,39 @@
 //! A newer configuration taken into force, and a catalog that changed hands.
 
 /// A whole configuration as text, from a keeper that knows no other form.
-pub fn config(yard: &crate::yard::Yard, stamp: u64, text: &[u8]) {
-    if stamp <= yard.news.lock().expect("news").config {
+pub fn config(state: &crate::state::State, stamp: u64, text: &[u8]) {
+    if stamp <= state.news.lock().expect("news").config {
         return;
     }
     let read = std::str::from_utf8(text).map_err(|error| error.to_string()).and_then(wire::config::read);
     match read {
-        Ok(config) => turn(yard, &wire::change::Change::whole(&config)),
+        Ok(config) => turn(state, &wire::change::Change::whole(&config)),
         Err(error) => kernel::say!(crate::event::BAD_CONFIG, "stamp" => stamp, "error" => error),
     }
 }
 
 /// One that can't be read counts for nothing: the next call tells what is held and the whole comes.
-pub fn change(yard: &crate::yard::Yard, body: &[u8]) {
+pub fn change(state: &crate::state::State, body: &[u8]) {
     match wire::change::Change::read(body) {
-        Some(change) => turn(yard, &change),
+        Some(change) => turn(state, &change),
         None => kernel::say!(crate::event::BAD_CONFIG, "stamp" => 0, "error" => "a change that can't be read"),
     }
 }
 
-fn turn(yard: &crate::yard::Yard, change: &wire::change::Change) {
-    let old = yard.table();
-    let Some(table) = old.turn(change, &mut yard.park.lock().expect("park")) else { return };
-    *yard.table.lock().expect("table") = std::sync::Arc::new(table);
-    yard.news.lock().expect("news").config = change.to;
+fn turn(state: &crate::state::State, change: &wire::change::Change) {
+    let old = state.table();
+    let Some(table) = old.turn(change, &mut state.park.lock().expect("park")) else { return };
+    *state.table.lock().expect("table") = std::sync::Arc::new(table);
+    state.news.lock().expect("news").config = change.to;
     kernel::say!(crate::event::CONFIG, "revision" => change.to);
 }
 
 /// A new holder of the catalog starts empty: what is known here is registered again, in steps.
-pub async fn again(yard: std::sync::Arc<crate::yard::Yard>) {
-    let all = yard.record.lock().expect("record").all(kernel::clock::now());
+pub async fn again(state: std::sync::Arc<crate::state::State>) {
+    let all = state.record.lock().expect("record").all(kernel::clock::now());
     for part in all.chunks(100) {
         let list = part.iter().map(|(key, engine)| wire::msg::Record { key: *key, engine: engine.clone() }).collect();
-        yard.lookup.register(list, Vec::new());
+        state.lookup.register(list, Vec::new());
         tokio::time::sleep(std::time::Duration::from_millis(50)).await;
     }
 }
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -10,7 +10,7 @@
 /// answers one of them, and ask once more for themselves.
 const ASKERS: u64 = 8;
 const PAUSE_MOST_MS: u64 = 3000;
-/// How the name of an engine that answered again is told, beside the names of those in doubt. Fellows of the
+/// How the name of an engine that answered again is told, beside the names of those in doubt. Peers of the
 /// first version know no engine of such a name.
 const CALM: &str = "\0calm/";
 
@@ -24,10 +24,10 @@
 }
 
 /// Word of an engine from a keeper: in doubt, or answering again.
-pub fn hear(yard: &std::sync::Arc<crate::yard::Yard>, name: &str) {
+pub fn hear(state: &std::sync::Arc<crate::state::State>, name: &str) {
     let calm = name.strip_prefix(CALM);
     let at = {
-        let mut park = yard.park.lock().expect("park");
+        let mut park = state.park.lock().expect("park");
         let at = park.find(calm.unwrap_or(name));
         if let (Some(at), true) = (at, calm.is_some()) {
             park.list[at].calm = true;
@@ -35,18 +35,18 @@
         at
     };
     match (at, calm) {
-        (Some(at), None) => raise(yard, at, false),
-        (Some(_), Some(_)) => yard.calm.notify_waiters(),
+        (Some(at), None) => raise(state, at, false),
+        (Some(_), Some(_)) => state.calm.notify_waiters(),
         _ => {}
     }
 }
 
-/// Until the next probe is due (false), or a fellow got an answer (true).
-async fn rest(yard: &crate::yard::Yard, at: usize, wait_ms: u64) -> bool {
+/// Until the next probe is due (false), or another router got an answer (true).
+async fn rest(state: &crate::state::State, at: usize, wait_ms: u64) -> bool {
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
     loop {
-        let woken = yard.calm.notified();
-        if std::mem::take(&mut yard.park.lock().expect("park").list[at].calm) {
+        let woken = state.calm.notified();
+        if std::mem::take(&mut state.park.lock().expect("park").list[at].calm) {
             return true;
         }
         if tokio::time::timeout_at(end, woken).await.is_err() {
@@ -55,8 +55,8 @@
     }
 }
 
-fn tell(yard: &crate::yard::Yard, name: String) {
-    let home = yard.home.lock().expect("home").clone();
+fn tell(state: &crate::state::State, name: String) {
+    let home = state.home.lock().expect("home").clone();
     if let Some(home) = home {
         home.cast(wire::msg::Msg::Doubt(Box::new((name, false))));
     }
@@ -65,57 +65,57 @@
 const SHY_MS: u64 = 20_000;
 
 /// Asks an engine until it answers or is gone. One asker an engine at a time.
-pub fn raise(yard: &std::sync::Arc<crate::yard::Yard>, at: usize, tell: bool) {
+pub fn raise(state: &std::sync::Arc<crate::state::State>, at: usize, tell: bool) {
     {
-        let mut park = yard.park.lock().expect("park");
-        let Some(stall) = park.list.get_mut(at).filter(|stall| stall.here && !stall.asked) else { return };
-        stall.asked = true;
+        let mut park = state.park.lock().expect("park");
+        let Some(engine) = park.list.get_mut(at).filter(|engine| engine.here && !engine.asked) else { return };
+        engine.asked = true;
     }
-    tokio::spawn(ask(yard.clone(), at, tell));
+    tokio::spawn(ask(state.clone(), at, tell));
 }
 
-async fn ask(yard: std::sync::Arc<crate::yard::Yard>, at: usize, mut first: bool) {
+async fn ask(state: std::sync::Arc<crate::state::State>, at: usize, mut first: bool) {
     let (mut asked, mut told) = (0u32, false);
     loop {
         let (addr, id) = {
-            let park = yard.park.lock().expect("park");
+            let park = state.park.lock().expect("park");
             (park.list[at].addr.clone(), park.list[at].id.clone())
         };
         let answer = probe(&addr).await;
         let now = kernel::clock::now();
         {
-            let mut park = yard.park.lock().expect("park");
-            let stall = &mut park.list[at];
+            let mut park = state.park.lock().expect("park");
+            let engine = &mut park.list[at];
             match answer {
-                Some(name) if name.as_ref().is_none_or(|name| *name == id) => stall.good(now),
-                Some(_) => stall.over(),
-                None => stall.strike(now, SHY_MS),
+                Some(name) if name.as_ref().is_none_or(|name| *name == id) => engine.good(now),
+                Some(_) => engine.over(),
+                None => engine.strike(now, SHY_MS),
             }
-            if answer_ends(stall, now) {
-                stall.asked = false;
+            if answer_ends(engine, now) {
+                engine.asked = false;
                 // Whoever was told need not tell.
-                let back = stall.here && asked > 0 && !told;
+                let back = engine.here && asked > 0 && !told;
                 drop(park);
                 if back {
-                    tell(&yard, format!("{CALM}{id}"));
+                    tell(&state, format!("{CALM}{id}"));
                 }
                 return;
             }
-            stall.calm = false;
-            kernel::say!(crate::event::STRIKE, "engine" => id.clone(), "strikes" => stall.strikes);
+            engine.calm = false;
+            kernel::say!(crate::event::STRIKE, "engine" => id.clone(), "strikes" => engine.strikes);
         }
-        yard.pools.forget(&addr);
+        state.pools.forget(&addr);
         if std::mem::take(&mut first) {
-            tell(&yard, id.clone());
+            tell(&state, id.clone());
         }
         asked += 1;
-        let roll = yard.dice.lock().expect("dice").roll();
-        told = rest(&yard, at, pause(asked, yard.seats(), roll)).await;
+        let roll = state.dice.lock().expect("dice").roll();
+        told = rest(&state, at, pause(asked, state.router_count(), roll)).await;
     }
 }
 
-fn answer_ends(stall: &engines::park::Stall, now: u64) -> bool {
-    !stall.here || stall.shy_until <= now
+fn answer_ends(engine: &engines::park::Stall, now: u64) -> bool {
+    !engine.here || engine.shy_until <= now
 }
 
 /// Some: it answered, with its id where it gave one.
--- /dev/null
+++ b/router/src/exchange.rs
@@ -0,0 +1,236 @@
+//! One request on its way: what was sent, what is open, what is held for it.
+
+/// One request on its way. Invariants: `may_have_run` never goes back to false;
+/// what is still in flight is ended on drop, and memory that is held is given free.
+pub struct Exchange {
+    pub state: std::sync::Arc<crate::state::State>,
+    pub request: crate::request::Request,
+    pub kind: crate::table::Kind,
+    pub repeatable: bool,
+    /// The greatest number of engines that it may be sent to.
+    pub max_sends: u32,
+    pub target_ms: u64,
+    pub priority: u32,
+    pub service: u32,
+    pub service_config: crate::table::Service,
+    /// Zones that it may not go to, by dense index.
+    pub closed_zones: Vec<u32>,
+    /// The name of its route.
+    pub route: String,
+    /// Bound work goes on at this version only: its prompt was read, or its answer begun, with it.
+    pub pinned_version: Option<u64>,
+    pub prefix_owners: crate::plan::PrefixOwners,
+    /// Sends that count against `max_sends`.
+    pub sends: u32,
+    /// An engine got it: each further send draws on the retry budget.
+    pub arrived: bool,
+    /// An engine may have taken it up: it is never called refused any more.
+    pub may_have_run: bool,
+    /// Engines that are not tried again, by index.
+    pub tried: Vec<usize>,
+    /// Engines at which it is under way, and the prompt tokens that each has yet to read.
+    pub in_flight: Vec<(usize, u64)>,
+    pub kv_handle: Option<crate::kv_handle::Handle>,
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        while let Some((at, _)) = self.in_flight.last().copied() {
+            self.end_send(at);
+        }
+        self.release_handle();
+        let order = std::sync::atomic::Ordering::Relaxed;
+        self.state.open.fetch_sub(1, order);
+        self.state.held.fetch_sub(self.request.body.len(), order);
+    }
+}
+
+impl Exchange {
+    pub fn remaining_ms(&self) -> u64 {
+        self.request.left(kernel::clock::now())
+    }
+
+    /// Deferrable work is the least urgent there is; the rest goes by the operator's rank where the
+    /// request has halves to be ranked in.
+    pub fn urgency(&self) -> Option<u32> {
+        if self.request.spare.is_some() {
+            return Some(9);
+        }
+        (!self.request.keys.is_empty()).then_some((4 + self.priority).min(8))
+    }
+
+    pub fn is_streaming(&self) -> bool {
+        self.kind == crate::table::Kind::Streaming
+    }
+
+    pub fn is_resumable(&self) -> bool {
+        self.is_streaming() && self.repeatable
+    }
+
+    /// May the request be sent to another engine once this one is found dark?
+    pub fn may_retry(&self) -> bool {
+        self.repeatable && self.sends < self.max_sends
+    }
+
+    pub fn endpoint(&self, at: usize) -> crate::pool::Endpoint {
+        let park = self.state.park.lock().expect("park");
+        crate::pool::Endpoint { addr: park.list[at].addr.clone(), engine: park.list[at].id.clone() }
+    }
+
+    /// May one more send be made that the operator counts? The first arrival draws on no budget.
+    pub fn grant_send(&self) -> bool {
+        if self.sends >= self.max_sends {
+            return false;
+        }
+        if !self.arrived {
+            return true;
+        }
+        let part = self.state.env.bounds.budget_slack * 0.5 / f64::from(self.state.router_count());
+        self.state.budget.lock().expect("budget").allow(self.service, kernel::clock::now(), part)
+    }
+
+    pub fn view<T>(&self, look: impl FnOnce(&engines::place::View) -> T) -> T {
+        let table = self.state.table();
+        let ramp = table.services.get(&self.service).map_or(0.0, |spec| spec.ramp_per_s);
+        let routers = self.state.router_count();
+        let weights = self.version_bounds();
+        let park = self.state.park.lock().expect("park");
+        look(&engines::place::View {
+            park: &park,
+            now: kernel::clock::now(),
+            service: self.service,
+            area: self.state.zone,
+            shut: &self.closed_zones,
+            tried: &self.tried,
+            seats: routers,
+            ramp: ramp * self.state.env.bounds.ramp_overage,
+            weights,
+        })
+    }
+
+    /// Connections that this router may have to one engine.
+    pub fn max_connections(&self) -> usize {
+        let all = if self.service_config.connections == 0 { 1024 } else { self.service_config.connections };
+        ((f64::from(all) * 0.9) / f64::from(self.state.router_count())).max(2.0) as usize
+    }
+
+    /// Its prompt is read: only the making of tokens is left there.
+    pub fn prompt_read(&mut self, at: usize) {
+        let Some((_, tokens)) = self.in_flight.iter_mut().find(|(engine, _)| *engine == at) else { return };
+        let tokens = std::mem::take(tokens);
+        let mut park = self.state.park.lock().expect("park");
+        park.list[at].tokens = park.list[at].tokens.saturating_sub(tokens);
+    }
+
+    pub fn end_send(&mut self, at: usize) {
+        let Some(place) = self.in_flight.iter().position(|(engine, _)| *engine == at) else { return };
+        let (at, tokens) = self.in_flight.swap_remove(place);
+        let mut park = self.state.park.lock().expect("park");
+        let engine = &mut park.list[at];
+        engine.busy = engine.busy.saturating_sub(1);
+        engine.tokens = engine.tokens.saturating_sub(tokens);
+    }
+
+    /// One send to one engine, with what it shows about that engine noted.
+    /// `reads`: prompt tokens that the engine is to read. `again`: it may be sent elsewhere when the
+    /// engine is found dark; one that answers others, or a probe, is only slow.
+    pub async fn send(
+        &mut self,
+        at: usize,
+        mut extra: crate::send::Extra,
+        reads: u32,
+        again: bool,
+    ) -> crate::send::Outcome {
+        let now = kernel::clock::now();
+        let tokens = u64::from(reads);
+        let weights = self.version_bounds();
+        extra.guard = weights.is_some().then(|| self.route.clone());
+        let to = self.endpoint(at);
+        {
+            let mut park = self.state.park.lock().expect("park");
+            let engine = &mut park.list[at];
+            extra.expect = weights.and_then(|(model, _, _)| engine.weight(model));
+            engine.busy += 1;
+            engine.tokens += tokens;
+            engine.ramp.note(now);
+        }
+        self.in_flight.push((at, tokens));
+        let stage = extra.stage;
+        extra.budget_ms = self.request.left(now).max(1);
+        let wait = self.request.left(now);
+        let outcome = {
+            let call =
+                crate::send::send(&self.state, &self.request, self.service, &to, self.max_connections(), &extra, wait);
+            tokio::pin!(call);
+            loop {
+                let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
+                if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
+                    break outcome;
+                }
+                if self.remaining_ms() == 0 || (self.found_dark(at, now) && again) {
+                    break crate::send::Outcome::Lost;
+                }
+            }
+        };
+        self.record_outcome(at, &outcome);
+        let answer = matches!(outcome, crate::send::Outcome::Answer(_));
+        let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
+        // The first read that an engine takes up is no arrival that counts. One without an answer
+        // may never have been taken up, and counts.
+        let free = answer && stage;
+        self.arrived |= !unsent && !free;
+        if !matches!(outcome, crate::send::Outcome::Answer(_)) {
+            self.end_send(at);
+        }
+        outcome
+    }
+
+    /// Was the engine found dark since then? Raises doubt when it gave no sign of life for a while.
+    pub fn found_dark(&self, at: usize, since: u64) -> bool {
+        let now = kernel::clock::now();
+        let (seen, struck) = {
+            let park = self.state.park.lock().expect("park");
+            (park.list[at].good_at.max(since), park.list[at].struck_at)
+        };
+        if struck > seen {
+            return true;
+        }
+        if now >= seen + crate::doubt::SIGN_MS {
+            crate::doubt::raise(&self.state, at, true);
+        }
+        false
+    }
+
+    /// Notes what an outcome shows about the engine.
+    fn record_outcome(&self, at: usize, outcome: &crate::send::Outcome) {
+        let now = kernel::clock::now();
+        let mut park = self.state.park.lock().expect("park");
+        let engine = &mut park.list[at];
+        match outcome {
+            crate::send::Outcome::Answer(answer) => {
+                engine.good(now);
+                if let Some(version) = crate::verdict::version(&answer.head.headers) {
+                    engine.weigh(self.request.model_key, Some(version));
+                }
+                if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
+                    park.report(at, load, now);
+                }
+            }
+            crate::send::Outcome::OtherEngine => engine.over(),
+            crate::send::Outcome::NotExecuted => {
+                engine.good(now);
+                engine.full_until = now + 60;
+            }
+            crate::send::Outcome::OtherVersion(version) => {
+                engine.good(now);
+                engine.weigh(self.request.model_key, *version);
+            }
+            crate::send::Outcome::Unsent(crate::pool::SendError::Behind) => {}
+            crate::send::Outcome::Unsent(crate::pool::SendError::Full) => engine.full_until = now + 20,
+            _ => {
+                drop(park);
+                crate::doubt::raise(&self.state, at, true);
+            }
+        }
+    }
+}
--- a/router/src/exchange_tests.rs
+++ b/router/src/exchange_tests.rs
@@ -195,12 +195,14 @@
 }
 
 /// Engines that say nothing; each is found dark as soon as a request has come to it.
-async fn dark_once_asked(yard: std::sync::Arc<std::sync::OnceLock<std::sync::Arc<crate::yard::Yard>>>) -> Vec<Engine> {
+async fn dark_once_asked(
+    state: std::sync::Arc<std::sync::OnceLock<std::sync::Arc<crate::state::State>>>,
+) -> Vec<Engine> {
     engines("decode", 2, move |seen, before| {
-        let yard = yard.get().expect("set");
+        let state = state.get().expect("set");
         let now = kernel::clock::now() + 1;
         if before == 0 {
-            yard.park.lock().expect("park").list.iter_mut().for_each(|engine| engine.strike(now, 0));
+            state.park.lock().expect("park").list.iter_mut().for_each(|engine| engine.strike(now, 0));
             return Act::Silence;
         }
         Act::Send(answer(seen, "200 OK", "second"))
@@ -213,9 +215,9 @@
     for route in ["once", "stream", "again", "resume"] {
         let cell = std::sync::Arc::new(std::sync::OnceLock::new());
         let list = dark_once_asked(cell.clone()).await;
-        let yard = router(&list);
-        assert!(cell.set(yard.clone()).is_ok());
-        let text = ask(&yard, route, "1", "Time-Budget: 500\r\n").await;
+        let state = router(&list);
+        assert!(cell.set(state.clone()).is_ok());
+        let text = ask(&state, route, "1", "Time-Budget: 500\r\n").await;
         let expected = if UNREPEATABLE.contains(&route) { ("504", 1) } else { ("200", 2) };
         assert_eq!((status(&text), seen(&list).len()), expected, "{route}: {text}");
     }
--- a/router/src/receipt.rs
+++ b/router/src/failure.rs
@@ -3,7 +3,7 @@
 pub type Body = http_body_util::combinators::UnsyncBoxBody<bytes::Bytes, std::io::Error>;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Receipt {
+pub enum Failure {
     /// Not as the protocol has it; the connection ends.
     Malformed,
     NoRoute,
@@ -17,28 +17,28 @@
     TimedOut,
 }
 
-pub fn write(receipt: Receipt, leaving: bool) -> http::Response<Body> {
-    let status = match receipt {
-        Receipt::Malformed => 400,
-        Receipt::NoRoute => 404,
-        Receipt::Late => 408,
-        Receipt::TooLarge => 413,
-        Receipt::Refused(_) => 503,
-        Receipt::Lost => 502,
-        Receipt::TimedOut => 504,
+pub fn write(failure: Failure, leaving: bool) -> http::Response<Body> {
+    let status = match failure {
+        Failure::Malformed => 400,
+        Failure::NoRoute => 404,
+        Failure::Late => 408,
+        Failure::TooLarge => 413,
+        Failure::Refused(_) => 503,
+        Failure::Lost => 502,
+        Failure::TimedOut => 504,
     };
     let mut reply = http::Response::new(Body::new(http_body_util::combinators::UnsyncBoxBody::new(
         http_body_util::BodyExt::map_err(http_body_util::Empty::new(), |never| match never {}),
     )));
     *reply.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let head = reply.headers_mut();
-    if let Receipt::Refused(wait) = receipt {
+    if let Failure::Refused(wait) = failure {
         let text = format!("{}.{:03}", wait / 1000, wait % 1000);
         if let Ok(value) = http::HeaderValue::from_str(&text) {
             head.insert(http::header::RETRY_AFTER, value);
         }
     }
-    let ends = matches!(receipt, Receipt::Malformed | Receipt::Late | Receipt::TooLarge);
+    let ends = matches!(failure, Failure::Malformed | Failure::Late | Failure::TooLarge);
     if ends || leaving {
         head.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -34,17 +34,17 @@
     Unsure,
 }
 
-pub async fn run(yard: std::sync::Arc<crate::yard::Yard>) {
-    let mut seeds = yard.env.seed_ips();
+pub async fn run(state: std::sync::Arc<crate::state::State>) {
+    let mut seeds = state.env.seed_ips();
     let mut shunned = std::collections::HashMap::new();
     let mut first_ms = FIRST_MS;
     loop {
-        let list = homes(&yard, &seeds);
+        let list = homes(&state, &seeds);
         let Some(home) = pick(&list, &shunned, kernel::clock::now()) else {
             tokio::time::sleep(std::time::Duration::from_millis(BEAT_MS)).await;
             continue;
         };
-        let left = stay(&yard, &home, &list, first_ms).await;
+        let left = stay(&state, &home, &list, first_ms).await;
         first_ms = patience(first_ms, left);
         let now = kernel::clock::now();
         match left {
@@ -67,12 +67,12 @@
 }
 
 /// Keepers in the order in which they are tried.
-fn homes(yard: &crate::yard::Yard, seeds: &[String]) -> Vec<String> {
-    let mut list = yard.news.lock().expect("news").fellows.clone();
+fn homes(state: &crate::state::State, seeds: &[String]) -> Vec<String> {
+    let mut list = state.news.lock().expect("news").keepers.clone();
     if list.is_empty() {
         // The own machine may run one: the cheapest to reach.
         let mut first: Vec<String> = seeds.to_vec();
-        first.sort_by_key(|ip| *ip != yard.env.ip);
+        first.sort_by_key(|ip| *ip != state.env.ip);
         list = first;
     }
     for seed in seeds {
@@ -84,28 +84,28 @@
 }
 
 /// Until this home is to be left.
-async fn stay(yard: &std::sync::Arc<crate::yard::Yard>, home: &str, list: &[String], first_ms: u64) -> Left {
-    let addr = format!("{home}:{}", yard.env.fellow_port());
+async fn stay(state: &std::sync::Arc<crate::state::State>, home: &str, list: &[String], first_ms: u64) -> Left {
+    let addr = format!("{home}:{}", state.env.fellow_port());
     let (send, mut casts) = tokio::sync::mpsc::channel(256);
     let caller = std::sync::Arc::new(wire::link::Caller::start(addr, Some(send)));
-    *yard.home.lock().expect("home") = Some(caller.clone());
+    *state.home.lock().expect("home") = Some(caller.clone());
     let mut sure_at = kernel::clock::now();
     let mut misses = 0;
     let mut settled = false;
     loop {
         let sent = kernel::clock::now();
-        let msg = wire::msg::Msg::Follow(Box::new(standing(yard)));
+        let msg = wire::msg::Msg::Follow(Box::new(standing(state)));
         let call = caller.call(msg, if settled { 700 } else { first_ms });
         tokio::pin!(call);
         let reply = loop {
             tokio::select! {
                 reply = &mut call => break reply,
-                Some(cast) = casts.recv() => take(yard, cast),
+                Some(cast) = casts.recv() => take(state, cast),
             }
         };
         // What was sent before the answer comes first.
         while let Ok(cast) = casts.try_recv() {
-            take(yard, cast);
+            take(state, cast);
         }
         let now = kernel::clock::now();
         match reply {
@@ -113,12 +113,12 @@
                 misses = 0;
                 if news.sure {
                     sure_at = now;
-                    yard.floors.lock().expect("floors").renew(sent);
+                    state.floors.lock().expect("floors").renew(sent);
                 }
                 let better = news.fellows.first().is_some_and(|first| first != home && list.first() != Some(first));
                 let sure = news.sure;
-                absorb(yard, *news);
-                ready(yard, sure);
+                absorb(state, *news);
+                ready(state, sure);
                 if !settled && better {
                     return Left::Better;
                 }
@@ -132,12 +132,12 @@
         if now > sure_at + UNSURE_MS {
             return Left::Unsure;
         }
-        let ready = yard.ready.load(std::sync::atomic::Ordering::Relaxed);
+        let ready = state.ready.load(std::sync::atomic::Ordering::Relaxed);
         let beat = if ready { BEAT_MS } else { BEAT_MS / 4 };
         let end = tokio::time::Instant::now() + std::time::Duration::from_millis(beat);
         while let Ok(Some(cast)) = tokio::time::timeout_at(end, casts.recv()).await {
             let rule = matches!(cast, wire::msg::Msg::Rule(_));
-            take(yard, cast);
+            take(state, cast);
             if rule {
                 // Confirmed at once: somebody waits for it.
                 break;
@@ -146,76 +146,76 @@
     }
 }
 
-fn take(yard: &std::sync::Arc<crate::yard::Yard>, msg: wire::msg::Msg) {
+fn take(state: &std::sync::Arc<crate::state::State>, msg: wire::msg::Msg) {
     match msg {
-        wire::msg::Msg::News(news) => absorb(yard, *news),
-        wire::msg::Msg::Change(body) => crate::turn::change(yard, &body),
-        wire::msg::Msg::Rule(rule) => crate::fresh::rule(yard, &rule),
-        wire::msg::Msg::Versions(list) => crate::fresh::versions(yard, &list),
-        wire::msg::Msg::Doubt(doubt) => crate::doubt::hear(yard, &doubt.0),
+        wire::msg::Msg::News(news) => absorb(state, *news),
+        wire::msg::Msg::Change(body) => crate::config::change(state, &body),
+        wire::msg::Msg::Rule(rule) => crate::fresh::rule(state, &rule),
+        wire::msg::Msg::Versions(list) => crate::fresh::versions(state, &list),
+        wire::msg::Msg::Doubt(doubt) => crate::doubt::hear(state, &doubt.0),
         _ => {}
     }
 }
 
-fn standing(yard: &crate::yard::Yard) -> wire::msg::Follow {
+fn standing(state: &crate::state::State) -> wire::msg::Follow {
     let (mut sheets, busy): (Vec<_>, Vec<_>) = {
-        let park = yard.park.lock().expect("park");
-        let busy = park.list.iter().filter(|stall| stall.busy > 0).map(|stall| (stall.id.clone(), stall.busy));
+        let park = state.park.lock().expect("park");
+        let busy = park.list.iter().filter(|engine| engine.busy > 0).map(|engine| (engine.id.clone(), engine.busy));
         (park.stamps(), busy.collect())
     };
-    let (rules, weights) = crate::fresh::stamps(yard);
+    let (rules, weights) = crate::fresh::stamps(state);
     sheets.extend(weights);
     sheets.push(wire::msg::told());
-    let news = yard.news.lock().expect("news");
+    let news = state.news.lock().expect("news");
     wire::msg::Follow {
-        node: yard.env.node_name.clone(),
-        area: yard.env.zone.clone(),
-        life: yard.life,
+        node: state.env.node_name.clone(),
+        area: state.env.zone.clone(),
+        life: state.life,
         config: news.config,
         closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).chain(rules).collect(),
         sheets,
         busy,
-        door: yard.env.bind_addresses.frontend.clone().filter(|_| !yard.leaving()).unwrap_or_default(),
+        door: state.env.bind_addresses.frontend.clone().filter(|_| !state.leaving()).unwrap_or_default(),
     }
 }
 
 /// Ready once configuration and list are confirmed current; from then on until it leaves.
-fn ready(yard: &crate::yard::Yard, sure: bool) {
+fn ready(state: &crate::state::State, sure: bool) {
     let order = std::sync::atomic::Ordering::Relaxed;
-    if yard.ready.load(order) || !sure {
+    if state.ready.load(order) || !sure {
         return;
     }
-    let known = yard.park.lock().expect("park").stamps().len();
-    if yard.news.lock().expect("news").config > 0 && known >= yard.env.zones.len() {
-        yard.ready.store(true, order);
+    let known = state.park.lock().expect("park").stamps().len();
+    if state.news.lock().expect("news").config > 0 && known >= state.env.zones.len() {
+        state.ready.store(true, order);
         kernel::say!(crate::event::READY);
     }
 }
 
 /// Takes what is newer; stamps never go back.
-fn absorb(yard: &std::sync::Arc<crate::yard::Yard>, news: wire::msg::News) {
+fn absorb(state: &std::sync::Arc<crate::state::State>, news: wire::msg::News) {
     let now = kernel::clock::now();
     if let Some((stamp, text)) = &news.config {
-        crate::turn::config(yard, *stamp, text);
+        crate::config::config(state, *stamp, text);
     }
     let mut left = Vec::new();
     {
-        let mut park = yard.park.lock().expect("park");
+        let mut park = state.park.lock().expect("park");
         for sheet in &news.sheets {
             left.extend(park.take(sheet, now));
         }
         park.rest(&news.resting, now + REST_MS);
     }
     if !left.is_empty() {
-        let mut record = yard.record.lock().expect("record");
+        let mut record = state.record.lock().expect("record");
         left.iter().for_each(|engine| record.forget(engine));
     }
     let areas: Vec<u32> = {
-        let mut park = yard.park.lock().expect("park");
+        let mut park = state.park.lock().expect("park");
         news.closed.iter().map(|(area, _, _)| park.area(area)).collect()
     };
     {
-        let mut held = yard.news.lock().expect("news");
+        let mut held = state.news.lock().expect("news");
         for ((area, stamp, on), dense) in news.closed.iter().zip(areas) {
             if held.closed.get(area).is_some_and(|(known, _)| known >= stamp) {
                 continue;
@@ -228,18 +228,18 @@
             kernel::say!(crate::event::CLOSED, "area" => area.clone(), "stamp" => *stamp, "on" => *on);
         }
         if !news.fellows.is_empty() {
-            held.fellows = news.fellows;
+            held.keepers = news.fellows;
         }
         if news.seats > 0 {
             held.seats.retain(|(time, _)| now < time + 10_000);
             held.seats.push((now, news.seats));
         }
     }
-    let seats = yard.seats();
-    yard.park.lock().expect("park").sit(yard.mark(), yard.area, seats);
-    if yard.lookup.hold(news.catalog.0, &news.catalog.1, yard.env.fellow_port()) {
+    let seats = state.router_count();
+    state.park.lock().expect("park").sit(state.mark(), state.zone, seats);
+    if state.lookup.hold(news.catalog.0, &news.catalog.1, state.env.fellow_port()) {
         kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
-        tokio::spawn(crate::turn::again(yard.clone()));
+        tokio::spawn(crate::config::again(state.clone()));
     }
 }
 
--- a/router/src/halves_tests.rs
+++ b/router/src/halves_tests.rs
@@ -64,8 +64,8 @@
 #[tokio::test]
 async fn each_request_goes_on_with_the_memory_of_its_own_prompt() {
     let list = fleet(|seen, _| Act::Send(held(seen)), |seen, _| stream(seen)).await;
-    let yard = router(&list);
-    let (one, two) = tokio::join!(ask(&yard, "stream", "1", PROMPT), ask(&yard, "resume", "2", PROMPT));
+    let state = router(&list);
+    let (one, two) = tokio::join!(ask(&state, "stream", "1", PROMPT), ask(&state, "resume", "2", PROMPT));
     assert!(one.contains("seal-1") && two.contains("seal-2"), "{one}{two}");
     let made = seen(&list[2..]);
     assert_eq!(made.len(), 2);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,28 +1,28 @@
 //! The data plane: takes clients' requests and carries them to engines.
+mod admission;
 pub mod boot;
-mod carry;
-mod door;
+mod config;
 mod doubt;
-mod errand;
 mod event;
+mod exchange;
+mod failure;
 mod feed;
 mod follow;
 mod frames;
 mod fresh;
 mod halves;
-mod handle;
+mod kv_handle;
 mod lookup;
 mod plan;
 mod pool;
-mod receipt;
 mod relay;
+mod request;
 mod send;
+mod server;
+mod state;
 mod stream;
 mod table;
-mod trip;
-mod turn;
 mod verdict;
-mod yard;
 
 #[cfg(test)]
 mod stand_in;
--- a/router/src/lookup.rs
+++ b/router/src/lookup.rs
@@ -11,7 +11,7 @@
 struct Inner {
     epoch: u64,
     holder: String,
-    fellow: Option<std::sync::Arc<wire::link::Caller>>,
+    peer: Option<std::sync::Arc<wire::link::Caller>>,
     misses: u32,
     rest_until: u64,
     drops: u32,
@@ -39,7 +39,7 @@
         inner.epoch = epoch;
         if inner.holder != holder {
             inner.holder = holder.into();
-            inner.fellow = Some(std::sync::Arc::new(wire::link::Caller::start(addr, None)));
+            inner.peer = Some(std::sync::Arc::new(wire::link::Caller::start(addr, None)));
         }
         inner.misses = 0;
         inner.rest_until = 0;
@@ -47,12 +47,12 @@
         true
     }
 
-    fn fellow(&self, now: u64) -> Option<(u64, std::sync::Arc<wire::link::Caller>)> {
+    fn peer(&self, now: u64) -> Option<(u64, std::sync::Arc<wire::link::Caller>)> {
         let inner = self.inner.lock().expect("lookup");
         if now < inner.rest_until {
             return None;
         }
-        Some((inner.epoch, inner.fellow.clone()?))
+        Some((inner.epoch, inner.peer.clone()?))
     }
 
     fn heard(&self, good: bool) {
@@ -66,13 +66,13 @@
 
     /// The owners of each key asked, and how pressed they and the sample are; None: no answer in time.
     pub async fn query(&self, keys: &[u64], sample: Vec<u64>) -> Option<Found> {
-        let (epoch, fellow) = self.fellow(kernel::clock::now())?;
+        let (epoch, peer) = self.peer(kernel::clock::now())?;
         let plain = self.inner.lock().expect("lookup").plain;
         let msg = match plain {
             true => wire::msg::Msg::Query(Box::new((epoch, keys.to_vec()))),
             false => wire::msg::Msg::Seek(Box::new(wire::msg::Seek { epoch, keys: keys.to_vec(), sample })),
         };
-        let reply = fellow.call(msg, WAIT_MS).await;
+        let reply = peer.call(msg, WAIT_MS).await;
         self.heard(reply.is_some());
         match reply? {
             wire::msg::Msg::Found(found) if found.0 == epoch => Some(Found { owners: found.1, list: Vec::new() }),
@@ -91,8 +91,8 @@
             true => wire::msg::Msg::Register(Box::new((epoch, list))),
             false => wire::msg::Msg::Note(Box::new(wire::msg::Note { epoch, list, told })),
         };
-        let sent = match self.fellow(kernel::clock::now()) {
-            Some((epoch, fellow)) => fellow.cast(msg(epoch)),
+        let sent = match self.peer(kernel::clock::now()) {
+            Some((epoch, peer)) => peer.cast(msg(epoch)),
             None => false,
         };
         if !sent {
@@ -103,8 +103,8 @@
     /// The barrier before a hand-over: all registrations before it are delivered, or counted here.
     pub async fn flush(&self, sent: u32) -> u32 {
         let early = std::mem::take(&mut self.inner.lock().expect("lookup").drops);
-        let Some((epoch, fellow)) = self.fellow(kernel::clock::now()) else { return early };
-        let reply = fellow.call(wire::msg::Msg::Flush(Box::new((epoch, sent))), WAIT_MS).await;
+        let Some((epoch, peer)) = self.peer(kernel::clock::now()) else { return early };
+        let reply = peer.call(wire::msg::Msg::Flush(Box::new((epoch, sent))), WAIT_MS).await;
         self.heard(reply.is_some());
         match reply {
             Some(wire::msg::Msg::Flushed(flushed)) if flushed.0 == epoch => early + flushed.1,
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -11,9 +11,9 @@
     Alone,
 }
 
-pub fn read(view: &engines::place::View, errand: &crate::errand::Errand, held: &Held) -> Plan {
-    let (tokens, rank) = (errand.tokens(), rank(errand));
-    let Some((at, cost)) = view.prefill(tokens, held, errand.shared(), rank) else { return Plan::Alone };
+pub fn read(view: &engines::place::View, request: &crate::request::Request, held: &PrefixOwners) -> Plan {
+    let (tokens, rank) = (request.tokens(), rank(request));
+    let Some((at, cost)) = view.prefill(tokens, held, request.shared(), rank) else { return Plan::Alone };
     if view.alone(tokens, held, rank).is_some_and(|(_, alone)| alone < cost) {
         return Plan::Alone;
     }
@@ -22,26 +22,26 @@
 }
 
 /// What was learned about the owners of a request's prefixes: engine and tokens held.
-pub type Held = Vec<(usize, u32)>;
+pub type PrefixOwners = Vec<(usize, u32)>;
 
 /// Scans the local record, asks the catalog for the missing suffix only, and notes what it finds.
-pub async fn owners(yard: &crate::yard::Yard, errand: &crate::errand::Errand, service: u32) -> Held {
+pub async fn owners(state: &crate::state::State, request: &crate::request::Request, service: u32) -> PrefixOwners {
     let now = kernel::clock::now();
     let known = {
-        let mut record = yard.record.lock().expect("record");
+        let mut record = state.record.lock().expect("record");
         record.counts.queries += 1;
-        record.known(&errand.keys, now)
+        record.known(&request.keys, now)
     };
-    let missing = &errand.keys[known..];
+    let missing = &request.keys[known..];
     if !missing.is_empty() {
-        let sample = sample(yard, errand, service);
-        let found = yard.lookup.query(missing, sample).await;
+        let sample = sample(state, request, service);
+        let found = state.lookup.query(missing, sample).await;
         if let Some(found) = &found {
-            let (now, mut park) = (kernel::clock::now(), yard.park.lock().expect("park"));
+            let (now, mut park) = (kernel::clock::now(), state.park.lock().expect("park"));
             found.list.iter().for_each(|told| park.hear(told, now));
         }
         let found = found.map(|found| found.owners);
-        let mut record = yard.record.lock().expect("record");
+        let mut record = state.record.lock().expect("record");
         match &found {
             None => record.counts.unanswered += 1,
             Some(list) if list.iter().all(Vec::is_empty) => record.counts.no_owner += u64::from(known == 0),
@@ -55,19 +55,19 @@
             }
         }
     }
-    held(yard, errand)
+    held(state, request)
 }
 
 /// The engines whose pressure is asked for: the homes of the prefix, and a few of each half drawn from
 /// this router's subset.
-fn sample(yard: &crate::yard::Yard, errand: &crate::errand::Errand, service: u32) -> Vec<u64> {
-    let roll = yard.dice.lock().expect("dice").roll();
-    let park = yard.park.lock().expect("park");
+fn sample(state: &crate::state::State, request: &crate::request::Request, service: u32) -> Vec<u64> {
+    let roll = state.dice.lock().expect("dice").roll();
+    let park = state.park.lock().expect("park");
     let mut names = Vec::with_capacity(2 * DRAWN + 2);
     for half in [engines::place::Half::Prefill, engines::place::Half::Decode] {
         let Some(subset) = park.subset(service, half) else { continue };
         if half == engines::place::Half::Prefill {
-            names.extend(subset.homes(rank(errand), 2, |at| park.list[at].up && park.list[at].here));
+            names.extend(subset.homes(rank(request), 2, |at| park.list[at].up && park.list[at].here));
         }
         names.extend(subset.draw(roll, DRAWN));
     }
@@ -78,14 +78,14 @@
 const DRAWN: usize = 4;
 
 /// The longest prefix each usable engine owns.
-fn held(yard: &crate::yard::Yard, errand: &crate::errand::Errand) -> Held {
+fn held(state: &crate::state::State, request: &crate::request::Request) -> PrefixOwners {
     let now = kernel::clock::now();
-    let depths = catalog::depths(&errand.parts);
-    let park = yard.park.lock().expect("park");
-    let mut record = yard.record.lock().expect("record");
-    let mut list: Held = Vec::new();
+    let depths = catalog::depths(&request.parts);
+    let park = state.park.lock().expect("park");
+    let mut record = state.record.lock().expect("record");
+    let mut list: PrefixOwners = Vec::new();
     let mut stale = 0;
-    for (key, depth) in errand.keys.iter().zip(depths).rev() {
+    for (key, depth) in request.keys.iter().zip(depths).rev() {
         for name in record.owners(*key, now) {
             let usable = park.find(name).filter(|at| park.list[*at].up && park.list[*at].here);
             match usable {
@@ -101,21 +101,21 @@
 }
 
 /// The key by which engines are ranked where nothing else tells them apart: the shared prefix.
-pub fn rank(errand: &crate::errand::Errand) -> u64 {
-    let shared = errand.keys.len().checked_sub(2).and_then(|at| errand.keys.get(at));
-    shared.or(errand.keys.first()).copied().unwrap_or(errand.born)
+pub fn rank(request: &crate::request::Request) -> u64 {
+    let shared = request.keys.len().checked_sub(2).and_then(|at| request.keys.get(at));
+    shared.or(request.keys.first()).copied().unwrap_or(request.born)
 }
 
-/// Areas that a route may not use: evacuated ones and those outside its homes.
-pub fn shut(yard: &crate::yard::Yard, homes: &[String]) -> Vec<u32> {
-    let mut list = yard.news.lock().expect("news").shut.clone();
+/// Zones that a route may not use: evacuated ones and those outside its homes.
+pub fn closed_zones(state: &crate::state::State, homes: &[String]) -> Vec<u32> {
+    let mut list = state.news.lock().expect("news").shut.clone();
     if homes.is_empty() {
         return list;
     }
-    let mut park = yard.park.lock().expect("park");
-    for (area, region) in &yard.env.zones {
+    let mut park = state.park.lock().expect("park");
+    for (zone, region) in &state.env.zones {
         if !homes.contains(region) {
-            list.push(park.area(area));
+            list.push(park.area(zone));
         }
     }
     list
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -1,6 +1,6 @@
 //! Connections to engines: kept while the engine keeps them, never more than this router's slice.
 
-pub type Wire = hyper::client::conn::http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
+pub type Connection = hyper::client::conn::http1::SendRequest<http_body_util::Full<bytes::Bytes>>;
 
 /// Where an engine is reached. An address may pass to another engine; what was kept to the one before is of no
 /// use to it.
@@ -13,7 +13,7 @@
 
 /// A connection that waits to be used again.
 struct Idle {
-    wire: Wire,
+    connection: Connection,
     /// Its engine may close it after this.
     until: u64,
     engine: String,
@@ -36,7 +36,7 @@
 const DIAL_MS: u64 = 400;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Hitch {
+pub enum SendError {
     /// The slice of connections is in use.
     Full,
     /// Refused or silent.
@@ -47,45 +47,45 @@
 
 impl Pools {
     /// A kept connection to this very engine. Those that are of no use any more are dropped on the way.
-    pub fn idle(&self, to: &Endpoint) -> Option<Wire> {
+    pub fn idle(&self, to: &Endpoint) -> Option<Connection> {
         let now = kernel::clock::now();
         let mut pools = self.0.lock().expect("pools");
         let pool = pools.get_mut(&to.addr)?;
         while let Some(idle) = pool.idle.pop() {
-            if now < idle.until && idle.engine == to.engine && idle.wire.is_ready() {
-                return Some(idle.wire);
+            if now < idle.until && idle.engine == to.engine && idle.connection.is_ready() {
+                return Some(idle.connection);
             }
         }
         None
     }
 
-    pub async fn dial(&self, to: &Endpoint, most: usize) -> Result<Wire, Hitch> {
+    pub async fn dial(&self, to: &Endpoint, most: usize) -> Result<Connection, SendError> {
         let count = self.0.lock().expect("pools").entry(to.addr.clone()).or_default().count.clone();
         if count.load(std::sync::atomic::Ordering::Relaxed) >= most.max(1) {
-            return Err(Hitch::Full);
+            return Err(SendError::Full);
         }
         count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
         let hold = Hold(count);
-        let stream = wire::sock::dial(&to.addr, DIAL_MS, wire::sock::SILENCE_MS).await.map_err(|_| Hitch::Down)?;
+        let stream = wire::sock::dial(&to.addr, DIAL_MS, wire::sock::SILENCE_MS).await.map_err(|_| SendError::Down)?;
         let io = hyper_util::rt::TokioIo::new(stream);
-        let (wire, conn) = hyper::client::conn::http1::handshake(io).await.map_err(|_| Hitch::Down)?;
+        let (connection, conn) = hyper::client::conn::http1::handshake(io).await.map_err(|_| SendError::Down)?;
         tokio::spawn(async move {
             let _ = conn.await;
             drop(hold);
         });
-        Ok(wire)
+        Ok(connection)
     }
 
     /// Takes a connection back once its answer was read whole. `keep` is what the engine named, in
     /// whole seconds cut down; None when it named nothing.
-    pub fn put(&self, to: &Endpoint, wire: Wire, keep: Option<u64>) {
+    pub fn put(&self, to: &Endpoint, connection: Connection, keep: Option<u64>) {
         let now = kernel::clock::now();
         let span = keep.map_or(SHORT_MS, |keep| (keep * 1000).saturating_sub(EARLY_MS));
         let mut pools = self.0.lock().expect("pools");
         let pool = pools.entry(to.addr.clone()).or_default();
-        pool.idle.retain(|idle| now < idle.until && !idle.wire.is_closed());
+        pool.idle.retain(|idle| now < idle.until && !idle.connection.is_closed());
         if span > 0 {
-            pool.idle.push(Idle { wire, until: now + span, engine: to.engine.clone() });
+            pool.idle.push(Idle { connection, until: now + span, engine: to.engine.clone() });
         }
     }
 
@@ -93,7 +93,7 @@
     #[cfg(test)]
     pub fn ready_count(&self) -> usize {
         let pools = self.0.lock().expect("pools");
-        pools.values().flat_map(|pool| &pool.idle).filter(|idle| idle.wire.is_ready()).count()
+        pools.values().flat_map(|pool| &pool.idle).filter(|idle| idle.connection.is_ready()).count()
     }
 
     pub fn forget(&self, addr: &str) {
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -2,20 +2,20 @@
 use crate::feed::Pipe;
 
 /// When a refused client may come back: soon, and later the more is waiting.
-fn comeback(trip: &crate::trip::Trip) -> u64 {
-    let third = trip.left() / 3;
-    (trip.target_ms / 4).clamp(50, 1000).min(third.max(20))
+fn retry_after_ms(exchange: &crate::exchange::Exchange) -> u64 {
+    let third = exchange.remaining_ms() / 3;
+    (exchange.target_ms / 4).clamp(50, 1000).min(third.max(20))
 }
 
 /// The answer to a request that is given up. Nothing that may have run is ever called refused.
-pub fn give_up(trip: &crate::trip::Trip) -> crate::receipt::Receipt {
-    if !trip.ran {
-        return crate::receipt::Receipt::Refused(comeback(trip));
+pub fn failure_of(exchange: &crate::exchange::Exchange) -> crate::failure::Failure {
+    if !exchange.may_have_run {
+        return crate::failure::Failure::Refused(retry_after_ms(exchange));
     }
-    if trip.left() == 0 {
-        return crate::receipt::Receipt::TimedOut;
+    if exchange.remaining_ms() == 0 {
+        return crate::failure::Failure::TimedOut;
     }
-    crate::receipt::Receipt::Lost
+    crate::failure::Failure::Lost
 }
 
 /// By rank: how far over its slots every maker may be before a request is refused at once.
@@ -25,34 +25,36 @@
 const STAND_BACK_MS: u64 = 500;
 
 /// Chooses the path and follows it to an answer.
-pub async fn go(mut trip: crate::trip::Trip) -> Result<http::Response<crate::receipt::Body>, crate::receipt::Receipt> {
-    if trip.errand.spare.is_some_and(|share| !trip.view(|view| view.idle(share))) {
-        return Err(crate::receipt::Receipt::Refused(STAND_BACK_MS));
+pub async fn answer(
+    mut exchange: crate::exchange::Exchange,
+) -> Result<http::Response<crate::failure::Body>, crate::failure::Failure> {
+    if exchange.request.spare.is_some_and(|share| !exchange.view(|view| view.idle(share))) {
+        return Err(crate::failure::Failure::Refused(STAND_BACK_MS));
     }
-    if trip.weights().is_some() && trip.view(|view| view.open(engines::place::Half::Decode).is_empty()) {
-        trip.few();
-        return Err(give_up(&trip));
+    if exchange.version_bounds().is_some() && exchange.view(|view| view.open(engines::place::Half::Decode).is_empty()) {
+        exchange.report_no_replica();
+        return Err(failure_of(&exchange));
     }
-    let share = LIMITS[(trip.priority as usize).min(LIMITS.len() - 1)];
-    if trip.view(|view| view.full(share)) {
-        return Err(give_up(&trip));
+    let share = LIMITS[(exchange.priority as usize).min(LIMITS.len() - 1)];
+    if exchange.view(|view| view.full(share)) {
+        return Err(failure_of(&exchange));
     }
-    let split = trip.streams()
-        && !trip.errand.keys.is_empty()
-        && trip.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
-    let (at, answer) = if split { crate::halves::carry(&mut trip).await? } else { plain(&mut trip).await? };
+    let split = exchange.is_streaming()
+        && !exchange.request.keys.is_empty()
+        && exchange.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
+    let (at, answer) = if split { crate::halves::carry(&mut exchange).await? } else { plain(&mut exchange).await? };
     if !answer.head.status.is_success() {
-        return Ok(pass(trip, at, answer));
+        return Ok(pass(exchange, at, answer));
     }
-    if trip.weights().is_some() {
-        trip.exact = crate::verdict::version(&answer.head.headers).or(trip.exact);
+    if exchange.version_bounds().is_some() {
+        exchange.pinned_version = crate::verdict::version(&answer.head.headers).or(exchange.pinned_version);
     }
     if !sealed(&answer) {
         // Not an engine's answer, whatever it is.
-        trip.ran = true;
-        return Err(give_up(&trip));
+        exchange.may_have_run = true;
+        return Err(failure_of(&exchange));
     }
-    Ok(pass(trip, at, answer))
+    Ok(pass(exchange, at, answer))
 }
 
 /// A success as an engine gives it.
@@ -61,68 +63,73 @@
 }
 
 /// Services without halves: one engine, and another where that is allowed.
-async fn plain(trip: &mut crate::trip::Trip) -> Result<(usize, crate::send::Answer), crate::receipt::Receipt> {
+async fn plain(
+    exchange: &mut crate::exchange::Exchange,
+) -> Result<(usize, crate::send::Answer), crate::failure::Failure> {
     // A failed answer is given up only once the next send is granted.
     let mut granted = false;
     loop {
-        let rank = kernel::clock::blend(trip.errand.born, trip.errand.body.len() as u64);
-        let place = trip.view(|view| view.decode(0, &[], None, rank));
-        let Some(at) = place else { return Err(give_up(trip)) };
-        if !std::mem::take(&mut granted) && !trip.allow() {
-            return Err(give_up(trip));
+        let rank = kernel::clock::blend(exchange.request.born, exchange.request.body.len() as u64);
+        let place = exchange.view(|view| view.decode(0, &[], None, rank));
+        let Some(at) = place else { return Err(failure_of(exchange)) };
+        if !std::mem::take(&mut granted) && !exchange.grant_send() {
+            return Err(failure_of(exchange));
         }
-        trip.sends += 1;
-        let (extra, again) = (crate::send::Extra { urgency: trip.urgency(), ..Default::default() }, trip.again());
-        match trip.send(at, extra, 0, again).await {
+        exchange.sends += 1;
+        let (extra, again) =
+            (crate::send::Extra { urgency: exchange.urgency(), ..Default::default() }, exchange.may_retry());
+        match exchange.send(at, extra, 0, again).await {
             crate::send::Outcome::Answer(answer) => {
-                granted = trip.repeatable && answer.head.status.is_server_error() && trip.allow();
+                granted = exchange.repeatable && answer.head.status.is_server_error() && exchange.grant_send();
                 if !granted {
                     return Ok((at, *answer));
                 }
-                trip.ran = true;
-                trip.close(at);
+                exchange.may_have_run = true;
+                exchange.end_send(at);
             }
-            crate::send::Outcome::Unsent(_) => trip.sends -= 1,
-            crate::send::Outcome::Unrun | crate::send::Outcome::Other | crate::send::Outcome::Aged(_) => {}
+            crate::send::Outcome::Unsent(_) => exchange.sends -= 1,
+            crate::send::Outcome::NotExecuted
+            | crate::send::Outcome::OtherEngine
+            | crate::send::Outcome::OtherVersion(_) => {}
             crate::send::Outcome::Lost => {
-                trip.ran = true;
-                if !trip.repeatable {
-                    return Err(give_up(trip));
+                exchange.may_have_run = true;
+                if !exchange.repeatable {
+                    return Err(failure_of(exchange));
                 }
             }
         }
-        trip.tried.push(at);
+        exchange.tried.push(at);
     }
 }
 
-impl crate::trip::Trip {
+impl crate::exchange::Exchange {
     /// Goes on at another engine after a break, behind the last event that was passed on.
     async fn resume(&mut self, at: usize, split: &crate::stream::Splitter) -> Option<(usize, crate::send::Answer)> {
-        self.ran = true;
-        crate::doubt::raise(&self.yard, at, true);
+        self.may_have_run = true;
+        crate::doubt::raise(&self.state, at, true);
         self.tried.push(at);
-        if !self.resumes() || !split.resumable() {
+        if !self.is_resumable() || !split.resumable() {
             return None;
         }
-        let (tokens, rank) = (self.errand.tokens(), crate::plan::rank(&self.errand));
+        let (tokens, rank) = (self.request.tokens(), crate::plan::rank(&self.request));
         for _ in 0..3 {
-            let held = self.held.clone();
+            let held = self.prefix_owners.clone();
             let next = self.view(|view| view.alone(tokens, &held, rank))?.0;
-            if self.left() == 0 || !self.allow() {
+            if self.remaining_ms() == 0 || !self.grant_send() {
                 return None;
             }
             let last = match &split.last {
                 Some(last) => http::HeaderValue::from_str(last).ok(),
-                None => self.errand.last.clone(),
+                None => self.request.last.clone(),
             };
             let extra = crate::send::Extra { last, urgency: self.urgency(), ..Default::default() };
             self.sends += 1;
-            let again = self.again();
+            let again = self.may_retry();
             match self.send(next, extra, tokens, again).await {
                 crate::send::Outcome::Answer(answer) if sealed(&answer) => {
                     return Some((next, *answer));
                 }
-                crate::send::Outcome::Answer(_) => self.close(next),
+                crate::send::Outcome::Answer(_) => self.end_send(next),
                 crate::send::Outcome::Unsent(_) => self.sends -= 1,
                 _ => {}
             }
@@ -142,48 +149,48 @@
 
 /// Answers with the engine's head; its body follows as it comes.
 pub fn pass(
-    mut trip: crate::trip::Trip,
+    mut exchange: crate::exchange::Exchange,
     at: usize,
     answer: crate::send::Answer,
-) -> http::Response<crate::receipt::Body> {
+) -> http::Response<crate::failure::Body> {
     let mut reply = http::Response::new(());
     *reply.status_mut() = answer.head.status;
     *reply.headers_mut() = answer.head.headers.clone();
-    let length = crate::errand::number(reply.headers(), "content-length").filter(|_| !trip.resumes());
-    crate::errand::strip(reply.headers_mut());
-    if trip.yard.leaving() {
+    let length = crate::request::number(reply.headers(), "content-length").filter(|_| !exchange.is_resumable());
+    crate::request::strip(reply.headers_mut());
+    if exchange.state.leaving() {
         reply.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
     let (pipe, feed) = crate::feed::pipe(length);
     tokio::spawn(async move {
-        run(&mut trip, at, answer, &pipe).await;
+        run(&mut exchange, at, answer, &pipe).await;
     });
-    reply.map(|()| crate::receipt::Body::new(feed))
+    reply.map(|()| crate::failure::Body::new(feed))
 }
 
-async fn run(trip: &mut crate::trip::Trip, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
+async fn run(exchange: &mut crate::exchange::Exchange, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
     let mut split = crate::stream::Splitter::default();
     loop {
-        let end = pump(trip, at, &mut answer, &mut split, pipe).await;
-        trip.close(at);
+        let end = pump(exchange, at, &mut answer, &mut split, pipe).await;
+        exchange.end_send(at);
         match end {
             End::Left => return,
             End::Whole => {
                 pipe.end().await;
-                let to = trip.endpoint(at);
-                crate::send::give_back(&trip.yard, &to, &answer.head.headers, answer.wire).await;
+                let to = exchange.endpoint(at);
+                crate::send::give_back(&exchange.state, &to, &answer.head.headers, answer.connection).await;
                 return;
             }
             End::Broken => {}
         }
         split.cut();
-        let Some((next, more)) = trip.resume(at, &split).await else { return };
+        let Some((next, more)) = exchange.resume(at, &split).await else { return };
         (at, answer) = (next, more);
     }
 }
 
 async fn pump(
-    trip: &crate::trip::Trip,
+    exchange: &crate::exchange::Exchange,
     at: usize,
     answer: &mut crate::send::Answer,
     split: &mut crate::stream::Splitter,
@@ -191,7 +198,7 @@
 ) -> End {
     use http_body_util::BodyExt;
     let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS);
-    let (stream, resumes) = (trip.streams(), trip.resumes() && trip.again());
+    let (stream, resumes) = (exchange.is_streaming(), exchange.is_resumable() && exchange.may_retry());
     let framed = answer.framed();
     let mut heard = kernel::clock::now();
     loop {
@@ -200,7 +207,9 @@
             () = pipe.closed() => return End::Left,
         };
         let data = match frame {
-            Err(_) if trip.left() == 0 || (trip.silent(at, heard) && resumes) => return End::Broken,
+            Err(_) if exchange.remaining_ms() == 0 || (exchange.found_dark(at, heard) && resumes) => {
+                return End::Broken
+            }
             Err(_) => continue,
             Ok(None) if !framed => return End::Broken,
             Ok(None) => return if pipe.data(split.end()).await { End::Whole } else { End::Left },
--- a/router/src/errand.rs
+++ b/router/src/request.rs
@@ -1,7 +1,7 @@
 //! A client's request, read and checked at the door.
 
 /// Invariants: `head` carries no header that concerns one connection only; `body` is whole.
-pub struct Errand {
+pub struct Request {
     pub method: http::Method,
     pub path: http::Uri,
     pub head: http::HeaderMap,
@@ -11,7 +11,7 @@
     /// The hash of its name, by which engines' weight versions are kept.
     pub model_key: u64,
     /// Steady time at which the client or the operator no longer wants it.
-    pub horizon: u64,
+    pub deadline: u64,
     pub born: u64,
     pub parts: Vec<catalog::Part>,
     pub keys: Vec<u64>,
@@ -67,38 +67,38 @@
     mut body: hyper::body::Incoming,
     most: usize,
     idle_ms: u64,
-) -> Result<bytes::Bytes, crate::receipt::Receipt> {
+) -> Result<bytes::Bytes, crate::failure::Failure> {
     use http_body_util::BodyExt;
     use hyper::body::Body;
     let hint = body.size_hint().exact().unwrap_or(0) as usize;
     if hint > most {
-        return Err(crate::receipt::Receipt::TooLarge);
+        return Err(crate::failure::Failure::TooLarge);
     }
     let wait = std::time::Duration::from_millis(idle_ms.max(1));
     let mut whole = bytes::BytesMut::with_capacity(hint);
     loop {
         let frame = match tokio::time::timeout(wait, body.frame()).await {
-            Err(_) => return Err(crate::receipt::Receipt::Late),
+            Err(_) => return Err(crate::failure::Failure::Late),
             Ok(None) => return Ok(whole.freeze()),
-            Ok(Some(Err(_))) => return Err(crate::receipt::Receipt::Malformed),
+            Ok(Some(Err(_))) => return Err(crate::failure::Failure::Malformed),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
         if whole.len() + data.len() > most {
-            return Err(crate::receipt::Receipt::TooLarge);
+            return Err(crate::failure::Failure::TooLarge);
         }
         whole.extend_from_slice(&data);
     }
 }
 
-impl Errand {
+impl Request {
     pub fn make(
         parts: http::request::Parts,
         body: bytes::Bytes,
         route: &crate::table::Route,
         seed: u64,
         born: u64,
-    ) -> Errand {
+    ) -> Request {
         let mut head = parts.headers;
         strip(&mut head);
         head.remove(http::header::EXPECT);
@@ -113,7 +113,7 @@
         let model_key = kernel::clock::hash(model);
         let keys = catalog::keys(kernel::clock::blend(seed, model_key), &list);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default();
-        Errand {
+        Request {
             method: parts.method,
             path,
             attempt: head.get(wire::word::ATTEMPT).cloned(),
@@ -122,7 +122,7 @@
             last: head.get(wire::word::LAST).cloned(),
             head,
             body,
-            horizon: born + wait,
+            deadline: born + wait,
             born,
             parts: list,
             keys,
@@ -131,7 +131,7 @@
     }
 
     pub fn left(&self, now: u64) -> u64 {
-        self.horizon.saturating_sub(now)
+        self.deadline.saturating_sub(now)
     }
 
     pub fn tokens(&self) -> u32 {
--- a/router/src/reuse_tests.rs
+++ b/router/src/reuse_tests.rs
@@ -14,11 +14,11 @@
 #[tokio::test]
 async fn a_connection_whose_answer_was_whole_is_used_again() {
     let list = engines("decode", 1, |seen, _| Act::Send(own(seen))).await;
-    let yard = router(&list);
+    let state = router(&list);
     for attempt in ["1", "2", "3"] {
-        let text = ask(&yard, "once", attempt, "").await;
+        let text = ask(&state, "once", attempt, "").await;
         assert!(text.ends_with(&format!("for-{attempt}")), "{text}");
-        kept(&yard, 1).await;
+        kept(&state, 1).await;
     }
     assert_eq!(connections(&list), [0, 0, 0]);
 }
@@ -31,10 +31,10 @@
             _ => Act::Send(own(seen)),
         })
         .await;
-        let yard = router(&list);
-        assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
+        let state = router(&list);
+        assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
         list[0].ended(1).await;
-        let text = ask(&yard, "once", "2", "").await;
+        let text = ask(&state, "once", "2", "").await;
         assert!(text.ends_with("for-2"), "{text}");
         assert_eq!(connections(&list), [0, 1]);
     }
@@ -49,12 +49,12 @@
         _ => Act::Send(own(seen)),
     })
     .await;
-    let yard = router(&list);
-    assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
-    kept(&yard, 1).await;
+    let state = router(&list);
+    assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
+    kept(&state, 1).await;
     when.notify_one();
-    kept(&yard, 0).await;
-    assert!(ask(&yard, "once", "2", "").await.ends_with("for-2"));
+    kept(&state, 0).await;
+    assert!(ask(&state, "once", "2", "").await.ends_with("for-2"));
     assert_eq!(connections(&list), [0, 1]);
 }
 
@@ -67,19 +67,19 @@
             _ => Act::Send(own(seen)),
         })
         .await;
-        let yard = router(&list[..1]);
-        assert!(ask(&yard, route, "1", "").await.ends_with("for-1"));
-        kept(&yard, 1).await;
-        crate::stand_in_router::list(&yard, 2, &list);
-        yard.park.lock().expect("park").list[1].full_until = u64::MAX;
-        let text = ask(&yard, route, "2", "").await;
+        let state = router(&list[..1]);
+        assert!(ask(&state, route, "1", "").await.ends_with("for-1"));
+        kept(&state, 1).await;
+        crate::stand_in_router::list(&state, 2, &list);
+        state.park.lock().expect("park").list[1].full_until = u64::MAX;
+        let text = ask(&state, route, "2", "").await;
         assert!(!text.contains("for-1"), "{text}");
         if route == "again" {
             assert!(text.ends_with("for-2"), "{text}");
         } else {
             assert_eq!((status(&text), seen(&list).len()), ("502", 2), "{text}");
         }
-        kept(&yard, usize::from(route == "again")).await;
+        kept(&state, usize::from(route == "again")).await;
     }
 }
 
@@ -93,11 +93,11 @@
     for end in ends {
         let list =
             engines("decode", 1, move |seen, before| if before == 0 { end(seen) } else { Act::Send(own(seen)) }).await;
-        let yard = router(&list);
-        assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
+        let state = router(&list);
+        assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
         list[0].ended(1).await;
-        kept(&yard, 0).await;
-        assert!(ask(&yard, "once", "2", "").await.ends_with("for-2"));
+        kept(&state, 0).await;
+        assert!(ask(&state, "once", "2", "").await.ends_with("for-2"));
         assert_eq!(connections(&list), [0, 1]);
     }
 }
@@ -110,10 +110,10 @@
         _ => Act::Send(own(seen)),
     })
     .await;
-    let yard = router(&list[..1]);
-    assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
-    kept(&yard, 1).await;
-    let text = ask(&yard, "once", "2", "").await;
+    let state = router(&list[..1]);
+    assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
+    kept(&state, 1).await;
+    let text = ask(&state, "once", "2", "").await;
     assert_eq!(status(&text), "502", "it may have run: {text}");
     assert_eq!(connections(&list), [0, 0]);
 }
@@ -121,12 +121,12 @@
 #[tokio::test]
 async fn an_engine_does_not_get_the_connections_of_the_one_before_it() {
     let mut list = engines("decode", 1, |seen, _| Act::Send(own(seen))).await;
-    let yard = router(&list);
-    assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
-    kept(&yard, 1).await;
+    let state = router(&list);
+    assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
+    kept(&state, 1).await;
     list[0].id = "successor".into();
-    crate::stand_in_router::list(&yard, 2, &list);
-    assert!(ask(&yard, "once", "2", "").await.ends_with("for-2"));
+    crate::stand_in_router::list(&state, 2, &list);
+    assert!(ask(&state, "once", "2", "").await.ends_with("for-2"));
     assert_eq!(connections(&list), [0, 1]);
 }
 
@@ -137,12 +137,12 @@
         _ => Act::Send(own(seen)),
     })
     .await;
-    let yard = router(&list);
-    assert!(ask(&yard, "once", "1", "").await.ends_with("for-1"));
-    kept(&yard, 1).await;
-    assert!(!ask(&yard, "stream", "2", "").await.ends_with("0\r\n\r\n"));
-    kept(&yard, 0).await;
-    assert!(ask(&yard, "once", "3", "").await.ends_with("for-3"));
+    let state = router(&list);
+    assert!(ask(&state, "once", "1", "").await.ends_with("for-1"));
+    kept(&state, 1).await;
+    assert!(!ask(&state, "stream", "2", "").await.ends_with("0\r\n\r\n"));
+    kept(&state, 0).await;
+    assert!(ask(&state, "once", "3", "").await.ends_with("for-3"));
 }
 
 #[tokio::test]
@@ -172,14 +172,14 @@
 async fn a_client_that_leaves_takes_its_request_with_it() {
     for route in ["once", "again", "resume"] {
         let list = engines("decode", 2, |seen, _| Act::Send(events(seen, 1, 3, false))).await;
-        let yard = router(&list);
-        let mut client = Client::connect(&yard).await;
+        let state = router(&list);
+        let mut client = Client::connect(&state).await;
         client.write(&post(route, "1", "")).await;
         client.until("token-2").await;
         drop(client);
         ended_once(&list).await;
         assert_eq!(seen(&list).len(), 1, "{route}");
-        kept(&yard, 0).await;
+        kept(&state, 0).await;
     }
 }
 
@@ -193,8 +193,8 @@
             Act::Silence
         })
         .await;
-        let yard = router(&list);
-        let mut client = Client::connect(&yard).await;
+        let state = router(&list);
+        let mut client = Client::connect(&state).await;
         client.write(&post(route, "1", "")).await;
         asked.notified().await;
         drop(client);
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -3,19 +3,19 @@
 pub struct Answer {
     pub head: http::response::Parts,
     pub body: hyper::body::Incoming,
-    pub wire: crate::pool::Wire,
+    pub connection: crate::pool::Connection,
 }
 
 pub enum Outcome {
     Answer(Box<Answer>),
     /// Nothing of it reached the engine.
-    Unsent(crate::pool::Hitch),
+    Unsent(crate::pool::SendError),
     /// The engine says that it has not run.
-    Unrun,
+    NotExecuted,
     /// It has not run, and the address is another engine's.
-    Other,
+    OtherEngine,
     /// It has not run, since its weights have another version: this one, where it said so.
-    Aged(Option<u64>),
+    OtherVersion(Option<u64>),
     /// It may have run.
     Lost,
 }
@@ -45,9 +45,9 @@
 }
 
 /// Immediately before a send: does what is expected of the engine still satisfy the limit?
-fn holds(yard: &crate::yard::Yard, service: u32, model: &str, extra: &Extra) -> bool {
+fn holds(state: &crate::state::State, service: u32, model: &str, extra: &Extra) -> bool {
     let Some(route) = &extra.guard else { return true };
-    let limit = yard.floors.lock().expect("floors").limit(service, model, route, kernel::clock::now());
+    let limit = state.floors.lock().expect("floors").limit(service, model, route, kernel::clock::now());
     match limit {
         engines::floor::Limit::Free => true,
         engines::floor::Limit::From(floor) => extra.expect.is_some_and(|version| version >= floor),
@@ -56,15 +56,15 @@
 }
 
 fn compose(
-    errand: &crate::errand::Errand,
+    request: &crate::request::Request,
     engine: &str,
     extra: &Extra,
 ) -> http::Request<http_body_util::Full<bytes::Bytes>> {
-    let mut request = http::Request::new(http_body_util::Full::new(errand.body.clone()));
-    *request.method_mut() = errand.method.clone();
-    *request.uri_mut() = errand.path.clone();
-    let head = request.headers_mut();
-    *head = errand.head.clone();
+    let mut outgoing = http::Request::new(http_body_util::Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.path.clone();
+    let head = outgoing.headers_mut();
+    *head = request.head.clone();
     let mut set = |name: &'static str, text: &str| {
         if let Ok(value) = http::HeaderValue::from_str(text) {
             head.insert(name, value);
@@ -87,59 +87,59 @@
     if let Some(last) = &extra.last {
         head.insert(wire::word::LAST, last.clone());
     }
-    request
+    outgoing
 }
 
 /// `silence_ms`: how long the head of the answer may take.
 pub async fn send(
-    yard: &crate::yard::Yard,
-    errand: &crate::errand::Errand,
+    state: &crate::state::State,
+    request: &crate::request::Request,
     service: u32,
     to: &crate::pool::Endpoint,
     most: usize,
     extra: &Extra,
     silence_ms: u64,
 ) -> Outcome {
-    let mut request = compose(errand, &to.engine, extra);
+    let mut outgoing = compose(request, &to.engine, extra);
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(silence_ms);
     loop {
-        let (mut wire, fresh) = match yard.pools.idle(to) {
-            Some(wire) => (wire, false),
-            None => match yard.pools.dial(to, most).await {
-                Ok(wire) => (wire, true),
-                Err(hitch) => return Outcome::Unsent(hitch),
+        let (mut connection, fresh) = match state.pools.idle(to) {
+            Some(connection) => (connection, false),
+            None => match state.pools.dial(to, most).await {
+                Ok(connection) => (connection, true),
+                Err(error) => return Outcome::Unsent(error),
             },
         };
-        if !holds(yard, service, &errand.model, extra) {
-            return Outcome::Unsent(crate::pool::Hitch::Behind);
+        if !holds(state, service, &request.model, extra) {
+            return Outcome::Unsent(crate::pool::SendError::Behind);
         }
-        let reply = match tokio::time::timeout_at(end, wire.try_send_request(request)).await {
+        let reply = match tokio::time::timeout_at(end, connection.try_send_request(outgoing)).await {
             Err(_) => return Outcome::Lost,
             Ok(Ok(reply)) => reply,
             Ok(Err(mut error)) => match error.take_message() {
                 // Never written: the connection had ended before.
                 Some(back) if !fresh => {
-                    request = back;
+                    outgoing = back;
                     continue;
                 }
-                Some(_) => return Outcome::Unsent(crate::pool::Hitch::Down),
+                Some(_) => return Outcome::Unsent(crate::pool::SendError::Down),
                 None => return Outcome::Lost,
             },
         };
         let (head, body) = reply.into_parts();
-        return judged(yard, errand, to, extra, Answer { head, body, wire }).await;
+        return judged(state, request, to, extra, Answer { head, body, connection }).await;
     }
 }
 
 /// What an answer comes to. One that is not passed on is read to its end, so that its connection is of use again.
 async fn judged(
-    yard: &crate::yard::Yard,
-    errand: &crate::errand::Errand,
+    state: &crate::state::State,
+    request: &crate::request::Request,
     to: &crate::pool::Endpoint,
     extra: &Extra,
     answer: Answer,
 ) -> Outcome {
-    let asked = crate::verdict::Asked { attempt: errand.attempt.as_ref(), target: &to.engine, version: extra.expect };
+    let asked = crate::verdict::Asked { attempt: request.attempt.as_ref(), target: &to.engine, version: extra.expect };
     let outcome = match crate::verdict::judge(&answer.head, &asked) {
         crate::verdict::Verdict::Executed => return Outcome::Answer(Box::new(answer)),
         crate::verdict::Verdict::Foreign => {
@@ -148,22 +148,22 @@
             return Outcome::Lost;
         }
         crate::verdict::Verdict::Unproven => Outcome::Lost,
-        crate::verdict::Verdict::NotExecuted => Outcome::Unrun,
-        crate::verdict::Verdict::OtherEngine => Outcome::Other,
-        crate::verdict::Verdict::OtherVersion(version) => Outcome::Aged(version),
+        crate::verdict::Verdict::NotExecuted => Outcome::NotExecuted,
+        crate::verdict::Verdict::OtherEngine => Outcome::OtherEngine,
+        crate::verdict::Verdict::OtherVersion(version) => Outcome::OtherVersion(version),
     };
-    finish(yard, to, answer).await;
+    finish(state, to, answer).await;
     outcome
 }
 
 /// Reads the rest of an answer that nobody needs and takes the connection back.
-pub async fn finish(yard: &crate::yard::Yard, to: &crate::pool::Endpoint, answer: Answer) {
-    let _ = whole(yard, to, answer, 64 * 1024, 200).await;
+pub async fn finish(state: &crate::state::State, to: &crate::pool::Endpoint, answer: Answer) {
+    let _ = whole(state, to, answer, 64 * 1024, 200).await;
 }
 
 /// Reads a small answer whole.
 pub async fn whole(
-    yard: &crate::yard::Yard,
+    state: &crate::state::State,
     to: &crate::pool::Endpoint,
     answer: Answer,
     most: usize,
@@ -171,7 +171,7 @@
 ) -> Option<bytes::Bytes> {
     use http_body_util::BodyExt;
     let framed = answer.framed();
-    let Answer { head, mut body, wire } = answer;
+    let Answer { head, mut body, connection } = answer;
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
     let mut text = bytes::BytesMut::new();
     while let Some(frame) = tokio::time::timeout_at(end, body.frame()).await.ok()? {
@@ -182,48 +182,48 @@
             return None;
         }
     }
-    give_back(yard, to, &head.headers, wire).await;
+    give_back(state, to, &head.headers, connection).await;
     framed.then(|| text.freeze())
 }
 
 /// A connection whose answer was read to its end.
 pub async fn give_back(
-    yard: &crate::yard::Yard,
+    state: &crate::state::State,
     to: &crate::pool::Endpoint,
     head: &http::HeaderMap,
-    mut wire: crate::pool::Wire,
+    mut connection: crate::pool::Connection,
 ) {
     if crate::pool::closes(head) {
         return;
     }
-    let ready = tokio::time::timeout(std::time::Duration::from_millis(20), wire.ready()).await;
+    let ready = tokio::time::timeout(std::time::Duration::from_millis(20), connection.ready()).await;
     if matches!(ready, Ok(Ok(()))) {
-        yard.pools.put(to, wire, crate::pool::keep(head));
+        state.pools.put(to, connection, crate::pool::keep(head));
     }
 }
 
 /// Gives the memory of a handle free; tried once, since it lapses by itself.
-pub async fn free(yard: &crate::yard::Yard, handle: &crate::handle::Handle, most: usize) {
-    let mut request = http::Request::new(http_body_util::Full::new(bytes::Bytes::new()));
-    *request.method_mut() = http::Method::DELETE;
+pub async fn free(state: &crate::state::State, handle: &crate::kv_handle::Handle, most: usize) {
+    let mut outgoing = http::Request::new(http_body_util::Full::new(bytes::Bytes::new()));
+    *outgoing.method_mut() = http::Method::DELETE;
     let Ok(path) = format!("/kv-handle/{}", handle.id).parse() else { return };
-    *request.uri_mut() = path;
+    *outgoing.uri_mut() = path;
     if let Ok(host) = http::HeaderValue::from_str(&handle.reader.addr) {
-        request.headers_mut().insert(http::header::HOST, host);
+        outgoing.headers_mut().insert(http::header::HOST, host);
     }
-    let mut wire = match yard.pools.idle(&handle.reader) {
-        Some(wire) => wire,
-        None => match yard.pools.dial(&handle.reader, most).await {
-            Ok(wire) => wire,
+    let mut connection = match state.pools.idle(&handle.reader) {
+        Some(connection) => connection,
+        None => match state.pools.dial(&handle.reader, most).await {
+            Ok(connection) => connection,
             Err(_) => return,
         },
     };
     let wait = std::time::Duration::from_millis(500);
-    let Ok(Ok(reply)) = tokio::time::timeout(wait, wire.send_request(request)).await else { return };
+    let Ok(Ok(reply)) = tokio::time::timeout(wait, connection.send_request(outgoing)).await else { return };
     let (head, body) = reply.into_parts();
     if !crate::verdict::answers(&head.headers, None) {
-        // Another request's: the answer to this one would be the next that comes.
+        // Another outgoing's: the answer to this one would be the next that comes.
         return;
     }
-    finish(yard, &handle.reader, Answer { head, body, wire }).await;
+    finish(state, &handle.reader, Answer { head, body, connection }).await;
 }
--- a/router/src/door.rs
+++ b/router/src/server.rs
@@ -5,14 +5,14 @@
     (env.limits.fd_limit.saturating_sub(200) / 2).max(16) as usize
 }
 
-pub async fn readiness(yard: std::sync::Arc<crate::yard::Yard>) {
-    let Some(addr) = yard.env.bind_addresses.readiness.clone() else { return };
+pub async fn readiness(state: std::sync::Arc<crate::state::State>) {
+    let Some(addr) = state.env.bind_addresses.readiness.clone() else { return };
     serve(&addr, 64, |stream| {
-        let yard = yard.clone();
+        let state = state.clone();
         async move {
             let service = hyper::service::service_fn(move |_: http::Request<hyper::body::Incoming>| {
                 let order = std::sync::atomic::Ordering::Relaxed;
-                let good = yard.ready.load(order) && !yard.leaving();
+                let good = state.ready.load(order) && !state.leaving();
                 async move {
                     let mut reply = http::Response::new(http_body_util::Empty::<bytes::Bytes>::new());
                     *reply.status_mut() =
@@ -27,10 +27,10 @@
     .await;
 }
 
-pub async fn frontend(yard: std::sync::Arc<crate::yard::Yard>) {
-    let Some(addr) = yard.env.bind_addresses.frontend.clone() else { return };
-    let room = room(&yard.env);
-    serve(&addr, room, |stream| client(yard.clone(), stream)).await;
+pub async fn frontend(state: std::sync::Arc<crate::state::State>) {
+    let Some(addr) = state.env.bind_addresses.frontend.clone() else { return };
+    let room = room(&state.env);
+    serve(&addr, room, |stream| client(state.clone(), stream)).await;
 }
 
 /// Accepts for ever; over `room` connections at once the next waits in the kernel's queue.
@@ -62,15 +62,15 @@
 }
 
 /// Serves one client's connection until it ends.
-pub async fn client(yard: std::sync::Arc<crate::yard::Yard>, stream: tokio::net::TcpStream) {
+pub async fn client(state: std::sync::Arc<crate::state::State>, stream: tokio::net::TcpStream) {
     wire::sock::tune(&stream, 10_000);
-    let table = yard.table();
+    let table = state.table();
     let look = crate::frames::Look::new();
     let io = hyper_util::rt::TokioIo::new(crate::frames::Stream::new(stream, look.clone()));
-    let inner = yard.clone();
+    let inner = state.clone();
     let service = hyper::service::service_fn(move |request| {
-        let (yard, look) = (inner.clone(), look.clone());
-        async move { Ok::<_, std::convert::Infallible>(crate::carry::serve(yard, request, &look).await) }
+        let (state, look) = (inner.clone(), look.clone());
+        async move { Ok::<_, std::convert::Infallible>(crate::admission::serve(state, request, &look).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(hyper_util::rt::TokioTimer::new());
@@ -90,7 +90,7 @@
             _ = conn.as_mut() => return,
             _ = beat.tick() => {
                 // Leaving: a connection without a request is ended once the platform has seen it.
-                if yard.leaving() {
+                if state.leaving() {
                     told += 1;
                 }
                 if told == 3 {
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -14,13 +14,13 @@
 "#;
 
 /// A ready router with one route of each kind to one service.
-pub fn router(engines: &[Engine]) -> std::sync::Arc<crate::yard::Yard> {
+pub fn router(engines: &[Engine]) -> std::sync::Arc<crate::state::State> {
     router_holding(engines, 5.0)
 }
 
 /// One whose engines hold the memory of a prompt for so long.
-pub fn router_holding(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::yard::Yard> {
-    let yard = crate::yard::Yard::new(kernel::env::parse(SETTINGS).expect("good settings"));
+pub fn router_holding(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
+    let state = crate::state::State::new(kernel::env::parse(SETTINGS).expect("good settings"));
     let route = |name: &str, kind: &str, resumable: bool| {
         serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "route_type": kind,
             "timeout_ms": 20000, "target_ms": 1000, "retry_count": 2, "service": "s", "resumable": resumable})
@@ -30,30 +30,30 @@
             "idle_timeout_ms": 15000},
         "route_table": [route("once", "non_idempotent", false), route("again", "idempotent", false),
             route("stream", "streaming", false), route("resume", "streaming", true)]});
-    crate::turn::config(&yard, 1, config.to_string().as_bytes());
-    list(&yard, 1, engines);
-    yard.ready.store(true, std::sync::atomic::Ordering::Relaxed);
-    yard
+    crate::config::config(&state, 1, config.to_string().as_bytes());
+    list(&state, 1, engines);
+    state.ready.store(true, std::sync::atomic::Ordering::Relaxed);
+    state
 }
 
 /// Tells the router which engines there are.
-pub fn list(yard: &crate::yard::Yard, count: u64, engines: &[Engine]) {
+pub fn list(state: &crate::state::State, count: u64, engines: &[Engine]) {
     let list = engines.iter().map(Engine::entry).collect();
     let sheet = wire::msg::Sheet { area: "a".into(), turn: 1, count, list };
-    yard.park.lock().expect("park").take(&sheet, kernel::clock::now());
+    state.park.lock().expect("park").take(&sheet, kernel::clock::now());
 }
 
 /// A client's connection to a router.
 pub struct Client(pub tokio::net::TcpStream);
 
 impl Client {
-    pub async fn connect(yard: &std::sync::Arc<crate::yard::Yard>) -> Client {
+    pub async fn connect(state: &std::sync::Arc<crate::state::State>) -> Client {
         let listener = wire::sock::listen("127.0.0.1:0").expect("a free port");
         let addr = listener.local_addr().expect("its address");
-        let yard = yard.clone();
+        let state = state.clone();
         tokio::spawn(async move {
             let (stream, _) = listener.accept().await.expect("a client");
-            crate::door::client(yard, stream).await;
+            crate::server::client(state, stream).await;
         });
         Client(tokio::net::TcpStream::connect(addr).await.expect("connected"))
     }
@@ -85,15 +85,15 @@
 }
 
 /// One request on a connection of its own, and all that came back.
-pub async fn ask(yard: &std::sync::Arc<crate::yard::Yard>, route: &str, attempt: &str, more: &str) -> String {
-    let mut client = Client::connect(yard).await;
+pub async fn ask(state: &std::sync::Arc<crate::state::State>, route: &str, attempt: &str, more: &str) -> String {
+    let mut client = Client::connect(state).await;
     client.write(&post(route, attempt, &format!("Connection: close\r\n{more}"))).await;
     client.rest().await
 }
 
 /// Waits until the router holds so many kept connections to engines.
-pub async fn kept(yard: &crate::yard::Yard, count: usize) {
-    while yard.pools.ready_count() != count {
+pub async fn kept(state: &crate::state::State, count: usize) {
+    while state.pools.ready_count() != count {
         tokio::task::yield_now().await;
     }
 }
--- a/router/src/yard.rs
+++ b/router/src/state.rs
@@ -2,11 +2,11 @@
 //!
 //! Lock order: table, park, record, budget, pools. No lock is held over an await.
 
-pub struct Yard {
+pub struct State {
     pub env: kernel::env::Env,
     pub life: u64,
-    /// My area, dense.
-    pub area: u32,
+    /// The own zone, by its dense index.
+    pub zone: u32,
     pub table: std::sync::Mutex<std::sync::Arc<crate::table::Table>>,
     pub park: std::sync::Mutex<engines::park::Park>,
     pub record: std::sync::Mutex<catalog::record::Record>,
@@ -23,7 +23,7 @@
     pub dice: std::sync::Mutex<kernel::clock::Dice>,
     /// When the want of fresh replicas was last told.
     pub few_at: std::sync::atomic::AtomicU64,
-    /// Woken when an engine in doubt answered a fellow.
+    /// Woken when an engine in doubt answered another router.
     pub calm: tokio::sync::Notify,
     pub ready: std::sync::atomic::AtomicBool,
     pub leaving: std::sync::atomic::AtomicBool,
@@ -38,9 +38,9 @@
 pub struct News {
     pub config: u64,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
-    /// Evacuated areas, dense.
+    /// Evacuated zones, by dense index.
     pub shut: Vec<u32>,
-    pub fellows: Vec<String>,
+    pub keepers: Vec<String>,
     pub seats: Vec<(u64, u32)>,
 }
 
@@ -48,19 +48,19 @@
 const RECORD: usize = 20_000;
 const STALE_MS: u64 = 30_000;
 
-impl Yard {
+impl State {
     /// The state of a process that has just started: it knows its settings and nothing else.
-    pub fn new(env: kernel::env::Env) -> std::sync::Arc<Yard> {
+    pub fn new(env: kernel::env::Env) -> std::sync::Arc<State> {
         let life = kernel::clock::life();
         let mut park = engines::park::Park::default();
-        let area = park.area(&env.zone);
+        let own_zone = park.area(&env.zone);
         for (zone, region) in &env.zones {
             park.region(zone, region);
         }
         let window_ms = (env.bounds.budget_window_s * 1000.0) as u64;
-        std::sync::Arc::new(Yard {
+        std::sync::Arc::new(State {
             life,
-            area,
+            zone: own_zone,
             table: Default::default(),
             park: std::sync::Mutex::new(park),
             record: std::sync::Mutex::new(catalog::record::Record::new(RECORD, STALE_MS)),
@@ -83,7 +83,7 @@
     }
 
     /// How many routers share the bounds: the most that was told in the last ten seconds.
-    pub fn seats(&self) -> u32 {
+    pub fn router_count(&self) -> u32 {
         let news = self.news.lock().expect("news");
         news.seats.iter().map(|(_, count)| *count).max().unwrap_or(1).max(1)
     }
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
     Ask,
-    Receipt,
+    Reply,
     Cast,
 }
 
@@ -46,7 +46,7 @@
     let mut out = Vec::with_capacity(HEAD + body.len());
     let word: u16 = match kind {
         Kind::Ask => 1,
-        Kind::Receipt => 2,
+        Kind::Reply => 2,
         Kind::Cast => 3,
     };
     out.extend_from_slice(&MARK.to_le_bytes());
@@ -68,7 +68,7 @@
     }
     let kind = match u16::from_le_bytes([bytes[6], bytes[7]]) {
         1 => Kind::Ask,
-        2 => Kind::Receipt,
+        2 => Kind::Reply,
         3 => Kind::Cast,
         other => return Err(Flaw::Kind(other)),
     };
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -1,5 +1,5 @@
-//! Links between fellows. One that calls keeps one connection and redials; one that serves hands
-//! each message to a handler. Every wait has a horizon; a full buffer drops and says so.
+//! Links between daemons. One that calls keeps one connection and redials; one that serves hands
+//! each message to a handler. Every wait has a deadline; a full buffer drops and says so.
 
 type Waits = std::collections::HashMap<u64, tokio::sync::oneshot::Sender<crate::msg::Msg>>;
 
@@ -85,7 +85,7 @@
     let (hold, feed) = (waits.clone(), news.clone());
     let reader = tokio::spawn(async move {
         while let Some((head, msg)) = take(&mut read).await {
-            if head.kind == crate::frame::Kind::Receipt {
+            if head.kind == crate::frame::Kind::Reply {
                 let back = hold.lock().expect("waits").remove(&head.id);
                 if let Some(back) = back {
                     let _ = back.send(msg);
@@ -159,13 +159,13 @@
 }
 
 impl Mouth {
-    /// False: the fellow does not read, or is gone.
+    /// False: the other side does not read, or is gone.
     pub fn cast(&self, msg: &crate::msg::Msg) -> bool {
         self.put(crate::frame::Kind::Cast, 0, msg)
     }
 
     pub fn reply(&self, id: u64, msg: &crate::msg::Msg) -> bool {
-        self.put(crate::frame::Kind::Receipt, id, msg)
+        self.put(crate::frame::Kind::Reply, id, msg)
     }
 
     fn put(&self, kind: crate::frame::Kind, id: u64, msg: &crate::msg::Msg) -> bool {
--- a/wire/src/link_tests.rs
+++ b/wire/src/link_tests.rs
@@ -59,7 +59,7 @@
 }
 
 async fn answer(write: &mut tokio::net::tcp::OwnedWriteHalf, id: u64, msg: &crate::msg::Msg) {
-    let frame = crate::frame::seal(crate::frame::Kind::Receipt, id, msg).expect("sealed");
+    let frame = crate::frame::seal(crate::frame::Kind::Reply, id, msg).expect("sealed");
     write.write_all(&frame).await.expect("written");
 }
 
