--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -157,34 +157,43 @@
         self.in_flight.push((at, tokens));
         let stage = extra.stage;
         extra.budget_ms = self.request.left(now).max(1);
-        let wait = self.request.left(now);
-        let outcome = {
-            let call =
-                crate::send::send(&self.state, &self.request, self.service, &to, self.max_connections(), &extra, wait);
-            tokio::pin!(call);
-            loop {
-                let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
-                if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
-                    break outcome;
-                }
-                if self.remaining_ms() == 0 || (self.found_dark(at, now) && again) {
-                    break crate::send::Outcome::Lost;
-                }
-            }
-        };
+        let outcome = self.await_outcome(at, &to, &extra, again).await;
         self.record_outcome(at, &outcome);
-        let answer = matches!(outcome, crate::send::Outcome::Answer(_));
+        let answered = matches!(outcome, crate::send::Outcome::Answer(_));
         let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
         // The first read that an engine takes up is no arrival that counts. One without an answer
         // may never have been taken up, and counts.
-        let free = answer && stage;
+        let free = answered && stage;
         self.arrived |= !unsent && !free;
-        if !matches!(outcome, crate::send::Outcome::Answer(_)) {
+        if !answered {
             self.end_send(at);
         }
         outcome
     }
 
+    /// Until there is an outcome, time is up, or the engine is found dark and the request may go elsewhere.
+    async fn await_outcome(
+        &self,
+        at: usize,
+        to: &crate::pool::Endpoint,
+        extra: &crate::send::Extra,
+        again: bool,
+    ) -> crate::send::Outcome {
+        let now = kernel::clock::now();
+        let wait = self.request.left(now);
+        let call = crate::send::send(&self.state, &self.request, self.service, to, self.max_connections(), extra, wait);
+        tokio::pin!(call);
+        let span = std::time::Duration::from_millis(crate::doubt::SIGN_MS.min(wait.max(1)));
+        loop {
+            if let Ok(outcome) = tokio::time::timeout(span, &mut call).await {
+                return outcome;
+            }
+            if self.remaining_ms() == 0 || (self.found_dark(at, now) && again) {
+                return crate::send::Outcome::Lost;
+            }
+        }
+    }
+
     /// Was the engine found dark since then? Raises doubt when it gave no sign of life for a while.
     pub fn found_dark(&self, at: usize, since: u64) -> bool {
         let now = kernel::clock::now();
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -26,6 +26,9 @@
     }
 }
 
+/// For how long a number of routers that was told counts.
+const SEATS_MS: u64 = 10_000;
+
 /// Why a home was left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Left {
@@ -210,28 +213,14 @@
         let mut record = state.record.lock().expect("record");
         left.iter().for_each(|engine| record.forget(engine));
     }
-    let areas: Vec<u32> = {
-        let mut park = state.park.lock().expect("park");
-        news.closed.iter().map(|(area, _, _)| park.area(area)).collect()
-    };
+    crate::evacuation::absorb(state, &news.closed);
     {
         let mut held = state.news.lock().expect("news");
-        for ((area, stamp, on), dense) in news.closed.iter().zip(areas) {
-            if held.closed.get(area).is_some_and(|(known, _)| known >= stamp) {
-                continue;
-            }
-            held.closed.insert(area.clone(), (*stamp, *on));
-            held.shut.retain(|shut| *shut != dense);
-            if *on {
-                held.shut.push(dense);
-            }
-            kernel::say!(crate::event::CLOSED, "area" => area.clone(), "stamp" => *stamp, "on" => *on);
-        }
         if !news.fellows.is_empty() {
             held.keepers = news.fellows;
         }
         if news.seats > 0 {
-            held.seats.retain(|(time, _)| now < time + 10_000);
+            held.seats.retain(|(time, _)| now < time + SEATS_MS);
             held.seats.push((now, news.seats));
         }
     }
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -132,85 +132,89 @@
     make(exchange, reader).await
 }
 
-/// Sends to the engine that makes the tokens, with the memory where there is one.
-async fn make(
+/// The engine that is to make the tokens, and the memory that it goes on with.
+fn choose_maker(
     exchange: &mut crate::exchange::Exchange,
     reader: Option<usize>,
-) -> Result<(usize, crate::send::Answer), crate::failure::Failure> {
+) -> Option<(usize, Option<crate::kv_handle::Handle>)> {
     let (tokens, rank) = (exchange.request.tokens(), crate::plan::rank(&exchange.request));
-    let held = exchange.prefix_owners.clone();
+    let owners = exchange.prefix_owners.clone();
     loop {
         exchange.drop_stale_handle();
-        let handle = exchange.take_handle();
-        let place = exchange.view(|view| match handle {
-            Some(_) => view.decode(tokens, &held, reader, rank),
-            None => view.alone(tokens, &held, rank).map(|(at, _)| at),
-        });
-        if place.is_none() && handle.is_some() && exchange.version_bounds().is_some() {
-            // No maker has the version that read it: one inside the limit reads it itself.
-            handle.into_iter().for_each(|handle| exchange.hold_handle(handle));
-            exchange.release_handle();
-            continue;
+        let Some(handle) = exchange.take_handle() else {
+            let (at, _) = exchange.view(|view| view.alone(tokens, &owners, rank))?;
+            return Some((at, None));
+        };
+        if let Some(at) = exchange.view(|view| view.decode(tokens, &owners, reader, rank)) {
+            return Some((at, Some(handle)));
         }
-        let (Some(at), true) = (place, exchange.grant_send()) else {
-            handle.into_iter().for_each(|handle| exchange.hold_handle(handle));
+        exchange.hold_handle(handle);
+        exchange.version_bounds()?;
+        // No maker has the version that read it: one inside the limit reads it itself.
+        exchange.release_handle();
+    }
+}
+
+/// Sends to the engine that makes the tokens, with the memory where there is one.
+async fn make(
+    exchange: &mut crate::exchange::Exchange,
+    reader: Option<usize>,
+) -> Result<(usize, crate::send::Answer), crate::failure::Failure> {
+    loop {
+        let Some((at, handle)) = choose_maker(exchange, reader) else {
             return Err(crate::relay::failure_of(exchange));
         };
-        let reads = if handle.is_some() { 0 } else { tokens };
+        if !exchange.grant_send() {
+            handle.into_iter().for_each(|handle| exchange.hold_handle(handle));
+            return Err(crate::relay::failure_of(exchange));
+        }
+        let reads = if handle.is_some() { 0 } else { exchange.request.tokens() };
         let source = handle.as_ref().map(|handle| format!("{}/{}", handle.reader.addr, handle.id));
         let extra = crate::send::Extra { source, urgency: exchange.urgency(), ..Default::default() };
         exchange.sends += 1;
         let again = exchange.may_retry();
-        match exchange.send(at, extra, reads, again).await {
-            crate::send::Outcome::Answer(answer) => {
-                exchange.prompt_read(at);
-                if answer.head.status.is_success() {
-                    register(exchange, at);
-                }
-                return Ok((at, *answer));
-            }
-            crate::send::Outcome::Unsent(_) => {
-                exchange.sends -= 1;
-                exchange.tried.push(at);
-                if let Some(handle) = handle {
-                    exchange.hold_handle(handle);
-                }
-            }
-            crate::send::Outcome::NotExecuted
-            | crate::send::Outcome::OtherEngine
-            | crate::send::Outcome::OtherVersion(_) => {
-                exchange.tried.push(at);
-                let Some(handle) = handle else { continue };
-                let now = kernel::clock::now();
-                let full = {
-                    let park = exchange.state.park.lock().expect("park");
-                    park.pressure(at, now) >= f64::from(park.list[at].slots)
-                };
-                if full {
-                    exchange.hold_handle(handle);
-                    continue;
-                }
-                // The memory can't be had: suppress this engine for this key, not for the request.
-                let id = exchange.state.park.lock().expect("park").list[handle.at].id.clone();
-                let mut record = exchange.state.record.lock().expect("record");
-                record.counts.transfer_error += 1;
-                for key in &exchange.request.keys {
-                    record.hush(&id, *key, now + HUSH_MS);
-                }
-                drop(record);
-                exchange.hold_handle(handle);
-                exchange.release_handle();
+        let outcome = exchange.send(at, extra, reads, again).await;
+        if let crate::send::Outcome::Answer(answer) = outcome {
+            exchange.prompt_read(at);
+            if answer.head.status.is_success() {
+                register(exchange, at);
             }
+            return Ok((at, *answer));
+        }
+        exchange.tried.push(at);
+        let held = handle.is_some();
+        handle.into_iter().for_each(|handle| exchange.hold_handle(handle));
+        match outcome {
+            crate::send::Outcome::Unsent(_) => exchange.sends -= 1,
             crate::send::Outcome::Lost => {
                 exchange.may_have_run = true;
-                exchange.tried.push(at);
                 // Where it was not taken nobody else may name it: this maker may yet come for it.
-                handle.into_iter().for_each(|handle| exchange.hold_handle(handle));
                 exchange.release_handle();
                 if !exchange.repeatable {
                     return Err(crate::relay::failure_of(exchange));
                 }
             }
+            _ if held && !is_full(exchange, at) => give_up_handle(exchange),
+            _ => {}
+        }
+    }
+}
+
+fn is_full(exchange: &crate::exchange::Exchange, at: usize) -> bool {
+    let park = exchange.state.park.lock().expect("park");
+    park.pressure(at, kernel::clock::now()) >= f64::from(park.list[at].slots)
+}
+
+/// The memory can't be had: its engine is suppressed for these keys, not for the request.
+fn give_up_handle(exchange: &mut crate::exchange::Exchange) {
+    if let Some(reader) = exchange.handle_engine() {
+        let now = kernel::clock::now();
+        let id = exchange.endpoint(reader).engine;
+        let mut record = exchange.state.record.lock().expect("record");
+        record.counts.transfer_error += 1;
+        for key in &exchange.request.keys {
+            record.hush(&id, *key, now + HUSH_MS);
         }
     }
+    exchange.release_handle();
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod boot;
 mod config;
 mod doubt;
+mod evacuation;
 mod event;
 mod exchange;
 mod failure;
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -1,6 +1,6 @@
 //! The one state of the process, passed by reference.
 //!
-//! Lock order: table, park, record, budget, pools. No lock is held over an await.
+//! Lock order: table, park, record, budget, news, pools. No lock is held over an await.
 
 pub struct State {
     pub env: kernel::env::Env,
