--- a/router/src/errand.rs
+++ b/router/src/request.rs
@@ -1,7 +1,7 @@
 //! A client's request, read and checked at the door.
 
 /// Invariants: `head` carries no header that concerns one connection only; `body` is whole.
-pub struct Errand {
+pub struct Request {
     pub method: http::Method,
     pub path: http::Uri,
     pub head: http::HeaderMap,
@@ -11,7 +11,7 @@
     /// The hash of its name, by which engines' weight versions are kept.
     pub model_key: u64,
     /// Steady time at which the client or the operator no longer wants it.
-    pub horizon: u64,
+    pub deadline: u64,
     pub born: u64,
     pub parts: Vec<catalog::Part>,
     pub keys: Vec<u64>,
@@ -29,6 +29,11 @@
 const IDLE: f64 = 0.3;
 const NEAR: f64 = 0.5;
 
+/// What the system alone tells engines. From a client these would lead to another request's memory, or have its
+/// own request only read.
+const SYSTEM: [&str; 5] =
+    [wire::word::TARGET, wire::word::STAGE, wire::word::SOURCE, wire::word::URGENCY, wire::word::EXPECT];
+
 /// Removes what concerns one connection, and what `Connection` names.
 pub fn strip(head: &mut http::HeaderMap) {
     let named: Vec<String> = head
@@ -53,7 +58,8 @@
     let count = |name: http::header::HeaderName| head.get_all(name).iter().count();
     let framed = count(http::header::TRANSFER_ENCODING);
     let sized = count(http::header::CONTENT_LENGTH);
-    framed <= 1 && sized <= 1 && framed + sized <= 1 && count(http::header::HOST) == 1
+    let ids = head.get_all(wire::word::ATTEMPT).iter().count();
+    framed <= 1 && sized <= 1 && framed + sized <= 1 && count(http::header::HOST) == 1 && ids <= 1
 }
 
 /// Reads a body within the limit; the pause between pieces is bounded by `idle_ms`.
@@ -61,41 +67,44 @@
     mut body: hyper::body::Incoming,
     most: usize,
     idle_ms: u64,
-) -> Result<bytes::Bytes, crate::receipt::Receipt> {
+) -> Result<bytes::Bytes, crate::failure::Failure> {
     use http_body_util::BodyExt;
     use hyper::body::Body;
     let hint = body.size_hint().exact().unwrap_or(0) as usize;
     if hint > most {
-        return Err(crate::receipt::Receipt::TooLarge);
+        return Err(crate::failure::Failure::TooLarge);
     }
     let wait = std::time::Duration::from_millis(idle_ms.max(1));
     let mut whole = bytes::BytesMut::with_capacity(hint);
     loop {
         let frame = match tokio::time::timeout(wait, body.frame()).await {
-            Err(_) => return Err(crate::receipt::Receipt::Late),
+            Err(_) => return Err(crate::failure::Failure::Late),
             Ok(None) => return Ok(whole.freeze()),
-            Ok(Some(Err(_))) => return Err(crate::receipt::Receipt::Malformed),
+            Ok(Some(Err(_))) => return Err(crate::failure::Failure::Malformed),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
         if whole.len() + data.len() > most {
-            return Err(crate::receipt::Receipt::TooLarge);
+            return Err(crate::failure::Failure::TooLarge);
         }
         whole.extend_from_slice(&data);
     }
 }
 
-impl Errand {
+impl Request {
     pub fn make(
         parts: http::request::Parts,
         body: bytes::Bytes,
         route: &crate::table::Route,
         seed: u64,
         born: u64,
-    ) -> Errand {
+    ) -> Request {
         let mut head = parts.headers;
         strip(&mut head);
         head.remove(http::header::EXPECT);
+        for name in SYSTEM {
+            head.remove(name);
+        }
         let spare = head.remove(DEFER).map(|press| if press == "near" { NEAR } else { IDLE });
         let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
@@ -104,7 +113,7 @@
         let model_key = kernel::clock::hash(model);
         let keys = catalog::keys(kernel::clock::blend(seed, model_key), &list);
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default();
-        Errand {
+        Request {
             method: parts.method,
             path,
             attempt: head.get(wire::word::ATTEMPT).cloned(),
@@ -113,7 +122,7 @@
             last: head.get(wire::word::LAST).cloned(),
             head,
             body,
-            horizon: born + wait,
+            deadline: born + wait,
             born,
             parts: list,
             keys,
@@ -122,7 +131,7 @@
     }
 
     pub fn left(&self, now: u64) -> u64 {
-        self.horizon.saturating_sub(now)
+        self.deadline.saturating_sub(now)
     }
 
     pub fn tokens(&self) -> u32 {
@@ -136,34 +145,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    fn head(list: &[(&'static str, &str)]) -> http::HeaderMap {
-        let mut map = http::HeaderMap::new();
-        for (name, value) in list {
-            map.append(*name, value.parse().expect("value"));
-        }
-        map
-    }
-
-    #[test]
-    fn smuggling_shapes_are_unsound() {
-        assert!(super::sound(&head(&[("host", "a"), ("content-length", "3")])));
-        for bad in [
-            vec![("host", "a"), ("content-length", "3"), ("content-length", "3")],
-            vec![("host", "a"), ("content-length", "3"), ("transfer-encoding", "chunked")],
-            vec![("host", "a"), ("transfer-encoding", "x"), ("transfer-encoding", "chunked")],
-            vec![("host", "a"), ("host", "b")],
-            vec![],
-        ] {
-            assert!(!super::sound(&head(&bad)), "{bad:?}");
-        }
-    }
-
-    #[test]
-    fn what_concerns_one_connection_is_not_passed_on() {
-        let mut map = head(&[("connection", "close, x-hop"), ("x-hop", "1"), ("keep-alive", "3"), ("x-end", "2")]);
-        super::strip(&mut map);
-        assert_eq!(map.len(), 1);
-        assert!(map.contains_key("x-end"));
-    }
-}
+#[path = "request_tests.rs"]
+mod tests;
--- a/router/src/stream.rs
+++ b/router/src/stream.rs
@@ -1,12 +1,13 @@
 //! Cutting a stream of events at its joints, so that only whole events are passed on.
 
 /// Invariant: what `feed` gave out ends at the end of an event; `rest` holds the bytes of an event
-/// that is not whole; `last` is the id of the last event given out.
+/// that is not whole; `last` is the id of the last event given out; `torn` once this does not hold any more.
 #[derive(Default)]
 pub struct Splitter {
     rest: bytes::BytesMut,
     pub last: Option<String>,
     pub events: u64,
+    torn: bool,
 }
 
 /// Larger than any event; a body without joints is passed on rather than held.
@@ -18,6 +19,7 @@
         self.rest.extend_from_slice(data);
         let Some(end) = joint(&self.rest, scan) else {
             if self.rest.len() > MOST {
+                self.torn = true;
                 return self.rest.split().freeze();
             }
             return bytes::Bytes::new();
@@ -40,6 +42,11 @@
         }
     }
 
+    /// Can another engine go on behind what was given out? Not where that does not end at an event with an id.
+    pub fn resumable(&self) -> bool {
+        !self.torn && (self.events == 0 || self.last.is_some())
+    }
+
     /// What is left at the end of a body that ended as it should.
     pub fn end(&mut self) -> bytes::Bytes {
         self.rest.split().freeze()
@@ -67,28 +74,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn only_whole_events_come_out_however_the_bytes_arrive() {
-        let text = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c";
-        for step in 1..text.len() {
-            let mut split = super::Splitter::default();
-            let mut out = Vec::new();
-            for piece in text.chunks(step) {
-                out.extend_from_slice(&split.feed(piece));
-            }
-            assert_eq!(out, &text[..text.len() - 13], "step {step}");
-            assert_eq!(split.last.as_deref(), Some("2"));
-            assert_eq!(split.events, 2);
-            assert_eq!(&split.end()[..], b"id: 3\ndata: c");
-        }
-    }
-
-    #[test]
-    fn a_cut_event_is_thrown_away() {
-        let mut split = super::Splitter::default();
-        split.feed(b"id: 1\ndata: a\n\nid: 2\nda");
-        split.cut();
-        assert_eq!(&split.feed(b"id: 2\ndata: b\n\n")[..], b"id: 2\ndata: b\n\n");
-    }
-}
+#[path = "stream_tests.rs"]
+mod tests;
--- a/wire/src/link.rs
+++ b/wire/src/link.rs
@@ -1,5 +1,5 @@
-//! Links between fellows. One that calls keeps one connection and redials; one that serves hands
-//! each message to a handler. Every wait has a horizon; a full buffer drops and says so.
+//! Links between daemons. One that calls keeps one connection and redials; one that serves hands
+//! each message to a handler. Every wait has a deadline; a full buffer drops and says so.
 
 type Waits = std::collections::HashMap<u64, tokio::sync::oneshot::Sender<crate::msg::Msg>>;
 
@@ -30,7 +30,8 @@
         &self.addr
     }
 
-    /// None: no answer within `wait_ms`, for whatever cause; it may have been acted on.
+    /// None: no answer within `wait_ms`, for whatever cause; it may have been acted on, and is not sent any more
+    /// if it was not yet.
     pub async fn call(&self, msg: crate::msg::Msg, wait_ms: u64) -> Option<crate::msg::Msg> {
         let (back, reply) = tokio::sync::oneshot::channel();
         let job = Job { kind: crate::frame::Kind::Ask, msg, back: Some(back) };
@@ -84,7 +85,7 @@
     let (hold, feed) = (waits.clone(), news.clone());
     let reader = tokio::spawn(async move {
         while let Some((head, msg)) = take(&mut read).await {
-            if head.kind == crate::frame::Kind::Receipt {
+            if head.kind == crate::frame::Kind::Reply {
                 let back = hold.lock().expect("waits").remove(&head.id);
                 if let Some(back) = back {
                     let _ = back.send(msg);
@@ -103,14 +104,20 @@
     loop {
         let job = match first.take() {
             Some(job) => job,
+            // What came too late for this connection is kept for the next.
             None => tokio::select! {
+                biased;
+                _ = &mut ended => break,
                 job = jobs.recv() => match job {
                     Some(job) => job,
                     None => { alive = None; break }
                 },
-                _ = &mut ended => break,
             },
         };
+        if job.back.as_ref().is_some_and(tokio::sync::oneshot::Sender::is_closed) {
+            // Its caller has given up, and may have turned to another.
+            continue;
+        }
         let Ok(frame) = crate::frame::seal(job.kind, next, &job.msg) else { continue };
         if let Some(back) = job.back {
             let mut list = waits.lock().expect("waits");
@@ -157,13 +164,13 @@
         Mouth { out }
     }
 
-    /// False: the fellow does not read, or is gone.
+    /// False: the other side does not read, or is gone.
     pub fn cast(&self, msg: &crate::msg::Msg) -> bool {
         self.put(crate::frame::Kind::Cast, 0, msg)
     }
 
     pub fn reply(&self, id: u64, msg: &crate::msg::Msg) -> bool {
-        self.put(crate::frame::Kind::Receipt, id, msg)
+        self.put(crate::frame::Kind::Reply, id, msg)
     }
 
     fn put(&self, kind: crate::frame::Kind, id: u64, msg: &crate::msg::Msg) -> bool {
