Duties: a job or order is sent once, and a cut between two keepers passes nothing to and fro

Cause: the HTTP client of jobs and orders followed redirects by itself, so a job that may not be repeated ran again wherever a 307 pointed, and sent a request again on a new connection when a kept one was closed. An order held up by a cut could arrive long after its sender's lease. And a duty was taken from a holder that only its taker did not hear: with a cut between the two first keepers alone, both reached a majority and took it from each other every 0.4 s, so that nobody ever acted.

Change: clients of orders and jobs follow no redirect, keep no connection and resend nothing; an order's connection is reset after 0.5 s without acknowledgement, so that it is out of the way before the next holder may act. A holder counts as absent only when no live peer hears it either.

Tests: outbound_tests (redirect, lost answer, connections), balance_tests (last order of a holder against the first of the next; it fails with the figures of before), duty_tests with cuts between pairs; the case of the two first keepers shows the fault when the peers' reports are left out. The tests of roster/src/lib.rs and duty_tests.rs moved to files of their own, unchanged but for the roster in place of plain times.

--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -1,25 +1,58 @@
-//! The balance of readers and makers: orders to engines, from the one holder of the duty.
+//! The balance of prefill and decode engines: orders to engines, from the one holder of the duty.
 
-/// How often pressure is looked at, and how often in a row a judgement must stand.
+use crate::hall::Hall;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How often load is looked at, and how often in a row a judgement must stand.
 const LOOK_MS: u64 = 400;
 const STANDS: u32 = 2;
-/// Readers are pressed for a moment whenever caches are cold: a maker is only taken for what lasts.
+/// Prefill engines are loaded for a moment whenever caches are cold: a decode engine is only taken for
+/// what lasts.
 const LASTS: u32 = 6;
 /// Routers get this long to turn away from an engine before it gets its order.
 const SPREAD_MS: u64 = 900;
+/// Beyond the time that an engine takes to change its part: until the list of engines shows it.
+const LIST_MS: u64 = 1500;
+const CONNECT_MS: u64 = 300;
+const CALL_MS: u64 = 900;
+/// How long an order's bytes may be on their way. With `CONNECT_MS` it must stay inside the time for
+/// which a holder may act on its last confirmation, which the next holder waits out twice.
+const UNACKNOWLEDGED_MS: u64 = 500;
+
+/// What was last judged for a service, and how often in a row.
+struct Judgement {
+    prefill: bool,
+    count: u32,
+}
 
 #[derive(Default)]
 struct Balance {
     /// Smoothed requests under way, by engine.
-    busy: std::collections::HashMap<String, f64>,
-    stands: std::collections::HashMap<String, (usize, u32)>,
-    calm_until: std::collections::HashMap<String, u64>,
+    busy: HashMap<String, f64>,
+    /// By service.
+    judgements: HashMap<String, Judgement>,
+    calm_until: HashMap<String, u64>,
+}
+
+/// An engine and its load.
+struct Candidate {
+    engine: wire::msg::Engine,
+    seen: engines::balance::Seen,
+}
+
+/// An order to one engine to change its part.
+struct Order {
+    engine: wire::msg::Engine,
+    prefill: bool,
+    switch_ms: u64,
 }
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let wait = std::time::Duration::from_millis;
-    let client = reqwest::Client::builder().connect_timeout(wait(400)).timeout(wait(900)).no_proxy().build();
-    let Ok(client) = client else { return };
+pub fn start(hall: &Arc<Hall>) {
+    let wait = Duration::from_millis;
+    let client = crate::outbound::at_most_once(wait(CONNECT_MS), wait(UNACKNOWLEDGED_MS)).timeout(wait(CALL_MS));
+    let Ok(client) = client.build() else { return };
     let hall = hall.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(LOOK_MS);
@@ -31,20 +64,31 @@
     });
 }
 
-async fn look(hall: &std::sync::Arc<crate::hall::Hall>, client: &reqwest::Client, balance: &mut Balance) {
+async fn look(hall: &Arc<Hall>, client: &reqwest::Client, balance: &mut Balance) {
     let now = kernel::clock::now();
     hall.roster.lock().expect("roster").resting.retain(|(_, until)| *until > now);
-    let Some(epoch) = crate::duty::leave(hall, crate::duty::BALANCE, now) else {
+    let Some(epoch) = crate::duty::acting_epoch(hall, crate::duty::BALANCE, now) else {
         *balance = Balance::default();
         return;
     };
-    if !crate::duty::clear(hall, crate::duty::BALANCE, epoch).await {
+    if !crate::duty::declare_clear(hall, crate::duty::BALANCE, epoch).await {
+        return;
+    }
+    for (service, list) in candidates(hall, balance, now) {
+        let Some((at, prefill)) = balance.decide(&service, &list, now) else { continue };
+        let switch_ms = switch_ms(hall, &service);
+        balance.calm_until.insert(service, now + SPREAD_MS + switch_ms + LIST_MS);
+        let order = Order { engine: list[at].engine.clone(), prefill, switch_ms };
+        tokio::spawn(carry_out(hall.clone(), client.clone(), order));
         return;
     }
+}
+
+/// All engines with a part, by service.
+fn candidates(hall: &Hall, balance: &mut Balance, now: u64) -> BTreeMap<String, Vec<Candidate>> {
     let busy = hall.roster.lock().expect("roster").pressure(now);
-    let mut services: std::collections::BTreeMap<String, Vec<(wire::msg::Engine, engines::balance::Seen)>> =
-        Default::default();
     let closed = hall.board.lock().expect("board").closed.clone();
+    let mut services: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
     for sheet in hall.sheets.lock().expect("sheets").all() {
         let open = !closed.get(&sheet.area).is_some_and(|(_, on)| *on);
         for engine in sheet.list.iter().filter(|engine| !engine.phase.is_empty()) {
@@ -58,29 +102,31 @@
                 busy: mean.round() as u32,
                 fit: engine.up && open,
             };
-            services.entry(engine.service.clone()).or_default().push((engine.clone(), seen));
+            let candidate = Candidate { engine: engine.clone(), seen };
+            services.entry(engine.service.clone()).or_default().push(candidate);
         }
     }
-    for (service, list) in services {
-        let seen: Vec<engines::balance::Seen> = list.iter().map(|(_, seen)| seen.clone()).collect();
+    services
+}
+
+impl Balance {
+    /// The engine to order and its new part, once the judgement has stood for long enough.
+    fn decide(&mut self, service: &str, list: &[Candidate], now: u64) -> Option<(usize, bool)> {
+        let seen: Vec<engines::balance::Seen> = list.iter().map(|candidate| candidate.seen.clone()).collect();
         let Some((at, prefill)) = engines::balance::judge(&seen) else {
-            balance.stands.remove(&service);
-            continue;
+            self.judgements.remove(service);
+            return None;
         };
-        let stand = balance.stands.entry(service.clone()).or_insert((usize::from(prefill), 0));
-        *stand = (usize::from(prefill), if stand.0 == usize::from(prefill) { stand.1 + 1 } else { 1 });
+        let judgement = self.judgements.entry(service.into()).or_insert(Judgement { prefill, count: 0 });
+        judgement.count = if judgement.prefill == prefill { judgement.count + 1 } else { 1 };
+        judgement.prefill = prefill;
         let need = if prefill { LASTS } else { STANDS };
-        if stand.1 < need || balance.calm_until.get(&service).is_some_and(|until| now < *until) {
-            continue;
-        }
-        let wait = switch_ms(hall, &service);
-        balance.calm_until.insert(service, now + SPREAD_MS + wait + 1500);
-        tokio::spawn(order(hall.clone(), client.clone(), list[at].0.clone(), prefill, wait));
-        return;
+        let calm = self.calm_until.get(service).is_some_and(|until| now < *until);
+        (judgement.count >= need && !calm).then_some((at, prefill))
     }
 }
 
-fn switch_ms(hall: &crate::hall::Hall, service: &str) -> u64 {
+fn switch_ms(hall: &Hall, service: &str) -> u64 {
     let board = hall.board.lock().expect("board");
     let text = board.config.as_ref().map_or(&b""[..], |config| &config.1);
     let value: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
@@ -90,25 +136,21 @@
 }
 
 /// First routers leave the engine alone, then it gets its order. One without an answer may have been
-/// taken: the list will show it.
-async fn order(
-    hall: std::sync::Arc<crate::hall::Hall>,
-    client: reqwest::Client,
-    engine: wire::msg::Engine,
-    prefill: bool,
-    wait_ms: u64,
-) {
+/// taken, so it is not sent again: the list will show it.
+async fn carry_out(hall: Arc<Hall>, client: reqwest::Client, order: Order) {
+    let engine = &order.engine;
     let begun = kernel::clock::now();
-    let until = begun + SPREAD_MS + wait_ms + 1200;
+    let until = begun + SPREAD_MS + order.switch_ms + 1200;
     hall.roster.lock().expect("roster").resting.push((engine.id.clone(), until));
-    tokio::time::sleep(std::time::Duration::from_millis(SPREAD_MS)).await;
+    tokio::time::sleep(Duration::from_millis(SPREAD_MS)).await;
     let now = kernel::clock::now();
-    // Asleep for longer than meant, or no longer the holder: no order.
-    let Some(epoch) = crate::duty::leave(&hall, crate::duty::BALANCE, now).filter(|_| now < begun + 2 * SPREAD_MS)
-    else {
+    // Asleep for longer than meant: what was judged is out of date.
+    if now >= begun + 2 * SPREAD_MS {
         return;
-    };
-    let phase = if prefill { "prefill" } else { "decode" };
+    }
+    // No longer the holder: no order.
+    let Some(epoch) = crate::duty::acting_epoch(&hall, crate::duty::BALANCE, now) else { return };
+    let phase = if order.prefill { "prefill" } else { "decode" };
     let body = serde_json::json!({
         "opcode": "phase", "phase": phase, "owner": hall.env.node_name, "fence_token": epoch
     });
@@ -118,5 +160,9 @@
         .header("content-type", "application/json")
         .body(body.to_string());
     let status = call.send().await.map_or(0, |reply| reply.status().as_u16());
-    kernel::say!(crate::event::ORDER, "engine" => engine.id, "phase" => phase, "epoch" => epoch, "status" => status);
+    kernel::say!(crate::event::ORDER, "engine" => engine.id.clone(), "phase" => phase, "epoch" => epoch, "status" => status);
 }
+
+#[cfg(test)]
+#[path = "balance_tests.rs"]
+mod tests;
--- /dev/null
+++ b/keeper/src/balance_tests.rs
@@ -0,0 +1,51 @@
+use super::{Balance, Candidate, LASTS, STANDS};
+
+/// A holder may act for `SURE_MS` after its last confirmation began, and the next one waits that time
+/// out twice before a lease. What the last order of the first spends on its way must fit in between.
+#[test]
+fn the_last_order_of_a_holder_arrives_a_lease_before_the_first_of_the_next() {
+    let lease_ms = 3000;
+    let committed = 50_000;
+    let sure_ms = crate::hall::SURE_MS;
+    let last_arrival = committed + sure_ms + super::CONNECT_MS + super::UNACKNOWLEDGED_MS;
+    let held = roster::duty::Held { since: committed, own: false, sure_at: 100_000 };
+    let first_act = (committed..100_000)
+        .find(|now| roster::duty::may_act(held, *now, false, lease_ms, sure_ms))
+        .expect("it may act one day");
+    assert!(first_act >= last_arrival + lease_ms, "{first_act} is less than a lease after {last_arrival}");
+}
+
+fn candidate(id: &str, prefill: bool, busy: u32) -> Candidate {
+    let seen = engines::balance::Seen { id: id.into(), prefill, slots: 10, busy, fit: true };
+    let engine = wire::msg::Engine {
+        id: id.into(),
+        service: "s".into(),
+        addr: String::new(),
+        area: "a".into(),
+        phase: if prefill { "prefill" } else { "decode" }.into(),
+        model: String::new(),
+        slots: 10,
+        up: true,
+        cold_ms: 0,
+    };
+    Candidate { engine, seen }
+}
+
+#[test]
+fn a_judgement_must_stand_and_an_order_is_followed_by_a_calm_time() {
+    let loaded = [candidate("p", true, 9), candidate("d", false, 0), candidate("e", false, 0)];
+    let idle = [candidate("p", true, 0), candidate("q", true, 0), candidate("d", false, 9)];
+    let mut balance = Balance::default();
+    for _ in 1..LASTS {
+        assert_eq!(balance.decide("s", &loaded, 0), None);
+    }
+    assert_eq!(balance.decide("s", &loaded, 0), Some((1, true)));
+    balance.calm_until.insert("s".into(), 100);
+    assert_eq!(balance.decide("s", &loaded, 99), None);
+    assert_eq!(balance.decide("s", &loaded, 100), Some((1, true)));
+    // Another judgement starts to count anew.
+    for _ in 1..STANDS {
+        assert_eq!(balance.decide("s", &idle, 200), None);
+    }
+    assert_eq!(balance.decide("s", &idle, 200), Some((0, false)));
+}
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -1,60 +1,74 @@
-//! Duties that one keeper does: each under an epoch of the ledger, which no other may share.
+//! Duties that one keeper does at a time, each under an epoch of the ledger that no other shares.
+//!
+//! `docs/fencing.md` says what holds and why.
+
+use crate::council::Verdict;
+use crate::hall::Hall;
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
 pub const CATALOG: &str = "duty/catalog";
 pub const BALANCE: &str = "duty/balance";
 pub const BATCH: &str = "duty/batch";
 
-/// What this life of this keeper took. Invariant: a duty is done only while the board names this
-/// keeper under the same epoch and the board is sure.
-#[derive(Default)]
-pub struct Taken {
-    /// By duty: epoch and when it was taken.
-    held: std::collections::BTreeMap<String, (u64, u64)>,
-    /// Duties that nobody else can have acted on lately.
-    own: std::collections::BTreeSet<String>,
+/// How often a duty is looked after.
+const LOOK_MS: u64 = 400;
+/// A keeper that has just started first hears who else is there.
+const LISTEN_MS: u64 = 1200;
+/// How long one change of a duty's register may take.
+const CHANGE_MS: u64 = 1000;
+
+/// A duty as this life of this keeper took it.
+#[derive(Clone, Copy)]
+struct Tenure {
+    epoch: u64,
+    /// When the commit of the epoch was known.
+    since: u64,
+    /// Nobody else can have acted lately.
+    own: bool,
 }
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
+/// What this life of this keeper took, by duty. Invariant: a duty is done only while the board names
+/// this keeper under the same epoch and the board is sure.
+#[derive(Default)]
+pub struct Taken(BTreeMap<String, Tenure>);
+
+pub fn start(hall: &Arc<Hall>) {
     for key in [CATALOG, BALANCE, BATCH] {
         let hall = hall.clone();
         tokio::spawn(async move {
-            let mut beat = kernel::entry::beat(400);
+            let mut beat = kernel::entry::beat(LOOK_MS);
             loop {
                 beat.tick().await;
                 tend(&hall, key).await;
                 if key == CATALOG {
-                    shelve(&hall);
+                    open_catalog(&hall);
                 }
             }
         });
     }
 }
 
-/// The epoch under which a duty is held here, and since when.
-pub fn held(hall: &crate::hall::Hall, key: &str, now: u64) -> Option<(u64, u64)> {
+/// The tenure under which a duty is held here, while that is confirmed.
+fn held(hall: &Hall, key: &str, now: u64) -> Option<Tenure> {
     let board = hall.board.lock().expect("board");
     let (epoch, holder, _) = board.duties.get(key)?;
     let sure = board.sure.is_some_and(|time| now < time + crate::hall::SURE_MS);
-    let taken = hall.taken.lock().expect("taken").held.get(key).copied()?;
-    (sure && holder == hall.me() && taken.0 == *epoch).then_some(taken)
-}
-
-/// Was there no holder before, or was it an earlier life of this keeper that had waited?
-fn retaken(hall: &crate::hall::Hall, key: &str) -> bool {
-    hall.taken.lock().expect("taken").own.contains(key)
+    let tenure = hall.taken.lock().expect("taken").0.get(key).copied()?;
+    (sure && holder == hall.me() && tenure.epoch == *epoch).then_some(tenure)
 }
 
-/// The epoch under which the holder may act now, where two holders may not act within a lease.
-pub fn leave(hall: &crate::hall::Hall, key: &str, now: u64) -> Option<u64> {
-    let (epoch, since) = held(hall, key, now)?;
+/// The epoch under which this keeper may act now, where two holders may not act within a lease.
+pub fn acting_epoch(hall: &Hall, key: &str, now: u64) -> Option<u64> {
+    let tenure = held(hall, key, now)?;
     let sure_at = hall.board.lock().expect("board").sure?;
-    let held = roster::duty::Held { since, own: retaken(hall, key), sure_at };
+    let held = roster::duty::Held { since: tenure.since, own: tenure.own, sure_at };
     let bounds = &hall.env.bounds;
-    roster::duty::may_act(held, now, bounds.fencing, bounds.lease_ms, crate::hall::SURE_MS).then_some(epoch)
+    roster::duty::may_act(held, now, bounds.fencing, bounds.lease_ms, crate::hall::SURE_MS).then_some(tenure.epoch)
 }
 
 /// Says in the register that the wait is over, once, before the first act.
-pub async fn clear(hall: &crate::hall::Hall, key: &str, epoch: u64) -> bool {
+pub async fn declare_clear(hall: &Hall, key: &str, epoch: u64) -> bool {
     let said = hall.board.lock().expect("board").duties.get(key).is_some_and(|duty| duty.0 == epoch && duty.2);
     if said {
         return true;
@@ -62,17 +76,17 @@
     let judge = |body: &[u8]| {
         let held = crate::state::Duty::read_bytes(body).unwrap_or_default();
         if held.epoch != epoch || held.holder != hall.me() {
-            return crate::council::Verdict::Answer(false);
+            return Verdict::Answer(false);
         }
         let next = crate::state::Duty { clear: true, ..held };
-        crate::council::Verdict::Write(next.write_bytes(), true)
+        Verdict::Write(next.write_bytes(), true)
     };
-    hall.change(key, 1000, judge).await.unwrap_or(false)
+    hall.change(key, CHANGE_MS, judge).await.unwrap_or(false)
 }
 
-/// The catalog answers only under the epoch held.
-fn shelve(hall: &crate::hall::Hall) {
-    let epoch = held(hall, CATALOG, kernel::clock::now()).map_or(0, |taken| taken.0);
+/// The catalog answers only under the epoch held; a new epoch starts with an empty one.
+fn open_catalog(hall: &Hall) {
+    let epoch = held(hall, CATALOG, kernel::clock::now()).map_or(0, |tenure| tenure.epoch);
     let mut desk = hall.shelf.lock().expect("shelf");
     if desk.epoch != epoch && epoch > desk.last {
         desk.shelf.clear();
@@ -82,9 +96,9 @@
     desk.epoch = epoch;
 }
 
-async fn tend(hall: &std::sync::Arc<crate::hall::Hall>, key: &str) {
+async fn tend(hall: &Arc<Hall>, key: &str) {
     let now = kernel::clock::now();
-    if !hall.sure(now) || now < 1200 || held(hall, key, now).is_some() {
+    if !hall.sure(now) || now < LISTEN_MS || held(hall, key, now).is_some() {
         return;
     }
     // Taken only once there is something to do.
@@ -92,40 +106,39 @@
         return;
     }
     let (epoch, holder, clear) = hall.board.lock().expect("board").duties.get(key).cloned().unwrap_or_default();
-    let take = {
-        let roster = hall.roster.lock().expect("roster");
-        roster::duty::may_take(roster::duty::Look {
-            me: hall.me(),
-            holder: &holder,
-            silent_ms: roster.silent(&holder, now),
-            first: roster.holder("", key, now) == hall.me(),
-            lease_ms: hall.env.bounds.lease_ms,
-        })
-    };
-    if !take {
+    if !may_take(hall, key, &holder, now) {
         return;
     }
     // Only an earlier life that had waited: one that had not may stand between two that acted.
-    let first = !hall.taken.lock().expect("taken").held.contains_key(key);
+    let first = !hall.taken.lock().expect("taken").0.contains_key(key);
     let own = holder.is_empty() || (first && holder == hall.me() && clear);
-    let me = hall.me().to_string();
+    let Some(epoch) = take(hall, key, epoch, own).await else { return };
+    let tenure = Tenure { epoch, since: kernel::clock::now(), own };
+    hall.taken.lock().expect("taken").0.insert(key.into(), tenure);
+    kernel::say!(crate::event::DUTY, "duty" => key, "epoch" => epoch);
+}
+
+fn may_take(hall: &Hall, key: &str, holder: &str, now: u64) -> bool {
+    let roster = hall.roster.lock().expect("roster");
+    roster::duty::may_take(roster::duty::Look {
+        me: hall.me(),
+        holder,
+        silent_ms: roster.absent_ms(holder, now),
+        first: roster.holder("", key, now) == hall.me(),
+        lease_ms: hall.env.bounds.lease_ms,
+    })
+}
+
+/// Commits the next epoch on top of `epoch`. None: another keeper was first, or the outcome is unknown.
+/// One that was committed all the same is never acted under: it is not among what was taken.
+async fn take(hall: &Hall, key: &str, epoch: u64, own: bool) -> Option<u64> {
     let judge = |body: &[u8]| {
         let held = crate::state::Duty::read_bytes(body).unwrap_or_default();
         if held.epoch != epoch {
-            return crate::council::Verdict::Answer(0);
+            return Verdict::Answer(None);
         }
-        let next = crate::state::Duty { epoch: epoch + 1, holder: me.clone(), clear: own };
-        crate::council::Verdict::Write(next.write_bytes(), epoch + 1)
+        let next = crate::state::Duty { epoch: epoch + 1, holder: hall.me().to_string(), clear: own };
+        Verdict::Write(next.write_bytes(), Some(epoch + 1))
     };
-    let Some(epoch @ 1..) = hall.change(key, 1000, judge).await else { return };
-    {
-        let mut taken = hall.taken.lock().expect("taken");
-        taken.held.insert(key.into(), (epoch, kernel::clock::now()));
-        if own {
-            taken.own.insert(key.into());
-        } else {
-            taken.own.remove(key);
-        }
-    }
-    kernel::say!(crate::event::DUTY, "duty" => key, "epoch" => epoch);
+    hall.change(key, CHANGE_MS, judge).await.flatten()
 }
--- a/keeper/src/flight.rs
+++ b/keeper/src/flight.rs
@@ -32,7 +32,7 @@
         return None;
     }
     // Not durable, or no longer the owner at the moment of the send: it is not sent.
-    let sent = begun.is_some() && crate::runner::leave(hall, kernel::clock::now()) == Some(epoch);
+    let sent = begun.is_some() && crate::runner::acting_epoch(hall, kernel::clock::now()) == Some(epoch);
     let outcome = match sent {
         true => crate::errands::send(client, &door, job, send.press, batch.left_ms().min(TRY_MS)).await,
         false => crate::errands::Outcome::Unrun(None),
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -16,6 +16,7 @@
 mod join;
 mod message;
 mod news;
+mod outbound;
 mod platform;
 mod rollout_calls;
 mod rollouts;
--- /dev/null
+++ b/keeper/src/outbound.rs
@@ -0,0 +1,28 @@
+//! HTTP clients for calls to routers, engines and the platform.
+//!
+//! `reqwest` sends a request again by itself in two cases: when it follows a redirect, and when a
+//! pooled connection turns out to be closed. Neither is wanted here. A redirect would run a job twice
+//! or carry an order to another engine, and what became of a request must be known to the caller, who
+//! alone decides whether to send it again.
+
+use std::time::Duration;
+
+/// A client that sends each request at most once, on a connection of its own. `unacknowledged`: how long
+/// sent bytes may stay unacknowledged before the connection is reset. Bytes held up by a cut link are
+/// discarded then, so that they can't arrive long after their sender has lost its lease.
+pub fn at_most_once(connect_timeout: Duration, unacknowledged: Duration) -> reqwest::ClientBuilder {
+    no_resend(connect_timeout, unacknowledged).pool_max_idle_per_host(0)
+}
+
+fn no_resend(connect_timeout: Duration, unacknowledged: Duration) -> reqwest::ClientBuilder {
+    reqwest::Client::builder()
+        .connect_timeout(connect_timeout)
+        .tcp_user_timeout(unacknowledged)
+        .redirect(reqwest::redirect::Policy::none())
+        .retry(reqwest::retry::never())
+        .no_proxy()
+}
+
+#[cfg(test)]
+#[path = "outbound_tests.rs"]
+mod tests;
--- /dev/null
+++ b/keeper/src/outbound_tests.rs
@@ -0,0 +1,109 @@
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// What a server does once it has read a request.
+#[derive(Clone, Copy)]
+enum Reply {
+    Answer(&'static str),
+    Close,
+}
+
+/// A server that gives `replies` in turn, over all its connections. It counts the requests it read and
+/// the connections it accepted.
+struct Server {
+    address: String,
+    requests: Arc<AtomicUsize>,
+    connections: Arc<AtomicUsize>,
+}
+
+async fn server(replies: &'static [Reply]) -> Server {
+    let listener = wire::sock::listen("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address").to_string();
+    let (requests, connections) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
+    let (seen, accepted) = (requests.clone(), connections.clone());
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            accepted.fetch_add(1, Ordering::SeqCst);
+            let seen = seen.clone();
+            tokio::spawn(async move {
+                while read_request(&mut stream).await {
+                    let at = seen.fetch_add(1, Ordering::SeqCst);
+                    let Some(Reply::Answer(text)) = replies.get(at) else { return };
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    Server { address, requests, connections }
+}
+
+/// Reads up to the end of a request's head: the requests of these tests have bodies of one byte at most.
+async fn read_request(stream: &mut tokio::net::TcpStream) -> bool {
+    let mut text = Vec::new();
+    let mut buffer = [0; 1024];
+    loop {
+        match stream.read(&mut buffer).await {
+            Ok(count @ 1..) => text.extend_from_slice(&buffer[..count]),
+            _ => return false,
+        }
+        if text.windows(4).any(|part| part == b"\r\n\r\n") {
+            return true;
+        }
+    }
+}
+
+const OK: Reply = Reply::Answer("HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx");
+/// Without a host: back to the same server.
+const REDIRECT: Reply =
+    Reply::Answer("HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n");
+
+fn job(repeatable: bool) -> batch::sheet::Job {
+    batch::sheet::Job {
+        name: "j".into(),
+        method: "POST".into(),
+        host: "h.example".into(),
+        path: "/x".into(),
+        head: Vec::new(),
+        body: "b".into(),
+        repeatable,
+    }
+}
+
+async fn send(server: &Server, client: &reqwest::Client) -> crate::errands::Outcome {
+    crate::errands::send(client, &server.address, &job(false), batch::turn::Press::Idle, 10_000).await
+}
+
+fn client() -> reqwest::Client {
+    super::at_most_once(Duration::from_secs(10), Duration::from_secs(10)).build().expect("a client")
+}
+
+#[tokio::test]
+async fn a_redirect_is_an_answer_and_never_sends_a_job_again() {
+    let server = server(&[REDIRECT, OK]).await;
+    let outcome = send(&server, &client()).await;
+    assert!(matches!(outcome, crate::errands::Outcome::Done(307, _)));
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn a_job_whose_connection_ends_without_an_answer_is_lost_and_sent_once() {
+    let server = server(&[Reply::Close, OK]).await;
+    assert!(matches!(send(&server, &client()).await, crate::errands::Outcome::Lost));
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn each_job_has_a_connection_of_its_own() {
+    let server = server(&[OK, OK, Reply::Close, OK]).await;
+    let client = client();
+    for _ in 0..2 {
+        assert!(matches!(send(&server, &client).await, crate::errands::Outcome::Done(200, _)));
+    }
+    assert!(matches!(send(&server, &client).await, crate::errands::Outcome::Lost));
+    assert_eq!(server.requests.load(Ordering::SeqCst), 3);
+    assert_eq!(server.connections.load(Ordering::SeqCst), 3);
+}
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -4,6 +4,7 @@
 /// Header by which a router knows deferrable work; it never reaches an engine.
 pub const MARK: &str = "deferrable";
 pub const LOOK_MS: u64 = 250;
+const CONNECT_MS: u64 = 700;
 
 /// What this life holds of the batches. Invariant: a job is in `under_way` from before its send to
 /// after its receipt.
@@ -40,8 +41,8 @@
 
 pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
     let wait = std::time::Duration::from_millis;
-    let client = reqwest::Client::builder().connect_timeout(wait(700)).no_proxy().build();
-    let Ok(client) = client else { return };
+    let client = crate::outbound::at_most_once(wait(CONNECT_MS), wait(wire::sock::SILENCE_MS));
+    let Ok(client) = client.build() else { return };
     let hall = hall.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(LOOK_MS);
@@ -56,8 +57,8 @@
 }
 
 /// The epoch under which batches may be run now: the last owner has stopped by then.
-pub fn leave(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
-    crate::duty::leave(hall, crate::duty::BATCH, now)
+pub fn acting_epoch(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
+    crate::duty::acting_epoch(hall, crate::duty::BATCH, now)
 }
 
 async fn look(hall: &std::sync::Arc<crate::hall::Hall>, client: &reqwest::Client, runner: &mut Runner, air: &Flight) {
@@ -67,11 +68,11 @@
         runner.looked = now;
         return;
     }
-    let Some(epoch) = leave(hall, now) else {
+    let Some(epoch) = acting_epoch(hall, now) else {
         runner.looked = now;
         return;
     };
-    if !crate::duty::clear(hall, crate::duty::BATCH, epoch).await {
+    if !crate::duty::declare_clear(hall, crate::duty::BATCH, epoch).await {
         return;
     }
     if epoch != runner.epoch {
--- /dev/null
+++ b/roster/src/duty_world.rs
@@ -0,0 +1,214 @@
+//! The world of the duty tests: three keepers and the register, in virtual time.
+
+pub const LEASE: u64 = 3000;
+pub const SURE: u64 = 1100;
+pub const BEAT: u64 = 350;
+/// A keeper that has just started first listens for this long.
+pub const LISTEN: u64 = 1200;
+pub const DUTY: &str = "duty/balance";
+
+#[derive(Clone)]
+pub struct Keeper {
+    pub name: String,
+    /// No beat, no look and no act before then.
+    pub asleep_until: u64,
+    pub cut_until: u64,
+    pub started: u64,
+    pub roster: crate::Roster,
+    pub board: (u64, String, bool),
+    pub sure_at: Option<u64>,
+    pub held: Option<(u64, crate::duty::Held)>,
+    pub lives: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub dice: kernel::clock::Dice,
+    pub keepers: Vec<Keeper>,
+    /// Until when two keepers are cut off from each other alone.
+    pub pair_cut_until: [[u64; 3]; 3],
+    /// The register that a majority holds: epoch, holder, and whether it has waited.
+    pub register: (u64, String, bool),
+    pub acts: Vec<(u64, u64, String)>,
+    /// Without the wait after a take-over: the fault that it prevents.
+    pub hasty: bool,
+    /// Believing only what is heard directly: the fault that the peers' reports prevent.
+    pub own_ears_only: bool,
+    /// No trouble comes by chance.
+    pub calm: bool,
+}
+
+fn roster(at: usize) -> crate::Roster {
+    crate::Roster::new(&format!("k{at}"), "", SURE)
+}
+
+impl World {
+    pub fn new(seed: u64, hasty: bool) -> World {
+        let keeper = |at: usize| Keeper {
+            name: format!("k{at}"),
+            asleep_until: 0,
+            cut_until: 0,
+            started: 0,
+            roster: roster(at),
+            board: (0, String::new(), false),
+            sure_at: None,
+            held: None,
+            lives: 1,
+        };
+        World {
+            now: 0,
+            dice: kernel::clock::Dice::new(seed.wrapping_mul(0x9E37_79B9)),
+            keepers: (0..3).map(keeper).collect(),
+            pair_cut_until: [[0; 3]; 3],
+            register: (0, String::new(), false),
+            acts: Vec::new(),
+            hasty,
+            own_ears_only: false,
+            calm: false,
+        }
+    }
+
+    fn up(&self, at: usize) -> bool {
+        self.now >= self.keepers[at].asleep_until
+    }
+
+    fn linked(&self, one: usize, two: usize) -> bool {
+        self.up(one)
+            && self.up(two)
+            && self.keepers[one].cut_until <= self.now
+            && self.keepers[two].cut_until <= self.now
+            && self.pair_cut_until[one.min(two)][one.max(two)] <= self.now
+    }
+
+    fn majority(&self, at: usize) -> bool {
+        (0..3).filter(|other| *other == at || self.linked(at, *other)).count() >= 2
+    }
+
+    fn trouble(&mut self) {
+        if self.calm || self.dice.below(2500) != 0 {
+            return;
+        }
+        let at = self.dice.below(3) as usize;
+        let span = 200 + self.dice.below(7000);
+        match self.dice.below(4) {
+            0 => self.keepers[at].asleep_until = self.now + span,
+            1 => self.keepers[at].cut_until = self.now + span,
+            2 => {
+                let other = (at + 1) % 3;
+                self.pair_cut_until[at.min(other)][at.max(other)] = self.now + span;
+            }
+            _ => {
+                // A new life: nothing is remembered but what the register holds.
+                let old = &self.keepers[at];
+                let lives = old.lives + 1;
+                let asleep_until = self.now + 500;
+                self.keepers[at] = Keeper {
+                    asleep_until,
+                    lives,
+                    started: self.now,
+                    roster: roster(at),
+                    sure_at: None,
+                    held: None,
+                    ..old.clone()
+                };
+            }
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1;
+        self.trouble();
+        for at in 0..3 {
+            let beat = (self.now + at as u64 * 97).is_multiple_of(BEAT);
+            if !beat || !self.up(at) {
+                continue;
+            }
+            self.gossip(at);
+            if self.majority(at) {
+                self.keepers[at].board = self.register.clone();
+                self.keepers[at].sure_at = Some(self.now);
+            }
+            self.take(at);
+        }
+        for at in 0..3 {
+            if self.up(at) && self.now.is_multiple_of(50) {
+                self.act(at);
+            }
+        }
+    }
+
+    fn gossip(&mut self, at: usize) {
+        let (name, now) = (self.keepers[at].name.clone(), self.now);
+        let own = &self.keepers[at].roster;
+        let hears = own.keepers.keys().filter(|peer| own.live(peer, now)).cloned().collect();
+        let report = crate::PeerReport { hears, ..Default::default() };
+        for other in (0..3).filter(|other| *other != at) {
+            if self.linked(at, other) {
+                let roster = &mut self.keepers[other].roster;
+                roster.hear(&name, crate::Fellow { heard: now, ..Default::default() });
+                roster.report(&name, report.clone());
+            }
+        }
+    }
+
+    fn take(&mut self, at: usize) {
+        if self.now < self.keepers[at].started + LISTEN {
+            return;
+        }
+        let keeper = &self.keepers[at];
+        let sure = keeper.sure_at.is_some_and(|time| self.now < time + SURE);
+        let held = keeper.held.is_some_and(|(epoch, _)| epoch == keeper.board.0 && keeper.board.1 == keeper.name);
+        if !sure || held {
+            return;
+        }
+        let holder = keeper.board.1.clone();
+        let silent_ms = match self.own_ears_only {
+            true => keeper.roster.silent(&holder, self.now),
+            false => keeper.roster.absent_ms(&holder, self.now),
+        };
+        let look = crate::duty::Look {
+            me: &keeper.name,
+            holder: &holder,
+            silent_ms,
+            first: keeper.roster.holder("", DUTY, self.now) == keeper.name,
+            lease_ms: LEASE,
+        };
+        if !crate::duty::may_take(look) || !self.majority(at) || self.register.0 != keeper.board.0 {
+            return;
+        }
+        let own = holder.is_empty() || (holder == keeper.name && keeper.held.is_none() && keeper.board.2);
+        let name = keeper.name.clone();
+        self.register = (self.register.0 + 1, name, own);
+        let held = crate::duty::Held { since: self.now, own: own || self.hasty, sure_at: self.now };
+        let register = self.register.clone();
+        let keeper = &mut self.keepers[at];
+        keeper.held = Some((register.0, held));
+        keeper.board = register;
+    }
+
+    fn act(&mut self, at: usize) {
+        let keeper = &self.keepers[at];
+        let (Some((epoch, held)), Some(sure_at)) = (keeper.held, keeper.sure_at) else { return };
+        if (keeper.board.0, &keeper.board.1) != (epoch, &keeper.name) {
+            return;
+        }
+        if crate::duty::may_act(crate::duty::Held { sure_at, ..held }, self.now, false, LEASE, SURE) {
+            // Said in the register before the first act, so that the next life need not wait again.
+            if !self.register.2 {
+                if self.majority(at) && self.register.0 == epoch {
+                    self.register.2 = true;
+                }
+                return;
+            }
+            self.acts.push((self.now, epoch, keeper.name.clone()));
+        }
+    }
+
+    /// No two holders within a lease; no epoch below one seen.
+    pub fn sound(&self) -> bool {
+        self.acts.windows(2).all(|pair| {
+            let ((before, low, one), (after, high, two)) = (&pair[0], &pair[1]);
+            high >= low && (one == two || after - before >= LEASE)
+        })
+    }
+}
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -2,6 +2,7 @@
 //! time comes in with every call.
 
 pub mod duty;
+pub mod platform_access;
 
 #[derive(Clone, Debug, Default)]
 pub struct Fellow {
@@ -27,6 +28,15 @@
     pub door: String,
 }
 
+/// What a peer last told of others.
+#[derive(Clone, Debug, Default)]
+pub struct PeerReport {
+    /// The keepers that it hears.
+    pub hears: Vec<String>,
+    /// It gets no answer from the platform.
+    pub platform_unreachable: bool,
+}
+
 /// Invariants: `heard` never goes back; a fellow is live while it was heard within `span` ms; a
 /// router holds its lease while `until` lies ahead.
 #[derive(Clone, Debug, Default)]
@@ -38,6 +48,10 @@
     pub routers: std::collections::BTreeMap<String, Seat>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
+    /// By peer: what it last told of others.
+    pub reports: std::collections::BTreeMap<String, PeerReport>,
+    /// Own access to the platform.
+    pub access: platform_access::PlatformAccess,
 }
 
 impl Roster {
@@ -117,6 +131,32 @@
         self.keepers.get(ip).map_or(u64::MAX, |fellow| now.saturating_sub(fellow.heard))
     }
 
+    pub fn report(&mut self, peer: &str, report: PeerReport) {
+        self.reports.insert(peer.into(), report);
+    }
+
+    /// How long a keeper has been absent: silent here, and heard by no live peer either. A cut between
+    /// two keepers alone makes neither of them absent.
+    pub fn absent_ms(&self, ip: &str, now: u64) -> u64 {
+        let mut live = self.reports.iter().filter(|(peer, _)| peer.as_str() != ip && self.live(peer, now));
+        if live.any(|(_, report)| report.hears.iter().any(|heard| heard == ip)) {
+            return 0;
+        }
+        self.silent(ip, now)
+    }
+
+    /// Who polls the platform for a zone: the first live keeper in the order that reaches the platform,
+    /// or the first live one while none does.
+    pub fn poller(&self, area: &str, now: u64) -> String {
+        let reaches = |ip: &String| match *ip == self.me {
+            true => !self.access.unreachable(now),
+            false => !self.reports.get(ip).is_some_and(|report| report.platform_unreachable),
+        };
+        let live: Vec<String> = self.order(area, "list").into_iter().filter(|ip| self.live(ip, now)).collect();
+        let first = live.iter().find(|ip| reaches(ip)).or(live.first());
+        first.cloned().unwrap_or_else(|| self.me.clone())
+    }
+
     pub fn area_of(&self, ip: &str) -> &str {
         if ip == self.me {
             return &self.area;
@@ -152,49 +192,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    fn fellow(area: &str, heard: u64) -> super::Fellow {
-        super::Fellow {
-            area: area.into(),
-            life: 1,
-            heard,
-            fit: true,
-            seats: 3,
-            busy: vec![("i-1".into(), 2)],
-            ..Default::default()
-        }
-    }
-
-    #[test]
-    fn own_area_holds_and_the_next_takes_over_when_it_is_silent() {
-        let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-        list.hear("10.0.0.2", fellow("b", 100));
-        assert_eq!(list.holder("b", "list", 1000), "10.0.0.2");
-        assert_eq!(list.holder("b", "list", 1100), "10.0.0.1");
-        assert_eq!(list.holder("a", "list", 1000), "10.0.0.1");
-    }
-
-    #[test]
-    fn all_keepers_agree_on_an_order() {
-        let mut one = super::Roster::new("10.0.0.1", "a", 1000);
-        let mut two = super::Roster::new("10.0.0.2", "b", 1000);
-        one.hear("10.0.0.2", fellow("b", 1));
-        two.hear("10.0.0.1", fellow("a", 1));
-        for duty in ["x", "y", "z"] {
-            assert_eq!(one.order("c", duty), two.order("c", duty));
-        }
-    }
-
-    #[test]
-    fn seats_count_own_leases_and_those_of_fellows() {
-        let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-        list.hear("10.0.0.2", fellow("b", 100));
-        list.lease("edge-1", 500, vec![("i-1".into(), 5)], "10.0.0.9:80".into());
-        assert_eq!(list.door(400, 7).as_deref(), Some("10.0.0.9:80"));
-        assert_eq!(list.pressure(400).get("i-1"), Some(&7));
-        assert_eq!(list.seats(400), 4);
-        assert_eq!(list.seats(600), 3);
-        list.hear("10.0.0.2", fellow("b", 50));
-        assert!(list.live("10.0.0.2", 1099), "what was heard never goes back");
-    }
-}
+#[path = "lib_tests.rs"]
+mod tests;
--- /dev/null
+++ b/roster/src/platform_access_tests.rs
@@ -0,0 +1,114 @@
+//! Three keepers that poll one zone's list, some of them cut off from the platform, in virtual time.
+
+use super::PlatformAccess;
+
+const SPAN: u64 = 1100;
+const BEAT: u64 = 350;
+const POLL: u64 = 600;
+const KEEPERS: usize = 3;
+
+struct World {
+    now: u64,
+    rosters: Vec<crate::Roster>,
+    /// Until when each keeper is cut off from the platform.
+    cut_until: [u64; KEEPERS],
+    /// When a poll last succeeded, and by whom.
+    polled: (u64, usize),
+}
+
+fn name(at: usize) -> String {
+    format!("10.0.0.{at}")
+}
+
+impl World {
+    fn new() -> World {
+        let rosters = (0..KEEPERS).map(|at| crate::Roster::new(&name(at), "zone", SPAN)).collect();
+        World { now: 0, rosters, cut_until: [0; KEEPERS], polled: (0, KEEPERS) }
+    }
+
+    fn step(&mut self) {
+        self.now += 1;
+        if self.now.is_multiple_of(BEAT) {
+            self.gossip();
+        }
+        for at in 0..KEEPERS {
+            if (self.now + at as u64 * 31).is_multiple_of(POLL) {
+                self.poll(at);
+            }
+        }
+    }
+
+    fn gossip(&mut self) {
+        for from in 0..KEEPERS {
+            let platform_unreachable = self.rosters[from].access.unreachable(self.now);
+            for to in (0..KEEPERS).filter(|to| *to != from) {
+                let peer = crate::Fellow { area: "zone".into(), heard: self.now, ..Default::default() };
+                self.rosters[to].hear(&name(from), peer);
+                let report = crate::PeerReport { hears: Vec::new(), platform_unreachable };
+                self.rosters[to].report(&name(from), report);
+            }
+        }
+    }
+
+    fn poll(&mut self, at: usize) {
+        let roster = &mut self.rosters[at];
+        if roster.poller("zone", self.now) != name(at) {
+            return;
+        }
+        if self.now < self.cut_until[at] {
+            return roster.access.failed(self.now);
+        }
+        roster.access.succeeded();
+        self.polled = (self.now, at);
+    }
+
+    fn run_until(&mut self, end: u64) {
+        while self.now < end {
+            self.step();
+        }
+    }
+}
+
+#[test]
+fn another_keeper_polls_while_the_first_is_cut_off_from_the_platform() {
+    let mut world = World::new();
+    world.run_until(3000);
+    let first = world.polled.1;
+    world.cut_until[first] = 23_000;
+    let mut longest = 0;
+    while world.now < 23_000 {
+        world.step();
+        longest = longest.max(world.now - world.polled.0);
+    }
+    assert!(longest <= FIRST_GAP_MS, "no poll succeeded for {longest} ms");
+    world.run_until(30_000);
+    assert_eq!(world.polled.1, first, "it takes its place again once it reaches the platform");
+}
+
+/// Three polls without an answer, a beat of gossip and a poll of the next.
+const FIRST_GAP_MS: u64 = 4 * POLL + BEAT + POLL;
+
+#[test]
+fn somebody_polls_soon_after_a_platform_that_nobody_reached_is_back() {
+    for end in (5000..20_000).step_by(271) {
+        let mut world = World::new();
+        world.run_until(2000);
+        world.cut_until = [end; KEEPERS];
+        world.run_until(end + 2 * POLL + BEAT);
+        assert!(world.polled.0 >= end, "end {end}: the last poll was at {}", world.polled.0);
+    }
+}
+
+#[test]
+fn one_lost_poll_changes_nothing_and_a_success_forgets_failures() {
+    let mut access = PlatformAccess::default();
+    access.failed(1000);
+    access.failed(1100);
+    assert!(!access.unreachable(1100));
+    access.succeeded();
+    access.failed(1200);
+    access.failed(1300);
+    assert!(!access.unreachable(1300));
+    access.failed(1400);
+    assert!(access.unreachable(1400) && access.unreachable(6399) && !access.unreachable(6400));
+}
