Polls: an old reading never replaces a newer list, and a keeper cut off from the platform steps back

Cause: a poller that stood still in the middle of a poll and then heard of another poller's list put what it had read before under a higher turn, so that routers took an old list for a newer one (an engine that leaves shown as up again). And a keeper cut off from the platform alone stayed the poller of its zone for as long as its peers heard it, while nobody read the list.

Change: a poll compares what was known when it began with what is known at its end, and is dropped when another list became known; one whose steps took half a second more than they may is dropped too. After three polls without an answer a keeper yields its zones for five seconds at a time and says so in its gossip; while nobody reaches the platform the first live keeper polls as before. The low bits of a turn that tell pollers apart are 28 instead of 20: two of a hundred keepers shared them at about one in two hundred. platform.rs is split in two; the tests of sheet.rs have a file of their own.

--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -1,6 +1,14 @@
 //! The list of engines as the pollers saw it, a sheet an area.
 
-const SEAT_BITS: u32 = 20;
+/// The low bits of a turn that tell pollers apart: enough that no two of a large fleet share them.
+const SEAT_BITS: u32 = 28;
+
+/// What was known of an area's list at one moment: taken when a poll begins and compared when it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    version: Option<(u64, u64)>,
+    newest_turn: u64,
+}
 
 /// Invariant: the stamp (turn, count) of an area's sheet never goes back.
 #[derive(Default)]
@@ -21,19 +29,32 @@
         true
     }
 
-    /// What a poller saw. `turn` is its own while nobody else polled this area since; else it goes
-    /// above what is held. The low bits are the poller's seat, so that no two share a turn. Gives
-    /// the new sheet when something changed.
+    /// To be asked before the first call of a poll.
+    pub fn known(&self, area: &str) -> Known {
+        let version = self.list.get(area).map(|held| (held.turn, held.count));
+        let floor = self.floor.get(area).copied().unwrap_or(0);
+        Known { version, newest_turn: version.map_or(0, |held| held.0).max(floor) }
+    }
+
+    /// What a poller saw that began when `known` was asked for. `turn` is its own while nobody else
+    /// polled this area since; else it goes above what is held. The low bits are the poller's seat, so
+    /// that no two share a turn. Gives the new sheet when something changed.
+    ///
+    /// Another poller's list that became known meanwhile may be newer than what was seen, so what was
+    /// seen is dropped: it would else be put above that list (a poller that froze in mid-poll).
     pub fn poll(
         &mut self,
         area: &str,
         turn: &mut u64,
         seat: u64,
         list: Vec<wire::msg::Engine>,
+        known: Known,
     ) -> Option<wire::msg::Sheet> {
+        if self.known(area) != known {
+            return None;
+        }
         let held = self.list.get(area);
-        let floor = self.floor.get(area).copied().unwrap_or(0);
-        let top = held.map_or(0, |held| held.turn).max(floor);
+        let top = known.newest_turn;
         if *turn == 0 || *turn != top {
             *turn = ((top >> SEAT_BITS) + 1) << SEAT_BITS | (seat & ((1 << SEAT_BITS) - 1));
         }
@@ -82,70 +103,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    fn engine(id: &str, cold_ms: u32) -> wire::msg::Engine {
-        wire::msg::Engine {
-            id: id.into(),
-            service: "s".into(),
-            addr: "10.1.1.1:80".into(),
-            area: "a".into(),
-            phase: "decode".into(),
-            model: String::new(),
-            slots: 1,
-            up: true,
-            cold_ms,
-        }
-    }
-
-    #[test]
-    fn a_successor_goes_above_and_the_first_never_goes_back() {
-        let (mut one, mut two) = (super::Sheets::default(), super::Sheets::default());
-        let mut turn = 0;
-        let first = one.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).expect("new");
-        assert!(two.take(&first) && !two.take(&first));
-        let mut other = 0;
-        let second = two.poll("a", &mut other, 2, vec![]).expect("new");
-        assert!((second.turn, second.count) > (first.turn, first.count));
-        assert!(one.take(&second));
-        let third = one.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).expect("new");
-        assert!((third.turn, third.count) > (second.turn, second.count));
-    }
-
-    #[test]
-    fn one_that_starts_anew_goes_above_what_it_made_before() {
-        let (mut old, mut far) = (super::Sheets::default(), super::Sheets::default());
-        let mut turn = 0;
-        for count in 0..4 {
-            far.take(&old.poll("a", &mut turn, 1, vec![engine(&format!("i-{count}"), 0)]).expect("new"));
-        }
-        // A restart: nothing held, no turn. The fellow sends what is newer before the next poll counts.
-        let (mut new, mut again) = (super::Sheets::default(), 0);
-        let lost = new.poll("a", &mut again, 1, vec![]).expect("new");
-        assert!(!far.take(&lost));
-        for sheet in far.newer(&new.stamps()) {
-            assert!(new.take(&sheet));
-        }
-        let next = new.poll("a", &mut again, 1, vec![]).expect("new");
-        assert!(far.take(&next) && far.newer(&new.stamps()).is_empty());
-    }
-
-    #[test]
-    fn a_poller_goes_above_what_a_router_kept_from_before_all_keepers_fell() {
-        let (mut old, mut router) = (super::Sheets::default(), super::Sheets::default());
-        let mut turn = 0;
-        router.take(&old.poll("a", &mut turn, 9, vec![engine("i-1", 0)]).expect("new"));
-        let (mut new, mut again) = (super::Sheets::default(), 0);
-        assert!(!router.take(&new.poll("a", &mut again, 1, vec![]).expect("new")));
-        new.raise(&router.stamps());
-        assert!(router.take(&new.poll("a", &mut again, 1, vec![]).expect("new")));
-    }
-
-    #[test]
-    fn only_a_change_makes_a_sheet() {
-        let mut list = super::Sheets::default();
-        let mut turn = 0;
-        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 900)]).is_some());
-        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 400)]).is_none());
-        assert!(list.poll("a", &mut turn, 1, vec![engine("i-1", 0)]).is_some());
-    }
-}
+#[path = "sheet_tests.rs"]
+mod tests;
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -19,6 +19,7 @@
         resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::hall::LIVE_MS)).collect(),
     };
     roster.hear(&gossip.ip, fellow);
+    roster.report(&gossip.ip, crate::platform::report(gossip));
     for ip in &gossip.fellows {
         if ip.parse::<std::net::Ipv4Addr>().is_ok() && *ip != roster.me && !roster.keepers.contains_key(ip) {
             let unseen = roster::Fellow { area: String::new(), life: 0, heard: 0, fit: false, ..Default::default() };
@@ -55,12 +56,13 @@
         let live: Vec<String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).cloned().collect();
         (live, roster.routers.len() as u32, roster.own_pressure(), roster.own_resting(now), roster.own_doors())
     };
-    let (sheets, floors) = {
+    let (mut sheets, floors) = {
         let held = hall.sheets.lock().expect("sheets");
         let mut stamps = held.stamps();
         stamps.push(wire::msg::told());
         (stamps, held.floors())
     };
+    sheets.extend(crate::platform::told(hall, now));
     let gossip = wire::msg::Gossip {
         ip: hall.me().into(),
         area: hall.env.zone.clone(),
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -14,6 +14,7 @@
 mod gossip;
 mod hall;
 mod join;
+mod listing;
 mod message;
 mod news;
 mod outbound;
--- /dev/null
+++ b/keeper/src/listing.rs
@@ -0,0 +1,77 @@
+//! The platform's list of engines as it comes: pages, put together to one reading of a zone.
+
+#[derive(serde::Deserialize)]
+struct Model {
+    #[serde(default)]
+    name: String,
+    #[serde(default)]
+    revision: u64,
+}
+
+#[derive(serde::Deserialize)]
+struct Item {
+    instance_id: String,
+    service: String,
+    address: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    slot_count: u32,
+    #[serde(default)]
+    oper_state: String,
+    #[serde(default)]
+    ramp_left_ms: f64,
+    #[serde(default)]
+    phase: String,
+    #[serde(default)]
+    model_list: Vec<Model>,
+}
+
+/// One page as the platform sends it.
+#[derive(serde::Deserialize)]
+pub struct Page {
+    instance_list: Vec<Item>,
+    pub next_token: Option<String>,
+}
+
+/// Engine, model, version.
+pub type Weights = Vec<(String, String, u64)>;
+
+/// One whole reading of a zone's list.
+pub struct Listing {
+    pub engines: Vec<wire::msg::Engine>,
+    pub weights: Weights,
+    pub pages: usize,
+    /// What was known of this list before the first page was asked for.
+    pub known: engines::sheet::Known,
+}
+
+impl Listing {
+    /// Nothing read yet.
+    pub fn new(known: engines::sheet::Known) -> Listing {
+        Listing { engines: Vec::new(), weights: Vec::new(), pages: 0, known }
+    }
+
+    /// `versions`: whether weight versions are wanted.
+    pub fn add(&mut self, page: Page, versions: bool) {
+        for item in page.instance_list.iter().filter(|_| versions) {
+            let models = item.model_list.iter();
+            self.weights.extend(models.map(|model| (item.instance_id.clone(), model.name.clone(), model.revision)));
+        }
+        self.engines.extend(page.instance_list.into_iter().map(engine));
+        self.pages += 1;
+    }
+}
+fn engine(item: Item) -> wire::msg::Engine {
+    wire::msg::Engine {
+        id: item.instance_id,
+        service: item.service,
+        addr: item.address,
+        area: item.zone,
+        phase: item.phase,
+        model: item.model_list.into_iter().next().map(|model| model.name).unwrap_or_default(),
+        slots: item.slot_count,
+        up: item.oper_state == "up",
+        cold_ms: item.ramp_left_ms.clamp(0.0, 1e9).ceil() as u32,
+    }
+}
--- a/keeper/src/outbound.rs
+++ b/keeper/src/outbound.rs
@@ -14,6 +14,11 @@
     no_resend(connect_timeout, unacknowledged).pool_max_idle_per_host(0)
 }
 
+/// A client for reads: connections are kept, and one that closes while idle is replaced.
+pub fn reads(connect_timeout: Duration) -> reqwest::ClientBuilder {
+    no_resend(connect_timeout, Duration::from_millis(wire::sock::SILENCE_MS)).tcp_nodelay(true)
+}
+
 fn no_resend(connect_timeout: Duration, unacknowledged: Duration) -> reqwest::ClientBuilder {
     reqwest::Client::builder()
         .connect_timeout(connect_timeout)
--- a/keeper/src/outbound_tests.rs
+++ b/keeper/src/outbound_tests.rs
@@ -107,3 +107,12 @@
     assert_eq!(server.requests.load(Ordering::SeqCst), 3);
     assert_eq!(server.connections.load(Ordering::SeqCst), 3);
 }
+
+#[tokio::test]
+async fn reads_do_not_follow_a_redirect_either() {
+    let server = server(&[REDIRECT, OK]).await;
+    let client = super::reads(Duration::from_secs(10)).build().expect("a client");
+    let reply = client.get(format!("http://{}/instances", server.address)).send().await.expect("an answer");
+    assert_eq!(reply.status().as_u16(), 307);
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -1,159 +1,188 @@
-//! The platform's list of engines: one poller an area, within the rate that all daemons share.
-
-#[derive(serde::Deserialize)]
-struct Model {
-    #[serde(default)]
-    name: String,
-    #[serde(default)]
-    revision: u64,
+//! The platform's list of engines: one poller a zone, within the rate that all daemons share.
+
+use crate::listing::{Listing, Page};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Why a poll gave no list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PollError {
+    /// No answer: the platform is down, or cut off from here.
+    Unreachable,
+    /// Over the shared rate, or an answer that is no list.
+    Refused,
+    /// This process stood still meanwhile: what was read before is too old to be sent out.
+    Stalled,
 }
 
-#[derive(serde::Deserialize)]
-struct Item {
-    instance_id: String,
-    service: String,
-    address: String,
-    #[serde(default)]
-    zone: String,
-    #[serde(default)]
-    slot_count: u32,
-    #[serde(default)]
-    oper_state: String,
-    #[serde(default)]
-    ramp_left_ms: f64,
-    #[serde(default)]
-    phase: String,
-    #[serde(default)]
-    model_list: Vec<Model>,
+/// The longest that one call may take.
+const CALL_MS: u64 = 1500;
+/// A step that takes this much longer than it may shows that the process stood still.
+const STALL_MS: u64 = 500;
+/// Time after a start to hear who else is there.
+const FIRST_MS: u64 = 160;
+/// Versions go out again with every so many polls, for keepers that missed them.
+const AGAIN: u32 = 8;
+/// How many refusals one poll bears before it is left to the next.
+const REFUSED: u32 = 4;
+const PAGES: usize = 1000;
+
+/// Told beside the versions of lists by a keeper that does not reach the platform.
+const UNREACHABLE: &str = "platform unreachable";
+
+/// What is told to peers about the own access to the platform.
+pub fn told(hall: &crate::hall::Hall, now: u64) -> Option<(String, u64, u64)> {
+    let unreachable = hall.roster.lock().expect("roster").access.unreachable(now);
+    unreachable.then(|| (wire::msg::hide(UNREACHABLE), 1, 0))
 }
 
-#[derive(serde::Deserialize)]
-struct Page {
-    instance_list: Vec<Item>,
-    next_token: Option<String>,
+/// What a peer told of others.
+pub fn report(gossip: &wire::msg::Gossip) -> roster::PeerReport {
+    let name = wire::msg::hide(UNREACHABLE);
+    let platform_unreachable = gossip.sheets.iter().any(|told| told.0 == name);
+    roster::PeerReport { hears: gossip.fellows.clone(), platform_unreachable }
 }
 
-/// The time between two polls of an area: often enough for `drain_ms`, within the shared rate.
+/// The time between two polls of a zone: often enough for `drain_ms`, within the shared rate.
 fn pause(env: &kernel::env::Env, pages: usize) -> u64 {
-    let areas = env.zones.len().max(1);
-    let calls = (areas * pages.max(1)) as f64;
+    let zones = env.zones.len().max(1);
+    let calls = (zones * pages.max(1)) as f64;
     // Two pollers may overlap while a home changes hands, and the wishes stay under half the rate.
     let floor = (calls * 2000.0 / env.cloud_api.rate_per_s) as u64;
     (env.bounds.drain_ms / 5).clamp(250, 1000).max(floor)
 }
 
-/// Time after a start to hear who else is there.
-const FIRST_MS: u64 = 160;
+/// Did a step that may take `allowed_ms` take so long that the process must have stood still?
+fn stalled(begun: u64, allowed_ms: u64, now: u64) -> bool {
+    now > begun + allowed_ms + STALL_MS
+}
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let client = reqwest::Client::builder()
-        .connect_timeout(std::time::Duration::from_millis(700))
-        .timeout(std::time::Duration::from_millis(1500))
-        .no_proxy()
-        .tcp_nodelay(true)
-        .build();
+pub fn start(hall: &Arc<crate::hall::Hall>) {
+    let client = crate::outbound::reads(Duration::from_millis(700)).timeout(Duration::from_millis(CALL_MS)).build();
     let Ok(client) = client else { return };
-    for area in hall.env.zones.keys() {
-        tokio::spawn(run(hall.clone(), client.clone(), area.clone()));
+    for zone in hall.env.zones.keys() {
+        tokio::spawn(run(hall.clone(), client.clone(), zone.clone()));
     }
 }
 
-async fn run(hall: std::sync::Arc<crate::hall::Hall>, client: reqwest::Client, area: String) {
+async fn run(hall: Arc<crate::hall::Hall>, client: reqwest::Client, zone: String) {
     let (mut turn, mut polls) = (0, 0u32);
     let mut pages = 1;
     let mut wait = 0;
     loop {
-        tokio::time::sleep(std::time::Duration::from_millis(wait)).await;
+        tokio::time::sleep(Duration::from_millis(wait)).await;
         wait = pause(&hall.env, pages);
         let now = kernel::clock::now();
-        let holder = hall.roster.lock().expect("roster").holder(&area, "list", now);
-        if holder != hall.me() || now < FIRST_MS {
+        let poller = hall.roster.lock().expect("roster").poller(&zone, now);
+        if poller != hall.me() || now < FIRST_MS {
             wait = wait.min(FIRST_MS);
             continue;
         }
         // Without rules versions are neither read nor sent.
         let ruled = !hall.board.lock().expect("board").rules.is_empty();
-        match poll(&hall, &client, &area, ruled).await {
-            Ok((list, weights, count)) => {
-                pages = count;
-                polls += 1;
-                if ruled {
-                    crate::rules::seen(&hall, &area, weights, polls % AGAIN == 0);
-                }
-                let sheet = hall.sheets.lock().expect("sheets").poll(&area, &mut turn, hall.seat, list);
-                if let Some(sheet) = sheet {
-                    publish(&hall, sheet);
-                }
-            }
-            // Over the rate or silent: what is known stays in force, the next try comes a little later.
-            Err(()) => wait = wait * 3 / 2,
-        }
+        let outcome = poll(&hall, &client, &zone, ruled).await;
+        note_access(&hall, outcome.as_ref().err().copied());
+        let Ok(listing) = outcome else {
+            // What is known stays in force, the next try comes a little later.
+            wait = wait * 3 / 2;
+            continue;
+        };
+        pages = listing.pages;
+        polls += 1;
+        take(&hall, &zone, &mut turn, listing, ruled.then_some(polls % AGAIN == 0));
     }
 }
 
-/// Engine, model, version.
-type Weights = Vec<(String, String, u64)>;
-
-/// Versions go out again with every so many polls, for keepers that missed them.
-const AGAIN: u32 = 8;
+/// Keeps count of polls without an answer: a poller that is cut off from the platform lets another
+/// keeper take its place.
+fn note_access(hall: &crate::hall::Hall, error: Option<PollError>) {
+    let mut roster = hall.roster.lock().expect("roster");
+    match error {
+        None | Some(PollError::Refused) => roster.access.succeeded(),
+        Some(PollError::Unreachable) => roster.access.failed(kernel::clock::now()),
+        Some(PollError::Stalled) => {}
+    }
+}
 
-/// How many refusals one poll bears before it is left to the next.
-const REFUSED: u32 = 4;
+/// Sends out what a poll read, unless a list that another poller made became known meanwhile.
+/// `versions`: whether weight versions are wanted, and whether to send them even if unchanged.
+fn take(hall: &crate::hall::Hall, zone: &str, turn: &mut u64, listing: Listing, versions: Option<bool>) {
+    let sheet = {
+        let mut sheets = hall.sheets.lock().expect("sheets");
+        if sheets.known(zone) != listing.known {
+            return;
+        }
+        sheets.poll(zone, turn, hall.seat, listing.engines, listing.known)
+    };
+    if let Some(again) = versions {
+        crate::rules::seen(hall, zone, listing.weights, again);
+    }
+    if let Some(sheet) = sheet {
+        publish(hall, sheet);
+    }
+}
 
 async fn poll(
     hall: &crate::hall::Hall,
     client: &reqwest::Client,
-    area: &str,
+    zone: &str,
     ruled: bool,
-) -> Result<(Vec<wire::msg::Engine>, Weights, usize), ()> {
-    let _turn = hall.polls.acquire().await.map_err(|_| ())?;
-    let (mut list, mut weights) = (Vec::new(), Vec::new());
-    let mut pages = 0;
+) -> Result<Listing, PollError> {
+    let _permit = hall.polls.acquire().await.map_err(|_| PollError::Refused)?;
+    let known = hall.sheets.lock().expect("sheets").known(zone);
+    let mut listing = Listing::new(known);
     let mut token: Option<String> = None;
     let mut refused = 0;
-    let gap = std::time::Duration::from_millis((1000.0 / hall.env.cloud_api.rate_per_s) as u64);
+    let gap_ms = (1000.0 / hall.env.cloud_api.rate_per_s) as u64;
     loop {
-        let mut url = format!("http://{}/instances?zone={area}", hall.env.cloud_api.address);
-        if let Some(token) = &token {
-            url.push_str(&format!("&page_token={token}"));
-        }
-        let reply = client.get(url).send().await.map_err(|_| ())?;
-        if reply.status() == reqwest::StatusCode::TOO_MANY_REQUESTS && refused < REFUSED {
+        let Some(page) = call(client, &url(hall, zone, token.as_deref())).await? else {
             // Over the shared rate: the same page again, what was read of the list stays.
             refused += 1;
-            tokio::time::sleep(gap * refused * 2).await;
+            if refused > REFUSED {
+                return Err(PollError::Refused);
+            }
+            rest(gap_ms * u64::from(refused) * 2).await?;
             continue;
+        };
+        token = page.next_token.clone().filter(|token| !token.is_empty());
+        listing.add(page, ruled);
+        if token.is_none() || listing.pages >= PAGES {
+            return Ok(listing);
         }
-        if reply.status() != reqwest::StatusCode::OK {
-            return Err(());
-        }
-        let body = reply.bytes().await.map_err(|_| ())?;
-        let page: Page = serde_json::from_slice(&body).map_err(|_| ())?;
-        for item in page.instance_list.iter().filter(|_| ruled) {
-            let models = item.model_list.iter();
-            weights.extend(models.map(|model| (item.instance_id.clone(), model.name.clone(), model.revision)));
-        }
-        list.extend(page.instance_list.into_iter().map(engine));
-        pages += 1;
-        token = page.next_token.filter(|token| !token.is_empty());
-        if token.is_none() || pages >= 1000 {
-            return Ok((list, weights, pages));
-        }
-        tokio::time::sleep(gap).await;
+        rest(gap_ms).await?;
+    }
+}
+
+fn url(hall: &crate::hall::Hall, zone: &str, token: Option<&str>) -> String {
+    let address = &hall.env.cloud_api.address;
+    let page = token.map(|token| format!("&page_token={token}")).unwrap_or_default();
+    format!("http://{address}/instances?zone={zone}{page}")
+}
+
+/// Asks for one page. Ok(None): refused, over the shared rate.
+async fn call(client: &reqwest::Client, url: &str) -> Result<Option<Page>, PollError> {
+    let begun = kernel::clock::now();
+    let reply = client.get(url).send().await.map_err(|_| PollError::Unreachable)?;
+    if reply.status() == reqwest::StatusCode::TOO_MANY_REQUESTS {
+        return Ok(None);
+    }
+    if reply.status() != reqwest::StatusCode::OK {
+        return Err(PollError::Refused);
+    }
+    let body = reply.bytes().await.map_err(|_| PollError::Unreachable)?;
+    let page = serde_json::from_slice(&body).map_err(|_| PollError::Refused)?;
+    match stalled(begun, CALL_MS, kernel::clock::now()) {
+        true => Err(PollError::Stalled),
+        false => Ok(Some(page)),
     }
 }
 
-fn engine(item: Item) -> wire::msg::Engine {
-    wire::msg::Engine {
-        id: item.instance_id,
-        service: item.service,
-        addr: item.address,
-        area: item.zone,
-        phase: item.phase,
-        model: item.model_list.into_iter().next().map(|model| model.name).unwrap_or_default(),
-        slots: item.slot_count,
-        up: item.oper_state == "up",
-        cold_ms: item.ramp_left_ms.clamp(0.0, 1e9).ceil() as u32,
+async fn rest(wait_ms: u64) -> Result<(), PollError> {
+    let begun = kernel::clock::now();
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+    match stalled(begun, wait_ms, kernel::clock::now()) {
+        true => Err(PollError::Stalled),
+        false => Ok(()),
     }
 }
 
@@ -175,3 +204,7 @@
         desk.shelf.drop_engine(&engine.id);
     }
 }
+
+#[cfg(test)]
+#[path = "platform_tests.rs"]
+mod tests;
