--- a/batch/src/lib.rs
+++ b/batch/src/lib.rs
@@ -1,5 +1,6 @@
 //! Deferrable work: batches of jobs that wait for idle engines, each job answered exactly once.
 //! Pure: what is durable comes in and goes out as values; time comes in with every call.
+pub mod attempt;
 pub mod page;
 pub mod rehearsal;
 pub mod sheet;
--- a/batch/src/sheet.rs
+++ b/batch/src/sheet.rs
@@ -137,14 +137,20 @@
         self.window_ms.saturating_sub(self.spent_ms)
     }
 
-    /// Counts steady time; a batch that has all its receipts expires once it was kept long enough. Only
-    /// its key stays, so that it is never used for other content.
-    pub fn tick(&mut self, spent_ms: u64, done: bool) {
+    /// Counts steady time on top of what its owner saw; a batch that has all its receipts expires once it
+    /// was kept long enough. Only its key stays, so that it is never used for other content. False: what
+    /// the owner saw is out of date, as when a change without clear outcome had been carried out: the
+    /// same time must not count twice.
+    pub fn tick(&mut self, seen_ms: u64, spent_ms: u64, done: bool) -> bool {
+        if seen_ms != self.spent_ms {
+            return false;
+        }
         self.spent_ms += spent_ms;
         if done && self.spent_ms >= self.window_ms + crate::KEEP_MS {
             self.expired = true;
             self.jobs.clear();
         }
+        true
     }
 
     pub fn bytes(&self) -> usize {
@@ -153,46 +159,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    fn read(change: impl FnOnce(&mut serde_json::Value)) -> Result<super::Batch, String> {
-        let mut value = serde_json::json!({"window_s": 60, "jobs": [
-            {"name": "a", "hostname": "h", "path": "/x/1", "headers": {"model": "m"}, "body": "1"},
-            {"name": "b", "hostname": "h", "path": "/x/2", "body": "2"}]});
-        change(&mut value);
-        super::read("key-1", &value.to_string(), &|host, _| (host == "h").then_some(true))
-    }
-
-    #[test]
-    fn a_good_one_is_taken_whole() {
-        let batch = read(|_| ()).expect("good");
-        assert_eq!((batch.jobs.len(), batch.window_ms, batch.pages()), (2, 60_000, 1));
-    }
-
-    #[test]
-    fn a_finished_batch_expires_and_an_open_one_never_does() {
-        let mut open = read(|_| ()).expect("good");
-        open.tick(60_000 + crate::KEEP_MS, false);
-        assert!(!open.expired && open.left_ms() == 0 && open.jobs.len() == 2);
-        let mut done = read(|_| ()).expect("good");
-        done.tick(59_000 + crate::KEEP_MS, true);
-        assert!(!done.expired, "kept for its time");
-        done.tick(1000, true);
-        assert!(done.expired && done.jobs.is_empty() && !done.key.is_empty());
-    }
-
-    #[test]
-    fn each_flaw_names_the_job() {
-        assert!(read(|value| value["jobs"][1]["name"] = "a".into())
-            .unwrap_err()
-            .contains("`a` (number 1): name used twice"));
-        assert!(read(|value| value["jobs"][1]["hostname"] = "q".into())
-            .unwrap_err()
-            .contains("`b` (number 1): no route"));
-        assert!(read(|value| value["jobs"][0]["headers"]["Attempt-Id"] = "1".into()).unwrap_err().contains("`a`"));
-        assert!(read(|value| value["window_s"] = 0.into()).unwrap_err().contains("window_s"));
-        assert!(read(|value| value["window_s"] = (-5).into()).unwrap_err().contains("window_s"));
-        assert!(read(|value| value["jobs"] = serde_json::json!([])).unwrap_err().contains("jobs"));
-        let big = "x".repeat(crate::BYTES);
-        assert!(read(|value| value["jobs"][1]["body"] = big.into()).unwrap_err().contains("`b`"));
-    }
-}
+#[path = "sheet_tests.rs"]
+mod tests;
--- /dev/null
+++ b/batch/src/sheet_tests.rs
@@ -0,0 +1,49 @@
+fn read(change: impl FnOnce(&mut serde_json::Value)) -> Result<super::Batch, String> {
+    let mut value = serde_json::json!({"window_s": 60, "jobs": [
+        {"name": "a", "hostname": "h", "path": "/x/1", "headers": {"model": "m"}, "body": "1"},
+        {"name": "b", "hostname": "h", "path": "/x/2", "body": "2"}]});
+    change(&mut value);
+    super::read("key-1", &value.to_string(), &|host, _| (host == "h").then_some(true))
+}
+
+#[test]
+fn a_good_one_is_taken_whole() {
+    let batch = read(|_| ()).expect("good");
+    assert_eq!((batch.jobs.len(), batch.window_ms, batch.pages()), (2, 60_000, 1));
+}
+
+#[test]
+fn a_finished_batch_expires_and_an_open_one_never_does() {
+    let mut open = read(|_| ()).expect("good");
+    open.tick(0, 60_000 + crate::KEEP_MS, false);
+    assert!(!open.expired && open.left_ms() == 0 && open.jobs.len() == 2);
+    let mut done = read(|_| ()).expect("good");
+    done.tick(0, 59_000 + crate::KEEP_MS, true);
+    assert!(!done.expired, "kept for its time");
+    done.tick(59_000 + crate::KEEP_MS, 1000, true);
+    assert!(done.expired && done.jobs.is_empty() && !done.key.is_empty());
+}
+
+#[test]
+fn each_flaw_names_the_job() {
+    assert!(read(|value| value["jobs"][1]["name"] = "a".into())
+        .unwrap_err()
+        .contains("`a` (number 1): name used twice"));
+    assert!(read(|value| value["jobs"][1]["hostname"] = "q".into()).unwrap_err().contains("`b` (number 1): no route"));
+    assert!(read(|value| value["jobs"][0]["headers"]["Attempt-Id"] = "1".into()).unwrap_err().contains("`a`"));
+    assert!(read(|value| value["window_s"] = 0.into()).unwrap_err().contains("window_s"));
+    assert!(read(|value| value["window_s"] = (-5).into()).unwrap_err().contains("window_s"));
+    assert!(read(|value| value["jobs"] = serde_json::json!([])).unwrap_err().contains("jobs"));
+    let big = "x".repeat(crate::BYTES);
+    assert!(read(|value| value["jobs"][1]["body"] = big.into()).unwrap_err().contains("`b`"));
+}
+
+#[test]
+fn time_counts_once_though_a_change_without_clear_outcome_is_made_again() {
+    let mut batch = read(|_| ()).expect("good");
+    assert!(batch.tick(0, 5000, false));
+    assert!(!batch.tick(0, 5000, false), "carried out before, though nobody heard of it");
+    assert_eq!(batch.left_ms(), 55_000);
+    assert!(batch.tick(5000, 1000, false));
+    assert_eq!(batch.left_ms(), 54_000);
+}
--- a/keeper/src/outbound_tests.rs
+++ b/keeper/src/outbound_tests.rs
@@ -1,3 +1,4 @@
+use batch::attempt::Outcome;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -73,8 +74,8 @@
     }
 }
 
-async fn send(server: &Server, client: &reqwest::Client) -> crate::errands::Outcome {
-    crate::errands::send(client, &server.address, &job(false), batch::turn::Press::Idle, 10_000).await
+async fn send(server: &Server, client: &reqwest::Client) -> Outcome {
+    crate::job_request::send(client, &server.address, &job(false), batch::turn::Press::Idle, 10_000).await
 }
 
 fn client() -> reqwest::Client {
@@ -85,14 +86,14 @@
 async fn a_redirect_is_an_answer_and_never_sends_a_job_again() {
     let server = server(&[REDIRECT, OK]).await;
     let outcome = send(&server, &client()).await;
-    assert!(matches!(outcome, crate::errands::Outcome::Done(307, _)));
+    assert!(matches!(outcome, Outcome::Answered { status: 307, .. }));
     assert_eq!(server.requests.load(Ordering::SeqCst), 1);
 }
 
 #[tokio::test]
 async fn a_job_whose_connection_ends_without_an_answer_is_lost_and_sent_once() {
     let server = server(&[Reply::Close, OK]).await;
-    assert!(matches!(send(&server, &client()).await, crate::errands::Outcome::Lost));
+    assert!(matches!(send(&server, &client()).await, Outcome::Lost));
     assert_eq!(server.requests.load(Ordering::SeqCst), 1);
 }
 
@@ -101,9 +102,9 @@
     let server = server(&[OK, OK, Reply::Close, OK]).await;
     let client = client();
     for _ in 0..2 {
-        assert!(matches!(send(&server, &client).await, crate::errands::Outcome::Done(200, _)));
+        assert!(matches!(send(&server, &client).await, Outcome::Answered { status: 200, .. }));
     }
-    assert!(matches!(send(&server, &client).await, crate::errands::Outcome::Lost));
+    assert!(matches!(send(&server, &client).await, Outcome::Lost));
     assert_eq!(server.requests.load(Ordering::SeqCst), 3);
     assert_eq!(server.connections.load(Ordering::SeqCst), 3);
 }
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -1,23 +1,34 @@
 //! The owner of the batches: claims their pages under its epoch, sends jobs to routers as a client
-//! does, and writes the receipts.
+//! does, and writes their receipts.
+
+use crate::council::Verdict;
+use crate::hall::Hall;
+use batch::page::{Bar, Page, State};
+use batch::sheet::Batch;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-/// Header by which a router knows deferrable work; it never reaches an engine.
-pub const MARK: &str = "deferrable";
 pub const LOOK_MS: u64 = 250;
 const CONNECT_MS: u64 = 700;
+/// How long one change of a batch, and of one of its pages, may take.
+const BATCH_CHANGE_MS: u64 = 2000;
+const PAGE_CHANGE_MS: u64 = 3000;
+/// The most jobs under way at once.
+const PLACES: usize = 64;
 
-/// What this life holds of the batches. Invariant: a job is in `under_way` from before its send to
-/// after its receipt.
+/// What this life holds of the batches.
 #[derive(Default)]
-pub struct Runner {
+struct Runner {
     epoch: u64,
-    claimed: std::collections::HashSet<String>,
+    claimed: HashSet<String>,
+    /// When the batches were last looked at.
     looked: u64,
 }
 
 /// Steady time spent on each batch that is not yet written.
 #[derive(Default)]
-pub struct Tallies(std::collections::HashMap<String, u64>);
+pub struct Tallies(HashMap<String, u64>);
 
 impl Tallies {
     fn add(&mut self, id: &str, spent: u64) -> u64 {
@@ -31,44 +42,51 @@
     }
 }
 
-pub type Flight = std::sync::Arc<std::sync::Mutex<Air>>;
+pub type Shared = Arc<Mutex<InFlight>>;
 
-pub struct Air {
-    pub under_way: std::collections::HashSet<(String, usize)>,
-    pub tries: std::collections::HashMap<(String, usize), u32>,
+/// Jobs under way, by batch and number. Invariant: a job is in `jobs` from before its send to after its
+/// receipt.
+pub struct InFlight {
+    pub jobs: HashSet<(String, usize)>,
+    /// Attempts that were lost, by job.
+    pub lost: HashMap<(String, usize), u32>,
     pub pace: batch::turn::Pace,
 }
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let wait = std::time::Duration::from_millis;
+/// A batch that has jobs to send.
+struct Open {
+    id: String,
+    batch: Batch,
+    waiting: Vec<usize>,
+}
+
+pub fn start(hall: &Arc<Hall>) {
+    let wait = Duration::from_millis;
     let client = crate::outbound::at_most_once(wait(CONNECT_MS), wait(wire::sock::SILENCE_MS));
     let Ok(client) = client.build() else { return };
     let hall = hall.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(LOOK_MS);
-        let air = Air { under_way: Default::default(), tries: Default::default(), pace: batch::turn::Pace::new(64) };
-        let air: Flight = std::sync::Arc::new(std::sync::Mutex::new(air));
+        let pace = batch::turn::Pace::new(PLACES);
+        let in_flight: Shared = Arc::new(Mutex::new(InFlight { jobs: HashSet::new(), lost: HashMap::new(), pace }));
         let mut runner = Runner::default();
         loop {
             beat.tick().await;
-            look(&hall, &client, &mut runner, &air).await;
+            look(&hall, &client, &mut runner, &in_flight).await;
         }
     });
 }
 
 /// The epoch under which batches may be run now: the last owner has stopped by then.
-pub fn acting_epoch(hall: &crate::hall::Hall, now: u64) -> Option<u64> {
+pub fn acting_epoch(hall: &Hall, now: u64) -> Option<u64> {
     crate::duty::acting_epoch(hall, crate::duty::BATCH, now)
 }
 
-async fn look(hall: &std::sync::Arc<crate::hall::Hall>, client: &reqwest::Client, runner: &mut Runner, air: &Flight) {
+async fn look(hall: &Arc<Hall>, client: &reqwest::Client, runner: &mut Runner, in_flight: &Shared) {
     let now = kernel::clock::now();
     let ids = crate::batches::ids(&hall.board.lock().expect("board"));
-    if ids.is_empty() {
-        runner.looked = now;
-        return;
-    }
-    let Some(epoch) = acting_epoch(hall, now) else {
+    let epoch = if ids.is_empty() { None } else { acting_epoch(hall, now) };
+    let Some(epoch) = epoch else {
         runner.looked = now;
         return;
     };
@@ -79,7 +97,7 @@
         *runner = Runner { epoch, looked: now, ..Runner::default() };
     }
     let spent = now.saturating_sub(std::mem::replace(&mut runner.looked, now));
-    let mut views = Vec::new();
+    let mut open = Vec::new();
     for id in &ids {
         if !runner.claimed.contains(id) {
             if !claim(hall, id, epoch).await {
@@ -88,58 +106,63 @@
             runner.claimed.insert(id.clone());
         }
         let Some(batch) = tend(hall, id, spent, epoch).await else { continue };
-        let board = hall.board.lock().expect("board");
-        let flight = air.lock().expect("air");
-        let mut waiting = Vec::new();
-        for number in 0..batch.pages() {
-            let page = crate::batches::page(&board, id, &batch, number);
-            let waits = page.states.iter().enumerate().filter(|(_, state)| **state == batch::page::State::Waiting);
-            waiting.extend(waits.map(|(slot, _)| number * batch::PAGE + slot));
-        }
-        waiting.retain(|at| !flight.under_way.contains(&(id.clone(), *at)));
-        views.push((id.clone(), batch.left_ms(), batch.window_ms, waiting));
+        let waiting = waiting(hall, id, &batch, in_flight);
+        open.push(Open { id: id.clone(), batch, waiting });
     }
-    let sends = {
-        let flight = air.lock().expect("air");
-        let free = flight.pace.free(flight.under_way.len(), now);
-        let list: Vec<batch::turn::View> = views
-            .iter()
-            .map(|(id, left, window, waiting)| batch::turn::View {
-                id,
-                left_ms: *left,
-                window_ms: *window,
-                waiting: waiting.clone(),
-            })
-            .collect();
-        batch::turn::next(&list, free)
-    };
-    for send in sends {
-        air.lock().expect("air").under_way.insert((send.id.clone(), send.job));
-        tokio::spawn(crate::flight::job(hall.clone(), client.clone(), air.clone(), send, epoch));
+    for send in next(&open, in_flight, now) {
+        in_flight.lock().expect("in flight").jobs.insert((send.id.clone(), send.job));
+        tokio::spawn(crate::job_run::run(hall.clone(), client.clone(), in_flight.clone(), send, epoch));
     }
 }
 
+/// The jobs of a batch that wait and are not under way.
+fn waiting(hall: &Hall, id: &str, batch: &Batch, in_flight: &Shared) -> Vec<usize> {
+    let board = hall.board.lock().expect("board");
+    let in_flight = in_flight.lock().expect("in flight");
+    let mut list = Vec::new();
+    for number in 0..batch.pages() {
+        let page = crate::batches::page(&board, id, batch, number);
+        let waits = page.states.iter().enumerate().filter(|(_, state)| **state == State::Waiting);
+        list.extend(waits.map(|(slot, _)| number * batch::PAGE + slot));
+    }
+    list.retain(|at| !in_flight.jobs.contains(&(id.to_string(), *at)));
+    list
+}
+
+/// What to send now, into the places that are free.
+fn next(open: &[Open], in_flight: &Shared, now: u64) -> Vec<batch::turn::Send> {
+    let in_flight = in_flight.lock().expect("in flight");
+    let free = in_flight.pace.free(in_flight.jobs.len(), now);
+    let views = open.iter().map(|open| batch::turn::View {
+        id: &open.id,
+        left_ms: open.batch.left_ms(),
+        window_ms: open.batch.window_ms,
+        waiting: open.waiting.clone(),
+    });
+    batch::turn::next(&views.collect::<Vec<_>>(), free)
+}
+
 /// Changes one page under this owner's epoch. Some(false): another owner holds it, or the job has its
 /// receipt; None: no clear outcome.
 pub async fn change(
-    hall: &crate::hall::Hall,
+    hall: &Hall,
     id: &str,
-    batch: &batch::sheet::Batch,
+    batch: &Batch,
     number: usize,
-    mut act: impl FnMut(&mut batch::page::Page) -> Result<(), batch::page::Bar>,
+    mut act: impl FnMut(&mut Page) -> Result<(), Bar>,
 ) -> Option<bool> {
     let judge = |body: &[u8]| {
-        let mut page = batch::page::Page::read_bytes(body).unwrap_or_else(|| crate::batches::blank(batch, number));
+        let mut page = Page::read_bytes(body).unwrap_or_else(|| crate::batches::blank(batch, number));
         match act(&mut page) {
-            Ok(()) if page.write_bytes() == body => crate::council::Verdict::Answer(true),
-            Ok(()) => crate::council::Verdict::Write(page.write_bytes(), true),
-            Err(_) => crate::council::Verdict::Answer(false),
+            Ok(()) if page.write_bytes() == body => Verdict::Answer(true),
+            Ok(()) => Verdict::Write(page.write_bytes(), true),
+            Err(_) => Verdict::Answer(false),
         }
     };
-    hall.change(&crate::batches::page_key(id, number), 3000, judge).await
+    hall.change(&crate::batches::page_key(id, number), PAGE_CHANGE_MS, judge).await
 }
 
-async fn claim(hall: &crate::hall::Hall, id: &str, epoch: u64) -> bool {
+async fn claim(hall: &Hall, id: &str, epoch: u64) -> bool {
     let Some(batch) = crate::batches::batch(&hall.board.lock().expect("board"), id) else { return false };
     for number in 0..batch.pages() {
         let again = |at: usize| batch.jobs.get(number * batch::PAGE + at).is_some_and(|job| job.repeatable);
@@ -154,49 +177,55 @@
     true
 }
 
-/// Counts the window down, ends what can't make it, forgets what is long finished.
-async fn tend(hall: &crate::hall::Hall, id: &str, spent: u64, epoch: u64) -> Option<batch::sheet::Batch> {
-    let (mut held, done) = {
+/// Counts the window down, ends what can't make it, forgets what is long finished. Gives the batch if
+/// it has jobs to send.
+async fn tend(hall: &Hall, id: &str, spent: u64, epoch: u64) -> Option<Batch> {
+    let (held, done) = {
         let board = hall.board.lock().expect("board");
         let held = crate::batches::batch(&board, id)?;
         let done = (0..held.pages()).all(|number| crate::batches::page(&board, id, &held, number).closed());
         (held, done)
     };
-    let old = held.spent_ms;
-    // Written in steps, so that the count outlives this owner without a write for each look.
+    let held = count_down(hall, id, held, spent, done).await?;
+    let ends = held.cancelled || held.left_ms() == 0;
+    if ends && !done {
+        let state = if held.cancelled { State::Cancelled } else { State::Missed };
+        end(hall, id, &held, state, epoch).await;
+    }
+    (!ends && !done).then_some(held)
+}
+
+/// Written in steps, so that the count outlives this owner without a write for each look.
+async fn count_down(hall: &Hall, id: &str, held: Batch, spent: u64, done: bool) -> Option<Batch> {
     let step = if done { batch::KEEP_MS / 20 } else { (held.window_ms / 20).clamp(500, 30_000) };
     let tally = hall.tallies.lock().expect("tallies").add(id, spent);
-    let over = old + tally >= held.window_ms;
-    if tally >= step || (over && old < held.window_ms) {
-        let gone = hall.tallies.lock().expect("tallies").take(id);
-        let judge = |body: &[u8]| {
-            let Some(mut next) = batch::sheet::Batch::read_bytes(body) else {
-                return crate::council::Verdict::Answer(());
-            };
-            next.tick(gone, done);
-            crate::council::Verdict::Write(next.write_bytes(), ())
-        };
-        hall.change(&crate::batches::batch_key(id), 2000, judge).await?;
-        held = crate::batches::batch(&hall.board.lock().expect("board"), id)?;
+    let over = held.spent_ms + tally >= held.window_ms;
+    if tally < step && !(over && held.spent_ms < held.window_ms) {
+        return Some(held);
     }
-    let ends = held.cancelled || held.left_ms() == 0;
-    if ends && !done {
-        let word = if held.cancelled { batch::page::State::Cancelled } else { batch::page::State::Missed };
-        for number in 0..held.pages() {
-            let _ = change(hall, id, &held, number, |page| {
-                if page.epoch != epoch {
-                    return Err(batch::page::Bar::Epoch);
-                }
-                for state in &mut page.states {
-                    if *state == batch::page::State::Waiting {
-                        *state = word.clone();
-                    }
-                }
-                Ok(())
-            })
-            .await;
+    let gone = hall.tallies.lock().expect("tallies").take(id);
+    let judge = |body: &[u8]| {
+        let Some(mut next) = Batch::read_bytes(body) else { return Verdict::Answer(()) };
+        match next.tick(held.spent_ms, gone, done) {
+            true => Verdict::Write(next.write_bytes(), ()),
+            false => Verdict::Answer(()),
         }
-        return None;
+    };
+    hall.change(&crate::batches::batch_key(id), BATCH_CHANGE_MS, judge).await?;
+    crate::batches::batch(&hall.board.lock().expect("board"), id)
+}
+
+/// Closes the jobs that still wait.
+async fn end(hall: &Hall, id: &str, batch: &Batch, state: State, epoch: u64) {
+    for number in 0..batch.pages() {
+        let close = |page: &mut Page| {
+            if page.epoch != epoch {
+                return Err(Bar::Epoch);
+            }
+            let waits = page.states.iter_mut().filter(|state| **state == State::Waiting);
+            waits.for_each(|held| *held = state.clone());
+            Ok(())
+        };
+        let _ = change(hall, id, batch, number, close).await;
     }
-    (!ends && !done).then_some(held)
 }
