Duties: a holder that reaches no majority is relieved, and peers vouch only for one that is sure

Cause: a holder that was heard but reached no majority kept its duty for the whole cut, though it may not act. And a keeper that was the first to be back after all had lost their majority could take duties from holders that were about to be back.

Change: gossip tells whether the teller is sure and which holders of duties it hears and knows to be sure, as hidden entries that earlier versions pass over. A holder is absent when neither the taker nor a live peer hears it to be sure, for a lease during which the taker was sure without a break. A free duty falls to the first keeper that is sure, not to the first that is live.

--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -4,7 +4,7 @@
 
 use crate::council::Verdict;
 use crate::hall::Hall;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 pub const CATALOG: &str = "duty/catalog";
@@ -33,14 +33,21 @@
 #[derive(Default)]
 pub struct Taken(BTreeMap<String, Tenure>);
 
+/// Told beside the versions of lists: whether the teller is sure, and holders of duties that it vouches for.
+const SURE: &str = "sure";
+const VOUCH: &str = "vouch ";
+
 pub fn start(hall: &Arc<Hall>) {
     for key in [CATALOG, BALANCE, BATCH] {
         let hall = hall.clone();
         tokio::spawn(async move {
             let mut beat = kernel::entry::beat(LOOK_MS);
+            let mut streak = roster::duty::SureStreak::default();
             loop {
                 beat.tick().await;
-                tend(&hall, key).await;
+                let now = kernel::clock::now();
+                let sure_ms = streak.sure_ms(hall.sure(now), now);
+                tend(&hall, key, sure_ms).await;
                 if key == CATALOG {
                     open_catalog(&hall);
                 }
@@ -96,7 +103,7 @@
     desk.epoch = epoch;
 }
 
-async fn tend(hall: &Arc<Hall>, key: &str) {
+async fn tend(hall: &Arc<Hall>, key: &str, sure_ms: u64) {
     let now = kernel::clock::now();
     if !hall.sure(now) || now < LISTEN_MS || held(hall, key, now).is_some() {
         return;
@@ -106,7 +113,7 @@
         return;
     }
     let (epoch, holder, clear) = hall.board.lock().expect("board").duties.get(key).cloned().unwrap_or_default();
-    if !may_take(hall, key, &holder, now) {
+    if !may_take(hall, key, &holder, sure_ms) {
         return;
     }
     // Only an earlier life that had waited: one that had not may stand between two that acted.
@@ -118,17 +125,40 @@
     kernel::say!(crate::event::DUTY, "duty" => key, "epoch" => epoch);
 }
 
-fn may_take(hall: &Hall, key: &str, holder: &str, now: u64) -> bool {
+fn may_take(hall: &Hall, key: &str, holder: &str, sure_ms: u64) -> bool {
+    let now = kernel::clock::now();
     let roster = hall.roster.lock().expect("roster");
     roster::duty::may_take(roster::duty::Look {
         me: hall.me(),
         holder,
-        silent_ms: roster.absent_ms(holder, now),
-        first: roster.holder("", key, now) == hall.me(),
+        absent_ms: roster.absent_ms(holder, now).min(sure_ms),
+        first: roster.first_sure(key, now).as_deref() == Some(hall.me()),
         lease_ms: hall.env.bounds.lease_ms,
     })
 }
 
+/// What peers are told about who can do a duty.
+pub fn told(hall: &Hall, now: u64) -> Vec<(String, u64, u64)> {
+    let holders: BTreeSet<String> = {
+        let board = hall.board.lock().expect("board");
+        board.duties.values().map(|(_, holder, _)| holder.clone()).collect()
+    };
+    let sure = hall.sure(now);
+    let roster = hall.roster.lock().expect("roster");
+    let vouched = holders.into_iter().filter(|ip| *ip != roster.me && roster.vouches_for(ip, now));
+    let vouched = vouched.map(|ip| (wire::msg::hide(&format!("{VOUCH}{ip}")), 1, 0));
+    std::iter::once((wire::msg::hide(SURE), u64::from(sure), 0)).chain(vouched).collect()
+}
+
+/// What a peer told: whether it is sure, and whom it vouches for. One of an earlier version, which tells
+/// nothing of it, counts as sure while it is heard.
+pub fn heard(told: &[(String, u64, u64)]) -> (bool, Vec<String>) {
+    let (sure, vouch) = (wire::msg::hide(SURE), wire::msg::hide(VOUCH));
+    let sure = told.iter().find(|item| item.0 == sure).is_none_or(|item| item.1 == 1);
+    let vouches = told.iter().filter_map(|item| Some(item.0.strip_prefix(&vouch)?.to_string()));
+    (sure, vouches.collect())
+}
+
 /// Commits the next epoch on top of `epoch`. None: another keeper was first, or the outcome is unknown.
 /// One that was committed all the same is never acted under: it is not among what was taken.
 async fn take(hall: &Hall, key: &str, epoch: u64, own: bool) -> Option<u64> {
@@ -142,3 +172,7 @@
     };
     hall.change(key, CHANGE_MS, judge).await.flatten()
 }
+
+#[cfg(test)]
+#[path = "duty_tests.rs"]
+mod tests;
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -19,7 +19,7 @@
         resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::hall::LIVE_MS)).collect(),
     };
     roster.hear(&gossip.ip, fellow);
-    roster.report(&gossip.ip, crate::platform::report(gossip));
+    roster.report(&gossip.ip, crate::platform::report(gossip), now);
     for ip in &gossip.fellows {
         if ip.parse::<std::net::Ipv4Addr>().is_ok() && *ip != roster.me && !roster.keepers.contains_key(ip) {
             let unseen = roster::Fellow { area: String::new(), life: 0, heard: 0, fit: false, ..Default::default() };
@@ -63,6 +63,7 @@
         (stamps, held.floors())
     };
     sheets.extend(crate::platform::told(hall, now));
+    sheets.extend(crate::duty::told(hall, now));
     let gossip = wire::msg::Gossip {
         ip: hall.me().into(),
         area: hall.env.zone.clone(),
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -40,7 +40,8 @@
 pub fn report(gossip: &wire::msg::Gossip) -> roster::PeerReport {
     let name = wire::msg::hide(UNREACHABLE);
     let platform_unreachable = gossip.sheets.iter().any(|told| told.0 == name);
-    roster::PeerReport { hears: gossip.fellows.clone(), platform_unreachable }
+    let (sure, vouches) = crate::duty::heard(&gossip.sheets);
+    roster::PeerReport { sure, vouches, platform_unreachable }
 }
 
 /// The time between two polls of a zone: often enough for `drain_ms`, within the shared rate.
--- a/roster/src/duty.rs
+++ b/roster/src/duty.rs
@@ -6,19 +6,36 @@
     pub me: &'a str,
     /// The holder that a majority was last seen to name; empty: nobody yet.
     pub holder: &'a str,
-    /// How long the holder has been silent here.
-    pub silent_ms: u64,
-    /// Is this keeper the first live one in the agreed order?
+    /// How long the holder has been unable to act, as seen by a keeper that was sure all the while.
+    pub absent_ms: u64,
+    /// Is this keeper the first in the agreed order that is able?
     pub first: bool,
     pub lease_ms: u64,
 }
 
 /// The last holder is left its lease; one that started again takes a new epoch at once.
 pub fn may_take(look: Look) -> bool {
-    let gone = look.holder.is_empty() || look.silent_ms > look.lease_ms;
+    let gone = look.holder.is_empty() || look.absent_ms > look.lease_ms;
     look.holder == look.me || (gone && look.first)
 }
 
+/// Since when a keeper has been sure without a break. While nobody reaches a majority the holder can't
+/// act either; that time must not count against it, or each keeper that is back before it would take its
+/// duties.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SureStreak(Option<u64>);
+
+impl SureStreak {
+    /// How long it has been sure by now.
+    pub fn sure_ms(&mut self, sure: bool, now: u64) -> u64 {
+        if !sure {
+            self.0 = None;
+            return 0;
+        }
+        now - *self.0.get_or_insert(now)
+    }
+}
+
 /// How a duty is held here. Invariant: `since` is after the commit of the epoch.
 #[derive(Clone, Copy, Debug)]
 pub struct Held {
--- a/roster/src/duty_tests.rs
+++ b/roster/src/duty_tests.rs
@@ -3,7 +3,20 @@
 
 #[path = "duty_world.rs"]
 mod world;
-use world::{World, DUTY};
+use world::{Act, World, DUTY, LEASE};
+
+impl World {
+    /// No two holders with one fence or within a lease, and no fence below one seen, as orders arrive.
+    fn sound(&self) -> bool {
+        let mut acts: Vec<&Act> = self.acts.iter().collect();
+        acts.sort_by_key(|act| act.at);
+        acts.windows(2).all(|pair| {
+            let (before, after) = (pair[0], pair[1]);
+            let same = before.holder == after.holder;
+            after.epoch >= before.epoch && (same || (after.epoch > before.epoch && after.at - before.at >= LEASE))
+        })
+    }
+}
 
 fn run(seed: u64, hasty: bool) -> World {
     let mut world = World::new(seed, hasty);
@@ -59,3 +72,44 @@
     let (epochs, acts) = cut_between_the_first_two(true);
     assert!(epochs > 10 && acts < 100, "a test that can't fail shows nothing: {epochs} epochs, {acts} acts");
 }
+
+#[test]
+fn a_holder_that_is_heard_but_reaches_no_majority_is_relieved() {
+    let mut world = World::new(0, false);
+    world.calm = true;
+    while world.now < 15_000 {
+        world.step();
+    }
+    let holder = world.register.1.clone();
+    let place = world.keepers.iter().position(|keeper| keeper.name == holder).expect("held");
+    world.keepers[place].deaf_until = world.now + 20_000;
+    while world.now < 30_000 {
+        world.step();
+    }
+    let last = world.acts.last().expect("acts");
+    assert!(last.holder != holder && last.at > 29_000, "another does the duty meanwhile: {last:?}");
+    while world.now < 45_000 {
+        world.step();
+    }
+    assert!(world.sound());
+    assert!(world.acts.last().is_some_and(|act| act.holder != holder), "and keeps it");
+}
+
+#[test]
+fn a_duty_stays_where_it_is_while_nobody_reaches_a_majority() {
+    for first_back in 0..3 {
+        let mut world = World::new(0, false);
+        world.calm = true;
+        while world.now < 15_000 {
+            world.step();
+        }
+        let register = world.register.clone();
+        for at in 0..3 {
+            world.keepers[at].deaf_until = world.now + 20_000 + if at == first_back { 0 } else { 2000 };
+        }
+        while world.now < 45_000 {
+            world.step();
+        }
+        assert_eq!(world.register, register, "first back: {first_back}");
+    }
+}
--- a/roster/src/duty_world.rs
+++ b/roster/src/duty_world.rs
@@ -23,8 +23,11 @@
     /// No beat, no look and no act before then.
     pub asleep_until: u64,
     pub cut_until: u64,
+    /// Heard by all, but its rounds reach no majority.
+    pub deaf_until: u64,
     pub started: u64,
     pub roster: crate::Roster,
+    pub streak: crate::duty::SureStreak,
     pub board: (u64, String, bool),
     /// It knows that the register says that it has waited.
     pub declared: bool,
@@ -61,8 +64,10 @@
             name: format!("k{at}"),
             asleep_until: 0,
             cut_until: 0,
+            deaf_until: 0,
             started: 0,
             roster: roster(at),
+            streak: Default::default(),
             board: (0, String::new(), false),
             declared: false,
             sure_at: None,
@@ -95,7 +100,8 @@
     }
 
     fn majority(&self, at: usize) -> bool {
-        (0..3).filter(|other| *other == at || self.linked(at, *other)).count() >= 2
+        let reached = (0..3).filter(|other| *other == at || self.linked(at, *other)).count();
+        reached >= 2 && self.now >= self.keepers[at].deaf_until
     }
 
     fn trouble(&mut self) {
@@ -104,10 +110,11 @@
         }
         let at = self.dice.below(3) as usize;
         let span = 200 + self.dice.below(7000);
-        match self.dice.below(4) {
+        match self.dice.below(5) {
             0 => self.keepers[at].asleep_until = self.now + span,
             1 => self.keepers[at].cut_until = self.now + span,
-            2 => {
+            2 => self.keepers[at].deaf_until = self.now + span,
+            3 => {
                 let other = (at + 1) % 3;
                 self.pair_cut_until[at.min(other)][at.max(other)] = self.now + span;
             }
@@ -121,6 +128,7 @@
                     lives,
                     started: self.now,
                     roster: roster(at),
+                    streak: Default::default(),
                     sure_at: None,
                     held: None,
                     declared: false,
@@ -155,13 +163,14 @@
     fn gossip(&mut self, at: usize) {
         let (name, now) = (self.keepers[at].name.clone(), self.now);
         let own = &self.keepers[at].roster;
-        let hears = own.keepers.keys().filter(|peer| own.live(peer, now)).cloned().collect();
-        let report = crate::PeerReport { hears, ..Default::default() };
+        let vouches = own.keepers.keys().filter(|peer| own.vouches_for(peer, now)).cloned().collect();
+        let sure = self.keepers[at].sure_at.is_some_and(|time| now < time + SURE);
+        let report = crate::PeerReport { sure, vouches, ..Default::default() };
         for other in (0..3).filter(|other| *other != at) {
             if self.linked(at, other) {
                 let roster = &mut self.keepers[other].roster;
                 roster.hear(&name, crate::Fellow { heard: now, ..Default::default() });
-                roster.report(&name, report.clone());
+                roster.report(&name, report.clone(), now);
             }
         }
     }
@@ -173,19 +182,21 @@
         let keeper = &self.keepers[at];
         let sure = keeper.sure_at.is_some_and(|time| self.now < time + SURE);
         let held = keeper.held.is_some_and(|(epoch, _)| epoch == keeper.board.0 && keeper.board.1 == keeper.name);
+        let sure_ms = self.keepers[at].streak.sure_ms(sure, self.now);
+        let keeper = &self.keepers[at];
         if !sure || held {
             return;
         }
         let holder = keeper.board.1.clone();
-        let silent_ms = match self.own_ears_only {
+        let absent_ms = match self.own_ears_only {
             true => keeper.roster.silent(&holder, self.now),
-            false => keeper.roster.absent_ms(&holder, self.now),
+            false => keeper.roster.absent_ms(&holder, self.now).min(sure_ms),
         };
         let look = crate::duty::Look {
             me: &keeper.name,
             holder: &holder,
-            silent_ms,
-            first: keeper.roster.holder("", DUTY, self.now) == keeper.name,
+            absent_ms,
+            first: keeper.roster.first_sure(DUTY, self.now).as_ref() == Some(&keeper.name),
             lease_ms: LEASE,
         };
         if !crate::duty::may_take(look) || !self.majority(at) || self.register.0 != keeper.board.0 {
@@ -234,15 +245,4 @@
             }
         }
     }
-
-    /// No two holders with one fence or within a lease, and no fence below one seen, as orders arrive.
-    pub fn sound(&self) -> bool {
-        let mut acts: Vec<&Act> = self.acts.iter().collect();
-        acts.sort_by_key(|act| act.at);
-        acts.windows(2).all(|pair| {
-            let (before, after) = (pair[0], pair[1]);
-            let same = before.holder == after.holder;
-            after.epoch >= before.epoch && (same || (after.epoch > before.epoch && after.at - before.at >= LEASE))
-        })
-    }
 }
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -31,8 +31,10 @@
 /// What a peer last told of others.
 #[derive(Clone, Debug, Default)]
 pub struct PeerReport {
-    /// The keepers that it hears.
-    pub hears: Vec<String>,
+    /// It confirmed its state at a majority a moment ago.
+    pub sure: bool,
+    /// Keepers that it hears and that are sure.
+    pub vouches: Vec<String>,
     /// It gets no answer from the platform.
     pub platform_unreachable: bool,
 }
@@ -48,6 +50,8 @@
     pub routers: std::collections::BTreeMap<String, Seat>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
+    /// By peer: when it was last heard to be sure.
+    sure_heard: std::collections::BTreeMap<String, u64>,
     /// By peer: what it last told of others.
     pub reports: std::collections::BTreeMap<String, PeerReport>,
     /// Own access to the platform.
@@ -131,18 +135,41 @@
         self.keepers.get(ip).map_or(u64::MAX, |fellow| now.saturating_sub(fellow.heard))
     }
 
-    pub fn report(&mut self, peer: &str, report: PeerReport) {
+    pub fn report(&mut self, peer: &str, report: PeerReport, now: u64) {
+        if report.sure {
+            self.sure_heard.insert(peer.into(), now);
+        }
         self.reports.insert(peer.into(), report);
     }
 
-    /// How long a keeper has been absent: silent here, and heard by no live peer either. A cut between
-    /// two keepers alone makes neither of them absent.
+    /// How long a peer has not been heard to be sure; never heard counts as for ever.
+    fn unsure_ms(&self, ip: &str, now: u64) -> u64 {
+        self.sure_heard.get(ip).map_or(u64::MAX, |heard| now.saturating_sub(*heard))
+    }
+
+    /// Is a keeper heard here, and sure? Others are told so.
+    pub fn vouches_for(&self, ip: &str, now: u64) -> bool {
+        self.live(ip, now) && self.unsure_ms(ip, now) < self.span
+    }
+
+    /// How long a keeper has been unable to do a duty, as far as is known: not heard to be sure, here or
+    /// by any live peer. A cut between two keepers alone makes neither of them absent, and one that is
+    /// heard but reaches no majority is.
     pub fn absent_ms(&self, ip: &str, now: u64) -> u64 {
+        if ip == self.me {
+            return 0;
+        }
         let mut live = self.reports.iter().filter(|(peer, _)| peer.as_str() != ip && self.live(peer, now));
-        if live.any(|(_, report)| report.hears.iter().any(|heard| heard == ip)) {
+        if live.any(|(_, report)| report.vouches.iter().any(|vouched| vouched == ip)) {
             return 0;
         }
-        self.silent(ip, now)
+        self.unsure_ms(ip, now)
+    }
+
+    /// Who takes a duty that is free: the first in the order that is heard and sure, asked by one that is
+    /// sure itself.
+    pub fn first_sure(&self, duty: &str, now: u64) -> Option<String> {
+        self.order("", duty).into_iter().find(|ip| *ip == self.me || self.vouches_for(ip, now))
     }
 
     /// Who polls the platform for a zone: the first live keeper in the order that reaches the platform,
--- a/roster/src/lib_tests.rs
+++ b/roster/src/lib_tests.rs
@@ -44,15 +44,29 @@
 }
 
 #[test]
-fn one_that_a_live_peer_hears_is_not_absent() {
+fn one_that_is_sure_and_heard_by_a_live_peer_is_not_absent() {
+    let sure = || super::PeerReport { sure: true, ..Default::default() };
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
+    assert_eq!(list.absent_ms("10.0.0.2", 50), u64::MAX, "never heard");
     list.hear("10.0.0.2", fellow("b", 100));
+    list.report("10.0.0.2", sure(), 100);
+    assert!(list.vouches_for("10.0.0.2", 1099) && !list.vouches_for("10.0.0.2", 1100));
     list.hear("10.0.0.3", fellow("c", 9000));
-    let report = super::PeerReport { hears: vec!["10.0.0.2".into()], ..Default::default() };
-    list.report("10.0.0.3", report);
+    list.report("10.0.0.3", super::PeerReport { vouches: vec!["10.0.0.2".into()], ..sure() }, 9000);
     assert_eq!((list.silent("10.0.0.2", 9500), list.absent_ms("10.0.0.2", 9500)), (9400, 0));
     assert_eq!(list.absent_ms("10.0.0.2", 10_000), 9900, "the peer itself is no longer heard");
-    list.report("10.0.0.2", super::PeerReport { hears: vec!["10.0.0.2".into()], ..Default::default() });
     list.hear("10.0.0.2", fellow("b", 10_000));
+    list.report("10.0.0.2", super::PeerReport { vouches: vec!["10.0.0.2".into()], ..sure() }, 10_000);
     assert_eq!(list.absent_ms("10.0.0.2", 10_100), 100, "nobody vouches for itself");
 }
+
+#[test]
+fn one_that_is_heard_but_reaches_no_majority_is_absent() {
+    let mut list = super::Roster::new("10.0.0.1", "a", 1000);
+    for now in (0..=5000).step_by(500) {
+        list.hear("10.0.0.2", fellow("b", now));
+        list.report("10.0.0.2", super::PeerReport { sure: now < 1000, ..Default::default() }, now);
+    }
+    assert_eq!((list.silent("10.0.0.2", 5000), list.absent_ms("10.0.0.2", 5000)), (0, 4500));
+    assert!(list.live("10.0.0.2", 5000) && !list.vouches_for("10.0.0.2", 5000));
+}
--- a/roster/src/platform_access_tests.rs
+++ b/roster/src/platform_access_tests.rs
@@ -44,8 +44,8 @@
             for to in (0..KEEPERS).filter(|to| *to != from) {
                 let peer = crate::Fellow { area: "zone".into(), heard: self.now, ..Default::default() };
                 self.rosters[to].hear(&name(from), peer);
-                let report = crate::PeerReport { hears: Vec::new(), platform_unreachable };
-                self.rosters[to].report(&name(from), report);
+                let report = crate::PeerReport { platform_unreachable, ..Default::default() };
+                self.rosters[to].report(&name(from), report, self.now);
             }
         }
     }
