Roster: a keeper that is cut off goes on counting the routers of the others

Cause: shared bounds are cut by the number of routers that a keeper tells. Change: while it is not sure, a keeper never tells less than when it was last sure. Test: lib_tests, a_keeper_that_is_cut_off_goes_on_counting_the_routers_of_the_others.

--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -87,8 +87,8 @@
             news.catalog = (catalog.0, catalog.1);
         }
         {
-            let roster = self.roster.lock().expect("roster");
-            news.seats = roster.seats(now);
+            let mut roster = self.roster.lock().expect("roster");
+            news.seats = roster.seats(now, news.sure);
             news.resting = roster.resting(now);
             // An order of its own for each router, so that the keepers of an area share them.
             news.fellows = roster.order(&follower.area, node);
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -50,6 +50,8 @@
     pub routers: std::collections::BTreeMap<String, Seat>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
+    /// Routers as counted when last sure, or more that were seen since.
+    sure_seats: u32,
     /// By peer: when it was last heard to be sure.
     sure_heard: std::collections::BTreeMap<String, u64>,
     /// By peer: what it last told of others.
@@ -191,10 +193,15 @@
         self.keepers.get(ip).map_or("", |fellow| fellow.area.as_str())
     }
 
-    pub fn seats(&self, now: u64) -> u32 {
+    /// How many routers hold a lease anywhere, by which shared bounds are cut. A keeper that is not sure may
+    /// be cut off from the others and their routers: it never tells less than when it was last sure, or
+    /// each side of a cut would take the whole of a bound.
+    pub fn seats(&mut self, now: u64, sure: bool) -> u32 {
         let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
-        self.routers.values().filter(|seat| seat.until > now).count() as u32
-            + far.map(|fellow| fellow.seats).sum::<u32>()
+        let own = self.routers.values().filter(|seat| seat.until > now).count() as u32;
+        let count = own + far.map(|fellow| fellow.seats).sum::<u32>();
+        self.sure_seats = if sure { count } else { self.sure_seats.max(count) };
+        self.sure_seats
     }
 
     /// The agreed order of keepers for a duty bound to an area: that area's own first, the rest by
--- a/roster/src/lib_tests.rs
+++ b/roster/src/lib_tests.rs
@@ -37,8 +37,8 @@
     list.lease("edge-1", 500, vec![("i-1".into(), 5)], "10.0.0.9:80".into());
     assert_eq!(list.door(400, 7).as_deref(), Some("10.0.0.9:80"));
     assert_eq!(list.pressure(400).get("i-1"), Some(&7));
-    assert_eq!(list.seats(400), 4);
-    assert_eq!(list.seats(600), 3);
+    assert_eq!(list.seats(400, true), 4);
+    assert_eq!(list.seats(600, true), 3);
     list.hear("10.0.0.2", fellow("b", 50));
     assert!(list.live("10.0.0.2", 1099), "what was heard never goes back");
 }
@@ -70,3 +70,16 @@
     assert_eq!((list.silent("10.0.0.2", 5000), list.absent_ms("10.0.0.2", 5000)), (0, 4500));
     assert!(list.live("10.0.0.2", 5000) && !list.vouches_for("10.0.0.2", 5000));
 }
+
+#[test]
+fn a_keeper_that_is_cut_off_goes_on_counting_the_routers_of_the_others() {
+    let mut list = super::Roster::new("10.0.0.1", "a", 1000);
+    list.lease("edge-1", 60_000, Vec::new(), String::new());
+    list.hear("10.0.0.2", fellow("b", 100));
+    assert_eq!(list.seats(200, true), 4);
+    assert_eq!(list.seats(20_000, false), 4, "its slice of a bound stays a quarter");
+    list.lease("edge-2", 60_000, Vec::new(), String::new());
+    list.hear("10.0.0.2", fellow("b", 30_000));
+    assert_eq!(list.seats(30_000, false), 5);
+    assert_eq!(list.seats(40_000, true), 2, "at a majority again: the other keeper and its routers are gone");
+}
