--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -22,7 +22,7 @@
 
 /// A router's lease, with what it told when it renewed it.
 #[derive(Clone, Debug, Default)]
-pub struct Seat {
+pub struct RouterLease {
     pub until: u64,
     pub busy: Vec<(String, u32)>,
     pub door: String,
@@ -47,7 +47,7 @@
     pub area: String,
     pub span: u64,
     pub keepers: std::collections::BTreeMap<String, Fellow>,
-    pub routers: std::collections::BTreeMap<String, Seat>,
+    pub routers: std::collections::BTreeMap<String, RouterLease>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
     /// Routers as counted when last sure, or more that were seen since.
@@ -73,11 +73,12 @@
 
     pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>, door: String) {
         let held = self.routers.get(router).map_or(0, |held| held.until);
-        self.routers.insert(router.into(), Seat { until: until.max(held), busy, door });
+        self.routers.insert(router.into(), RouterLease { until: until.max(held), busy, door });
     }
 
+    /// Where clients reach the routers that hold a lease here.
     pub fn own_doors(&self) -> Vec<String> {
-        self.routers.values().map(|seat| seat.door.clone()).filter(|door| !door.is_empty()).collect()
+        self.routers.values().map(|lease| lease.door.clone()).filter(|door| !door.is_empty()).collect()
     }
 
     /// A router to send to, in turn: own ones first, as they are near.
@@ -94,7 +95,7 @@
     /// Requests under way at each engine, from the routers that hold a lease here.
     pub fn own_pressure(&self) -> Vec<(String, u32)> {
         let mut sum: std::collections::BTreeMap<&str, u32> = Default::default();
-        for (id, busy) in self.routers.values().flat_map(|seat| &seat.busy) {
+        for (id, busy) in self.routers.values().flat_map(|lease| &lease.busy) {
             *sum.entry(id).or_default() += busy;
         }
         sum.into_iter().map(|(id, busy)| (id.to_string(), busy)).collect()
@@ -110,10 +111,12 @@
         sum
     }
 
+    /// Engines that this keeper is about to order to change their part.
     pub fn own_resting(&self, now: u64) -> Vec<String> {
         self.resting.iter().filter(|(_, until)| *until > now).map(|(id, _)| id.clone()).collect()
     }
 
+    /// The same from all keepers.
     pub fn resting(&self, now: u64) -> Vec<String> {
         let mut list = self.own_resting(now);
         let far = self.keepers.values().flat_map(|fellow| &fellow.resting);
@@ -121,10 +124,12 @@
         list
     }
 
+    /// Forgets routers whose lease has lapsed.
     pub fn sweep(&mut self, now: u64) {
-        self.routers.retain(|_, seat| seat.until > now);
+        self.routers.retain(|_, lease| lease.until > now);
     }
 
+    /// Was a keeper heard within the span?
     pub fn live(&self, ip: &str, now: u64) -> bool {
         ip == self.me || self.keepers.get(ip).is_some_and(|fellow| now < fellow.heard + self.span)
     }
@@ -137,6 +142,7 @@
         self.keepers.get(ip).map_or(u64::MAX, |fellow| now.saturating_sub(fellow.heard))
     }
 
+    /// A peer told of others.
     pub fn report(&mut self, peer: &str, report: PeerReport, now: u64) {
         if report.sure {
             self.sure_heard.insert(peer.into(), now);
@@ -186,6 +192,7 @@
         first.cloned().unwrap_or_else(|| self.me.clone())
     }
 
+    /// The zone of a keeper; empty while it is not known.
     pub fn area_of(&self, ip: &str) -> &str {
         if ip == self.me {
             return &self.area;
@@ -198,7 +205,7 @@
     /// each side of a cut would take the whole of a bound.
     pub fn seats(&mut self, now: u64, sure: bool) -> u32 {
         let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
-        let own = self.routers.values().filter(|seat| seat.until > now).count() as u32;
+        let own = self.routers.values().filter(|lease| lease.until > now).count() as u32;
         let count = own + far.map(|fellow| fellow.seats).sum::<u32>();
         self.sure_seats = if sure { count } else { self.sure_seats.max(count) };
         self.sure_seats
