--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -97,8 +97,8 @@
     }
 
     fn add_roster(&self, news: &mut wire::msg::News, node: &str, follower: &crate::crew::Follower, now: u64) {
-        let roster = self.roster.lock().expect("roster");
-        news.seats = roster.seats(now);
+        let mut roster = self.roster.lock().expect("roster");
+        news.seats = roster.seats(now, news.sure);
         news.resting = roster.resting(now);
         // An order of its own for each router, so that the keepers of a zone share them.
         news.fellows = roster.order(&follower.area, node);
--- /dev/null
+++ b/roster/src/duty_world.rs
@@ -0,0 +1,248 @@
+//! The world of the duty tests: three keepers and the register, in virtual time.
+
+pub const LEASE: u64 = 3000;
+pub const SURE: u64 = 1100;
+pub const BEAT: u64 = 350;
+/// A keeper that has just started first listens for this long.
+pub const LISTEN: u64 = 1200;
+/// The longest that an order is on its way.
+const ON_ITS_WAY: u64 = 800;
+pub const DUTY: &str = "duty/balance";
+
+/// An order as an engine sees it.
+#[derive(Clone, Debug)]
+pub struct Act {
+    pub at: u64,
+    pub epoch: u64,
+    pub holder: String,
+}
+
+#[derive(Clone)]
+pub struct Keeper {
+    pub name: String,
+    /// No beat, no look and no act before then.
+    pub asleep_until: u64,
+    pub cut_until: u64,
+    /// Heard by all, but its rounds reach no majority.
+    pub deaf_until: u64,
+    pub started: u64,
+    pub roster: crate::Roster,
+    pub streak: crate::duty::SureStreak,
+    pub board: (u64, String, bool),
+    /// It knows that the register says that it has waited.
+    pub declared: bool,
+    pub sure_at: Option<u64>,
+    pub held: Option<(u64, crate::duty::Held)>,
+    pub lives: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub dice: kernel::clock::Dice,
+    pub keepers: Vec<Keeper>,
+    /// Until when two keepers are cut off from each other alone.
+    pub pair_cut_until: [[u64; 3]; 3],
+    /// The register that a majority holds: epoch, holder, and whether it has waited.
+    pub register: (u64, String, bool),
+    /// Orders by their arrival.
+    pub acts: Vec<Act>,
+    /// Without the wait after a take-over: the fault that it prevents.
+    pub hasty: bool,
+    /// Believing only what is heard directly: the fault that the peers' reports prevent.
+    pub own_ears_only: bool,
+    /// No trouble comes by chance.
+    pub calm: bool,
+}
+
+fn roster(at: usize) -> crate::Roster {
+    crate::Roster::new(&format!("k{at}"), "", SURE)
+}
+
+impl World {
+    pub fn new(seed: u64, hasty: bool) -> World {
+        let keeper = |at: usize| Keeper {
+            name: format!("k{at}"),
+            asleep_until: 0,
+            cut_until: 0,
+            deaf_until: 0,
+            started: 0,
+            roster: roster(at),
+            streak: Default::default(),
+            board: (0, String::new(), false),
+            declared: false,
+            sure_at: None,
+            held: None,
+            lives: 1,
+        };
+        World {
+            now: 0,
+            dice: kernel::clock::Dice::new(seed.wrapping_mul(0x9E37_79B9)),
+            keepers: (0..3).map(keeper).collect(),
+            pair_cut_until: [[0; 3]; 3],
+            register: (0, String::new(), false),
+            acts: Vec::new(),
+            hasty,
+            own_ears_only: false,
+            calm: false,
+        }
+    }
+
+    fn up(&self, at: usize) -> bool {
+        self.now >= self.keepers[at].asleep_until
+    }
+
+    fn linked(&self, one: usize, two: usize) -> bool {
+        self.up(one)
+            && self.up(two)
+            && self.keepers[one].cut_until <= self.now
+            && self.keepers[two].cut_until <= self.now
+            && self.pair_cut_until[one.min(two)][one.max(two)] <= self.now
+    }
+
+    fn majority(&self, at: usize) -> bool {
+        let reached = (0..3).filter(|other| *other == at || self.linked(at, *other)).count();
+        reached >= 2 && self.now >= self.keepers[at].deaf_until
+    }
+
+    fn trouble(&mut self) {
+        if self.calm || self.dice.below(2500) != 0 {
+            return;
+        }
+        let at = self.dice.below(3) as usize;
+        let span = 200 + self.dice.below(7000);
+        match self.dice.below(5) {
+            0 => self.keepers[at].asleep_until = self.now + span,
+            1 => self.keepers[at].cut_until = self.now + span,
+            2 => self.keepers[at].deaf_until = self.now + span,
+            3 => {
+                let other = (at + 1) % 3;
+                self.pair_cut_until[at.min(other)][at.max(other)] = self.now + span;
+            }
+            _ => {
+                // A new life: nothing is remembered but what the register holds.
+                let old = &self.keepers[at];
+                let lives = old.lives + 1;
+                let asleep_until = self.now + self.dice.below(1000);
+                self.keepers[at] = Keeper {
+                    asleep_until,
+                    lives,
+                    started: self.now,
+                    roster: roster(at),
+                    streak: Default::default(),
+                    sure_at: None,
+                    held: None,
+                    declared: false,
+                    ..old.clone()
+                };
+            }
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += 1;
+        self.trouble();
+        for at in 0..3 {
+            let beat = (self.now + at as u64 * 97).is_multiple_of(BEAT);
+            if !beat || !self.up(at) {
+                continue;
+            }
+            self.gossip(at);
+            if self.majority(at) {
+                self.keepers[at].board = self.register.clone();
+                self.keepers[at].sure_at = Some(self.now);
+            }
+            self.take(at);
+        }
+        for at in 0..3 {
+            if self.up(at) && self.now.is_multiple_of(50) {
+                self.act(at);
+            }
+        }
+    }
+
+    fn gossip(&mut self, at: usize) {
+        let (name, now) = (self.keepers[at].name.clone(), self.now);
+        let own = &self.keepers[at].roster;
+        let vouches = own.keepers.keys().filter(|peer| own.vouches_for(peer, now)).cloned().collect();
+        let sure = self.keepers[at].sure_at.is_some_and(|time| now < time + SURE);
+        let report = crate::PeerReport { sure, vouches, ..Default::default() };
+        for other in (0..3).filter(|other| *other != at) {
+            if self.linked(at, other) {
+                let roster = &mut self.keepers[other].roster;
+                roster.hear(&name, crate::Fellow { heard: now, ..Default::default() });
+                roster.report(&name, report.clone(), now);
+            }
+        }
+    }
+
+    fn take(&mut self, at: usize) {
+        if self.now < self.keepers[at].started + LISTEN {
+            return;
+        }
+        let keeper = &self.keepers[at];
+        let sure = keeper.sure_at.is_some_and(|time| self.now < time + SURE);
+        let held = keeper.held.is_some_and(|(epoch, _)| epoch == keeper.board.0 && keeper.board.1 == keeper.name);
+        let sure_ms = self.keepers[at].streak.sure_ms(sure, self.now);
+        let keeper = &self.keepers[at];
+        if !sure || held {
+            return;
+        }
+        let holder = keeper.board.1.clone();
+        let absent_ms = match self.own_ears_only {
+            true => keeper.roster.silent(&holder, self.now),
+            false => keeper.roster.absent_ms(&holder, self.now).min(sure_ms),
+        };
+        let look = crate::duty::Look {
+            me: &keeper.name,
+            holder: &holder,
+            absent_ms,
+            first: keeper.roster.first_sure(DUTY, self.now).as_ref() == Some(&keeper.name),
+            lease_ms: LEASE,
+        };
+        if !crate::duty::may_take(look) || !self.majority(at) || self.register.0 != keeper.board.0 {
+            return;
+        }
+        let own = holder.is_empty() || (holder == keeper.name && keeper.held.is_none() && keeper.board.2);
+        let name = keeper.name.clone();
+        let epoch = self.register.0 + 1;
+        if !self.change((epoch, name, own)) {
+            return;
+        }
+        let held = crate::duty::Held { since: self.now, own: own || self.hasty, sure_at: self.now };
+        let register = self.register.clone();
+        let keeper = &mut self.keepers[at];
+        keeper.held = Some((epoch, held));
+        keeper.declared = own;
+        keeper.board = register;
+    }
+
+    /// A round of the register. False: its outcome is unknown, whether it was carried out or not.
+    fn change(&mut self, next: (u64, String, bool)) -> bool {
+        let fate = if self.calm { 2 } else { self.dice.below(8) };
+        if fate != 0 {
+            self.register = next;
+        }
+        fate > 1
+    }
+
+    fn act(&mut self, at: usize) {
+        let keeper = &self.keepers[at];
+        let (Some((epoch, held)), Some(sure_at)) = (keeper.held, keeper.sure_at) else { return };
+        if (keeper.board.0, &keeper.board.1) != (epoch, &keeper.name) {
+            return;
+        }
+        if crate::duty::may_act(crate::duty::Held { sure_at, ..held }, self.now, false, LEASE, SURE) {
+            // Said in the register before the first act, so that the next life need not wait again.
+            if !keeper.declared {
+                let holder = keeper.name.clone();
+                let known = self.majority(at) && self.register.0 == epoch && self.change((epoch, holder, true));
+                self.keepers[at].declared |= known;
+                return;
+            }
+            if keeper.declared {
+                let act = Act { at: self.now + self.dice.below(ON_ITS_WAY), epoch, holder: keeper.name.clone() };
+                self.acts.push(act);
+            }
+        }
+    }
+}
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -2,6 +2,7 @@
 //! time comes in with every call.
 
 pub mod duty;
+pub mod platform_access;
 
 #[derive(Clone, Debug, Default)]
 pub struct Fellow {
@@ -23,12 +24,23 @@
 
 /// A router's lease, with what it told when it renewed it.
 #[derive(Clone, Debug, Default)]
-pub struct Seat {
+pub struct RouterLease {
     pub until: u64,
     pub busy: Vec<(String, u32)>,
     pub door: String,
 }
 
+/// What a peer last told of others.
+#[derive(Clone, Debug, Default)]
+pub struct PeerReport {
+    /// It confirmed its state at a majority a moment ago.
+    pub sure: bool,
+    /// Keepers that it hears and that are sure.
+    pub vouches: Vec<String>,
+    /// It gets no answer from the platform.
+    pub platform_unreachable: bool,
+}
+
 /// Invariants: `heard` never goes back; a fellow is live while it was heard within `span` ms; a
 /// router holds its lease while `until` lies ahead.
 #[derive(Clone, Debug, Default)]
@@ -37,9 +49,17 @@
     pub area: String,
     pub span: u64,
     pub keepers: std::collections::BTreeMap<String, Fellow>,
-    pub routers: std::collections::BTreeMap<String, Seat>,
+    pub routers: std::collections::BTreeMap<String, RouterLease>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
+    /// Routers as counted when last sure, or more that were seen since.
+    sure_seats: u32,
+    /// By peer: when it was last heard to be sure.
+    sure_heard: std::collections::BTreeMap<String, u64>,
+    /// By peer: what it last told of others.
+    pub reports: std::collections::BTreeMap<String, PeerReport>,
+    /// Own access to the platform.
+    pub access: platform_access::PlatformAccess,
 }
 
 impl Roster {
@@ -55,11 +75,12 @@
 
     pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>, door: String) {
         let held = self.routers.get(router).map_or(0, |held| held.until);
-        self.routers.insert(router.into(), Seat { until: until.max(held), busy, door });
+        self.routers.insert(router.into(), RouterLease { until: until.max(held), busy, door });
     }
 
+    /// Where clients reach the routers that hold a lease here.
     pub fn own_doors(&self) -> Vec<String> {
-        self.routers.values().map(|seat| seat.door.clone()).filter(|door| !door.is_empty()).collect()
+        self.routers.values().map(|lease| lease.door.clone()).filter(|door| !door.is_empty()).collect()
     }
 
     /// A router to send to, in turn: own ones first, as they are near.
@@ -76,7 +97,7 @@
     /// Requests under way at each engine, from the routers that hold a lease here.
     pub fn own_pressure(&self) -> Vec<(String, u32)> {
         let mut sum: std::collections::BTreeMap<&str, u32> = Default::default();
-        for (id, busy) in self.routers.values().flat_map(|seat| &seat.busy) {
+        for (id, busy) in self.routers.values().flat_map(|lease| &lease.busy) {
             *sum.entry(id).or_default() += busy;
         }
         sum.into_iter().map(|(id, busy)| (id.to_string(), busy)).collect()
@@ -92,10 +113,12 @@
         sum
     }
 
+    /// Engines that this keeper is about to order to change their part.
     pub fn own_resting(&self, now: u64) -> Vec<String> {
         self.resting.iter().filter(|(_, until)| *until > now).map(|(id, _)| id.clone()).collect()
     }
 
+    /// The same from all keepers.
     pub fn resting(&self, now: u64) -> Vec<String> {
         let mut list = self.own_resting(now);
         let far = self.keepers.values().flat_map(|fellow| &fellow.resting);
@@ -103,10 +126,12 @@
         list
     }
 
+    /// Forgets routers whose lease has lapsed.
     pub fn sweep(&mut self, now: u64) {
-        self.routers.retain(|_, seat| seat.until > now);
+        self.routers.retain(|_, lease| lease.until > now);
     }
 
+    /// Was a keeper heard within the span?
     pub fn live(&self, ip: &str, now: u64) -> bool {
         ip == self.me || self.keepers.get(ip).is_some_and(|fellow| now < fellow.heard + self.span)
     }
@@ -119,6 +144,57 @@
         self.keepers.get(ip).map_or(u64::MAX, |fellow| now.saturating_sub(fellow.heard))
     }
 
+    /// A peer told of others.
+    pub fn report(&mut self, peer: &str, report: PeerReport, now: u64) {
+        if report.sure {
+            self.sure_heard.insert(peer.into(), now);
+        }
+        self.reports.insert(peer.into(), report);
+    }
+
+    /// How long a peer has not been heard to be sure; never heard counts as for ever.
+    fn unsure_ms(&self, ip: &str, now: u64) -> u64 {
+        self.sure_heard.get(ip).map_or(u64::MAX, |heard| now.saturating_sub(*heard))
+    }
+
+    /// Is a keeper heard here, and sure? Others are told so.
+    pub fn vouches_for(&self, ip: &str, now: u64) -> bool {
+        self.live(ip, now) && self.unsure_ms(ip, now) < self.span
+    }
+
+    /// How long a keeper has been unable to do a duty, as far as is known: not heard to be sure, here or
+    /// by any live peer. A cut between two keepers alone makes neither of them absent, and one that is
+    /// heard but reaches no majority is.
+    pub fn absent_ms(&self, ip: &str, now: u64) -> u64 {
+        if ip == self.me {
+            return 0;
+        }
+        let mut live = self.reports.iter().filter(|(peer, _)| peer.as_str() != ip && self.live(peer, now));
+        if live.any(|(_, report)| report.vouches.iter().any(|vouched| vouched == ip)) {
+            return 0;
+        }
+        self.unsure_ms(ip, now)
+    }
+
+    /// Who takes a duty that is free: the first in the order that is heard and sure, asked by one that is
+    /// sure itself.
+    pub fn first_sure(&self, duty: &str, now: u64) -> Option<String> {
+        self.order("", duty).into_iter().find(|ip| *ip == self.me || self.vouches_for(ip, now))
+    }
+
+    /// Who polls the platform for a zone: the first live keeper in the order that reaches the platform,
+    /// or the first live one while none does.
+    pub fn poller(&self, area: &str, now: u64) -> String {
+        let reaches = |ip: &String| match *ip == self.me {
+            true => !self.access.unreachable(now),
+            false => !self.reports.get(ip).is_some_and(|report| report.platform_unreachable),
+        };
+        let live: Vec<String> = self.order(area, "list").into_iter().filter(|ip| self.live(ip, now)).collect();
+        let first = live.iter().find(|ip| reaches(ip)).or(live.first());
+        first.cloned().unwrap_or_else(|| self.me.clone())
+    }
+
+    /// The zone of a keeper; empty while it is not known.
     pub fn area_of(&self, ip: &str) -> &str {
         if ip == self.me {
             return &self.area;
@@ -126,10 +202,15 @@
         self.keepers.get(ip).map_or("", |fellow| fellow.area.as_str())
     }
 
-    pub fn seats(&self, now: u64) -> u32 {
+    /// How many routers hold a lease anywhere, by which shared bounds are cut. A keeper that is not sure may
+    /// be cut off from the others and their routers: it never tells less than when it was last sure, or
+    /// each side of a cut would take the whole of a bound.
+    pub fn seats(&mut self, now: u64, sure: bool) -> u32 {
         let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
-        self.routers.values().filter(|seat| seat.until > now).count() as u32
-            + far.map(|fellow| fellow.seats).sum::<u32>()
+        let own = self.routers.values().filter(|lease| lease.until > now).count() as u32;
+        let count = own + far.map(|fellow| fellow.seats).sum::<u32>();
+        self.sure_seats = if sure { count } else { self.sure_seats.max(count) };
+        self.sure_seats
     }
 
     /// The agreed order of keepers for a duty bound to an area: that area's own first, the rest by
@@ -154,49 +235,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    fn fellow(area: &str, heard: u64) -> super::Fellow {
-        super::Fellow {
-            area: area.into(),
-            life: 1,
-            heard,
-            fit: true,
-            seats: 3,
-            busy: vec![("i-1".into(), 2)],
-            ..Default::default()
-        }
-    }
-
-    #[test]
-    fn own_area_holds_and_the_next_takes_over_when_it_is_silent() {
-        let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-        list.hear("10.0.0.2", fellow("b", 100));
-        assert_eq!(list.holder("b", "list", 1000), "10.0.0.2");
-        assert_eq!(list.holder("b", "list", 1100), "10.0.0.1");
-        assert_eq!(list.holder("a", "list", 1000), "10.0.0.1");
-    }
-
-    #[test]
-    fn all_keepers_agree_on_an_order() {
-        let mut one = super::Roster::new("10.0.0.1", "a", 1000);
-        let mut two = super::Roster::new("10.0.0.2", "b", 1000);
-        one.hear("10.0.0.2", fellow("b", 1));
-        two.hear("10.0.0.1", fellow("a", 1));
-        for duty in ["x", "y", "z"] {
-            assert_eq!(one.order("c", duty), two.order("c", duty));
-        }
-    }
-
-    #[test]
-    fn seats_count_own_leases_and_those_of_fellows() {
-        let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-        list.hear("10.0.0.2", fellow("b", 100));
-        list.lease("edge-1", 500, vec![("i-1".into(), 5)], "10.0.0.9:80".into());
-        assert_eq!(list.door(400, 7).as_deref(), Some("10.0.0.9:80"));
-        assert_eq!(list.pressure(400).get("i-1"), Some(&7));
-        assert_eq!(list.seats(400), 4);
-        assert_eq!(list.seats(600), 3);
-        list.hear("10.0.0.2", fellow("b", 50));
-        assert!(list.live("10.0.0.2", 1099), "what was heard never goes back");
-    }
-}
+#[path = "lib_tests.rs"]
+mod tests;
