Router: patience only for homes that were waited for; engines that may be cold are taken for cold

Change: only a home that was reached and waited for doubles the patience; one that had answered before sets it back. Engines of a zone taken back, and those silent for over a second, are taken for cold for the lag of the list and 1.5 s.

Not yet measured.

--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -205,6 +205,13 @@
         left
     }
 
+    /// The engines of a zone may be cold without the list saying so yet: taken for cold until then.
+    pub fn presume_zone_cold(&mut self, zone: u32, until: u64) {
+        for engine in self.list.iter_mut().filter(|engine| engine.area == zone) {
+            engine.presume_cold(until);
+        }
+    }
+
     fn add(&mut self, engine: &wire::msg::Engine, service: u32, area: u32) -> usize {
         let at = self.list.len();
         self.list.push(Stall::new(engine, service, area));
--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -117,6 +117,11 @@
         self.shy_until = 0;
     }
 
+    /// It may be cold without the list saying so yet: taken for cold until then.
+    pub fn presume_cold(&mut self, until: u64) {
+        self.cold_until = self.cold_until.max(until);
+    }
+
     /// It says that it is not the engine meant: this life of it is over, and no id comes back.
     pub fn over(&mut self) {
         self.here = false;
--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -90,6 +90,9 @@
 pub struct Cloud {
     pub address: String,
     pub rate_per_s: f64,
+    /// How far the list of engines lags behind.
+    #[serde(default)]
+    pub lag_ms: u64,
 }
 
 fn beat() -> u64 {
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -61,6 +61,8 @@
         home.cast(wire::msg::Msg::Doubt(Box::new((name, false))));
     }
 }
+/// An engine that gave no answer for so long was not only slow.
+const DARK_MS: u64 = 1000;
 /// While in doubt an engine is left alone; a probe that is answered ends it.
 const SHY_MS: u64 = 20_000;
 
@@ -75,6 +77,7 @@
 }
 
 async fn ask(state: std::sync::Arc<crate::state::State>, at: usize, mut first: bool) {
+    let begun = kernel::clock::now();
     let (mut asked, mut told) = (0u32, false);
     loop {
         let (addr, id) = {
@@ -87,7 +90,13 @@
             let mut park = state.park.lock().expect("park");
             let engine = &mut park.list[at];
             match answer {
-                Some(name) if name.as_ref().is_none_or(|name| *name == id) => engine.good(now),
+                Some(name) if name.as_ref().is_none_or(|name| *name == id) => {
+                    engine.good(now);
+                    if now > begun + DARK_MS {
+                        // It may have been started anew meanwhile.
+                        engine.presume_cold(now + crate::evacuation::presumed_cold_ms(&state));
+                    }
+                }
                 Some(_) => engine.over(),
                 None => engine.strike(now, SHY_MS),
             }
--- a/router/src/evacuation.rs
+++ b/router/src/evacuation.rs
@@ -1,5 +1,13 @@
 //! Evacuated zones, as keepers tell of them.
 
+/// What the list of engines takes beyond its lag until it is here.
+const DELIVERY_MS: u64 = 1500;
+
+/// How long an engine that may just have turned cold is taken for cold: until the list would say so.
+pub fn presumed_cold_ms(state: &crate::state::State) -> u64 {
+    state.env.cloud_api.lag_ms + DELIVERY_MS
+}
+
 /// Evacuations begun or withdrawn: zone, stamp, whether it is on. Older ones than what is held change nothing.
 pub fn absorb(state: &crate::state::State, list: &[(String, u64, bool)]) {
     let mut park = state.park.lock().expect("park");
@@ -13,7 +21,13 @@
         held.shut.retain(|shut| *shut != dense);
         if *on {
             held.shut.push(dense);
+        } else {
+            park.presume_zone_cold(dense, kernel::clock::now() + presumed_cold_ms(state));
         }
         kernel::say!(crate::event::CLOSED, "area" => zone.clone(), "stamp" => *stamp, "on" => *on);
     }
 }
+
+#[cfg(test)]
+#[path = "evacuation_tests.rs"]
+mod tests;
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -18,11 +18,13 @@
 const FIRST_MS: u64 = 1500;
 const FIRST_MOST_MS: u64 = 6000;
 
-/// The time for the next home's first answer.
+/// The time for the next home's first answer. Only one that was reached and waited for shows that the link
+/// is slow: a dial that failed, or a home that had answered before, does not.
 pub fn patience(held: u64, left: Left) -> u64 {
     match left {
-        Left::Lost => (held * 2).min(FIRST_MOST_MS),
-        Left::Better | Left::Unsure => FIRST_MS,
+        Left::Slow => (held * 2).min(FIRST_MOST_MS),
+        Left::Unreached => held,
+        Left::Better | Left::Unsure | Left::Silent => FIRST_MS,
     }
 }
 
@@ -32,8 +34,15 @@
 /// Why a home was left.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Left {
+    /// Another is nearer.
     Better,
-    Lost,
+    /// It gave no first answer in the time that it had.
+    Slow,
+    /// No connection came up, or it broke before the first answer.
+    Unreached,
+    /// It had answered, and does no longer.
+    Silent,
+    /// It is not confirmed at a majority.
     Unsure,
 }
 
@@ -52,7 +61,7 @@
         let now = kernel::clock::now();
         match left {
             Left::Better => {}
-            Left::Lost => drop(shunned.insert(home.clone(), now + SHUN_LOST_MS)),
+            Left::Slow | Left::Unreached | Left::Silent => drop(shunned.insert(home.clone(), now + SHUN_LOST_MS)),
             Left::Unsure => drop(shunned.insert(home.clone(), now + SHUN_UNSURE_MS)),
         }
         if let Ok(env) = kernel::env::load(&kernel::env::path()) {
@@ -129,8 +138,11 @@
             }
             _ => misses += 1,
         }
-        if misses >= 2 || (misses == 1 && !settled) {
-            return Left::Lost;
+        if misses == 1 && !settled {
+            return if now < sent + first_ms { Left::Unreached } else { Left::Slow };
+        }
+        if misses >= 2 {
+            return Left::Silent;
         }
         if now > sure_at + UNSURE_MS {
             return Left::Unsure;
