--- a/engines/src/floor.rs
+++ b/engines/src/floor.rs
@@ -20,7 +20,7 @@
     Lapsed,
 }
 
-/// Invariants: `rule.stamp` never goes back; `floor` and `routes` are in force, and hold at least what the
+/// Invariants: `rule.version` never goes back; `floor` and `routes` are in force, and hold at least what the
 /// newest rule asks for.
 #[derive(Clone, Debug)]
 struct Held {
@@ -51,7 +51,7 @@
             self.list.push(new);
             return true;
         };
-        if rule.stamp <= held.rule.stamp {
+        if rule.version <= held.rule.version {
             return false;
         }
         held.ease(now);
@@ -71,7 +71,7 @@
         true
     }
 
-    /// A keeper that is sure answered a call sent at `sent`, which told the stamps held here as current.
+    /// A keeper that is sure answered a call sent at `sent`, which told the versions held here as current.
     pub fn renew(&mut self, sent: u64) {
         self.lease_until = self.lease_until.max(sent + LEASE_MS);
     }
@@ -89,9 +89,9 @@
         limit
     }
 
-    /// The stamps held, as told to keepers.
-    pub fn stamps(&self) -> Vec<(String, u64)> {
-        self.list.iter().map(|held| (held.rule.key(), held.rule.stamp)).collect()
+    /// The versions held, as told to keepers.
+    pub fn versions(&self) -> Vec<(String, u64)> {
+        self.list.iter().map(|held| (held.rule.key(), held.rule.version)).collect()
     }
 }
 
--- a/engines/src/floor_tests.rs
+++ b/engines/src/floor_tests.rs
@@ -1,6 +1,6 @@
-fn rule(stamp: u64, latest: u64, lag: u64, routes: &[&str]) -> wire::msg::Rule {
+fn rule(version: u64, latest: u64, lag: u64, routes: &[&str]) -> wire::msg::Rule {
     let routes = routes.iter().map(|route| route.to_string()).collect();
-    wire::msg::Rule { service: "s".into(), model: "m".into(), stamp, latest, lag, routes, ..Default::default() }
+    wire::msg::Rule { service: "s".into(), model: "m".into(), version, latest, lag, routes, ..Default::default() }
 }
 
 fn limit(floors: &super::Floors, route: &str, now: u64) -> super::Limit {
@@ -19,7 +19,7 @@
     assert_eq!(floors.limit(1, "m", "r", 10), super::Limit::Free, "another service");
     assert!(floors.take(&rule(2, 12, 3, &["r", "t"]), 0, 20));
     assert_eq!((limit(&floors, "r", 20), limit(&floors, "t", 20)), (super::Limit::From(9), super::Limit::From(9)));
-    assert!(!floors.take(&rule(1, 10, 3, &["r"]), 0, 30), "an older stamp changes nothing");
+    assert!(!floors.take(&rule(1, 10, 3, &["r"]), 0, 30), "an older version changes nothing");
     assert_eq!(limit(&floors, "r", 30), super::Limit::From(9));
 }
 
@@ -63,7 +63,7 @@
 const SEAT_MS: u64 = 1600;
 const WAIT_MS: u64 = SURE_MS + super::LEASE_MS + 200;
 
-/// A keeper: the stamp it knows, until when it is sure, what its routers told and until when they count.
+/// A keeper: the version it knows, until when it is sure, what its routers told and until when they count.
 #[derive(Clone, Default)]
 struct Keeper {
     knows: u64,
@@ -84,9 +84,9 @@
 }
 
 enum Mail {
-    Follow { router: usize, sent: u64, stamp: u64 },
+    Follow { router: usize, sent: u64, version: u64 },
     Reply { router: usize, sent: u64, sure: bool },
-    Rule { router: usize, stamp: u64 },
+    Rule { router: usize, version: u64 },
 }
 
 /// What is left out, to see that it is needed.
@@ -112,12 +112,12 @@
         })
         .collect();
     let mut mail: Vec<(u64, Mail)> = Vec::new();
-    let (mut stamp, mut committed, mut acked, mut acks, mut wrong) = (1u64, 0u64, 1u64, 0, 0);
+    let (mut version, mut committed, mut acked, mut acks, mut wrong) = (1u64, 0u64, 1u64, 0, 0);
     for now in 1..30_000u64 {
         // Keeper 0 carries the changes; the others read at a majority, unless they are cut off.
         for (at, keeper) in keepers.iter_mut().enumerate() {
             if now >= keeper.cut_until && (now + at as u64 * 90).is_multiple_of(350) {
-                keeper.knows = stamp;
+                keeper.knows = version;
                 keeper.sure_until = now + SURE_MS;
             }
             if dice.below(25_000) == 0 {
@@ -148,8 +148,8 @@
             }
             if now >= router.next && now >= router.cut_until {
                 router.next = now + 400;
-                let held = router.floors.stamps()[0].1;
-                mail.push((now + 1 + dice.below(60), Mail::Follow { router: at, sent: now, stamp: held }));
+                let held = router.floors.versions()[0].1;
+                mail.push((now + 1 + dice.below(60), Mail::Follow { router: at, sent: now, version: held }));
             }
         }
         let (due, rest): (Vec<_>, Vec<_>) = mail.into_iter().partition(|(at, _)| *at <= now);
@@ -159,14 +159,14 @@
                 continue;
             }
             match letter {
-                Mail::Follow { router, sent, stamp } => {
+                Mail::Follow { router, sent, version } => {
                     let keeper = &mut keepers[routers[router].home];
-                    keeper.crew.insert(router, (stamp, now + SEAT_MS));
-                    let sure = now < keeper.sure_until && stamp >= keeper.knows;
+                    keeper.crew.insert(router, (version, now + SEAT_MS));
+                    let sure = now < keeper.sure_until && version >= keeper.knows;
                     let knows = keeper.knows;
                     let late = now + 1 + dice.below(60);
-                    if stamp < knows {
-                        mail.push((late, Mail::Rule { router, stamp: knows }));
+                    if version < knows {
+                        mail.push((late, Mail::Rule { router, version: knows }));
                     }
                     mail.push((late, Mail::Reply { router, sent, sure }));
                 }
@@ -179,35 +179,35 @@
                         routers[router].floors.renew(sent);
                     }
                 }
-                Mail::Rule { router, stamp } => {
-                    routers[router].floors.take(&rule(stamp, stamp, 0, &["r"]), 0, now);
+                Mail::Rule { router, version } => {
+                    routers[router].floors.take(&rule(version, version, 0, &["r"]), 0, now);
                     routers[router].next = now;
                 }
             }
         }
         // One raise at a time: committed, then acknowledged once all have settled or could be waited out.
-        if acked == stamp && dice.below(700) == 0 {
-            (stamp, committed) = (stamp + 1, now);
-            keepers[0].knows = stamp;
+        if acked == version && dice.below(700) == 0 {
+            (version, committed) = (version + 1, now);
+            keepers[0].knows = version;
             if dice.below(4) == 0 {
                 // A keeper falls just then, and starts anew.
                 keepers[1 + dice.below(3) as usize] = Keeper { born: now, ..Default::default() };
             }
         }
         // The owner is lost in the middle of a raise: another one is asked again and begins to wait anew.
-        if acked < stamp && dice.below(1500) == 0 {
+        if acked < version && dice.below(1500) == 0 {
             committed = now;
         }
-        if acked < stamp && (hasty || (now - committed).is_multiple_of(60)) {
+        if acked < version && (hasty || (now - committed).is_multiple_of(60)) {
             let late = now >= committed + WAIT_MS;
             let settled = |keeper: &Keeper| {
                 let live = keeper.crew.values().filter(|(_, until)| *until > now);
                 let grown = fault == Fault::Forgetful || now >= keeper.born + WAIT_MS || keeper.born == 0;
-                grown && keeper.knows >= stamp && live.into_iter().all(|(told, _)| *told >= stamp)
+                grown && keeper.knows >= version && live.into_iter().all(|(told, _)| *told >= version)
             };
             let good = keepers.iter().all(|keeper| (now < keeper.cut_until && late) || settled(keeper));
             if good || hasty {
-                acked = stamp;
+                acked = version;
                 acks += 1;
             }
         }
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -1,4 +1,4 @@
-//! Engines: the list by areas, health as seen by sends, pressure, choosing among them, and this
+//! Engines: the list by zones, health as seen by sends, pressure, choosing among them, and this
 //! daemon's slices of the shared bounds.
 pub mod balance;
 pub mod budget;
--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -9,8 +9,8 @@
     /// By the hash of the id.
     names: std::collections::HashMap<u64, usize>,
     services: std::collections::HashMap<String, u32>,
-    areas: std::collections::HashMap<String, u32>,
-    /// By area: its region. An area that is not named is a region of its own.
+    zones: std::collections::HashMap<String, u32>,
+    /// By zone: its region. An zone that is not named is a region of its own.
     regions: std::collections::HashMap<u32, String>,
     sheets: crate::sheet::Sheets,
     /// By service: the prompt tokens that a read takes on average, as sent from here.
@@ -37,16 +37,16 @@
         dense(&mut self.services, name)
     }
 
-    pub fn area(&mut self, name: &str) -> u32 {
-        dense(&mut self.areas, name)
+    pub fn zone(&mut self, name: &str) -> u32 {
+        dense(&mut self.zones, name)
     }
 
-    pub fn region(&mut self, area: &str, region: &str) {
-        let area = self.area(area);
-        self.regions.insert(area, region.into());
+    pub fn region(&mut self, zone: &str, region: &str) {
+        let zone = self.zone(zone);
+        self.regions.insert(zone, region.into());
     }
 
-    /// 0: the same area; 1: the same region; 2: another region.
+    /// 0: the same zone; 1: the same region; 2: another region.
     pub fn distance(&self, one: u32, two: u32) -> usize {
         if one == two {
             return 0;
@@ -76,19 +76,19 @@
         self.reads.get(&service).copied().unwrap_or(0.0)
     }
 
-    pub fn stamps(&self) -> Vec<(String, u64, u64)> {
-        self.sheets.stamps()
+    pub fn versions(&self) -> Vec<(String, u64, u64)> {
+        self.sheets.versions()
     }
 
     /// Who samples here. The number of routers counts by steps of a quarter: a subset should last.
-    pub fn sit(&mut self, mark: u64, area: u32, routers: u32) {
-        let areas = self.regions.len().max(1) as u32;
+    pub fn sit(&mut self, mark: u64, zone: u32, routers: u32) {
+        let zones = self.regions.len().max(1) as u32;
         let held = self.seat;
         let near = routers.abs_diff(held.routers) * 4 <= held.routers;
-        if held.mark == mark && held.areas == areas && near {
+        if held.mark == mark && held.zones == zones && near {
             return;
         }
-        self.seat = crate::subset::Seat { mark, area, routers, areas };
+        self.seat = crate::subset::Seat { mark, zone, routers, zones };
         self.sort();
     }
 
@@ -96,7 +96,7 @@
         let mut lists: std::collections::HashMap<(u32, crate::place::Half), Vec<crate::subset::Named>> =
             Default::default();
         for (at, stall) in self.list.iter().enumerate().filter(|(_, stall)| stall.up && stall.here) {
-            let mut put = |half| lists.entry((stall.service, half)).or_default().push((at, stall.area, stall.name));
+            let mut put = |half| lists.entry((stall.service, half)).or_default().push((at, stall.zone, stall.name));
             if stall.prefill {
                 put(crate::place::Half::Prefill);
             }
@@ -172,10 +172,10 @@
         if !self.sheets.take(sheet) {
             return Vec::new();
         }
-        let area = self.area(&sheet.area);
+        let zone = self.zone(&sheet.zone);
         let mut left = Vec::new();
         let named: std::collections::HashSet<&str> = sheet.list.iter().map(|engine| engine.id.as_str()).collect();
-        for stall in self.list.iter_mut().filter(|stall| stall.area == area && stall.here) {
+        for stall in self.list.iter_mut().filter(|stall| stall.zone == zone && stall.here) {
             if !named.contains(stall.id.as_str()) {
                 stall.here = false;
                 left.push(stall.id.clone());
@@ -185,7 +185,7 @@
             let service = self.service(&engine.service);
             let at = match self.index.get(&engine.id) {
                 Some(at) => *at,
-                None => self.add(engine, service, area),
+                None => self.add(engine, service, zone),
             };
             let stall = &mut self.list[at];
             if stall.up && !engine.up {
@@ -207,14 +207,14 @@
 
     /// The engines of a zone may be cold without the list saying so yet: taken for cold until then.
     pub fn presume_zone_cold(&mut self, zone: u32, until: u64) {
-        for engine in self.list.iter_mut().filter(|engine| engine.area == zone) {
+        for engine in self.list.iter_mut().filter(|engine| engine.zone == zone) {
             engine.presume_cold(until);
         }
     }
 
-    fn add(&mut self, engine: &wire::msg::Engine, service: u32, area: u32) -> usize {
+    fn add(&mut self, engine: &wire::msg::Engine, service: u32, zone: u32) -> usize {
         let at = self.list.len();
-        self.list.push(Stall::new(engine, service, area));
+        self.list.push(Stall::new(engine, service, zone));
         self.names.insert(self.list[at].name, at);
         self.index.insert(engine.id.clone(), at);
         at
--- a/engines/src/park_tests.rs
+++ b/engines/src/park_tests.rs
@@ -3,14 +3,14 @@
         id: id.to_string(),
         service: "s".into(),
         addr: format!("10.0.0.1:{}", 80 + id.len()),
-        area: "a".into(),
+        zone: "a".into(),
         phase: "prefill".into(),
         model: String::new(),
         slots: 4,
         up: *up,
         cold_ms: *cold_ms,
     };
-    wire::msg::Sheet { area: "a".into(), turn: 1, count, list: list.iter().map(engine).collect() }
+    wire::msg::Sheet { zone: "a".into(), turn: 1, count, list: list.iter().map(engine).collect() }
 }
 
 #[test]
@@ -58,7 +58,7 @@
             park,
             now,
             service: 0,
-            area: 0,
+            zone: 0,
             shut: &[],
             tried: &[],
             seats: 1,
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -5,8 +5,8 @@
     pub park: &'a crate::park::Park,
     pub now: u64,
     pub service: u32,
-    /// The router's own area.
-    pub area: u32,
+    /// The router's own zone.
+    pub zone: u32,
     /// Areas not to be used: evacuated, or outside the homes. By dense index.
     pub shut: &'a [u32],
     /// Engines already tried for this errand.
@@ -25,8 +25,8 @@
     Decode,
 }
 
-/// What it costs to reach another area of the region, and another region, as a share of a prompt's
-/// tokens; the second also costs a journey's worth of tokens. It also keeps routers of different areas
+/// What it costs to reach another zone of the region, and another region, as a share of a prompt's
+/// tokens; the second also costs a journey's worth of tokens. It also keeps routers of different zones
 /// from turning to one engine all at once.
 const FAR: [f64; 3] = [0.0, 0.2, 1.5];
 const JOURNEY: [f64; 3] = [0.0, 0.0, 3000.0];
@@ -48,7 +48,7 @@
             && stall.up
             && stall.here
             && stall.rest_until <= self.now
-            && !self.shut.contains(&stall.area)
+            && !self.shut.contains(&stall.zone)
             && !self.tried.contains(&at)
             && self.weights.is_none_or(|(model, from, to)| {
                 stall.weight(model).is_some_and(|version| (from..=to).contains(&version))
@@ -166,20 +166,20 @@
     /// The maker of tokens: near the memory, not crowded. `from` is the engine that read the prompt.
     pub fn decode(&self, tokens: u32, held: &[(usize, u32)], from: Option<usize>, key: u64) -> Option<usize> {
         let open = self.open(Half::Decode);
-        let home = from.map_or(self.area, |at| self.park.list[at].area);
+        let home = from.map_or(self.zone, |at| self.park.list[at].zone);
         let cost = |at: usize| {
             let stall = &self.park.list[at];
             let lack = f64::from(tokens.saturating_sub(owned(held, at))) / 65536.0;
             let crowd = self.park.pressure(at, self.now) / f64::from(stall.slots);
             let body = self.reach(stall, tokens) / 65536.0;
-            crowd + lack * MOVE[self.park.distance(stall.area, home)] + body
+            crowd + lack * MOVE[self.park.distance(stall.zone, home)] + body
         };
         cheapest(&open, cost, |at| rank(key, self.park.list[at].name)).map(|(at, _)| at)
     }
 
     /// What it costs to send a prompt there from here, in tokens.
     fn reach(&self, stall: &crate::park::Stall, tokens: u32) -> f64 {
-        let step = self.park.distance(stall.area, self.area);
+        let step = self.park.distance(stall.zone, self.zone);
         FAR[step] * f64::from(tokens) + JOURNEY[step]
     }
 
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -1,9 +1,9 @@
 fn park() -> crate::park::Park {
-    let engine = |id: &str, area: &str, phase: &str, up: bool| wire::msg::Engine {
+    let engine = |id: &str, zone: &str, phase: &str, up: bool| wire::msg::Engine {
         id: id.into(),
         service: "s".into(),
         addr: "10.0.0.1:80".into(),
-        area: area.into(),
+        zone: zone.into(),
         phase: phase.into(),
         model: String::new(),
         slots: 8,
@@ -11,20 +11,20 @@
         cold_ms: 0,
     };
     let mut park = crate::park::Park::default();
-    for area in ["a", "b"] {
-        park.region(area, "r");
+    for zone in ["a", "b"] {
+        park.region(zone, "r");
         let list = vec![
-            engine(&format!("p-{area}"), area, "prefill", true),
-            engine(&format!("d-{area}"), area, "decode", true),
-            engine(&format!("x-{area}"), area, "decode", false),
+            engine(&format!("p-{zone}"), zone, "prefill", true),
+            engine(&format!("d-{zone}"), zone, "decode", true),
+            engine(&format!("x-{zone}"), zone, "decode", false),
         ];
-        park.take(&wire::msg::Sheet { area: area.into(), turn: 1, count: 1, list }, 0);
+        park.take(&wire::msg::Sheet { zone: zone.into(), turn: 1, count: 1, list }, 0);
     }
     park
 }
 
 fn view<'a>(park: &'a crate::park::Park, shut: &'a [u32], tried: &'a [usize]) -> super::View<'a> {
-    super::View { park, now: 1000, service: 0, area: 0, shut, tried, seats: 3, ramp: 3.0, weights: None }
+    super::View { park, now: 1000, service: 0, zone: 0, shut, tried, seats: 3, ramp: 3.0, weights: None }
 }
 
 fn id(park: &crate::park::Park, at: Option<usize>) -> &str {
@@ -46,7 +46,7 @@
     let park = park();
     let mut away = view(&park, &[], &[]);
     let near = away.prefill(9000, &[], 6000, 77).map(|best| best.0);
-    away.area = 1;
+    away.zone = 1;
     assert_eq!(near, away.prefill(9000, &[], 6000, 77).map(|best| best.0));
 }
 
--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -1,16 +1,16 @@
-//! The list of engines as the pollers saw it, a sheet an area.
+//! The list of engines as the pollers saw it, a sheet a zone.
 
 /// The low bits of a turn that tell pollers apart: enough that no two of a large fleet share them.
 const SEAT_BITS: u32 = 28;
 
-/// What was known of an area's list at one moment: taken when a poll begins and compared when it ends.
+/// What was known of a zone's list at one moment: taken when a poll begins and compared when it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Known {
     version: Option<(u64, u64)>,
     newest_turn: u64,
 }
 
-/// Invariant: the stamp (turn, count) of an area's sheet never goes back.
+/// Invariant: the version (turn, count) of a zone's sheet never goes back.
 #[derive(Default)]
 pub struct Sheets {
     list: std::collections::BTreeMap<String, wire::msg::Sheet>,
@@ -21,39 +21,39 @@
 impl Sheets {
     /// True when the sheet is newer than what was held.
     pub fn take(&mut self, sheet: &wire::msg::Sheet) -> bool {
-        let held = self.list.get(&sheet.area).map(|held| (held.turn, held.count));
+        let held = self.list.get(&sheet.zone).map(|held| (held.turn, held.count));
         if held >= Some((sheet.turn, sheet.count)) {
             return false;
         }
-        self.list.insert(sheet.area.clone(), sheet.clone());
+        self.list.insert(sheet.zone.clone(), sheet.clone());
         true
     }
 
     /// To be asked before the first call of a poll.
-    pub fn known(&self, area: &str) -> Known {
-        let version = self.list.get(area).map(|held| (held.turn, held.count));
-        let floor = self.floor.get(area).copied().unwrap_or(0);
+    pub fn known(&self, zone: &str) -> Known {
+        let version = self.list.get(zone).map(|held| (held.turn, held.count));
+        let floor = self.floor.get(zone).copied().unwrap_or(0);
         Known { version, newest_turn: version.map_or(0, |held| held.0).max(floor) }
     }
 
     /// What a poller saw that began when `known` was asked for. `turn` is its own while nobody else
-    /// polled this area since; else it goes above what is held. The low bits are the poller's seat, so
+    /// polled this zone since; else it goes above what is held. The low bits are the poller's seat, so
     /// that no two share a turn. Gives the new sheet when something changed.
     ///
     /// Another poller's list that became known meanwhile may be newer than what was seen, so what was
     /// seen is dropped: it would else be put above that list (a poller that froze in mid-poll).
     pub fn poll(
         &mut self,
-        area: &str,
+        zone: &str,
         turn: &mut u64,
         seat: u64,
         list: Vec<wire::msg::Engine>,
         known: Known,
     ) -> Option<wire::msg::Sheet> {
-        if self.known(area) != known {
+        if self.known(zone) != known {
             return None;
         }
-        let held = self.list.get(area);
+        let held = self.list.get(zone);
         let top = known.newest_turn;
         if *turn == 0 || *turn != top {
             *turn = ((top >> SEAT_BITS) + 1) << SEAT_BITS | (seat & ((1 << SEAT_BITS) - 1));
@@ -63,8 +63,8 @@
             return None;
         }
         let count = held.filter(|held| held.turn == *turn).map_or(1, |held| held.count + 1);
-        let sheet = wire::msg::Sheet { area: area.into(), turn: *turn, count, list };
-        self.list.insert(area.into(), sheet.clone());
+        let sheet = wire::msg::Sheet { zone: zone.into(), turn: *turn, count, list };
+        self.list.insert(zone.into(), sheet.clone());
         Some(sheet)
     }
 
@@ -72,26 +72,26 @@
         self.list.values()
     }
 
-    /// Those that are newer than the stamps told.
+    /// Those that are newer than the versions told.
     pub fn newer(&self, told: &[(String, u64, u64)]) -> Vec<wire::msg::Sheet> {
-        let stamp = |area: &str| told.iter().find(|item| item.0 == area).map(|item| (item.1, item.2));
-        self.list.values().filter(|held| Some((held.turn, held.count)) > stamp(&held.area)).cloned().collect()
+        let version = |zone: &str| told.iter().find(|item| item.0 == zone).map(|item| (item.1, item.2));
+        self.list.values().filter(|held| Some((held.turn, held.count)) > version(&held.zone)).cloned().collect()
     }
 
-    pub fn stamps(&self) -> Vec<(String, u64, u64)> {
-        self.list.values().map(|sheet| (sheet.area.clone(), sheet.turn, sheet.count)).collect()
+    pub fn versions(&self) -> Vec<(String, u64, u64)> {
+        self.list.values().map(|sheet| (sheet.zone.clone(), sheet.turn, sheet.count)).collect()
     }
 
     /// Someone holds lists of these turns: routers outlive the keepers that made them.
     pub fn raise(&mut self, told: &[(String, u64, u64)]) {
-        for (area, turn, _) in told.iter().filter(|item| !wire::msg::hidden(&item.0)) {
-            let floor = self.floor.entry(area.clone()).or_default();
+        for (zone, turn, _) in told.iter().filter(|item| !wire::msg::hidden(&item.0)) {
+            let floor = self.floor.entry(zone.clone()).or_default();
             *floor = (*floor).max(*turn);
         }
     }
 
     pub fn floors(&self) -> Vec<(String, u64, u64)> {
-        self.floor.iter().map(|(area, turn)| (area.clone(), *turn, 0)).collect()
+        self.floor.iter().map(|(zone, turn)| (zone.clone(), *turn, 0)).collect()
     }
 }
 
--- a/engines/src/sheet_tests.rs
+++ b/engines/src/sheet_tests.rs
@@ -3,7 +3,7 @@
         id: id.into(),
         service: "s".into(),
         addr: "10.1.1.1:80".into(),
-        area: "a".into(),
+        zone: "a".into(),
         phase: "decode".into(),
         model: String::new(),
         slots: 1,
@@ -48,11 +48,11 @@
     let (mut new, mut again) = (super::Sheets::default(), 0);
     let lost = poll(&mut new, &mut again, 1, vec![]).expect("new");
     assert!(!far.take(&lost));
-    for sheet in far.newer(&new.stamps()) {
+    for sheet in far.newer(&new.versions()) {
         assert!(new.take(&sheet));
     }
     let next = poll(&mut new, &mut again, 1, vec![]).expect("new");
-    assert!(far.take(&next) && far.newer(&new.stamps()).is_empty());
+    assert!(far.take(&next) && far.newer(&new.versions()).is_empty());
 }
 
 #[test]
@@ -62,7 +62,7 @@
     router.take(&poll(&mut old, &mut turn, 9, vec![engine("i-1", 0)]).expect("new"));
     let (mut new, mut again) = (super::Sheets::default(), 0);
     assert!(!router.take(&poll(&mut new, &mut again, 1, vec![]).expect("new")));
-    new.raise(&router.stamps());
+    new.raise(&router.versions());
     assert!(router.take(&poll(&mut new, &mut again, 1, vec![]).expect("new")));
 }
 
--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -9,7 +9,7 @@
     pub name: u64,
     pub service: u32,
     pub addr: String,
-    pub area: u32,
+    pub zone: u32,
     pub prefill: bool,
     pub decode: bool,
     pub slots: u32,
@@ -44,13 +44,13 @@
 }
 
 impl Stall {
-    pub fn new(engine: &wire::msg::Engine, service: u32, area: u32) -> Stall {
+    pub fn new(engine: &wire::msg::Engine, service: u32, zone: u32) -> Stall {
         Stall {
             id: engine.id.clone(),
             name: kernel::clock::hash(engine.id.as_bytes()),
             service,
             addr: engine.addr.clone(),
-            area,
+            zone,
             prefill: false,
             decode: false,
             slots: 1,
--- a/engines/src/subset.rs
+++ b/engines/src/subset.rs
@@ -11,34 +11,34 @@
     ring: Vec<(u64, usize)>,
 }
 
-/// Index, area and the hash of the name of an engine.
+/// Index, zone and the hash of the name of an engine.
 pub type Named = (usize, u32, u64);
 
-/// Where a subset is made: this router's mark and area, and how many routers and areas share the engines.
+/// Where a subset is made: this router's mark and zone, and how many routers and zones share the engines.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Seat {
     pub mark: u64,
-    pub area: u32,
+    pub zone: u32,
     pub routers: u32,
-    pub areas: u32,
+    pub zones: u32,
 }
 
-/// The fewest taken of the own area and of each other one: an area that has no more is taken whole.
+/// The fewest taken of the own zone and of each other one: a zone that has no more is taken whole.
 const NEAR: usize = 12;
 const FAR: usize = 4;
-/// How many routers of its area an engine should be sampled by, on average: by chance none is then
+/// How many routers of its zone an engine should be sampled by, on average: by chance none is then
 /// left out (e^-12 is six in a million).
 const COVER: f64 = 12.0;
 /// Places of each engine on the ring.
 const PLACES: u64 = 64;
 
 impl Seat {
-    /// How many engines of an area with `count` of them are taken.
-    pub fn share(&self, area: u32, count: usize) -> usize {
-        if area != self.area {
+    /// How many engines of a zone with `count` of them are taken.
+    pub fn share(&self, zone: u32, count: usize) -> usize {
+        if zone != self.zone {
             return FAR.min(count);
         }
-        let routers = f64::from(self.routers.max(1)) / f64::from(self.areas.max(1));
+        let routers = f64::from(self.routers.max(1)) / f64::from(self.zones.max(1));
         let cover = (COVER * count as f64 / routers.max(1.0)).ceil() as usize;
         cover.max(NEAR).min(count)
     }
@@ -55,16 +55,16 @@
     }
 
     fn picks(seat: Seat, list: &[Named]) -> Vec<usize> {
-        let mut areas: std::collections::BTreeMap<u32, Vec<(u64, usize)>> = Default::default();
-        for (at, area, name) in list {
-            areas.entry(*area).or_default().push((kernel::clock::blend(seat.mark, *name), *at));
+        let mut zones: std::collections::BTreeMap<u32, Vec<(u64, usize)>> = Default::default();
+        for (at, zone, name) in list {
+            zones.entry(*zone).or_default().push((kernel::clock::blend(seat.mark, *name), *at));
         }
-        let part = |(area, mut part): (u32, Vec<(u64, usize)>)| {
+        let part = |(zone, mut part): (u32, Vec<(u64, usize)>)| {
             part.sort_unstable();
-            part.truncate(seat.share(area, part.len()));
+            part.truncate(seat.share(zone, part.len()));
             part.into_iter().map(|(_, at)| at)
         };
-        areas.into_iter().flat_map(part).collect()
+        zones.into_iter().flat_map(part).collect()
     }
 
     /// A few picks, another run of them for each roll.
--- a/engines/src/subset_tests.rs
+++ b/engines/src/subset_tests.rs
@@ -1,11 +1,11 @@
-fn engines(areas: u32, each: usize) -> Vec<(usize, u32, u64)> {
+fn engines(zones: u32, each: usize) -> Vec<(usize, u32, u64)> {
     let name = |at: usize| kernel::clock::hash(format!("i-{at}").as_bytes());
-    (0..areas as usize * each).map(|at| (at, (at / each) as u32, name(at))).collect()
+    (0..zones as usize * each).map(|at| (at, (at / each) as u32, name(at))).collect()
 }
 
-fn seat(at: u32, routers: u32, areas: u32) -> super::Seat {
+fn seat(at: u32, routers: u32, zones: u32) -> super::Seat {
     let mark = kernel::clock::hash(format!("edge-{at}").as_bytes());
-    super::Seat { mark, area: at % areas, routers, areas }
+    super::Seat { mark, zone: at % zones, routers, zones }
 }
 
 #[test]
@@ -18,19 +18,19 @@
     }
 }
 
-/// Routers, areas and engines in an area, small and large.
+/// Routers, zones and engines in a zone, small and large.
 const FLEETS: [(u32, u32, usize); 5] = [(9, 3, 4), (88, 3, 12), (72, 4, 24), (200, 5, 50), (1600, 10, 486)];
 
 #[test]
 fn every_engine_is_in_enough_subsets_of_its_area_and_none_in_far_too_many() {
-    for (routers, areas, each) in FLEETS {
+    for (routers, zones, each) in FLEETS {
         // Areas are alike: one is looked at, by the routers in it.
-        let list: Vec<_> = engines(areas, each).into_iter().filter(|item| item.1 == 0).collect();
+        let list: Vec<_> = engines(zones, each).into_iter().filter(|item| item.1 == 0).collect();
         let mut near = vec![0u32; list.len()];
-        for at in (0..routers).step_by(areas as usize) {
-            let seat = seat(at, routers, areas);
+        for at in (0..routers).step_by(zones as usize) {
+            let seat = seat(at, routers, zones);
             for pick in super::Subset::picks(seat, &list) {
-                near[pick] += u32::from(list[pick].1 == seat.area);
+                near[pick] += u32::from(list[pick].1 == seat.zone);
             }
         }
         let mean = f64::from(near.iter().sum::<u32>()) / near.len() as f64;
@@ -42,9 +42,9 @@
 
 #[test]
 fn a_subset_does_not_grow_with_routers_times_engines() {
-    for (routers, areas, each) in FLEETS {
-        let picks = super::Subset::picks(seat(1, routers, areas), &engines(areas, each)).len();
-        assert!(picks <= 80, "{routers} routers, {each} engines an area: {picks}");
+    for (routers, zones, each) in FLEETS {
+        let picks = super::Subset::picks(seat(1, routers, zones), &engines(zones, each)).len();
+        assert!(picks <= 80, "{routers} routers, {each} engines a zone: {picks}");
     }
 }
 
--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -1,6 +1,6 @@
 //! The balance of prefill and decode engines: orders to engines, from the one holder of the duty.
 
-use crate::hall::Hall;
+use crate::keeper::Keeper;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,48 +49,48 @@
     switch_ms: u64,
 }
 
-pub fn start(hall: &Arc<Hall>) {
+pub fn start(keeper: &Arc<Keeper>) {
     let wait = Duration::from_millis;
     let client = crate::outbound::at_most_once(wait(CONNECT_MS), wait(UNACKNOWLEDGED_MS)).timeout(wait(CALL_MS));
     let Ok(client) = client.build() else { return };
-    let hall = hall.clone();
+    let keeper = keeper.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(LOOK_MS);
         let mut balance = Balance::default();
         loop {
             beat.tick().await;
-            look(&hall, &client, &mut balance).await;
+            look(&keeper, &client, &mut balance).await;
         }
     });
 }
 
-async fn look(hall: &Arc<Hall>, client: &reqwest::Client, balance: &mut Balance) {
+async fn look(keeper: &Arc<Keeper>, client: &reqwest::Client, balance: &mut Balance) {
     let now = kernel::clock::now();
-    hall.roster.lock().expect("roster").resting.retain(|(_, until)| *until > now);
-    let Some(epoch) = crate::duty::acting_epoch(hall, crate::duty::BALANCE, now) else {
+    keeper.roster.lock().expect("roster").resting.retain(|(_, until)| *until > now);
+    let Some(epoch) = crate::duty::acting_epoch(keeper, crate::duty::BALANCE, now) else {
         *balance = Balance::default();
         return;
     };
-    if !crate::duty::declare_clear(hall, crate::duty::BALANCE, epoch).await {
+    if !crate::duty::declare_clear(keeper, crate::duty::BALANCE, epoch).await {
         return;
     }
-    for (service, list) in candidates(hall, balance, now) {
+    for (service, list) in candidates(keeper, balance, now) {
         let Some((at, prefill)) = balance.decide(&service, &list, now) else { continue };
-        let switch_ms = switch_ms(hall, &service);
+        let switch_ms = switch_ms(keeper, &service);
         balance.calm_until.insert(service, now + SPREAD_MS + switch_ms + LIST_MS);
         let order = Order { engine: list[at].engine.clone(), prefill, switch_ms };
-        tokio::spawn(carry_out(hall.clone(), client.clone(), order));
+        tokio::spawn(carry_out(keeper.clone(), client.clone(), order));
         return;
     }
 }
 
 /// All engines with a part, by service.
-fn candidates(hall: &Hall, balance: &mut Balance, now: u64) -> BTreeMap<String, Vec<Candidate>> {
-    let busy = hall.roster.lock().expect("roster").pressure(now);
-    let closed = hall.board.lock().expect("board").closed.clone();
+fn candidates(keeper: &Keeper, balance: &mut Balance, now: u64) -> BTreeMap<String, Vec<Candidate>> {
+    let busy = keeper.roster.lock().expect("roster").pressure(now);
+    let closed = keeper.committed_state.lock().expect("committed_state").closed.clone();
     let mut services: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
-    for sheet in hall.sheets.lock().expect("sheets").all() {
-        let open = !closed.get(&sheet.area).is_some_and(|(_, on)| *on);
+    for sheet in keeper.sheets.lock().expect("sheets").all() {
+        let open = !closed.get(&sheet.zone).is_some_and(|(_, on)| *on);
         for engine in sheet.list.iter().filter(|engine| !engine.phase.is_empty()) {
             let told = f64::from(busy.get(&engine.id).copied().unwrap_or(0));
             let mean = balance.busy.entry(engine.id.clone()).or_insert(told);
@@ -126,9 +126,9 @@
     }
 }
 
-fn switch_ms(hall: &Hall, service: &str) -> u64 {
-    let board = hall.board.lock().expect("board");
-    let text = board.config.as_ref().map_or(&b""[..], |config| &config.1);
+fn switch_ms(keeper: &Keeper, service: &str) -> u64 {
+    let committed_state = keeper.committed_state.lock().expect("committed_state");
+    let text = committed_state.config.as_ref().map_or(&b""[..], |config| &config.1);
     let value: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
     let list = value["service_table"].as_array().cloned().unwrap_or_default();
     let spec = list.iter().find(|item| item["name"] == service);
@@ -137,11 +137,11 @@
 
 /// First routers leave the engine alone, then it gets its order. One without an answer may have been
 /// taken, so it is not sent again: the list will show it.
-async fn carry_out(hall: Arc<Hall>, client: reqwest::Client, order: Order) {
+async fn carry_out(keeper: Arc<Keeper>, client: reqwest::Client, order: Order) {
     let engine = &order.engine;
     let begun = kernel::clock::now();
     let until = begun + SPREAD_MS + order.switch_ms + 1200;
-    hall.roster.lock().expect("roster").resting.push((engine.id.clone(), until));
+    keeper.roster.lock().expect("roster").resting.push((engine.id.clone(), until));
     tokio::time::sleep(Duration::from_millis(SPREAD_MS)).await;
     let now = kernel::clock::now();
     // Asleep for longer than meant: what was judged is out of date.
@@ -149,10 +149,10 @@
         return;
     }
     // No longer the holder: no order.
-    let Some(epoch) = crate::duty::acting_epoch(&hall, crate::duty::BALANCE, now) else { return };
+    let Some(epoch) = crate::duty::acting_epoch(&keeper, crate::duty::BALANCE, now) else { return };
     let phase = if order.prefill { "prefill" } else { "decode" };
     let body = serde_json::json!({
-        "opcode": "phase", "phase": phase, "owner": hall.env.node_name, "fence_token": epoch
+        "opcode": "phase", "phase": phase, "owner": keeper.env.node_name, "fence_token": epoch
     });
     let call = client
         .post(format!("http://{}/order", engine.addr))
--- a/keeper/src/balance_tests.rs
+++ b/keeper/src/balance_tests.rs
@@ -6,7 +6,7 @@
 fn the_last_order_of_a_holder_arrives_a_lease_before_the_first_of_the_next() {
     let lease_ms = 3000;
     let committed = 50_000;
-    let sure_ms = crate::hall::SURE_MS;
+    let sure_ms = crate::keeper::SURE_MS;
     let last_arrival = committed + sure_ms + super::CONNECT_MS + super::UNACKNOWLEDGED_MS;
     let held = roster::duty::Held { since: committed, own: false, sure_at: 100_000 };
     let first_act = (committed..100_000)
@@ -21,7 +21,7 @@
         id: id.into(),
         service: "s".into(),
         addr: String::new(),
-        area: "a".into(),
+        zone: "a".into(),
         phase: if prefill { "prefill" } else { "decode" }.into(),
         model: String::new(),
         slots: 10,
--- a/keeper/src/batches.rs
+++ b/keeper/src/batches.rs
@@ -12,14 +12,20 @@
     format!("{KEY}{id}")
 }
 
-/// A batch as the board has it.
-pub fn batch(board: &crate::hall::Board, id: &str) -> Option<batch::sheet::Batch> {
-    batch::sheet::Batch::read_bytes(&board.entries.get(&batch_key(id))?.body)
+/// A batch as the committed_state has it.
+pub fn batch(committed_state: &crate::keeper::CommittedState, id: &str) -> Option<batch::sheet::Batch> {
+    batch::sheet::Batch::read_bytes(&committed_state.entries.get(&batch_key(id))?.body)
 }
 
-/// A page as the board has it; one that was never written has all jobs waiting.
-pub fn page(board: &crate::hall::Board, id: &str, batch: &batch::sheet::Batch, number: usize) -> batch::page::Page {
-    let held = board.entries.get(&page_key(id, number)).and_then(|entry| batch::page::Page::read_bytes(&entry.body));
+/// A page as the committed_state has it; one that was never written has all jobs waiting.
+pub fn page(
+    committed_state: &crate::keeper::CommittedState,
+    id: &str,
+    batch: &batch::sheet::Batch,
+    number: usize,
+) -> batch::page::Page {
+    let held =
+        committed_state.entries.get(&page_key(id, number)).and_then(|entry| batch::page::Page::read_bytes(&entry.body));
     held.unwrap_or_else(|| blank(batch, number))
 }
 
@@ -28,10 +34,10 @@
 }
 
 /// Ids of all batches that are not expired.
-pub fn ids(board: &crate::hall::Board) -> Vec<String> {
-    let keys = board.entries.keys().filter_map(|key| key.strip_prefix(KEY));
+pub fn ids(committed_state: &crate::keeper::CommittedState) -> Vec<String> {
+    let keys = committed_state.entries.keys().filter_map(|key| key.strip_prefix(KEY));
     let whole = keys.filter(|rest| !rest.contains('/')).map(str::to_string);
-    whole.filter(|id| batch(board, id).is_some_and(|batch| !batch.expired)).collect()
+    whole.filter(|id| batch(committed_state, id).is_some_and(|batch| !batch.expired)).collect()
 }
 
 /// What batches may take up on disk and in memory: a share of what the machine has.
@@ -40,14 +46,14 @@
     (disk.min(env.limits.memory_mb) as usize) << 17
 }
 
-pub struct Batches(pub std::sync::Arc<crate::hall::Hall>);
-pub struct One(pub std::sync::Arc<crate::hall::Hall>);
-pub struct Results(pub std::sync::Arc<crate::hall::Hall>);
+pub struct Batches(pub std::sync::Arc<crate::keeper::Keeper>);
+pub struct One(pub std::sync::Arc<crate::keeper::Keeper>);
+pub struct Results(pub std::sync::Arc<crate::keeper::Keeper>);
 
 impl Batches {
     async fn submit(&self, key: &str, text: &str) -> Receipt {
-        let hall = &self.0;
-        let held = hall.board.lock().expect("board").config.clone();
+        let keeper = &self.0;
+        let held = keeper.committed_state.lock().expect("committed_state").config.clone();
         let Some((_, config)) = held else { return Receipt::Bad(409, "no configuration yet: no routes".into()) };
         let Ok(config) = wire::config::read(&String::from_utf8_lossy(&config)) else { return Receipt::Unclear };
         let route = |host: &str, path: &str| {
@@ -63,12 +69,13 @@
         };
         let id = batch::sheet::id(key);
         {
-            let board = hall.board.lock().expect("board");
-            let ids = ids(&board);
-            let bytes: usize = ids.iter().filter_map(|id| self::batch(&board, id)).map(|held| held.bytes()).sum();
+            let committed_state = keeper.committed_state.lock().expect("committed_state");
+            let ids = ids(&committed_state);
+            let bytes: usize =
+                ids.iter().filter_map(|id| self::batch(&committed_state, id)).map(|held| held.bytes()).sum();
             let answers = batch.jobs.len() * batch::ANSWER;
             let new = !ids.contains(&id);
-            let full = ids.len() >= batch::BATCHES || bytes + batch.bytes() + answers > room(&hall.env);
+            let full = ids.len() >= batch::BATCHES || bytes + batch.bytes() + answers > room(&keeper.env);
             if new && full {
                 return Receipt::Full(60_000);
             }
@@ -77,16 +84,16 @@
         let judge = |held: &[u8]| match batch::sheet::Batch::read_bytes(held) {
             Some(held) if held.expired => {
                 let words = "Idempotency-Key: its batch has expired; use another";
-                crate::council::Verdict::Answer(Receipt::Bad(409, words.into()))
+                crate::register::Verdict::Answer(Receipt::Bad(409, words.into()))
             }
-            Some(held) if held.digest == batch.digest => crate::council::Verdict::Answer(Receipt::Good),
+            Some(held) if held.digest == batch.digest => crate::register::Verdict::Answer(Receipt::Good),
             Some(_) => {
                 let words = "Idempotency-Key: used for a batch with other content";
-                crate::council::Verdict::Answer(Receipt::Bad(409, words.into()))
+                crate::register::Verdict::Answer(Receipt::Bad(409, words.into()))
             }
-            None => crate::council::Verdict::Write(body.clone(), Receipt::Good),
+            None => crate::register::Verdict::Write(body.clone(), Receipt::Good),
         };
-        match hall.change(&batch_key(&id), crate::control::wait_ms(hall), judge).await {
+        match keeper.change(&batch_key(&id), crate::control::wait_ms(keeper), judge).await {
             Some(Receipt::Good) => {
                 kernel::say!(crate::event::BATCH, "batch" => id.clone(), "jobs" => batch.jobs.len());
                 Receipt::Text(serde_json::json!({ "batch": id, "jobs": batch.jobs.len() }).to_string().into_bytes())
@@ -97,18 +104,20 @@
     }
 
     fn list(&self) -> Receipt {
-        let board = self.0.board.lock().expect("board");
-        Receipt::Text(serde_json::json!({ "batches": ids(&board) }).to_string().into_bytes())
+        let committed_state = self.0.committed_state.lock().expect("committed_state");
+        Receipt::Text(serde_json::json!({ "batches": ids(&committed_state) }).to_string().into_bytes())
     }
 }
 
 impl One {
     fn state(&self, id: &str) -> Receipt {
-        let board = self.0.board.lock().expect("board");
-        let Some(held) = batch(&board, id) else { return Receipt::Bad(404, format!("batch `{id}`: not known")) };
+        let committed_state = self.0.committed_state.lock().expect("committed_state");
+        let Some(held) = batch(&committed_state, id) else {
+            return Receipt::Bad(404, format!("batch `{id}`: not known"));
+        };
         let mut counts: std::collections::BTreeMap<&str, usize> = Default::default();
         for number in 0..held.pages() {
-            for state in page(&board, id, &held, number).states {
+            for state in page(&committed_state, id, &held, number).states {
                 *counts.entry(state.word()).or_default() += 1;
             }
         }
@@ -128,11 +137,11 @@
 
     async fn cancel(&self, id: &str) -> Receipt {
         let judge = |body: &[u8]| match batch::sheet::Batch::read_bytes(body) {
-            None => crate::council::Verdict::Answer(Receipt::Bad(404, format!("batch `{id}`: not known"))),
-            Some(held) if held.cancelled || held.expired => crate::council::Verdict::Answer(Receipt::Good),
+            None => crate::register::Verdict::Answer(Receipt::Bad(404, format!("batch `{id}`: not known"))),
+            Some(held) if held.cancelled || held.expired => crate::register::Verdict::Answer(Receipt::Good),
             Some(held) => {
                 let next = batch::sheet::Batch { cancelled: true, ..held };
-                crate::council::Verdict::Write(next.write_bytes(), Receipt::Good)
+                crate::register::Verdict::Write(next.write_bytes(), Receipt::Good)
             }
         };
         let done = self.0.change(&batch_key(id), crate::control::wait_ms(&self.0), judge).await;
@@ -143,11 +152,13 @@
 impl Results {
     /// Only receipts: what is still open has none.
     fn read(&self, id: &str) -> Receipt {
-        let board = self.0.board.lock().expect("board");
-        let Some(held) = batch(&board, id) else { return Receipt::Bad(404, format!("batch `{id}`: not known")) };
+        let committed_state = self.0.committed_state.lock().expect("committed_state");
+        let Some(held) = batch(&committed_state, id) else {
+            return Receipt::Bad(404, format!("batch `{id}`: not known"));
+        };
         let mut list = Vec::new();
         for (number, jobs) in held.jobs.chunks(batch::PAGE).enumerate() {
-            let page = page(&board, id, &held, number);
+            let page = page(&committed_state, id, &held, number);
             for (job, state) in jobs.iter().zip(&page.states).filter(|(_, state)| state.closed()) {
                 let mut value = serde_json::json!({ "name": job.name, "outcome": state.word() });
                 if let batch::page::State::Done { status, body } = state {
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -3,13 +3,13 @@
 /// The parts of the keeper that announce themselves.
 #[kernel::plug::linkme::distributed_slice]
 #[linkme(crate = kernel::plug::linkme)]
-pub static KEEPER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>>];
+pub static KEEPER_PARTS: [kernel::plug::Plug<std::sync::Arc<crate::keeper::Keeper>>];
 
 macro_rules! part {
     ($label:ident, $name:literal, $order:literal, $start:path) => {
         #[kernel::plug::linkme::distributed_slice(KEEPER_PARTS)]
         #[linkme(crate = kernel::plug::linkme)]
-        static $label: kernel::plug::Plug<std::sync::Arc<crate::hall::Hall>> =
+        static $label: kernel::plug::Plug<std::sync::Arc<crate::keeper::Keeper>> =
             kernel::plug::Plug { name: $name, order: $order, start: $start };
     };
 }
@@ -21,13 +21,13 @@
 part!(BATCHES, "batches", 8, crate::runner::start);
 part!(BALANCE, "balance", 7, crate::balance::start);
 part!(CONTROL, "control", 6, crate::control::start);
-part!(FELLOWS, "fellows", 1, fellows);
+part!(FELLOWS, "peers", 1, peers);
 
-fn fellows(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let addr = format!("{}:{}", hall.env.ip, hall.env.fellow_port());
-    let hall = hall.clone();
+fn peers(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    let addr = format!("{}:{}", keeper.env.ip, keeper.env.peer_port());
+    let keeper = keeper.clone();
     let handler: wire::link::Handler =
-        std::sync::Arc::new(move |mouth, id, msg| crate::message::take(&hall, mouth, id, msg));
+        std::sync::Arc::new(move |mouth, id, msg| crate::message::take(&keeper, mouth, id, msg));
     tokio::spawn(async move {
         loop {
             match wire::sock::listen(&addr) {
@@ -43,8 +43,8 @@
     let mut ips = env.seed_ips();
     ips.sort();
     ips.dedup();
-    let list = ips.into_iter().map(|ip| wire::msg::Member { ip, area: String::new() }).collect();
-    wire::msg::Core { stamp: 1, list, prev: Vec::new(), settled: true }
+    let list = ips.into_iter().map(|ip| wire::msg::Member { ip, zone: String::new() }).collect();
+    wire::msg::Core { version: 1, list, prev: Vec::new(), settled: true }
 }
 
 pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
@@ -65,33 +65,33 @@
     let mut first = Vec::new();
     if empty && env.bootstrap {
         voter.core = found(&env);
-        voter.able = true;
+        voter.may_vote = true;
         first = voter.whole();
     }
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone(), "empty" => empty,
-        "bootstrap" => env.bootstrap, "able" => voter.able, "core" => voter.core.stamp);
+        "bootstrap" => env.bootstrap, "may_vote" => voter.may_vote, "core" => voter.core.version);
     let mirror = voter.clone();
     let disk = crate::disk::Disk::start(store, mirror);
     disk.write(first);
     let shelf = catalog::shelf::Shelf::new(200_000, 30_000);
-    let hall = std::sync::Arc::new(crate::hall::Hall {
+    let keeper = std::sync::Arc::new(crate::keeper::Keeper {
         life,
         seat: ledger::seat(&env.ip, life),
         voter: std::sync::Mutex::new(voter),
         disk,
-        board: Default::default(),
-        roster: std::sync::Mutex::new(roster::Roster::new(&env.ip, &env.zone, crate::hall::LIVE_MS)),
+        committed_state: Default::default(),
+        roster: std::sync::Mutex::new(roster::Roster::new(&env.ip, &env.zone, crate::keeper::LIVE_MS)),
         sheets: Default::default(),
         weights: Default::default(),
-        crew: Default::default(),
-        shelf: std::sync::Mutex::new(crate::hall::Desk {
+        followers: Default::default(),
+        shelf: std::sync::Mutex::new(crate::keeper::Desk {
             shelf,
             gauge: Default::default(),
             epoch: 0,
             last: 0,
             drops: 0,
         }),
-        helms: Default::default(),
+        ownerships: Default::default(),
         calls: Default::default(),
         taken: Default::default(),
         tallies: Default::default(),
@@ -101,10 +101,10 @@
         env,
     });
     let mut word = kernel::signal::watch();
-    kernel::plug::start(&KEEPER_PARTS, &hall);
+    kernel::plug::start(&KEEPER_PARTS, &keeper);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
     kernel::say!(crate::event::LEAVE);
-    crate::membership::leave(&hall).await;
+    crate::membership::leave(&keeper).await;
     // Calls under way get a moment; nothing else is owed, since all that was answered is on disk.
     tokio::time::sleep(std::time::Duration::from_millis(300)).await;
     std::process::ExitCode::SUCCESS
--- a/keeper/src/confirm.rs
+++ b/keeper/src/confirm.rs
@@ -12,43 +12,41 @@
 /// After this it was left half done by its owner, and one keeper commits it again.
 const HALF_DONE_MS: u64 = 100;
 
-type Keeper = std::sync::Arc<crate::hall::Hall>;
-
 /// Reads the places of all keys at a quorum and fetches what is newer than here. Once nothing is, the
 /// state known here is confirmed as of the time when the read began.
-pub async fn run(hall: &Keeper) {
+pub async fn run(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
     let begun = kernel::clock::now();
-    let core = hall.core();
+    let core = keeper.core();
     if core.list.is_empty() {
         return;
     }
-    let Some(confirmation) = read(hall, &core).await else { return };
+    let Some(confirmation) = read(keeper, &core).await else { return };
     let mut complete = true;
-    for behind in confirmation.behind(|key| known(hall, key)) {
-        complete &= catch_up(hall, &core, &behind).await;
+    for behind in confirmation.behind(|key| known(keeper, key)) {
+        complete &= catch_up(keeper, &core, &behind).await;
     }
     if complete {
-        hall.board.lock().expect("board").sure = Some(begun);
+        keeper.committed_state.lock().expect("committed_state").sure = Some(begun);
     }
 }
 
-fn known(hall: &crate::hall::Hall, key: &str) -> Option<Place> {
-    hall.board.lock().expect("board").entries.get(key).map(wire::msg::Entry::place)
+fn known(keeper: &crate::keeper::Keeper, key: &str) -> Option<Place> {
+    keeper.committed_state.lock().expect("committed_state").entries.get(key).map(wire::msg::Entry::place)
 }
 
 fn addresses(core: &Core) -> Vec<String> {
     core.list.iter().map(|member| member.ip.clone()).collect()
 }
 
-async fn read(hall: &Keeper, core: &Core) -> Option<Confirmation> {
-    let mut votes = hall.ask(core, Ask::Places, &addresses(core));
+async fn read(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core) -> Option<Confirmation> {
+    let mut votes = keeper.ask(core, Ask::Places, &addresses(core));
     let mut confirmation = Confirmation::new(core);
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(READ_MS);
     while !confirmation.is_quorum() {
         match tokio::time::timeout_at(end, votes.recv()).await.ok()?? {
             (from, Vote::Places { list }) => confirmation.hear(&from, list),
             (_, Vote::Newer { core }) => {
-                hall.adopt(&core);
+                keeper.adopt(&core);
                 return None;
             }
             _ => {}
@@ -61,43 +59,43 @@
 ///
 /// A place that is on no quorum may be on its way, overtaken, or left half done by its owner. Whatever became
 /// of it, everything that was committed before it is known once it or a newer committed entry is.
-async fn catch_up(hall: &Keeper, core: &Core, behind: &Behind) -> bool {
+async fn catch_up(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core, behind: &Behind) -> bool {
     let begun = kernel::clock::now();
-    if behind.committed && fetch(hall, core, behind).await {
+    if behind.committed && fetch(keeper, core, behind).await {
         return true;
     }
     while kernel::clock::now() < begun + CATCH_UP_MS {
         tokio::time::sleep(std::time::Duration::from_millis(ON_ITS_WAY_MS)).await;
-        if known(hall, &behind.key) >= Some(behind.place) || fetch(hall, core, behind).await {
+        if known(keeper, &behind.key) >= Some(behind.place) || fetch(keeper, core, behind).await {
             return true;
         }
         let now = kernel::clock::now();
-        let first = hall.roster.lock().expect("roster").holder("", &behind.key, now);
-        if now > begun + HALF_DONE_MS && first == hall.me() {
-            return hall.renew(&behind.key, RENEW_MS).await.is_some();
+        let first = keeper.roster.lock().expect("roster").holder("", &behind.key, now);
+        if now > begun + HALF_DONE_MS && first == keeper.me() {
+            return keeper.renew(&behind.key, RENEW_MS).await.is_some();
         }
     }
     false
 }
 
 /// Takes the entry from the members: the one looked for, or a newer one that a quorum holds by now.
-async fn fetch(hall: &Keeper, core: &Core, behind: &Behind) -> bool {
-    let mut votes = hall.ask(core, Ask::Fetch { key: behind.key.clone() }, &addresses(core));
+async fn fetch(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core, behind: &Behind) -> bool {
+    let mut votes = keeper.ask(core, Ask::Fetch { key: behind.key.clone() }, &addresses(core));
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(FETCH_MS);
     let mut fetched = Vec::new();
     while let Ok(Some((from, vote))) = tokio::time::timeout_at(end, votes.recv()).await {
         let Vote::Fetched { entry: Some(entry) } = vote else { continue };
         if behind.committed && entry.place() == behind.place {
-            hall.learn(&behind.key, &entry, false);
+            keeper.learn(&behind.key, &entry, false);
             return true;
         }
         fetched.push((from, entry));
         let newer = ledger::confirmation::committed(core, &fetched);
         if let Some(entry) = newer.filter(|entry| entry.place() >= behind.place) {
-            hall.learn(&behind.key, &entry, false);
+            keeper.learn(&behind.key, &entry, false);
             return true;
         }
     }
     // A note of its owner may have come meanwhile.
-    known(hall, &behind.key) >= Some(behind.place)
+    known(keeper, &behind.key) >= Some(behind.place)
 }
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -46,8 +46,8 @@
 /// Largest body taken from an operator.
 const BODY: usize = 8 * 1024 * 1024;
 
-struct Config(std::sync::Arc<crate::hall::Hall>);
-struct Evacuation(std::sync::Arc<crate::hall::Hall>);
+struct Config(std::sync::Arc<crate::keeper::Keeper>);
+struct Evacuation(std::sync::Arc<crate::keeper::Keeper>);
 
 impl Config {
     async fn read(&self) -> Receipt {
@@ -93,7 +93,7 @@
 struct Journal;
 
 /// Who is there as this keeper sees it, and which configuration each router has in force.
-struct Fleet(std::sync::Arc<crate::hall::Hall>);
+struct Fleet(std::sync::Arc<crate::keeper::Keeper>);
 
 impl poem::Endpoint for Journal {
     type Output = poem::Response;
@@ -143,26 +143,26 @@
             "DELETE" => false,
             _ => return Ok(write(Receipt::Bad(405, "method: POST or DELETE".into()))),
         };
-        let area = req.path_params::<String>().unwrap_or_default();
-        Ok(write(self.set(&area, on).await))
+        let zone = req.path_params::<String>().unwrap_or_default();
+        Ok(write(self.set(&zone, on).await))
     }
 }
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let Some(addr) = hall.env.bind_addresses.control_plane.clone() else { return };
+pub fn start(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    let Some(addr) = keeper.env.bind_addresses.control_plane.clone() else { return };
     let app = std::sync::Arc::new(
         poem::Route::new()
-            .at("/config", Config(hall.clone()))
+            .at("/config", Config(keeper.clone()))
             .at("/journal", Journal)
-            .at("/fleet", Fleet(hall.clone()))
-            .at("/batches", crate::batches::Batches(hall.clone()))
-            .at("/batches/:id", crate::batches::One(hall.clone()))
-            .at("/batches/:id/results", crate::batches::Results(hall.clone()))
-            .at("/rollouts", crate::rollout_calls::Rollouts(hall.clone()))
-            .at("/rollouts/:service/:model", crate::rollout_calls::Rule(hall.clone()))
-            .at("/rollouts/:service/:model/latest", crate::rollout_calls::Latest(hall.clone(), false))
-            .at("/rollouts/:service/:model/rollback", crate::rollout_calls::Latest(hall.clone(), true))
-            .at("/evacuation/:zone", Evacuation(hall.clone())),
+            .at("/fleet", Fleet(keeper.clone()))
+            .at("/batches", crate::batches::Batches(keeper.clone()))
+            .at("/batches/:id", crate::batches::One(keeper.clone()))
+            .at("/batches/:id/results", crate::batches::Results(keeper.clone()))
+            .at("/rollouts", crate::rollout_calls::Rollouts(keeper.clone()))
+            .at("/rollouts/:service/:model", crate::rollout_calls::Rule(keeper.clone()))
+            .at("/rollouts/:service/:model/latest", crate::rollout_calls::Latest(keeper.clone(), false))
+            .at("/rollouts/:service/:model/rollback", crate::rollout_calls::Latest(keeper.clone(), true))
+            .at("/evacuation/:zone", Evacuation(keeper.clone())),
     );
     tokio::spawn(async move {
         loop {
--- a/keeper/src/disk_tests.rs
+++ b/keeper/src/disk_tests.rs
@@ -6,8 +6,8 @@
     LogRecord::Slot(wire::msg::Slot { key: key.into(), promised: ballot, entry: None })
 }
 
-fn core(stamp: u64) -> LogRecord {
-    LogRecord::Core(wire::msg::Core { stamp, ..Default::default() })
+fn core(version: u64) -> LogRecord {
+    LogRecord::Core(wire::msg::Core { version, ..Default::default() })
 }
 
 fn folded(records: &[LogRecord]) -> Vec<LogRecord> {
--- a/keeper/src/crew.rs
+++ b/keeper/src/followers.rs
@@ -1,14 +1,14 @@
 //! The routers that follow this keeper.
 
 /// Invariant: what it says to have is what was handed to its connection or what it told in its last call;
-/// a follower never gets an older stamp.
+/// a follower never gets an older version.
 pub struct Follower {
     pub mouth: wire::link::Mouth,
-    pub area: String,
+    pub zone: String,
     pub config: u64,
     /// Something for it was dropped: nothing more is pushed before it calls again and tells what it has.
     pub behind: bool,
-    /// The stamps of rules that it told in its last call: what it has confirmed.
+    /// The versions of rules that it told in its last call: what it has confirmed.
     pub rules: std::collections::BTreeMap<String, u64>,
     /// Until when it holds its lease.
     pub until: u64,
@@ -29,11 +29,11 @@
 
 /// The followers by node name.
 #[derive(Default)]
-pub struct Crew {
+pub struct Followers {
     pub list: std::collections::BTreeMap<String, Follower>,
 }
 
-impl Crew {
+impl Followers {
     /// Forgets followers whose connection is gone, once their leases have lapsed: a lease holds without
     /// the connection over which it was given.
     pub fn forget_lapsed(&mut self, now: u64) {
@@ -41,13 +41,13 @@
     }
 
     /// How many followers hold a lease, and how many of them have confirmed a rule.
-    pub fn confirmations(&self, key: &str, stamp: u64, now: u64) -> (u32, u32) {
+    pub fn confirmations(&self, key: &str, version: u64, now: u64) -> (u32, u32) {
         let live = self.list.values().filter(|follower| follower.until > now);
-        let confirmed = |follower: &Follower| follower.rules.get(key).is_some_and(|held| *held >= stamp);
+        let confirmed = |follower: &Follower| follower.rules.get(key).is_some_and(|held| *held >= version);
         live.fold((0, 0), |(all, good), follower| (all + 1, good + u32::from(confirmed(follower))))
     }
 }
 
 #[cfg(test)]
-#[path = "crew_tests.rs"]
+#[path = "followers_tests.rs"]
 mod tests;
--- a/keeper/src/crew_tests.rs
+++ b/keeper/src/followers_tests.rs
@@ -1,7 +1,7 @@
 fn follower(mouth: wire::link::Mouth, until: u64) -> super::Follower {
     super::Follower {
         mouth,
-        area: "a".into(),
+        zone: "a".into(),
         config: 0,
         behind: false,
         rules: Default::default(),
@@ -19,26 +19,26 @@
 #[test]
 fn a_lease_counts_until_it_lapses_also_when_the_connection_is_gone() {
     let (out, queue) = tokio::sync::mpsc::channel(4);
-    let mut crew = super::Crew::default();
-    crew.list.insert("router-1".into(), follower(wire::link::Mouth::new(out), 1600));
+    let mut followers = super::Followers::default();
+    followers.list.insert("router-1".into(), follower(wire::link::Mouth::new(out), 1600));
     drop(queue);
-    crew.forget_lapsed(1599);
-    assert_eq!(crew.confirmations("rule", 1, 1599), (1, 0), "it may still act under an older rule");
-    crew.forget_lapsed(1600);
-    assert!(crew.list.is_empty());
+    followers.forget_lapsed(1599);
+    assert_eq!(followers.confirmations("rule", 1, 1599), (1, 0), "it may still act under an older rule");
+    followers.forget_lapsed(1600);
+    assert!(followers.list.is_empty());
 }
 
 #[test]
 fn a_follower_that_does_not_read_is_behind_and_keeps_its_lease() {
     let (out, mut queue) = tokio::sync::mpsc::channel(1);
-    let mut crew = super::Crew::default();
-    crew.list.insert("router-1".into(), follower(wire::link::Mouth::new(out), 1600));
-    let held = crew.list.get_mut("router-1").expect("held");
+    let mut followers = super::Followers::default();
+    followers.list.insert("router-1".into(), follower(wire::link::Mouth::new(out), 1600));
+    let held = followers.list.get_mut("router-1").expect("held");
     assert!(held.send(&message()) && !held.behind);
     assert!(!held.send(&message()) && held.behind);
     assert!(queue.try_recv().is_ok());
     assert!(held.send(&message()) && held.behind, "only its next call ends it");
-    crew.forget_lapsed(5000);
-    assert_eq!(crew.list.len(), 1, "it is still connected");
-    assert_eq!(crew.confirmations("rule", 1, 5000), (0, 0));
+    followers.forget_lapsed(5000);
+    assert_eq!(followers.list.len(), 1, "it is still connected");
+    assert_eq!(followers.confirmations("rule", 1, 5000), (0, 0));
 }
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -1,14 +1,14 @@
 //! Heartbeats between keepers.
 
-pub fn hear(hall: &crate::hall::Hall, gossip: &wire::msg::Gossip) {
-    if gossip.ip == hall.me() {
+pub fn hear(keeper: &crate::keeper::Keeper, gossip: &wire::msg::Gossip) {
+    if gossip.ip == keeper.me() {
         return;
     }
-    hall.adopt(&gossip.core);
+    keeper.adopt(&gossip.core);
     let now = kernel::clock::now();
-    let mut roster = hall.roster.lock().expect("roster");
-    let fellow = roster::Fellow {
-        area: gossip.area.clone(),
+    let mut roster = keeper.roster.lock().expect("roster");
+    let peer = roster::Peer {
+        zone: gossip.zone.clone(),
         life: gossip.life,
         heard: now,
         fit: gossip.fit,
@@ -17,65 +17,65 @@
         leaving: wire::msg::is_leaving(&gossip.sheets),
         busy: gossip.busy.clone(),
         doors: gossip.doors.clone(),
-        resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::hall::LIVE_MS)).collect(),
+        resting: gossip.resting.iter().map(|id| (id.clone(), now + 2 * crate::keeper::LIVE_MS)).collect(),
     };
-    roster.hear(&gossip.ip, fellow);
+    roster.hear(&gossip.ip, peer);
     roster.report(&gossip.ip, crate::platform::report(gossip), now);
-    for ip in &gossip.fellows {
+    for ip in &gossip.peers {
         if ip.parse::<std::net::Ipv4Addr>().is_ok() && *ip != roster.me && !roster.keepers.contains_key(ip) {
-            let unseen = roster::Fellow { area: String::new(), life: 0, heard: 0, fit: false, ..Default::default() };
+            let unseen = roster::Peer { zone: String::new(), life: 0, heard: 0, fit: false, ..Default::default() };
             roster.keepers.insert(ip.clone(), unseen);
         }
     }
     drop(roster);
     // Repair: who is behind gets what it lacks.
-    let mut sheets = hall.sheets.lock().expect("sheets");
+    let mut sheets = keeper.sheets.lock().expect("sheets");
     sheets.raise(&gossip.floors);
     for sheet in sheets.newer(&gossip.sheets) {
-        hall.fellow(&gossip.ip).cast(wire::msg::Msg::Sheet(Box::new(sheet)));
+        keeper.peer(&gossip.ip).cast(wire::msg::Msg::Sheet(Box::new(sheet)));
     }
 }
 
-pub fn start(hall: &std::sync::Arc<crate::hall::Hall>) {
-    let hall = hall.clone();
+pub fn start(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    let keeper = keeper.clone();
     tokio::spawn(async move {
-        let mut beat = kernel::entry::beat(crate::hall::BEAT_MS);
+        let mut beat = kernel::entry::beat(crate::keeper::BEAT_MS);
         loop {
             beat.tick().await;
-            tell(&hall);
-            crate::confirm::run(&hall).await;
+            tell(&keeper);
+            crate::confirm::run(&keeper).await;
         }
     });
 }
 
 /// Tells all keepers that are known how this one stands.
-pub fn tell(hall: &crate::hall::Hall) {
+pub fn tell(keeper: &crate::keeper::Keeper) {
     let now = kernel::clock::now();
-    let core = hall.core();
-    let (fellows, seats, busy, resting, doors) = {
-        let mut roster = hall.roster.lock().expect("roster");
+    let core = keeper.core();
+    let (peers, seats, busy, resting, doors) = {
+        let mut roster = keeper.roster.lock().expect("roster");
         roster.sweep(now);
         let live: Vec<String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).cloned().collect();
         (live, roster.routers.len() as u32, roster.own_pressure(), roster.own_resting(now), roster.own_doors())
     };
     let (mut sheets, floors) = {
-        let held = hall.sheets.lock().expect("sheets");
-        let mut stamps = held.stamps();
-        stamps.push(wire::msg::told());
-        if hall.leaving.load(std::sync::atomic::Ordering::Relaxed) {
-            stamps.push(wire::msg::leaving());
+        let held = keeper.sheets.lock().expect("sheets");
+        let mut versions = held.versions();
+        versions.push(wire::msg::told());
+        if keeper.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+            versions.push(wire::msg::leaving());
         }
-        (stamps, held.floors())
+        (versions, held.floors())
     };
-    sheets.extend(crate::platform::told(hall, now));
-    sheets.extend(crate::duty::told(hall, now));
+    sheets.extend(crate::platform::told(keeper, now));
+    sheets.extend(crate::duty::told(keeper, now));
     let gossip = wire::msg::Gossip {
-        ip: hall.me().into(),
-        area: hall.env.zone.clone(),
-        life: hall.life,
-        fit: fit(hall),
+        ip: keeper.me().into(),
+        zone: keeper.env.zone.clone(),
+        life: keeper.life,
+        fit: fit(keeper),
         core,
-        fellows,
+        peers,
         seats,
         busy,
         resting,
@@ -83,9 +83,11 @@
         sheets,
         floors,
     };
-    let holder = |duty: &str| hall.board.lock().expect("board").duties.get(duty).map(|duty| duty.1.clone());
+    let holder = |duty: &str| {
+        keeper.committed_state.lock().expect("committed_state").duties.get(duty).map(|duty| duty.1.clone())
+    };
     let (balancer, batch_owner) = (holder(crate::duty::BALANCE), holder(crate::duty::BATCH));
-    for ip in hall.known() {
+    for ip in keeper.known() {
         let mut gossip = gossip.clone();
         // What grows with engines or routers goes to the one keeper that reads it.
         if balancer.as_ref() != Some(&ip) {
@@ -94,11 +96,11 @@
         if batch_owner.as_ref() != Some(&ip) {
             gossip.doors.clear();
         }
-        hall.fellow(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip)));
+        keeper.peer(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip)));
     }
 }
 
 /// May this keeper be made a member: a counted machine, or any where none has a disk.
-pub fn fit(hall: &crate::hall::Hall) -> bool {
-    hall.env.quorum_member && hall.voter.lock().expect("voter").able
+pub fn fit(keeper: &crate::keeper::Keeper) -> bool {
+    keeper.env.quorum_member && keeper.voter.lock().expect("voter").may_vote
 }
--- a/keeper/src/hall.rs
+++ b/keeper/src/keeper.rs
@@ -1,22 +1,22 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: helms, voter, board, taken, roster, sheets, weights, crew, shelf. No lock but a helm is held over an
+//! Lock order: ownerships, voter, committed_state, taken, roster, sheets, weights, followers, shelf. No lock but a ownership is held over an
 //! await.
 
-pub struct Hall {
+pub struct Keeper {
     pub env: kernel::env::Env,
     pub life: u64,
     pub seat: u64,
     pub voter: std::sync::Mutex<ledger::voter::Voter>,
     pub disk: crate::disk::Disk,
-    pub board: std::sync::Mutex<Board>,
+    pub committed_state: std::sync::Mutex<CommittedState>,
     pub roster: std::sync::Mutex<roster::Roster>,
     pub sheets: std::sync::Mutex<engines::sheet::Sheets>,
-    /// Weight versions by area, kept only while there are rules.
+    /// Weight versions by zone, kept only while there are rules.
     pub weights: std::sync::Mutex<std::collections::BTreeMap<String, wire::msg::Versions>>,
-    pub crew: std::sync::Mutex<crate::crew::Crew>,
+    pub followers: std::sync::Mutex<crate::followers::Followers>,
     pub shelf: std::sync::Mutex<Desk>,
-    pub helms: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::council::Helms>>>,
+    pub ownerships: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::register::OwnershipLock>>>,
     pub calls: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<wire::link::Caller>>>,
     pub taken: std::sync::Mutex<crate::duty::Taken>,
     pub tallies: std::sync::Mutex<crate::runner::Tallies>,
@@ -28,18 +28,18 @@
 
 /// What is known to be committed. Invariant: the place of an entry never goes back.
 #[derive(Default)]
-pub struct Board {
+pub struct CommittedState {
     pub entries: std::collections::BTreeMap<String, wire::msg::Entry>,
     /// When the read began that last confirmed these at a majority; None before the first.
     pub sure: Option<u64>,
     /// The highest turn seen in any ballot.
     pub turn: u64,
-    /// The configuration's number and text, and the evacuations with their stamps.
+    /// The configuration's number and text, and the evacuations with their versions.
     pub config: Option<(u64, Vec<u8>)>,
     /// The same as routers take it.
     pub history: crate::config_history::ConfigHistory,
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
-    /// Limits on stale weights, removed ones too: their stamps must not start anew.
+    /// Limits on stale weights, removed ones too: their versions must not start anew.
     pub rules: std::collections::BTreeMap<String, wire::msg::Rule>,
     /// By key: epoch, holder, and whether it has waited.
     pub duties: std::collections::BTreeMap<String, (u64, String, bool)>,
@@ -62,16 +62,16 @@
 /// A confirmation older than this no longer makes the news sure.
 pub const SURE_MS: u64 = 1100;
 /// How long a router's lease lasts after each renewal.
-pub const SEAT_MS: u64 = 1600;
+pub const ROUTER_LEASE_MS: u64 = 1600;
 
-impl Hall {
+impl Keeper {
     pub fn me(&self) -> &str {
         &self.env.ip
     }
 
-    pub fn fellow(&self, ip: &str) -> std::sync::Arc<wire::link::Caller> {
+    pub fn peer(&self, ip: &str) -> std::sync::Arc<wire::link::Caller> {
         let mut calls = self.calls.lock().expect("calls");
-        let addr = format!("{ip}:{}", self.env.fellow_port());
+        let addr = format!("{ip}:{}", self.env.peer_port());
         calls.entry(ip.into()).or_insert_with(|| std::sync::Arc::new(wire::link::Caller::start(addr, None))).clone()
     }
 
@@ -95,13 +95,13 @@
         let now = kernel::clock::now();
         let core = self.core();
         let roster = self.roster.lock().expect("roster");
-        let reads = |ip: &str| roster.keepers.get(ip).is_some_and(|fellow| fellow.reads >= 2);
+        let reads = |ip: &str| roster.keepers.get(ip).is_some_and(|peer| peer.reads >= 2);
         let members = core.list.iter().all(|member| member.ip == self.me() || reads(&member.ip));
         members && roster.keepers.keys().all(|ip| !roster.live(ip, now) || reads(ip))
     }
 
     pub fn sure(&self, now: u64) -> bool {
-        self.board.lock().expect("board").sure.is_some_and(|time| now < time + SURE_MS)
+        self.committed_state.lock().expect("committed_state").sure.is_some_and(|time| now < time + SURE_MS)
     }
 
     /// May an order that was just read be one from before a pause of this process?
@@ -111,10 +111,10 @@
 
     /// Takes over a committed core.
     pub fn adopt(&self, core: &wire::msg::Core) {
-        let deed = self.voter.lock().expect("voter").adopt(core);
-        let Some(deed) = deed else { return };
-        kernel::say!(crate::event::CORE, "stamp" => core.stamp, "settled" => core.settled,
+        let record = self.voter.lock().expect("voter").adopt(core);
+        let Some(record) = record else { return };
+        kernel::say!(crate::event::CORE, "version" => core.version, "settled" => core.settled,
             "members" => core.list.iter().map(|member| member.ip.as_str()).collect::<Vec<_>>().join(","));
-        self.disk.write(vec![deed]);
+        self.disk.write(vec![record]);
     }
 }
--- a/keeper/src/listing.rs
+++ b/keeper/src/listing.rs
@@ -67,7 +67,7 @@
         id: item.instance_id,
         service: item.service,
         addr: item.address,
-        area: item.zone,
+        zone: item.zone,
         phase: item.phase,
         model: item.model_list.into_iter().next().map(|model| model.name).unwrap_or_default(),
         slots: item.slot_count,
--- a/keeper/src/membership.rs
+++ b/keeper/src/membership.rs
@@ -11,21 +11,19 @@
 /// How many keys are committed again at once.
 const RENEWALS: usize = 16;
 
-type Keeper = std::sync::Arc<crate::hall::Hall>;
-
-pub fn start(hall: &Keeper) {
-    let hall = hall.clone();
+pub fn start(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    let keeper = keeper.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(BEAT_MS);
         let mut settlement = None;
         loop {
             beat.tick().await;
-            hall.pauses.lock().expect("pauses").beat(kernel::clock::now());
-            if !hall.voter.lock().expect("voter").able {
-                crate::recovery::attempt(&hall).await;
+            keeper.pauses.lock().expect("pauses").beat(kernel::clock::now());
+            if !keeper.voter.lock().expect("voter").may_vote {
+                crate::recovery::attempt(&keeper).await;
                 continue;
             }
-            tend(&hall, &mut settlement).await;
+            tend(&keeper, &mut settlement).await;
         }
     });
 }
@@ -41,30 +39,30 @@
 }
 
 /// Is this keeper the one that changes the core?
-fn coordinates(hall: &crate::hall::Hall, core: &Core, now: u64) -> bool {
-    let leaving = hall.leaving.load(std::sync::atomic::Ordering::Relaxed);
-    let roster = hall.roster.lock().expect("roster");
-    first_member(core, &roster, leaving, ledger::CORE, now).as_deref() == Some(hall.me())
+fn coordinates(keeper: &crate::keeper::Keeper, core: &Core, now: u64) -> bool {
+    let leaving = keeper.leaving.load(std::sync::atomic::Ordering::Relaxed);
+    let roster = keeper.roster.lock().expect("roster");
+    first_member(core, &roster, leaving, ledger::CORE, now).as_deref() == Some(keeper.me())
 }
 
 /// Settles a core that is changing, else begins the next change.
-async fn tend(hall: &Keeper, settlement: &mut Option<Settlement>) {
+async fn tend(keeper: &std::sync::Arc<crate::keeper::Keeper>, settlement: &mut Option<Settlement>) {
     let now = kernel::clock::now();
-    let core = hall.core();
-    if core.list.is_empty() || !hall.sure(now) || !coordinates(hall, &core, now) {
+    let core = keeper.core();
+    if core.list.is_empty() || !keeper.sure(now) || !coordinates(keeper, &core, now) {
         return;
     }
     if !core.settled {
-        return settle(hall, &core, settlement).await;
+        return settle(keeper, &core, settlement).await;
     }
-    let next = next(&core, &hall.roster.lock().expect("roster"), now);
+    let next = next(&core, &keeper.roster.lock().expect("roster"), now);
     let Some(next) = next else { return };
     let judge = |body: &[u8]| match crate::state::read_core(body) {
-        Some(held) if held.stamp != core.stamp || !held.settled => ledger::proposal::Verdict::Answer(()),
+        Some(held) if held.version != core.version || !held.settled => ledger::proposal::Verdict::Answer(()),
         _ => ledger::proposal::Verdict::Write(crate::state::write_core(&next), ()),
     };
-    if hall.change(ledger::CORE, COMMIT_MS, judge).await.is_some() {
-        settle(hall, &hall.core(), settlement).await;
+    if keeper.change(ledger::CORE, COMMIT_MS, judge).await.is_some() {
+        settle(keeper, &keeper.core(), settlement).await;
     }
 }
 
@@ -77,48 +75,48 @@
     };
     let waits = |ip: &str| !ledger::quorum::is_member(core, ip) && roster.live(ip, now);
     let fit = roster.keepers.iter().filter(|(ip, peer)| peer.fit && !peer.leaving && waits(ip));
-    let candidates = fit.map(|(ip, peer)| wire::msg::Member { ip: ip.clone(), area: peer.area.clone() }).collect();
-    let counts_joint = |peer: &roster::Fellow| peer.reads >= wire::msg::JOINT_QUORUMS;
+    let candidates = fit.map(|(ip, peer)| wire::msg::Member { ip: ip.clone(), zone: peer.zone.clone() }).collect();
+    let counts_joint = |peer: &roster::Peer| peer.reads >= wire::msg::JOINT_QUORUMS;
     let joint = roster.keepers.iter().all(|(ip, peer)| !roster.live(ip, now) || counts_joint(peer));
     ledger::membership::next(core, &ledger::membership::View { health: &health, candidates, joint })
 }
 
 /// Goes on with the settlement of a changed core; what was done of it before is not done again.
-async fn settle(hall: &Keeper, core: &Core, kept: &mut Option<Settlement>) {
+async fn settle(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core, kept: &mut Option<Settlement>) {
     let current = |held: &Settlement| held.core() == core;
     if !kept.as_ref().is_some_and(current) {
         *kept = Some(Settlement::new(core));
     }
     let Some(settlement) = kept.as_mut() else { return };
-    if !settlement.is_known() && !spread(hall, core, settlement).await {
+    if !settlement.is_known() && !spread(keeper, core, settlement).await {
         return;
     }
-    renew(hall, settlement).await;
+    renew(keeper, settlement).await;
     if !settlement.is_done() {
         return;
     }
     let judge = |body: &[u8]| match crate::state::read_core(body) {
-        Some(held) if held.stamp == core.stamp && !held.settled => {
+        Some(held) if held.version == core.version && !held.settled => {
             let settled = ledger::membership::settled(&held);
             ledger::proposal::Verdict::Write(crate::state::write_core(&settled), ())
         }
         _ => ledger::proposal::Verdict::Answer(()),
     };
-    if hall.change(ledger::CORE, COMMIT_MS, judge).await.is_some() {
+    if keeper.change(ledger::CORE, COMMIT_MS, judge).await.is_some() {
         *kept = None;
     }
 }
 
 /// Tells old and new members of the core and collects the keys they hold. False: not enough answered.
-async fn spread(hall: &Keeper, core: &Core, settlement: &mut Settlement) -> bool {
+async fn spread(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core, settlement: &mut Settlement) -> bool {
     let members = ledger::quorum::old_and_new_members(core);
-    let mut votes = hall.ask(core, Ask::Places, &members);
+    let mut votes = keeper.ask(core, Ask::Places, &members);
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(SPREAD_MS);
     while !settlement.is_known() {
         let Ok(Some((from, vote))) = tokio::time::timeout_at(end, votes.recv()).await else { return false };
         match vote {
             Vote::Newer { core } => {
-                hall.adopt(&core);
+                keeper.adopt(&core);
                 return false;
             }
             Vote::Places { list } => settlement.hear(&from, list.into_iter().map(|(key, _, _)| key)),
@@ -129,14 +127,14 @@
 }
 
 /// Commits every key again under the new core, several at once.
-async fn renew(hall: &Keeper, settlement: &mut Settlement) {
+async fn renew(keeper: &std::sync::Arc<crate::keeper::Keeper>, settlement: &mut Settlement) {
     let slots = std::sync::Arc::new(tokio::sync::Semaphore::new(RENEWALS));
     let mut tasks = tokio::task::JoinSet::new();
     for key in settlement.left() {
-        let (hall, slots) = (hall.clone(), slots.clone());
+        let (keeper, slots) = (keeper.clone(), slots.clone());
         tasks.spawn(async move {
             let _slot = slots.acquire().await.ok()?;
-            hall.renew(&key, COMMIT_MS).await.map(|()| key)
+            keeper.renew(&key, COMMIT_MS).await.map(|()| key)
         });
     }
     while let Some(done) = tasks.join_next().await {
@@ -152,22 +150,22 @@
 
 /// A member that is about to end tells so, and stays until the core does without it where that is possible:
 /// where another stands ready or there is one member too many. Otherwise it does not wait.
-pub async fn leave(hall: &Keeper) {
-    hall.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
-    crate::gossip::tell(hall);
+pub async fn leave(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    keeper.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+    crate::gossip::tell(keeper);
     let end = kernel::clock::now() + HAND_OVER_MS;
-    while kernel::clock::now() < end && may_be_released(hall) {
+    while kernel::clock::now() < end && may_be_released(keeper) {
         tokio::time::sleep(std::time::Duration::from_millis(LOOK_MS)).await;
     }
 }
 
-fn may_be_released(hall: &crate::hall::Hall) -> bool {
+fn may_be_released(keeper: &crate::keeper::Keeper) -> bool {
     let now = kernel::clock::now();
-    let core = hall.core();
-    if !ledger::quorum::is_member(&core, hall.me()) {
+    let core = keeper.core();
+    if !ledger::quorum::is_member(&core, keeper.me()) {
         return !core.settled;
     }
-    let roster = hall.roster.lock().expect("roster");
+    let roster = keeper.roster.lock().expect("roster");
     let waits = |ip: &str| !ledger::quorum::is_member(&core, ip) && roster.live(ip, now);
     let candidate = roster.keepers.iter().any(|(ip, peer)| peer.fit && !peer.leaving && waits(ip));
     candidate || core.list.len().is_multiple_of(2)
--- a/keeper/src/membership_tests.rs
+++ b/keeper/src/membership_tests.rs
@@ -1,15 +1,15 @@
 //! The next core as a keeper sees its peers. The decision itself is tested in `ledger::membership`.
 
 fn core(ips: &[&str]) -> wire::msg::Core {
-    let list = ips.iter().map(|ip| wire::msg::Member { ip: ip.to_string(), area: String::new() }).collect();
-    wire::msg::Core { stamp: 4, list, prev: Vec::new(), settled: true }
+    let list = ips.iter().map(|ip| wire::msg::Member { ip: ip.to_string(), zone: String::new() }).collect();
+    wire::msg::Core { version: 4, list, prev: Vec::new(), settled: true }
 }
 
 fn roster(heard: &[(&str, u64)]) -> roster::Roster {
-    let mut list = roster::Roster::new("10.0.0.1", "a", crate::hall::LIVE_MS);
+    let mut list = roster::Roster::new("10.0.0.1", "a", crate::keeper::LIVE_MS);
     for (ip, heard) in heard {
-        let fellow = roster::Fellow { heard: *heard, fit: true, ..Default::default() };
-        list.hear(ip, fellow);
+        let peer = roster::Peer { heard: *heard, fit: true, ..Default::default() };
+        list.hear(ip, peer);
     }
     list
 }
@@ -23,7 +23,7 @@
     let list = roster(&[("10.0.0.2", 9900), ("10.0.0.3", 5000), ("10.0.0.4", 9900)]);
     let next = super::next(&core(&["10.0.0.1", "10.0.0.2", "10.0.0.3"]), &list, 10_000).expect("added");
     assert_eq!(names(&next), ["10.0.0.1", "10.0.0.2", "10.0.0.3", "10.0.0.4"]);
-    assert_eq!((next.stamp, next.settled, next.prev.len()), (5, false, 3));
+    assert_eq!((next.version, next.settled, next.prev.len()), (5, false, 3));
     let last = super::next(&next, &list, 10_000).expect("removed");
     assert_eq!(names(&last), ["10.0.0.1", "10.0.0.2", "10.0.0.4"]);
 }
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -1,53 +1,53 @@
-//! What fellows send: one place that takes each message to its part.
+//! What peers send: one place that takes each message to its part.
 
-pub fn take(hall: &std::sync::Arc<crate::hall::Hall>, mouth: wire::link::Mouth, id: u64, msg: wire::msg::Msg) {
+pub fn take(keeper: &std::sync::Arc<crate::keeper::Keeper>, mouth: wire::link::Mouth, id: u64, msg: wire::msg::Msg) {
     let now = kernel::clock::now();
     match msg {
         wire::msg::Msg::Poll(poll) => {
-            hall.adopt(&poll.core);
-            hall.vote(*poll, move |vote| {
+            keeper.adopt(&poll.core);
+            keeper.vote(*poll, move |vote| {
                 mouth.reply(id, &wire::msg::Msg::Vote(Box::new(vote)));
             });
         }
-        wire::msg::Msg::Gossip(gossip) => crate::gossip::hear(hall, &gossip),
+        wire::msg::Msg::Gossip(gossip) => crate::gossip::hear(keeper, &gossip),
         wire::msg::Msg::Sheet(sheet) => {
-            if hall.sheets.lock().expect("sheets").take(&sheet) {
-                crate::platform::prune(hall, &sheet);
-                hall.push();
+            if keeper.sheets.lock().expect("sheets").take(&sheet) {
+                crate::platform::prune(keeper, &sheet);
+                keeper.push();
             }
         }
         wire::msg::Msg::Order(order) => {
-            let hall = hall.clone();
+            let keeper = keeper.clone();
             tokio::spawn(async move {
-                let result = crate::orders::relayed(&hall, *order).await;
+                let result = crate::orders::relayed(&keeper, *order).await;
                 mouth.reply(id, &wire::msg::Msg::OrderDone(Box::new(result)));
             });
         }
-        wire::msg::Msg::Advance(advance) => crate::orders::advance(hall, &advance),
-        wire::msg::Msg::Learn(pair) => hall.learn(&pair.0, &pair.1, false),
-        wire::msg::Msg::Doubt(doubt) => hall.doubt(&doubt.0, doubt.1),
-        wire::msg::Msg::Follow(follow) => hall.follow(mouth, id, *follow),
+        wire::msg::Msg::Advance(advance) => crate::orders::advance(keeper, &advance),
+        wire::msg::Msg::Learn(pair) => keeper.learn(&pair.0, &pair.1, false),
+        wire::msg::Msg::Doubt(doubt) => keeper.doubt(&doubt.0, doubt.1),
+        wire::msg::Msg::Follow(follow) => keeper.follow(mouth, id, *follow),
         wire::msg::Msg::Query(query) => {
-            let reply = find(hall, query.0, &query.1, now);
+            let reply = find(keeper, query.0, &query.1, now);
             mouth.reply(id, &reply);
         }
         wire::msg::Msg::Seek(seek) => {
-            let reply = seek_out(hall, &seek, now);
+            let reply = seek_out(keeper, &seek, now);
             mouth.reply(id, &reply);
         }
         wire::msg::Msg::Note(note) => {
-            register(hall, note.epoch, &note.list, now);
-            let mut desk = hall.shelf.lock().expect("shelf");
+            register(keeper, note.epoch, &note.list, now);
+            let mut desk = keeper.shelf.lock().expect("shelf");
             note.told.iter().take(KEYS).for_each(|told| desk.gauge.note(told, now));
         }
-        wire::msg::Msg::Versions(list) => crate::rules::hear(hall, *list),
+        wire::msg::Msg::Versions(list) => crate::rules::hear(keeper, *list),
         wire::msg::Msg::Settle(ask) => {
-            let reply = hall.settled(&ask.0, ask.1, now);
+            let reply = keeper.settled(&ask.0, ask.1, now);
             mouth.reply(id, &wire::msg::Msg::Settled(Box::new(reply)));
         }
-        wire::msg::Msg::Register(list) => register(hall, list.0, &list.1, now),
+        wire::msg::Msg::Register(list) => register(keeper, list.0, &list.1, now),
         wire::msg::Msg::Flush(flush) => {
-            let mut desk = hall.shelf.lock().expect("shelf");
+            let mut desk = keeper.shelf.lock().expect("shelf");
             let drops = if desk.epoch == flush.0 { std::mem::take(&mut desk.drops) } else { flush.1 };
             mouth.reply(id, &wire::msg::Msg::Flushed(Box::new((desk.epoch, drops))));
         }
@@ -60,8 +60,8 @@
 /// What one message may ask for.
 const KEYS: usize = 256;
 
-fn seek_out(hall: &crate::hall::Hall, seek: &wire::msg::Seek, now: u64) -> wire::msg::Msg {
-    let desk = hall.shelf.lock().expect("shelf");
+fn seek_out(keeper: &crate::keeper::Keeper, seek: &wire::msg::Seek, now: u64) -> wire::msg::Msg {
+    let desk = keeper.shelf.lock().expect("shelf");
     let (mut owners, mut list) = (Vec::new(), Vec::new());
     if desk.epoch == seek.epoch && seek.epoch != 0 {
         owners = seek.keys.iter().take(KEYS).map(|key| desk.shelf.find(*key, now)).collect::<Vec<_>>();
@@ -74,8 +74,8 @@
     wire::msg::Msg::Sought(Box::new(wire::msg::Sought { epoch: desk.epoch, owners, list }))
 }
 
-fn find(hall: &crate::hall::Hall, epoch: u64, keys: &[u64], now: u64) -> wire::msg::Msg {
-    let desk = hall.shelf.lock().expect("shelf");
+fn find(keeper: &crate::keeper::Keeper, epoch: u64, keys: &[u64], now: u64) -> wire::msg::Msg {
+    let desk = keeper.shelf.lock().expect("shelf");
     if desk.epoch != epoch || epoch == 0 {
         return wire::msg::Msg::Found(Box::new((desk.epoch, Vec::new())));
     }
@@ -83,8 +83,8 @@
     wire::msg::Msg::Found(Box::new((epoch, list)))
 }
 
-fn register(hall: &crate::hall::Hall, epoch: u64, list: &[wire::msg::Record], now: u64) {
-    let mut desk = hall.shelf.lock().expect("shelf");
+fn register(keeper: &crate::keeper::Keeper, epoch: u64, list: &[wire::msg::Record], now: u64) {
+    let mut desk = keeper.shelf.lock().expect("shelf");
     if desk.epoch != epoch || epoch == 0 {
         desk.drops += list.len() as u32;
         return;
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -1,21 +1,26 @@
 //! What a follower lacks, and sending it: on each of its calls, and at once when something changes.
 
-impl crate::hall::Hall {
+impl crate::keeper::Keeper {
     /// A router renews its lease, tells what it has and gets what it lacks.
     pub fn follow(&self, mouth: wire::link::Mouth, id: u64, follow: wire::msg::Follow) {
         let now = kernel::clock::now();
-        self.roster.lock().expect("roster").lease(&follow.node, now + crate::hall::SEAT_MS, follow.busy, follow.door);
+        self.roster.lock().expect("roster").lease(
+            &follow.node,
+            now + crate::keeper::ROUTER_LEASE_MS,
+            follow.busy,
+            follow.door,
+        );
         self.sheets.lock().expect("sheets").raise(&follow.sheets);
-        let mut follower = crate::crew::Follower {
+        let mut follower = crate::followers::Follower {
             rules: crate::rules::told(&follow.closed),
-            until: now + crate::hall::SEAT_MS,
+            until: now + crate::keeper::ROUTER_LEASE_MS,
             mouth,
-            area: follow.area,
+            zone: follow.zone,
             config: follow.config,
             behind: false,
             reads: wire::msg::reads(&follow.sheets),
             closed: follow.closed.into_iter().collect(),
-            sheets: follow.sheets.into_iter().map(|(area, turn, count)| (area, (turn, count))).collect(),
+            sheets: follow.sheets.into_iter().map(|(zone, turn, count)| (zone, (turn, count))).collect(),
         };
         let mut news = self.missing(&follow.node, &mut follower, now);
         // A lease on bound work is renewed only for one that has confirmed every rule known here.
@@ -24,27 +29,27 @@
         // Whoever is told that it is current must have been sent all.
         news.sure &= !follower.behind;
         follower.mouth.reply(id, &wire::msg::Msg::News(Box::new(news)));
-        self.crew.lock().expect("crew").list.insert(follow.node, follower);
+        self.followers.lock().expect("followers").list.insert(follow.node, follower);
     }
 
     /// Doubt about an engine reaches all routers at once: each asks it for itself.
     pub fn doubt(&self, engine: &str, passed: bool) {
         let note = |passed| wire::msg::Msg::Doubt(Box::new((engine.to_string(), passed)));
-        for follower in self.crew.lock().expect("crew").list.values() {
+        for follower in self.followers.lock().expect("followers").list.values() {
             follower.mouth.cast(&note(true));
         }
         if passed {
             return;
         }
         for ip in self.known() {
-            self.fellow(&ip).cast(note(true));
+            self.peer(&ip).cast(note(true));
         }
     }
 
     /// Sends to each follower what it lacks.
     pub fn push(&self) {
         let now = kernel::clock::now();
-        let mut list = std::mem::take(&mut self.crew.lock().expect("crew").list);
+        let mut list = std::mem::take(&mut self.followers.lock().expect("followers").list);
         let reachable = list.iter_mut().filter(|(_, follower)| !follower.behind && !follower.mouth.gone());
         for (node, follower) in reachable {
             let news = self.missing(node, follower, now);
@@ -52,15 +57,15 @@
                 follower.send(&wire::msg::Msg::News(Box::new(news)));
             }
         }
-        let mut crew = self.crew.lock().expect("crew");
+        let mut followers = self.followers.lock().expect("followers");
         for (node, follower) in list {
-            crew.list.entry(node).or_insert(follower);
+            followers.list.entry(node).or_insert(follower);
         }
-        crew.forget_lapsed(now);
+        followers.forget_lapsed(now);
     }
 
     /// What a follower lacks. What has a message of its own is sent at once, the rest goes into the news.
-    fn missing(&self, node: &str, follower: &mut crate::crew::Follower, now: u64) -> wire::msg::News {
+    fn missing(&self, node: &str, follower: &mut crate::followers::Follower, now: u64) -> wire::msg::News {
         let mut news = wire::msg::News { sure: self.sure(now), ..Default::default() };
         self.add_control_state(&mut news, follower);
         self.add_roster(&mut news, node, follower, now);
@@ -71,42 +76,43 @@
         news
     }
 
-    fn add_control_state(&self, news: &mut wire::msg::News, follower: &mut crate::crew::Follower) {
-        let mut board = self.board.lock().expect("board");
+    fn add_control_state(&self, news: &mut wire::msg::News, follower: &mut crate::followers::Follower) {
+        let mut committed_state = self.committed_state.lock().expect("committed_state");
         if follower.reads >= 2 {
             // Before the configuration: no route is served whose rule is known here and not there.
-            crate::rules::send(&board, follower);
+            crate::rules::send(&committed_state, follower);
             // Before the news: whoever is told that it is current has it by then.
             let mouth = &follower.mouth;
-            let sent = board.history.send_missing(&mut follower.config, |frame| mouth.cast_frame(frame));
+            let sent = committed_state.history.send_missing(&mut follower.config, |frame| mouth.cast_frame(frame));
             follower.behind |= !sent;
-        } else if let Some((revision, text)) = board.config.as_ref().filter(|(revision, _)| *revision > follower.config)
+        } else if let Some((revision, text)) =
+            committed_state.config.as_ref().filter(|(revision, _)| *revision > follower.config)
         {
             news.config = Some((*revision, text.clone()));
             follower.config = *revision;
         }
-        for (zone, (version, on)) in &board.closed {
+        for (zone, (version, on)) in &committed_state.closed {
             let has = follower.closed.entry(zone.clone()).or_default();
             if *version > *has {
                 news.closed.push((zone.clone(), *version, *on));
                 *has = *version;
             }
         }
-        let catalog = board.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
+        let catalog = committed_state.duties.get(crate::duty::CATALOG).cloned().unwrap_or_default();
         news.catalog = (catalog.0, catalog.1);
     }
 
-    fn add_roster(&self, news: &mut wire::msg::News, node: &str, follower: &crate::crew::Follower, now: u64) {
+    fn add_roster(&self, news: &mut wire::msg::News, node: &str, follower: &crate::followers::Follower, now: u64) {
         let mut roster = self.roster.lock().expect("roster");
         news.seats = roster.seats(now, news.sure);
         news.resting = roster.resting(now);
         // An order of its own for each router, so that the keepers of a zone share them.
-        news.fellows = roster.order(&follower.area, node);
+        news.peers = roster.order(&follower.zone, node);
     }
 
-    fn add_engine_lists(&self, news: &mut wire::msg::News, follower: &mut crate::crew::Follower) {
+    fn add_engine_lists(&self, news: &mut wire::msg::News, follower: &mut crate::followers::Follower) {
         for sheet in self.sheets.lock().expect("sheets").all() {
-            let has = follower.sheets.entry(sheet.area.clone()).or_default();
+            let has = follower.sheets.entry(sheet.zone.clone()).or_default();
             if (sheet.turn, sheet.count) > *has {
                 *has = (sheet.turn, sheet.count);
                 news.sheets.push(sheet.clone());
@@ -120,16 +126,17 @@
         let core = self.core();
         let members: Vec<&str> = core.list.iter().map(|member| member.ip.as_str()).collect();
         let sure = self.sure(now);
-        let revision = self.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
-        let duties = self.board.lock().expect("board").duties.clone();
+        let revision =
+            self.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
+        let duties = self.committed_state.lock().expect("committed_state").duties.clone();
         let roster = self.roster.lock().expect("roster");
         let keepers: Vec<&String> = roster.keepers.keys().filter(|ip| roster.live(ip, now)).collect();
-        let crew = self.crew.lock().expect("crew");
+        let followers = self.followers.lock().expect("followers");
         let routers: std::collections::BTreeMap<&String, u64> =
-            crew.list.iter().map(|(node, follower)| (node, follower.config)).collect();
+            followers.list.iter().map(|(node, follower)| (node, follower.config)).collect();
         serde_json::json!({
             "node_name": self.env.node_name, "sure": sure, "revision": revision, "core": members,
-            "core_stamp": core.stamp, "core_settled": core.settled, "live_keepers": keepers,
+            "core_stamp": core.version, "core_settled": core.settled, "live_keepers": keepers,
             "duties": duties, "routers": routers,
         })
     }
--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -5,8 +5,6 @@
 use ledger::proposal::Verdict;
 use wire::order::{Advance, ConfigChange, Order, OrderResult};
 
-type Keeper = std::sync::Arc<crate::hall::Hall>;
-
 /// How long the home of a key may take before an order is carried out here.
 const RELAY_MS: u64 = 500;
 /// How long an evacuation may take: an order without a version must not be carried out after its sender gave
@@ -14,29 +12,29 @@
 pub const EVACUATE_MS: u64 = 900;
 
 /// How long an order on the configuration may take before its outcome is told to be unclear.
-pub fn wait_ms(hall: &crate::hall::Hall) -> u64 {
-    (hall.env.bounds.ack_ms / 2).clamp(800, 2500)
+pub fn wait_ms(keeper: &crate::keeper::Keeper) -> u64 {
+    (keeper.env.bounds.ack_ms / 2).clamp(800, 2500)
 }
 
 /// Carries an order out, at its home where that answers in time.
-pub async fn submit(hall: &Keeper, order: Order) -> OrderResult {
-    if hall.orders_may_be_stale() {
+pub async fn submit(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: Order) -> OrderResult {
+    if keeper.orders_may_be_stale() {
         return OrderResult::Unclear;
     }
     let begun = kernel::clock::now();
-    if let Some(result) = relay(hall, &order).await {
+    if let Some(result) = relay(keeper, &order).await {
         return result;
     }
     let spent = kernel::clock::now() - begun;
-    execute(hall, &order, spent).await
+    execute(keeper, &order, spent).await
 }
 
 /// An order that another keeper relayed. It is not relayed again.
-pub async fn relayed(hall: &Keeper, order: Order) -> OrderResult {
-    if hall.orders_may_be_stale() {
+pub async fn relayed(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: Order) -> OrderResult {
+    if keeper.orders_may_be_stale() {
         return OrderResult::Unclear;
     }
-    execute(hall, &order, 0).await
+    execute(keeper, &order, 0).await
 }
 
 fn key(order: &Order) -> String {
@@ -48,39 +46,39 @@
 
 /// The keeper that is home to a key, if that is another one: the first live member in the agreed order. It
 /// has a disk and votes itself.
-fn home(hall: &crate::hall::Hall, key: &str) -> Option<String> {
+fn home(keeper: &crate::keeper::Keeper, key: &str) -> Option<String> {
     let now = kernel::clock::now();
-    let core = hall.core();
-    let leaving = hall.leaving.load(std::sync::atomic::Ordering::Relaxed);
-    let roster = hall.roster.lock().expect("roster");
+    let core = keeper.core();
+    let leaving = keeper.leaving.load(std::sync::atomic::Ordering::Relaxed);
+    let roster = keeper.roster.lock().expect("roster");
     let first = crate::membership::first_member(&core, &roster, leaving, key, now)?;
     let takes_orders = roster.keepers.get(&first).is_some_and(|peer| peer.reads >= wire::msg::RELAYED_ORDERS);
     takes_orders.then_some(first)
 }
 
 /// None: it is to be carried out here.
-async fn relay(hall: &Keeper, order: &Order) -> Option<OrderResult> {
-    let home = home(hall, &key(order))?;
+async fn relay(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: &Order) -> Option<OrderResult> {
+    let home = home(keeper, &key(order))?;
     let message = wire::msg::Msg::Order(Box::new(order.clone()));
-    match hall.fellow(&home).call(message, RELAY_MS).await {
+    match keeper.peer(&home).call(message, RELAY_MS).await {
         Some(wire::msg::Msg::OrderDone(result)) if *result != OrderResult::Unclear => Some(*result),
         _ => None,
     }
 }
 
-async fn execute(hall: &Keeper, order: &Order, spent: u64) -> OrderResult {
+async fn execute(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: &Order, spent: u64) -> OrderResult {
     match order {
-        Order::Change(change) => change_config(hall, change).await,
-        Order::Evacuate { zone, on } => evacuate(hall, zone, *on, EVACUATE_MS.saturating_sub(spent)).await,
+        Order::Change(change) => change_config(keeper, change).await,
+        Order::Evacuate { zone, on } => evacuate(keeper, zone, *on, EVACUATE_MS.saturating_sub(spent)).await,
         Order::ReadConfig => {
             let judge = |body: &[u8]| Verdict::Answer(OrderResult::Found { body: body.to_vec() });
-            hall.change(crate::state::CONFIG, wait_ms(hall), judge).await.unwrap_or(OrderResult::Unclear)
+            keeper.change(crate::state::CONFIG, wait_ms(keeper), judge).await.unwrap_or(OrderResult::Unclear)
         }
     }
 }
 
-async fn change_config(hall: &Keeper, change: &ConfigChange) -> OrderResult {
-    let pack = hall.pack();
+async fn change_config(keeper: &std::sync::Arc<crate::keeper::Keeper>, change: &ConfigChange) -> OrderResult {
+    let pack = keeper.pack();
     let mut before = 0;
     let judge = |body: &[u8]| {
         let Some(held) = Held::open(body) else { return Verdict::Answer(OrderResult::Unclear) };
@@ -94,43 +92,50 @@
             }
         }
     };
-    let outcome = hall.change_untold(crate::state::CONFIG, wait_ms(hall), judge).await;
+    let outcome = keeper.change_untold(crate::state::CONFIG, wait_ms(keeper), judge).await;
     let Some((result, owner, wrote)) = outcome else { return OrderResult::Unclear };
     if !owner.is_blank() {
-        tell(hall, &owner.entry, before, wrote.then_some(change), pack);
+        tell(keeper, &owner.entry, before, wrote.then_some(change), pack);
     }
     if result == OrderResult::Done {
-        let revision = hall.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+        let revision =
+            keeper.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
         kernel::say!(crate::event::CONFIG, "base" => change.base, "revision" => revision);
     }
     result
 }
 
 /// A committed configuration becomes known here and at the other keepers, as a change where they can make it.
-fn tell(hall: &Keeper, entry: &wire::msg::Entry, before: u64, change: Option<&ConfigChange>, pack: bool) {
-    hall.learn(crate::state::CONFIG, entry, false);
+fn tell(
+    keeper: &std::sync::Arc<crate::keeper::Keeper>,
+    entry: &wire::msg::Entry,
+    before: u64,
+    change: Option<&ConfigChange>,
+    pack: bool,
+) {
+    keeper.learn(crate::state::CONFIG, entry, false);
     let after = kernel::clock::hash(&entry.body);
     let change = change.cloned();
     let (ballot, step) = entry.place();
-    let revision = hall.board.lock().expect("board").config.as_ref().map_or(0, |config| config.0);
+    let revision = keeper.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
     let advance = Advance { key: crate::state::CONFIG.into(), ballot, step, before, after, change, revision, pack };
     let short = wire::msg::Msg::Advance(Box::new(advance));
     let whole = wire::msg::Msg::Learn(Box::new((crate::state::CONFIG.into(), entry.clone())));
-    for peer in hall.known() {
-        let reads = hall.roster.lock().expect("roster").keepers.get(&peer).map_or(0, |peer| peer.reads);
+    for peer in keeper.known() {
+        let reads = keeper.roster.lock().expect("roster").keepers.get(&peer).map_or(0, |peer| peer.reads);
         let message = if reads >= wire::msg::RELAYED_ORDERS { &short } else { &whole };
-        hall.fellow(&peer).cast(message.clone());
+        keeper.peer(&peer).cast(message.clone());
     }
 }
 
 /// Makes a change that another keeper committed. What does not fit is left to the next confirmation, which
 /// fetches the whole.
-pub fn advance(hall: &crate::hall::Hall, advance: &Advance) {
-    let held = hall.board.lock().expect("board").entries.get(&advance.key).cloned();
+pub fn advance(keeper: &crate::keeper::Keeper, advance: &Advance) {
+    let held = keeper.committed_state.lock().expect("committed_state").entries.get(&advance.key).cloned();
     let Some(held) = held.filter(|held| held.place() < (advance.ballot, advance.step)) else { return };
     if let Some(body) = next_body(&held.body, advance) {
         let entry = wire::msg::Entry { ballot: advance.ballot, step: advance.step, body };
-        hall.learn(&advance.key, &entry, false);
+        keeper.learn(&advance.key, &entry, false);
     }
 }
 
@@ -145,16 +150,16 @@
     (kernel::clock::hash(&body) == advance.after).then_some(body)
 }
 
-async fn evacuate(hall: &Keeper, zone: &str, on: bool, wait_ms: u64) -> OrderResult {
+async fn evacuate(keeper: &std::sync::Arc<crate::keeper::Keeper>, zone: &str, on: bool, wait_ms: u64) -> OrderResult {
     let key = format!("{}{zone}", crate::state::CLOSED);
     let judge = |body: &[u8]| {
         let held = Closed::read_bytes(body).unwrap_or_default();
         if held.on == on {
             return Verdict::Answer(());
         }
-        Verdict::Write(Closed { stamp: held.stamp + 1, on }.write_bytes(), ())
+        Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), ())
     };
-    if hall.change(&key, wait_ms, judge).await.is_none() {
+    if keeper.change(&key, wait_ms, judge).await.is_none() {
         return OrderResult::Unclear;
     }
     kernel::say!(crate::event::EVACUATION, "zone" => zone, "on" => on);
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -31,8 +31,8 @@
 const UNREACHABLE: &str = "platform unreachable";
 
 /// What is told to peers about the own access to the platform.
-pub fn told(hall: &crate::hall::Hall, now: u64) -> Option<(String, u64, u64)> {
-    let unreachable = hall.roster.lock().expect("roster").access.unreachable(now);
+pub fn told(keeper: &crate::keeper::Keeper, now: u64) -> Option<(String, u64, u64)> {
+    let unreachable = keeper.roster.lock().expect("roster").access.unreachable(now);
     unreachable.then(|| (wire::msg::hide(UNREACHABLE), 1, 0))
 }
 
@@ -58,31 +58,31 @@
     now > begun + allowed_ms + STALL_MS
 }
 
-pub fn start(hall: &Arc<crate::hall::Hall>) {
+pub fn start(keeper: &Arc<crate::keeper::Keeper>) {
     let client = crate::outbound::reads(Duration::from_millis(700)).timeout(Duration::from_millis(CALL_MS)).build();
     let Ok(client) = client else { return };
-    for zone in hall.env.zones.keys() {
-        tokio::spawn(run(hall.clone(), client.clone(), zone.clone()));
+    for zone in keeper.env.zones.keys() {
+        tokio::spawn(run(keeper.clone(), client.clone(), zone.clone()));
     }
 }
 
-async fn run(hall: Arc<crate::hall::Hall>, client: reqwest::Client, zone: String) {
+async fn run(keeper: Arc<crate::keeper::Keeper>, client: reqwest::Client, zone: String) {
     let (mut turn, mut polls) = (0, 0u32);
     let mut pages = 1;
     let mut wait = 0;
     loop {
         tokio::time::sleep(Duration::from_millis(wait)).await;
-        wait = pause(&hall.env, pages);
+        wait = pause(&keeper.env, pages);
         let now = kernel::clock::now();
-        let poller = hall.roster.lock().expect("roster").poller(&zone, now);
-        if poller != hall.me() || now < FIRST_MS {
+        let poller = keeper.roster.lock().expect("roster").poller(&zone, now);
+        if poller != keeper.me() || now < FIRST_MS {
             wait = wait.min(FIRST_MS);
             continue;
         }
         // Without rules versions are neither read nor sent.
-        let ruled = !hall.board.lock().expect("board").rules.is_empty();
-        let outcome = poll(&hall, &client, &zone, ruled).await;
-        note_access(&hall, outcome.as_ref().err().copied());
+        let ruled = !keeper.committed_state.lock().expect("committed_state").rules.is_empty();
+        let outcome = poll(&keeper, &client, &zone, ruled).await;
+        note_access(&keeper, outcome.as_ref().err().copied());
         let Ok(listing) = outcome else {
             // What is known stays in force, the next try comes a little later.
             wait = wait * 3 / 2;
@@ -90,14 +90,14 @@
         };
         pages = listing.pages;
         polls += 1;
-        take(&hall, &zone, &mut turn, listing, ruled.then_some(polls % AGAIN == 0));
+        take(&keeper, &zone, &mut turn, listing, ruled.then_some(polls % AGAIN == 0));
     }
 }
 
 /// Keeps count of polls without an answer: a poller that is cut off from the platform lets another
 /// keeper take its place.
-fn note_access(hall: &crate::hall::Hall, error: Option<PollError>) {
-    let mut roster = hall.roster.lock().expect("roster");
+fn note_access(keeper: &crate::keeper::Keeper, error: Option<PollError>) {
+    let mut roster = keeper.roster.lock().expect("roster");
     match error {
         None | Some(PollError::Refused) => roster.access.succeeded(),
         Some(PollError::Unreachable) => roster.access.failed(kernel::clock::now()),
@@ -107,36 +107,36 @@
 
 /// Sends out what a poll read, unless a list that another poller made became known meanwhile.
 /// `versions`: whether weight versions are wanted, and whether to send them even if unchanged.
-fn take(hall: &crate::hall::Hall, zone: &str, turn: &mut u64, listing: Listing, versions: Option<bool>) {
+fn take(keeper: &crate::keeper::Keeper, zone: &str, turn: &mut u64, listing: Listing, versions: Option<bool>) {
     let sheet = {
-        let mut sheets = hall.sheets.lock().expect("sheets");
+        let mut sheets = keeper.sheets.lock().expect("sheets");
         if sheets.known(zone) != listing.known {
             return;
         }
-        sheets.poll(zone, turn, hall.seat, listing.engines, listing.known)
+        sheets.poll(zone, turn, keeper.seat, listing.engines, listing.known)
     };
     if let Some(again) = versions {
-        crate::rules::seen(hall, zone, listing.weights, again);
+        crate::rules::seen(keeper, zone, listing.weights, again);
     }
     if let Some(sheet) = sheet {
-        publish(hall, sheet);
+        publish(keeper, sheet);
     }
 }
 
 async fn poll(
-    hall: &crate::hall::Hall,
+    keeper: &crate::keeper::Keeper,
     client: &reqwest::Client,
     zone: &str,
     ruled: bool,
 ) -> Result<Listing, PollError> {
-    let _permit = hall.polls.acquire().await.map_err(|_| PollError::Refused)?;
-    let known = hall.sheets.lock().expect("sheets").known(zone);
+    let _permit = keeper.polls.acquire().await.map_err(|_| PollError::Refused)?;
+    let known = keeper.sheets.lock().expect("sheets").known(zone);
     let mut listing = Listing::new(known);
     let mut token: Option<String> = None;
     let mut refused = 0;
-    let gap_ms = (1000.0 / hall.env.cloud_api.rate_per_s) as u64;
+    let gap_ms = (1000.0 / keeper.env.cloud_api.rate_per_s) as u64;
     loop {
-        let Some(page) = call(client, &url(hall, zone, token.as_deref())).await? else {
+        let Some(page) = call(client, &url(keeper, zone, token.as_deref())).await? else {
             // Over the shared rate: the same page again, what was read of the list stays.
             refused += 1;
             if refused > REFUSED {
@@ -154,8 +154,8 @@
     }
 }
 
-fn url(hall: &crate::hall::Hall, zone: &str, token: Option<&str>) -> String {
-    let address = &hall.env.cloud_api.address;
+fn url(keeper: &crate::keeper::Keeper, zone: &str, token: Option<&str>) -> String {
+    let address = &keeper.env.cloud_api.address;
     let page = token.map(|token| format!("&page_token={token}")).unwrap_or_default();
     format!("http://{address}/instances?zone={zone}{page}")
 }
@@ -187,20 +187,20 @@
     }
 }
 
-fn publish(hall: &crate::hall::Hall, sheet: wire::msg::Sheet) {
-    kernel::say!(crate::event::LIST, "area" => sheet.area.clone(), "turn" => sheet.turn, "count" => sheet.count,
+fn publish(keeper: &crate::keeper::Keeper, sheet: wire::msg::Sheet) {
+    kernel::say!(crate::event::LIST, "zone" => sheet.zone.clone(), "turn" => sheet.turn, "count" => sheet.count,
         "up" => sheet.list.iter().filter(|engine| engine.up).count(), "all" => sheet.list.len(),
         "prefill" => sheet.list.iter().filter(|engine| engine.up && engine.phase == "prefill").count());
-    prune(hall, &sheet);
-    for ip in hall.known() {
-        hall.fellow(&ip).cast(wire::msg::Msg::Sheet(Box::new(sheet.clone())));
+    prune(keeper, &sheet);
+    for ip in keeper.known() {
+        keeper.peer(&ip).cast(wire::msg::Msg::Sheet(Box::new(sheet.clone())));
     }
-    hall.push();
+    keeper.push();
 }
 
 /// Draining engines leave the catalog's answers at once.
-pub fn prune(hall: &crate::hall::Hall, sheet: &wire::msg::Sheet) {
-    let mut desk = hall.shelf.lock().expect("shelf");
+pub fn prune(keeper: &crate::keeper::Keeper, sheet: &wire::msg::Sheet) {
+    let mut desk = keeper.shelf.lock().expect("shelf");
     for engine in sheet.list.iter().filter(|engine| !engine.up) {
         desk.shelf.drop_engine(&engine.id);
     }
--- a/keeper/src/council.rs
+++ b/keeper/src/register.rs
@@ -2,7 +2,7 @@
 
 /// One key's owner state in this keeper. Invariant: a change is made only while it is locked, so
 /// two changes of one owner never share a place.
-pub type Helms = tokio::sync::Mutex<Option<ledger::round::Helm>>;
+pub type OwnershipLock = tokio::sync::Mutex<Option<ledger::round::Ownership>>;
 
 pub use ledger::proposal::Verdict;
 
@@ -15,13 +15,13 @@
 
 type Votes = tokio::sync::mpsc::Receiver<(String, wire::msg::Vote)>;
 
-impl crate::hall::Hall {
+impl crate::keeper::Keeper {
     /// The own vote, given once it is on disk.
     pub fn vote(&self, poll: wire::msg::Poll, give: impl FnOnce(wire::msg::Vote) + Send + 'static) {
         let mut voter = self.voter.lock().expect("voter");
-        let (vote, deeds) = voter.poll(poll);
+        let (vote, records) = voter.poll(poll);
         // Still under the lock: the order on disk is the order of the votes.
-        self.disk.then(deeds, move || give(vote));
+        self.disk.then(records, move || give(vote));
     }
 
     /// Asks some members; the votes come in as they are given.
@@ -36,10 +36,10 @@
                 });
                 continue;
             }
-            let fellow = self.fellow(ip);
+            let peer = self.peer(ip);
             tokio::spawn(async move {
                 let msg = wire::msg::Msg::Poll(Box::new(poll));
-                let Some(wire::msg::Msg::Vote(vote)) = fellow.call(msg, ledger::ROUND_MS).await else { return };
+                let Some(wire::msg::Msg::Vote(vote)) = peer.call(msg, ledger::ROUND_MS).await else { return };
                 let _ = send.try_send((from, *vote));
             });
         }
@@ -47,24 +47,24 @@
     }
 
     fn seen(&self, turn: u64) {
-        let mut board = self.board.lock().expect("board");
-        board.turn = board.turn.max(turn);
+        let mut committed_state = self.committed_state.lock().expect("committed_state");
+        committed_state.turn = committed_state.turn.max(turn);
     }
 
     /// A ballot that no one used before.
     fn next_ballot(&self) -> wire::msg::Ballot {
-        let mut board = self.board.lock().expect("board");
-        board.turn += 1;
-        wire::msg::Ballot { turn: board.turn, seat: self.seat }
+        let mut committed_state = self.committed_state.lock().expect("committed_state");
+        committed_state.turn += 1;
+        wire::msg::Ballot { turn: committed_state.turn, seat: self.seat }
     }
 
     /// One try: from what is held of the key to an outcome. None: no outcome in time, or overtaken.
     async fn propose<T>(
         &self,
         key: &str,
-        held: Option<ledger::round::Helm>,
+        held: Option<ledger::round::Ownership>,
         judge: &mut impl FnMut(&[u8]) -> Verdict<T>,
-    ) -> Option<(T, ledger::round::Helm, bool)> {
+    ) -> Option<(T, ledger::round::Ownership, bool)> {
         let core = self.core();
         if core.list.is_empty() {
             return None;
@@ -110,8 +110,8 @@
         key: &str,
         wait_ms: u64,
         mut judge: impl FnMut(&[u8]) -> Verdict<T>,
-    ) -> Outcome<(T, ledger::round::Helm, bool)> {
-        let own = self.helms.lock().expect("helms").entry(key.into()).or_default().clone();
+    ) -> Outcome<(T, ledger::round::Ownership, bool)> {
+        let own = self.ownerships.lock().expect("ownerships").entry(key.into()).or_default().clone();
         let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
         let mut held = tokio::time::timeout_at(end, own.lock()).await.ok()?;
         let mut dice = kernel::clock::Dice::new(self.life ^ kernel::clock::now());
@@ -130,7 +130,7 @@
 
     /// Commits again what a key holds, under the core of now.
     pub async fn renew(&self, key: &str, wait_ms: u64) -> Outcome<()> {
-        let own = self.helms.lock().expect("helms").entry(key.into()).or_default().clone();
+        let own = self.ownerships.lock().expect("ownerships").entry(key.into()).or_default().clone();
         *own.lock().await = None;
         self.change(key, wait_ms, |_| Verdict::Answer(())).await
     }
--- a/keeper/src/rollout_calls.rs
+++ b/keeper/src/rollout_calls.rs
@@ -4,10 +4,10 @@
 /// Largest body taken.
 const BODY: usize = 256 * 1024;
 
-pub struct Rollouts(pub std::sync::Arc<crate::hall::Hall>);
-pub struct Rule(pub std::sync::Arc<crate::hall::Hall>);
+pub struct Rollouts(pub std::sync::Arc<crate::keeper::Keeper>);
+pub struct Rule(pub std::sync::Arc<crate::keeper::Keeper>);
 /// The trainer's latest; true: a rollback.
-pub struct Latest(pub std::sync::Arc<crate::hall::Hall>, pub bool);
+pub struct Latest(pub std::sync::Arc<crate::keeper::Keeper>, pub bool);
 
 fn key(service: &str, model: &str) -> String {
     format!("{}{service}/{model}", wire::msg::ROLLOUT)
@@ -31,7 +31,7 @@
     async fn put(&self, req: &mut poem::Request) -> Result<Receipt, Receipt> {
         let ((service, model), base) = (named(req), base(req));
         let text = text(req).await?;
-        let config = self.0.board.lock().expect("board").history.current().cloned();
+        let config = self.0.committed_state.lock().expect("committed_state").history.current().cloned();
         let config = config.ok_or_else(|| Receipt::Bad(409, "no configuration yet: no routes".into()))?;
         let ask = crate::rollouts::read(&text, base, (&service, &model), &config);
         let ask = ask.map_err(|(status, words)| Receipt::Bad(status, words))?;
@@ -49,15 +49,15 @@
     /// The rule and how far it holds: replicas by zone and half, routers that confirmed.
     async fn state(&self, service: &str, model: &str) -> Receipt {
         let key = key(service, model);
-        let rule = self.0.board.lock().expect("board").rules.get(&key).cloned();
+        let rule = self.0.committed_state.lock().expect("committed_state").rules.get(&key).cloned();
         let Some(rule) = rule.filter(|rule| !rule.removed) else {
             return Receipt::Bad(404, "no rule for this service and model".into());
         };
-        let replies = self.0.ask_settled(&key, rule.stamp).await;
+        let replies = self.0.ask_settled(&key, rule.version).await;
         let (all, good) = replies.iter().flatten().fold((0, 0), |sum, (all, good)| (sum.0 + all, sum.1 + good));
         let silent = replies.iter().filter(|reply| reply.is_none()).count();
         let value = serde_json::json!({
-            "service": service, "model": model, "stamp": rule.stamp, "latest": rule.latest, "lag": rule.lag,
+            "service": service, "model": model, "version": rule.version, "latest": rule.latest, "lag": rule.lag,
             "floor": rule.floor(), "routes": rule.routes, "rollbacks": rule.rollbacks, "reason": rule.reason,
             "replicas": self.replicas(&rule), "routers": all, "routers_confirmed": good, "keepers_silent": silent,
         });
@@ -83,7 +83,7 @@
                 Some(_) => 1,
                 None => 2,
             };
-            zones.entry(&engine.area).or_default().entry(half).or_default()[place] += 1;
+            zones.entry(&engine.zone).or_default().entry(half).or_default()[place] += 1;
         }
         let halves =
             |counts: &[u32; 3]| serde_json::json!({"inside": counts[0], "past": counts[1], "unknown": counts[2]});
@@ -100,11 +100,11 @@
     type Output = poem::Response;
 
     async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
-        let board = self.0.board.lock().expect("board");
-        let live = board.rules.values().filter(|rule| !rule.removed);
+        let committed_state = self.0.committed_state.lock().expect("committed_state");
+        let live = committed_state.rules.values().filter(|rule| !rule.removed);
         let list: Vec<serde_json::Value> = live
             .map(|rule| {
-                serde_json::json!({"service": rule.service, "model": rule.model, "stamp": rule.stamp,
+                serde_json::json!({"service": rule.service, "model": rule.model, "version": rule.version,
                     "floor": rule.floor(), "latest": rule.latest, "lag": rule.lag, "routes": rule.routes})
             })
             .collect();
--- a/keeper/src/rollouts.rs
+++ b/keeper/src/rollouts.rs
@@ -3,7 +3,7 @@
 
 /// What a call asks of a rule.
 pub enum Ask {
-    /// The whole rule; the stamp it builds on, 0 for the first.
+    /// The whole rule; the version it builds on, 0 for the first.
     Put {
         base: u64,
         latest: u64,
@@ -25,11 +25,11 @@
 /// What an ask comes to on top of what is held. Ok(None): it holds already.
 pub fn verdict(held: Option<&wire::msg::Rule>, ask: &Ask) -> Result<Option<wire::msg::Rule>, (u16, String)> {
     let live = held.filter(|held| !held.removed);
-    let stamp = held.map_or(0, |held| held.stamp);
-    let seen = live.map_or(0, |held| held.stamp);
+    let version = held.map_or(0, |held| held.version);
+    let seen = live.map_or(0, |held| held.version);
     let base_of = |base: u64| match base == seen {
         true => Ok(()),
-        false => Err((412, format!("If-Match: found {base}, stamp {seen} is current"))),
+        false => Err((412, format!("If-Match: found {base}, version {seen} is current"))),
     };
     let none = || (404, "no rule for this service and model".to_string());
     match ask {
@@ -44,14 +44,14 @@
             }
             let next = held.cloned().unwrap_or_default();
             let (latest, lag, routes) = (*latest, *lag, routes.clone());
-            Ok(Some(wire::msg::Rule { stamp: stamp + 1, latest, lag, routes, removed: false, ..next }))
+            Ok(Some(wire::msg::Rule { version: version + 1, latest, lag, routes, removed: false, ..next }))
         }
         Ask::Latest(latest) => {
             let held = live.ok_or_else(none)?;
             if *latest < held.latest {
                 return Err((400, format!("latest: found {latest}, {} was reported; a rollback says so", held.latest)));
             }
-            let next = wire::msg::Rule { stamp: stamp + 1, latest: *latest, ..held.clone() };
+            let next = wire::msg::Rule { version: version + 1, latest: *latest, ..held.clone() };
             Ok((*latest > held.latest).then_some(next))
         }
         Ask::Rollback { latest, reason } => {
@@ -63,12 +63,12 @@
                 return Err((400, format!("latest: found {latest}, not older than {}", held.latest)));
             }
             let (rollbacks, reason) = (held.rollbacks + 1, reason.clone());
-            Ok(Some(wire::msg::Rule { stamp: stamp + 1, latest: *latest, rollbacks, reason, ..held.clone() }))
+            Ok(Some(wire::msg::Rule { version: version + 1, latest: *latest, rollbacks, reason, ..held.clone() }))
         }
         Ask::Remove { base } => {
             let Some(held) = live else { return if held.is_some() { Ok(None) } else { Err(none()) } };
             base_of(*base)?;
-            Ok(Some(wire::msg::Rule { stamp: stamp + 1, removed: true, ..held.clone() }))
+            Ok(Some(wire::msg::Rule { version: version + 1, removed: true, ..held.clone() }))
         }
     }
 }
@@ -125,32 +125,32 @@
 }
 
 /// Carries an ask out: committed, then waited for until it binds everywhere.
-pub async fn carry(hall: &crate::hall::Hall, key: &str, (service, model): (&str, &str), ask: Ask) -> Receipt {
+pub async fn carry(keeper: &crate::keeper::Keeper, key: &str, (service, model): (&str, &str), ask: Ask) -> Receipt {
     let judge = |body: &[u8]| {
         let held = wire::msg::Rule::read_bytes(body);
         if held.is_none() && !body.is_empty() {
-            return crate::council::Verdict::Answer(Err(Receipt::Unclear));
+            return crate::register::Verdict::Answer(Err(Receipt::Unclear));
         }
         match verdict(held.as_ref(), &ask) {
-            Ok(None) => crate::council::Verdict::Answer(Ok(held.map_or(0, |held| held.stamp))),
+            Ok(None) => crate::register::Verdict::Answer(Ok(held.map_or(0, |held| held.version))),
             Ok(Some(next)) => {
                 let next = wire::msg::Rule { service: service.into(), model: model.into(), ..next };
-                crate::council::Verdict::Write(next.write_bytes(), Ok(next.stamp))
+                crate::register::Verdict::Write(next.write_bytes(), Ok(next.version))
             }
-            Err((status, words)) => crate::council::Verdict::Answer(Err(Receipt::Bad(status, words))),
+            Err((status, words)) => crate::register::Verdict::Answer(Err(Receipt::Bad(status, words))),
         }
     };
-    let stamp = match hall.change(key, crate::control::wait_ms(hall), judge).await {
-        Some(Ok(stamp)) => stamp,
+    let version = match keeper.change(key, crate::control::wait_ms(keeper), judge).await {
+        Some(Ok(version)) => version,
         Some(Err(receipt)) => return receipt,
         None => return Receipt::Unclear,
     };
-    if !hall.settle_rule(key, stamp).await {
-        kernel::say!(crate::event::UNSETTLED, "rule" => key, "stamp" => stamp);
+    if !keeper.settle_rule(key, version).await {
+        kernel::say!(crate::event::UNSETTLED, "rule" => key, "version" => version);
         return Receipt::Unclear;
     }
-    kernel::say!(crate::event::RULE, "rule" => key, "stamp" => stamp);
-    Receipt::Text(serde_json::json!({ "rule": key, "stamp": stamp }).to_string().into_bytes())
+    kernel::say!(crate::event::RULE, "rule" => key, "version" => version);
+    Receipt::Text(serde_json::json!({ "rule": key, "version": version }).to_string().into_bytes())
 }
 
 #[cfg(test)]
--- a/keeper/src/rollouts_tests.rs
+++ b/keeper/src/rollouts_tests.rs
@@ -16,12 +16,12 @@
 #[test]
 fn a_rule_is_made_raised_and_what_is_resent_holds_already() {
     let rule = made();
-    assert_eq!((rule.stamp, rule.floor()), (1, 8));
+    assert_eq!((rule.version, rule.floor()), (1, 8));
     assert_eq!(verdict(Some(&rule), &put(0, 10, 2)), Ok(None), "resent unchanged");
     let next = verdict(Some(&rule), &Ask::Latest(11)).expect("good").expect("new");
-    assert_eq!((next.stamp, next.floor()), (2, 9));
+    assert_eq!((next.version, next.floor()), (2, 9));
     assert_eq!(verdict(Some(&next), &Ask::Latest(11)), Ok(None));
-    assert_eq!(status(verdict(Some(&next), &put(1, 12, 2))), 412, "another stamp is current");
+    assert_eq!(status(verdict(Some(&next), &put(1, 12, 2))), 412, "another version is current");
     assert_eq!(verdict(Some(&next), &put(2, 12, 2)).expect("good").expect("new").floor(), 10);
 }
 
@@ -42,11 +42,11 @@
     let rule = made();
     assert_eq!(status(verdict(Some(&rule), &Ask::Remove { base: 9 })), 412);
     let gone = verdict(Some(&rule), &Ask::Remove { base: 1 }).expect("good").expect("new");
-    assert!(gone.removed && gone.stamp == 2 && gone.floor() == 0);
+    assert!(gone.removed && gone.version == 2 && gone.floor() == 0);
     assert_eq!(verdict(Some(&gone), &Ask::Remove { base: 1 }), Ok(None), "resent");
     assert_eq!(status(verdict(Some(&gone), &Ask::Latest(12))), 404);
     let anew = verdict(Some(&gone), &put(0, 3, 0)).expect("good").expect("new");
-    assert_eq!((anew.stamp, anew.floor(), anew.removed), (3, 3, false));
+    assert_eq!((anew.version, anew.floor(), anew.removed), (3, 3, false));
     assert_eq!(status(verdict(None, &Ask::Remove { base: 0 })), 404);
 }
 
--- a/keeper/src/rules.rs
+++ b/keeper/src/rules.rs
@@ -1,21 +1,21 @@
 //! Limits on stale weights on their way to routers: what a router lacks, what it has confirmed, and the
 //! wait until no router can send bound work under an older rule.
 
-/// The stamps of rules among what a router told.
+/// The versions of rules among what a router told.
 pub fn told(closed: &[(String, u64)]) -> std::collections::BTreeMap<String, u64> {
-    let rules = closed.iter().filter_map(|(name, stamp)| Some((name.strip_prefix('\0')?.to_string(), *stamp)));
+    let rules = closed.iter().filter_map(|(name, version)| Some((name.strip_prefix('\0')?.to_string(), *version)));
     rules.collect()
 }
 
 /// Sends the rules that a follower lacks.
-pub fn send(board: &crate::hall::Board, follower: &mut crate::crew::Follower) {
-    for (key, rule) in &board.rules {
+pub fn send(committed_state: &crate::keeper::CommittedState, follower: &mut crate::followers::Follower) {
+    for (key, rule) in &committed_state.rules {
         let has = follower.closed.entry(wire::msg::hide(key)).or_default();
-        if rule.stamp <= *has {
+        if rule.version <= *has {
             continue;
         }
         match follower.mouth.cast(&wire::msg::Msg::Rule(Box::new(rule.clone()))) {
-            true => *has = rule.stamp,
+            true => *has = rule.version,
             false => follower.behind = true,
         }
     }
@@ -23,24 +23,33 @@
 
 /// From a commit on, how long a router that has not heard of it may still send bound work: its keeper may
 /// be sure of what it read before for `SURE_MS`, and the lease that it then renews lasts `LEASE_MS`.
-pub const WAIT_MS: u64 = crate::hall::SURE_MS + engines::floor::LEASE_MS + 200;
+pub const WAIT_MS: u64 = crate::keeper::SURE_MS + engines::floor::LEASE_MS + 200;
 /// The pause between looks, and how long a keeper may take to answer one.
 const LOOK_MS: u64 = 60;
 const ANSWER_MS: u64 = 400;
 
-impl crate::hall::Hall {
+impl crate::keeper::Keeper {
     /// Has this follower confirmed every rule known here?
-    pub fn confirmed(&self, follower: &crate::crew::Follower) -> bool {
-        let board = self.board.lock().expect("board");
-        board.rules.iter().all(|(key, rule)| follower.rules.get(key).is_some_and(|stamp| *stamp >= rule.stamp))
+    pub fn confirmed(&self, follower: &crate::followers::Follower) -> bool {
+        let committed_state = self.committed_state.lock().expect("committed_state");
+        committed_state
+            .rules
+            .iter()
+            .all(|(key, rule)| follower.rules.get(key).is_some_and(|version| *version >= rule.version))
     }
 
     /// Routers that hold a lease here, and how many of them have confirmed a rule. None counts as
     /// confirmed while it is not known here.
-    pub fn settled(&self, key: &str, stamp: u64, now: u64) -> (u32, u32) {
-        let known = self.board.lock().expect("board").rules.get(key).is_some_and(|rule| rule.stamp >= stamp);
-        let crew = self.crew.lock().expect("crew");
-        let (all, good) = crew.confirmations(key, stamp, now);
+    pub fn settled(&self, key: &str, version: u64, now: u64) -> (u32, u32) {
+        let known = self
+            .committed_state
+            .lock()
+            .expect("committed_state")
+            .rules
+            .get(key)
+            .is_some_and(|rule| rule.version >= version);
+        let followers = self.followers.lock().expect("followers");
+        let (all, good) = followers.confirmations(key, version, now);
         // Not yet learned, or started so lately that routers may hold a lease from a life before: whoever asks
         // must ask again.
         match known && now >= WAIT_MS {
@@ -50,28 +59,28 @@
     }
 
     /// Asks all other keepers. None for one that did not answer.
-    pub async fn ask_settled(&self, key: &str, stamp: u64) -> Vec<Option<(u32, u32)>> {
+    pub async fn ask_settled(&self, key: &str, version: u64) -> Vec<Option<(u32, u32)>> {
         let asks = self.known().into_iter().map(|ip| {
-            let fellow = self.fellow(&ip);
+            let peer = self.peer(&ip);
             async move {
-                let msg = wire::msg::Msg::Settle(Box::new((key.to_string(), stamp)));
-                match fellow.call(msg, ANSWER_MS).await {
+                let msg = wire::msg::Msg::Settle(Box::new((key.to_string(), version)));
+                match peer.call(msg, ANSWER_MS).await {
                     Some(wire::msg::Msg::Settled(reply)) => Some(*reply),
                     _ => None,
                 }
             }
         });
         let mut list = futures_util::future::join_all(asks).await;
-        list.push(Some(self.settled(key, stamp, kernel::clock::now())));
+        list.push(Some(self.settled(key, version, kernel::clock::now())));
         list
     }
 
     /// Waits until no router can send bound work under an older rule: each has confirmed this one or its
     /// lease has lapsed. False: one keeps its lease without confirming.
-    pub async fn settle_rule(&self, key: &str, stamp: u64) -> bool {
+    pub async fn settle_rule(&self, key: &str, version: u64) -> bool {
         let begun = kernel::clock::now();
         loop {
-            let list = self.ask_settled(key, stamp).await;
+            let list = self.ask_settled(key, version).await;
             let late = kernel::clock::now() >= begun + WAIT_MS;
             // Who does not answer can be waited out; who answers must have settled.
             let good = list.iter().all(|reply| reply.map_or(late, |(all, good)| all == good));
@@ -83,45 +92,45 @@
     }
 
     /// Sends the weight versions that a follower lacks.
-    pub fn send_weights(&self, follower: &mut crate::crew::Follower) {
-        for (area, list) in self.weights.lock().expect("weights").iter() {
-            let has = follower.sheets.entry(wire::msg::hide(area)).or_default();
-            let stamp = (list.turn, list.count);
-            if *has == stamp {
+    pub fn send_weights(&self, follower: &mut crate::followers::Follower) {
+        for (zone, list) in self.weights.lock().expect("weights").iter() {
+            let has = follower.sheets.entry(wire::msg::hide(zone)).or_default();
+            let version = (list.turn, list.count);
+            if *has == version {
                 continue;
             }
             match follower.mouth.cast(&wire::msg::Msg::Versions(Box::new(list.clone()))) {
-                true => *has = stamp,
+                true => *has = version,
                 false => follower.behind = true,
             }
         }
     }
 }
 
-/// Versions from the poller of an area, or from the own poll.
-pub fn hear(hall: &crate::hall::Hall, list: wire::msg::Versions) {
+/// Versions from the poller of a zone, or from the own poll.
+pub fn hear(keeper: &crate::keeper::Keeper, list: wire::msg::Versions) {
     {
-        let mut held = hall.weights.lock().expect("weights");
-        let old = held.get(&list.area).map(|held| (held.turn, held.count));
+        let mut held = keeper.weights.lock().expect("weights");
+        let old = held.get(&list.zone).map(|held| (held.turn, held.count));
         if old.is_some_and(|(turn, count)| turn == list.turn && count >= list.count) {
             return;
         }
-        held.insert(list.area.clone(), list);
+        held.insert(list.zone.clone(), list);
     }
-    hall.push();
+    keeper.push();
 }
 
-/// What the poller of an area saw, asked for only while there are rules.
-pub fn seen(hall: &crate::hall::Hall, area: &str, list: Vec<(String, String, u64)>, again: bool) {
-    let held = hall.weights.lock().expect("weights").get(area).cloned().unwrap_or_default();
-    let same = held.turn == hall.seat && held.list == list;
+/// What the poller of a zone saw, asked for only while there are rules.
+pub fn seen(keeper: &crate::keeper::Keeper, zone: &str, list: Vec<(String, String, u64)>, again: bool) {
+    let held = keeper.weights.lock().expect("weights").get(zone).cloned().unwrap_or_default();
+    let same = held.turn == keeper.seat && held.list == list;
     if same && !again {
         return;
     }
     let count = held.count + u64::from(!same);
-    let next = wire::msg::Versions { area: area.into(), turn: hall.seat, count, list };
-    for ip in hall.known() {
-        hall.fellow(&ip).cast(wire::msg::Msg::Versions(Box::new(next.clone())));
+    let next = wire::msg::Versions { zone: zone.into(), turn: keeper.seat, count, list };
+    for ip in keeper.known() {
+        keeper.peer(&ip).cast(wire::msg::Msg::Versions(Box::new(next.clone())));
     }
-    hear(hall, next);
+    hear(keeper, next);
 }
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -1,8 +1,8 @@
 //! The owner of the batches: claims their pages under its epoch, sends jobs to routers as a client
 //! does, and writes their receipts.
 
-use crate::council::Verdict;
-use crate::hall::Hall;
+use crate::keeper::Keeper;
+use crate::register::Verdict;
 use batch::page::{Bar, Page, State};
 use batch::sheet::Batch;
 use std::collections::{HashMap, HashSet};
@@ -60,11 +60,11 @@
     waiting: Vec<usize>,
 }
 
-pub fn start(hall: &Arc<Hall>) {
+pub fn start(keeper: &Arc<Keeper>) {
     let wait = Duration::from_millis;
     let client = crate::outbound::at_most_once(wait(CONNECT_MS), wait(wire::sock::SILENCE_MS));
     let Ok(client) = client.build() else { return };
-    let hall = hall.clone();
+    let keeper = keeper.clone();
     tokio::spawn(async move {
         let mut beat = kernel::entry::beat(LOOK_MS);
         let pace = batch::turn::Pace::new(PLACES);
@@ -72,25 +72,25 @@
         let mut runner = Runner::default();
         loop {
             beat.tick().await;
-            look(&hall, &client, &mut runner, &in_flight).await;
+            look(&keeper, &client, &mut runner, &in_flight).await;
         }
     });
 }
 
 /// The epoch under which batches may be run now: the last owner has stopped by then.
-pub fn acting_epoch(hall: &Hall, now: u64) -> Option<u64> {
-    crate::duty::acting_epoch(hall, crate::duty::BATCH, now)
+pub fn acting_epoch(keeper: &Keeper, now: u64) -> Option<u64> {
+    crate::duty::acting_epoch(keeper, crate::duty::BATCH, now)
 }
 
-async fn look(hall: &Arc<Hall>, client: &reqwest::Client, runner: &mut Runner, in_flight: &Shared) {
+async fn look(keeper: &Arc<Keeper>, client: &reqwest::Client, runner: &mut Runner, in_flight: &Shared) {
     let now = kernel::clock::now();
-    let ids = crate::batches::ids(&hall.board.lock().expect("board"));
-    let epoch = if ids.is_empty() { None } else { acting_epoch(hall, now) };
+    let ids = crate::batches::ids(&keeper.committed_state.lock().expect("committed_state"));
+    let epoch = if ids.is_empty() { None } else { acting_epoch(keeper, now) };
     let Some(epoch) = epoch else {
         runner.looked = now;
         return;
     };
-    if !crate::duty::declare_clear(hall, crate::duty::BATCH, epoch).await {
+    if !crate::duty::declare_clear(keeper, crate::duty::BATCH, epoch).await {
         return;
     }
     if epoch != runner.epoch {
@@ -100,28 +100,28 @@
     let mut open = Vec::new();
     for id in &ids {
         if !runner.claimed.contains(id) {
-            if !claim(hall, id, epoch).await {
+            if !claim(keeper, id, epoch).await {
                 continue;
             }
             runner.claimed.insert(id.clone());
         }
-        let Some(batch) = tend(hall, id, spent, epoch).await else { continue };
-        let waiting = waiting(hall, id, &batch, in_flight);
+        let Some(batch) = tend(keeper, id, spent, epoch).await else { continue };
+        let waiting = waiting(keeper, id, &batch, in_flight);
         open.push(Open { id: id.clone(), batch, waiting });
     }
     for send in next(&open, in_flight, now) {
         in_flight.lock().expect("in flight").jobs.insert((send.id.clone(), send.job));
-        tokio::spawn(crate::job_run::run(hall.clone(), client.clone(), in_flight.clone(), send, epoch));
+        tokio::spawn(crate::job_run::run(keeper.clone(), client.clone(), in_flight.clone(), send, epoch));
     }
 }
 
 /// The jobs of a batch that wait and are not under way.
-fn waiting(hall: &Hall, id: &str, batch: &Batch, in_flight: &Shared) -> Vec<usize> {
-    let board = hall.board.lock().expect("board");
+fn waiting(keeper: &Keeper, id: &str, batch: &Batch, in_flight: &Shared) -> Vec<usize> {
+    let committed_state = keeper.committed_state.lock().expect("committed_state");
     let in_flight = in_flight.lock().expect("in flight");
     let mut list = Vec::new();
     for number in 0..batch.pages() {
-        let page = crate::batches::page(&board, id, batch, number);
+        let page = crate::batches::page(&committed_state, id, batch, number);
         let waits = page.states.iter().enumerate().filter(|(_, state)| **state == State::Waiting);
         list.extend(waits.map(|(slot, _)| number * batch::PAGE + slot));
     }
@@ -145,7 +145,7 @@
 /// Changes one page under this owner's epoch. Some(false): another owner holds it, or the job has its
 /// receipt; None: no clear outcome.
 pub async fn change(
-    hall: &Hall,
+    keeper: &Keeper,
     id: &str,
     batch: &Batch,
     number: usize,
@@ -159,14 +159,16 @@
             Err(_) => Verdict::Answer(false),
         }
     };
-    hall.change(&crate::batches::page_key(id, number), PAGE_CHANGE_MS, judge).await
+    keeper.change(&crate::batches::page_key(id, number), PAGE_CHANGE_MS, judge).await
 }
 
-async fn claim(hall: &Hall, id: &str, epoch: u64) -> bool {
-    let Some(batch) = crate::batches::batch(&hall.board.lock().expect("board"), id) else { return false };
+async fn claim(keeper: &Keeper, id: &str, epoch: u64) -> bool {
+    let Some(batch) = crate::batches::batch(&keeper.committed_state.lock().expect("committed_state"), id) else {
+        return false;
+    };
     for number in 0..batch.pages() {
         let again = |at: usize| batch.jobs.get(number * batch::PAGE + at).is_some_and(|job| job.repeatable);
-        let taken = change(hall, id, &batch, number, |page| match page.epoch == epoch {
+        let taken = change(keeper, id, &batch, number, |page| match page.epoch == epoch {
             true => Ok(()),
             false => page.claim(epoch, again),
         });
@@ -179,31 +181,31 @@
 
 /// Counts the window down, ends what can't make it, forgets what is long finished. Gives the batch if
 /// it has jobs to send.
-async fn tend(hall: &Hall, id: &str, spent: u64, epoch: u64) -> Option<Batch> {
+async fn tend(keeper: &Keeper, id: &str, spent: u64, epoch: u64) -> Option<Batch> {
     let (held, done) = {
-        let board = hall.board.lock().expect("board");
-        let held = crate::batches::batch(&board, id)?;
-        let done = (0..held.pages()).all(|number| crate::batches::page(&board, id, &held, number).closed());
+        let committed_state = keeper.committed_state.lock().expect("committed_state");
+        let held = crate::batches::batch(&committed_state, id)?;
+        let done = (0..held.pages()).all(|number| crate::batches::page(&committed_state, id, &held, number).closed());
         (held, done)
     };
-    let held = count_down(hall, id, held, spent, done).await?;
+    let held = count_down(keeper, id, held, spent, done).await?;
     let ends = held.cancelled || held.left_ms() == 0;
     if ends && !done {
         let state = if held.cancelled { State::Cancelled } else { State::Missed };
-        end(hall, id, &held, state, epoch).await;
+        end(keeper, id, &held, state, epoch).await;
     }
     (!ends && !done).then_some(held)
 }
 
 /// Written in steps, so that the count outlives this owner without a write for each look.
-async fn count_down(hall: &Hall, id: &str, held: Batch, spent: u64, done: bool) -> Option<Batch> {
+async fn count_down(keeper: &Keeper, id: &str, held: Batch, spent: u64, done: bool) -> Option<Batch> {
     let step = if done { batch::KEEP_MS / 20 } else { (held.window_ms / 20).clamp(500, 30_000) };
-    let tally = hall.tallies.lock().expect("tallies").add(id, spent);
+    let tally = keeper.tallies.lock().expect("tallies").add(id, spent);
     let over = held.spent_ms + tally >= held.window_ms;
     if tally < step && !(over && held.spent_ms < held.window_ms) {
         return Some(held);
     }
-    let gone = hall.tallies.lock().expect("tallies").take(id);
+    let gone = keeper.tallies.lock().expect("tallies").take(id);
     let judge = |body: &[u8]| {
         let Some(mut next) = Batch::read_bytes(body) else { return Verdict::Answer(()) };
         match next.tick(held.spent_ms, gone, done) {
@@ -211,12 +213,12 @@
             false => Verdict::Answer(()),
         }
     };
-    hall.change(&crate::batches::batch_key(id), BATCH_CHANGE_MS, judge).await?;
-    crate::batches::batch(&hall.board.lock().expect("board"), id)
+    keeper.change(&crate::batches::batch_key(id), BATCH_CHANGE_MS, judge).await?;
+    crate::batches::batch(&keeper.committed_state.lock().expect("committed_state"), id)
 }
 
 /// Closes the jobs that still wait.
-async fn end(hall: &Hall, id: &str, batch: &Batch, state: State, epoch: u64) {
+async fn end(keeper: &Keeper, id: &str, batch: &Batch, state: State, epoch: u64) {
     for number in 0..batch.pages() {
         let close = |page: &mut Page| {
             if page.epoch != epoch {
@@ -226,6 +228,6 @@
             waits.for_each(|held| *held = state.clone());
             Ok(())
         };
-        let _ = change(hall, id, batch, number, close).await;
+        let _ = change(keeper, id, batch, number, close).await;
     }
 }
--- a/keeper/src/simulation/catch_up_tests.rs
+++ b/keeper/src/simulation/catch_up_tests.rs
@@ -20,7 +20,7 @@
         cluster.start(at);
         cluster.run(SYNC_MS);
         let node = &cluster.nodes[at];
-        caught_up &= node.voter.able && node.is_confirmed(cluster.now);
+        caught_up &= node.voter.may_vote && node.is_confirmed(cluster.now);
     }
     cluster.finish();
     (cluster, caught_up)
--- a/keeper/src/simulation/confirming.rs
+++ b/keeper/src/simulation/confirming.rs
@@ -46,7 +46,7 @@
         let now = self.now;
         let confirming = &mut self.nodes[at].confirming;
         if now >= confirming.next_beat && !confirming.is_at_work() {
-            confirming.next_beat = now + crate::hall::BEAT_MS;
+            confirming.next_beat = now + crate::keeper::BEAT_MS;
             self.tell(at);
             self.begin_confirmation(at);
             return;
@@ -65,7 +65,7 @@
         let live = |ip: &&String| node.roster.live(ip, self.now);
         let heartbeat = Heartbeat {
             address: node.voter.ip.clone(),
-            fit: node.voter.able,
+            fit: node.voter.may_vote,
             leaving: node.leaving.is_some(),
             core: node.voter.core.clone(),
             peers: node.roster.keepers.keys().filter(live).cloned().collect(),
@@ -77,7 +77,7 @@
 
     pub fn take_heartbeat(&mut self, at: usize, heartbeat: Heartbeat) {
         self.adopt(at, &heartbeat.core);
-        let peer = roster::Fellow {
+        let peer = roster::Peer {
             heard: self.now,
             fit: heartbeat.fit,
             leaving: heartbeat.leaving,
--- a/keeper/src/simulation/faults.rs
+++ b/keeper/src/simulation/faults.rs
@@ -33,7 +33,7 @@
             node.disk = ledger::voter::Voter::new(&address(at));
             if hasty {
                 node.disk.core = core;
-                node.disk.able = true;
+                node.disk.may_vote = true;
             }
         }
     }
@@ -100,7 +100,7 @@
     /// Is every keeper that runs confirmed, and may it vote?
     pub fn all_confirmed(&self) -> bool {
         let mut running = self.nodes.iter().filter(|node| node.runs());
-        running.all(|node| node.is_confirmed(self.now) && node.voter.able)
+        running.all(|node| node.is_confirmed(self.now) && node.voter.may_vote)
     }
 
     /// Heals and starts everything, lets the last orders end, and reads back what is committed.
--- a/keeper/src/simulation/members.rs
+++ b/keeper/src/simulation/members.rs
@@ -36,7 +36,7 @@
         }
         self.nodes[at].members.next_beat = now + BEAT_MS;
         self.nodes[at].pauses.beat(now);
-        if !self.nodes[at].voter.able {
+        if !self.nodes[at].voter.may_vote {
             self.attempt_recovery(at);
             return;
         }
@@ -64,9 +64,9 @@
         }
         let now = self.now;
         let Some(next) = crate::membership::next(core, &self.nodes[at].roster, now) else { return };
-        let stamp = core.stamp;
+        let version = core.version;
         let judge = move |body: &[u8]| match crate::state::read_core(body) {
-            Some(held) if held.stamp != stamp || !held.settled => Verdict::Answer(None),
+            Some(held) if held.version != version || !held.settled => Verdict::Answer(None),
             _ => Verdict::Write(crate::state::write_core(&next), None),
         };
         self.begin_change(at, ledger::CORE, Purpose::CoreChange, COMMIT_MS, Box::new(judge));
@@ -111,9 +111,9 @@
         if self.is_changing(at, &Purpose::CoreSettled) {
             return;
         }
-        let stamp = core.stamp;
+        let version = core.version;
         let judge = move |body: &[u8]| match crate::state::read_core(body) {
-            Some(held) if held.stamp == stamp && !held.settled => {
+            Some(held) if held.version == version && !held.settled => {
                 let settled = ledger::membership::settled(&held);
                 Verdict::Write(crate::state::write_core(&settled), None)
             }
@@ -126,7 +126,7 @@
         let node = &self.nodes[at];
         let core = node.voter.core.clone();
         let at_work = node.members.recovery.as_ref().is_some_and(|recovery| self.now < recovery.end);
-        if self.now < node.born + ledger::AMNESIA_MS || core.list.is_empty() || at_work {
+        if self.now < node.born + ledger::RECALL_DELAY_MS || core.list.is_empty() || at_work {
             return;
         }
         let member = ledger::quorum::is_member(&core, &node.voter.ip);
@@ -167,7 +167,7 @@
     fn vote_on_recovery(&mut self, at: usize, from: &str, id: u64, vote: &Vote) -> bool {
         let node = &mut self.nodes[at];
         let Some(recovery) = node.members.recovery.as_mut().filter(|recovery| recovery.id == id) else { return false };
-        let current = recovery.core.stamp == node.voter.core.stamp && !node.voter.able;
+        let current = recovery.core.version == node.voter.core.version && !node.voter.may_vote;
         match vote {
             Vote::Newer { core } => {
                 node.members.recovery = None;
@@ -184,8 +184,8 @@
             let reads = std::mem::take(&mut recovery.reads);
             node.voter.recall(reads)
         } else if !member && current && ledger::quorum::is_quorum(&recovery.core, &recovery.from) {
-            node.voter.able = true;
-            vec![ledger::voter::Deed::Vote]
+            node.voter.may_vote = true;
+            vec![ledger::voter::LogRecord::Vote]
         } else {
             return true;
         };
--- a/keeper/src/simulation/node.rs
+++ b/keeper/src/simulation/node.rs
@@ -8,7 +8,7 @@
 /// Records on their way to the disk, and the vote that may leave once they are there.
 pub struct Write {
     pub due: u64,
-    pub records: Vec<ledger::voter::Deed>,
+    pub records: Vec<ledger::voter::LogRecord>,
     pub vote: Option<(Address, u64, wire::msg::Vote)>,
 }
 
@@ -31,7 +31,7 @@
     /// When the read began that last confirmed `committed` at a quorum.
     pub confirmed: Option<u64>,
     pub turn: u64,
-    pub owned: BTreeMap<String, ledger::round::Helm>,
+    pub owned: BTreeMap<String, ledger::round::Ownership>,
     /// Changes by key: the first of each list is under way.
     pub changes: BTreeMap<String, Vec<Change>>,
     pub confirming: Confirming,
@@ -64,7 +64,7 @@
             changes: BTreeMap::new(),
             confirming: Confirming::default(),
             members: Members::default(),
-            roster: roster::Roster::new(&address, "", crate::hall::LIVE_MS),
+            roster: roster::Roster::new(&address, "", crate::keeper::LIVE_MS),
             seeds: seeds.to_vec(),
             leaving: None,
             pauses: Default::default(),
@@ -74,9 +74,9 @@
 
     /// The first start of the whole system: the seeds are the core.
     pub fn found(&mut self, seeds: &[String]) {
-        let list = seeds.iter().map(|ip| wire::msg::Member { ip: ip.clone(), area: String::new() }).collect();
-        self.voter.core = wire::msg::Core { stamp: 1, list, prev: Vec::new(), settled: true };
-        self.voter.able = true;
+        let list = seeds.iter().map(|ip| wire::msg::Member { ip: ip.clone(), zone: String::new() }).collect();
+        self.voter.core = wire::msg::Core { version: 1, list, prev: Vec::new(), settled: true };
+        self.voter.may_vote = true;
         self.disk = self.voter.clone();
     }
 
@@ -90,7 +90,7 @@
     }
 
     pub fn is_confirmed(&self, now: u64) -> bool {
-        self.confirmed.is_some_and(|time| now < time + crate::hall::SURE_MS)
+        self.confirmed.is_some_and(|time| now < time + crate::keeper::SURE_MS)
     }
 
     pub fn place(&self, key: &str) -> Option<ledger::confirmation::Place> {
@@ -131,7 +131,7 @@
     pub fn write(
         &mut self,
         at: usize,
-        records: Vec<ledger::voter::Deed>,
+        records: Vec<ledger::voter::LogRecord>,
         vote: Option<(Address, u64, wire::msg::Vote)>,
     ) {
         let slow = if self.random.below(60) == 0 { 400 } else { 5 };
--- a/keeper/src/simulation/operator.rs
+++ b/keeper/src/simulation/operator.rs
@@ -224,5 +224,5 @@
     if held.on == on {
         return Verdict::Answer(Some(Answer::Good));
     }
-    Verdict::Write(Closed { stamp: held.stamp + 1, on }.write_bytes(), Some(Answer::Good))
+    Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), Some(Answer::Good))
 }
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -11,7 +11,7 @@
 
 #[derive(Clone, Debug, Default, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Closed {
-    pub stamp: u64,
+    pub version: u64,
     pub on: bool,
 }
 
@@ -72,21 +72,21 @@
     rkyv::to_bytes::<rkyv::rancor::Error>(core).map(|body| body.to_vec()).unwrap_or_default()
 }
 
-impl crate::hall::Hall {
+impl crate::keeper::Keeper {
     /// A committed entry becomes known here; with `tell` also to the other keepers. Followers get
     /// what is new to them at once.
     pub fn learn(&self, key: &str, entry: &wire::msg::Entry, tell: bool) {
         {
-            let mut board = self.board.lock().expect("board");
-            board.turn = board.turn.max(entry.ballot.turn);
-            if board.entries.get(key).is_some_and(|held| held.place() >= entry.place()) {
+            let mut committed_state = self.committed_state.lock().expect("committed_state");
+            committed_state.turn = committed_state.turn.max(entry.ballot.turn);
+            if committed_state.entries.get(key).is_some_and(|held| held.place() >= entry.place()) {
                 return;
             }
-            let same = board.entries.get(key).is_some_and(|held| held.body == entry.body);
-            board.entries.insert(key.into(), entry.clone());
+            let same = committed_state.entries.get(key).is_some_and(|held| held.body == entry.body);
+            committed_state.entries.insert(key.into(), entry.clone());
             if !same {
-                fold(&mut board, key, &entry.body);
-                let revision = board.config.as_ref().map_or(0, |config| config.0);
+                fold(&mut committed_state, key, &entry.body);
+                let revision = committed_state.config.as_ref().map_or(0, |config| config.0);
                 kernel::say!(crate::event::LEARNED, "key" => key, "revision" => revision, "turn" => entry.ballot.turn, "step" => entry.step);
             }
         }
@@ -98,34 +98,34 @@
         if tell {
             let note = wire::msg::Msg::Learn(Box::new((key.into(), entry.clone())));
             for ip in self.known() {
-                self.fellow(&ip).cast(note.clone());
+                self.peer(&ip).cast(note.clone());
             }
         }
         self.push();
     }
 }
 
-fn fold(board: &mut crate::hall::Board, key: &str, body: &[u8]) {
+fn fold(committed_state: &mut crate::keeper::CommittedState, key: &str, body: &[u8]) {
     if key == CONFIG {
         let Some(held) = Held::open(body) else { return };
         // Checked before it was committed.
         if let Ok(config) = wire::config::read(&held.text) {
-            board.history.advance(config);
+            committed_state.history.advance(config);
         }
-        board.config = Some((held.revision, held.text.into_bytes()));
+        committed_state.config = Some((held.revision, held.text.into_bytes()));
     }
-    if let Some(area) = key.strip_prefix(CLOSED) {
+    if let Some(zone) = key.strip_prefix(CLOSED) {
         let closed = Closed::read_bytes(body).unwrap_or_default();
-        board.closed.insert(area.into(), (closed.stamp, closed.on));
+        committed_state.closed.insert(zone.into(), (closed.version, closed.on));
     }
     if key.starts_with(wire::msg::ROLLOUT) {
         if let Some(rule) = wire::msg::Rule::read_bytes(body) {
-            board.rules.insert(key.into(), rule);
+            committed_state.rules.insert(key.into(), rule);
         }
     }
     if key.starts_with(DUTY) {
         let duty = Duty::read_bytes(body).unwrap_or_default();
-        board.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
+        committed_state.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
     }
 }
 
--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -195,7 +195,7 @@
     }
 
     /// Where keepers listen for fellows, on every machine of a deployment.
-    pub fn fellow_port(&self) -> u16 {
+    pub fn peer_port(&self) -> u16 {
         self.internal_ports[0]
     }
 }
--- a/kernel/src/env_tests.rs
+++ b/kernel/src/env_tests.rs
@@ -28,7 +28,7 @@
 fn unknown_fields_are_passed_over() {
     let env = super::parse(GOOD).expect("good settings");
     assert_eq!(env.seed_ips(), ["10.1.0.12"]);
-    assert_eq!(env.fellow_port(), 7300);
+    assert_eq!(env.peer_port(), 7300);
 }
 
 #[test]
--- a/ledger/src/confirmation_tests.rs
+++ b/ledger/src/confirmation_tests.rs
@@ -3,8 +3,8 @@
 use wire::msg::{Ballot, Core, Entry, Member};
 
 fn core(size: usize) -> Core {
-    let list = (0..size).map(|at| Member { ip: format!("m{at}"), area: String::new() }).collect();
-    Core { stamp: 1, list, prev: Vec::new(), settled: true }
+    let list = (0..size).map(|at| Member { ip: format!("m{at}"), zone: String::new() }).collect();
+    Core { version: 1, list, prev: Vec::new(), settled: true }
 }
 
 fn ballot(turn: u64) -> Ballot {
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -19,7 +19,7 @@
 pub const ROUND_MS: u64 = 900;
 /// A voter without memory waits this long before it reads the others, so that every round which
 /// counted its lost votes is over. Invariant: above `ROUND_MS`.
-pub const AMNESIA_MS: u64 = 1300;
+pub const RECALL_DELAY_MS: u64 = 1300;
 
 /// The seat of a keeper in ballots: its address, so that it differs between live keepers, mixed
 /// with its life, so that two lives never act under one ballot.
--- a/ledger/src/membership.rs
+++ b/ledger/src/membership.rs
@@ -37,7 +37,7 @@
 pub fn next(core: &wire::msg::Core, view: &View) -> Option<wire::msg::Core> {
     let gone = core.list.iter().find(|member| (view.health)(&member.ip).gone());
     let candidate = match gone {
-        Some(gone) => view.candidates.iter().find(|one| one.area == gone.area).or(view.candidates.first()),
+        Some(gone) => view.candidates.iter().find(|one| one.zone == gone.zone).or(view.candidates.first()),
         None => view.candidates.first(),
     };
     let list = match (gone, candidate) {
@@ -46,11 +46,11 @@
         (_, Some(candidate)) => with(core, candidate),
         _ => return None,
     };
-    let next = wire::msg::Core { stamp: core.stamp + 1, list, prev: core.list.clone(), settled: false };
+    let next = wire::msg::Core { version: core.version + 1, list, prev: core.list.clone(), settled: false };
     can_settle(&next, view).then_some(next)
 }
 
-/// Those that stay must be a quorum of the next core. Those before it must be able to commit it, and to hear
+/// Those that stay must be a quorum of the next core. Those before it must be may_vote to commit it, and to hear
 /// of it: one that is leaving still can.
 fn can_settle(next: &wire::msg::Core, view: &View) -> bool {
     let is_candidate = |address: &str| view.candidates.iter().any(|one| one.ip == address);
--- a/ledger/src/membership_tests.rs
+++ b/ledger/src/membership_tests.rs
@@ -7,12 +7,12 @@
 const LEAVING: Health = Health { silent_ms: 100, live: true, leaving: true };
 
 fn member(name: &str, zone: &str) -> Member {
-    Member { ip: name.into(), area: zone.into() }
+    Member { ip: name.into(), zone: zone.into() }
 }
 
 fn core(names: &[&str]) -> Core {
     let list = names.iter().map(|name| member(name, name)).collect();
-    Core { stamp: 4, list, prev: Vec::new(), settled: true }
+    Core { version: 4, list, prev: Vec::new(), settled: true }
 }
 
 fn names(core: &Core) -> Vec<&str> {
@@ -31,7 +31,7 @@
 fn a_member_that_is_gone_is_exchanged_in_one_change() {
     let next = changed(&core(&["a", "b", "c"]), all_live_but("c", SILENT), &[member("d", "c")], true).expect("next");
     assert_eq!(names(&next), ["a", "b", "d"]);
-    assert_eq!((next.stamp, next.settled, next.prev.len()), (5, false, 3));
+    assert_eq!((next.version, next.settled, next.prev.len()), (5, false, 3));
 }
 
 #[test]
@@ -84,7 +84,7 @@
 #[test]
 fn a_settlement_waits_for_quorums_of_old_and_new_and_for_every_key() {
     let prev = core(&["a", "b", "c"]).list;
-    let changing = Core { list: core(&["a", "b", "d"]).list, prev, settled: false, stamp: 5 };
+    let changing = Core { list: core(&["a", "b", "d"]).list, prev, settled: false, version: 5 };
     let mut settlement = Settlement::new(&changing);
     settlement.hear("a", ["config".to_string()]);
     settlement.hear("d", []);
--- a/ledger/src/proposal.rs
+++ b/ledger/src/proposal.rs
@@ -1,6 +1,6 @@
 //! One change or linearizable read of a register, from the first poll to its outcome, as a pure state
 //! machine. The keeper drives it over the network, the simulation in virtual time.
-use crate::round::{Helm, Round, Step};
+use crate::round::{Ownership, Round, Step};
 
 /// What a caller decides once it sees what is committed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +20,7 @@
     /// Committed, or read at a quorum. The ownership serves the next change of the same key.
     Finished {
         answer: T,
-        owner: Helm,
+        owner: Ownership,
         wrote: bool,
     },
     /// Another owner is at work under this higher ballot. The outcome of an own write is unknown.
@@ -50,12 +50,12 @@
     pub fn begin(
         key: &str,
         core: &wire::msg::Core,
-        held: Option<Helm>,
+        held: Option<Ownership>,
         ballot: wire::msg::Ballot,
         judge: &mut impl FnMut(&[u8]) -> Verdict<T>,
         now: u64,
     ) -> (Proposal<T>, wire::msg::Ask) {
-        let held = held.filter(|owner| owner.core == core.stamp);
+        let held = held.filter(|owner| owner.core == core.version);
         if let Some(owner) = held {
             // An answer without a write would rest on a read of some time ago: another may own the key by now.
             if let Verdict::Write(body, answer) = judge(&owner.entry.body) {
--- a/ledger/src/proposal_tests.rs
+++ b/ledger/src/proposal_tests.rs
@@ -1,14 +1,14 @@
 //! One proposal against voters that answer in the order a test says.
 use super::{Progress, Proposal, Verdict};
-use crate::round::Helm;
+use crate::round::Ownership;
 use crate::voter::Voter;
 use wire::msg::{Ask, Ballot, Core, Member, Poll, Vote};
 
 const KEY: &str = "config";
 
 fn core(size: usize) -> Core {
-    let list = (0..size).map(|at| Member { ip: address(at), area: String::new() }).collect();
-    Core { stamp: 1, list, prev: Vec::new(), settled: true }
+    let list = (0..size).map(|at| Member { ip: address(at), zone: String::new() }).collect();
+    Core { version: 1, list, prev: Vec::new(), settled: true }
 }
 
 fn address(at: usize) -> String {
@@ -16,7 +16,7 @@
 }
 
 fn voters(size: usize) -> Vec<Voter> {
-    let voter = |at: usize| Voter { core: core(size), able: true, ..Voter::new(&address(at)) };
+    let voter = |at: usize| Voter { core: core(size), may_vote: true, ..Voter::new(&address(at)) };
     (0..size).map(voter).collect()
 }
 
@@ -42,7 +42,7 @@
 /// Runs a proposal against these voters, who all answer each poll in turn.
 fn run<T>(
     voters: &mut [Voter],
-    held: Option<Helm>,
+    held: Option<Ownership>,
     turn: u64,
     judge: &mut impl FnMut(&[u8]) -> Verdict<T>,
 ) -> Progress<T> {
@@ -65,7 +65,7 @@
     }
 }
 
-fn owner<T>(progress: Progress<T>) -> Helm {
+fn owner<T>(progress: Progress<T>) -> Ownership {
     let Progress::Finished { owner, .. } = progress else { panic!("finished") };
     owner
 }
--- a/ledger/src/quorum_tests.rs
+++ b/ledger/src/quorum_tests.rs
@@ -4,7 +4,7 @@
 
 fn members(mask: u32) -> Vec<Member> {
     let numbers = (0..8).filter(|bit| mask & (1 << bit) != 0);
-    numbers.map(|bit| Member { ip: format!("10.0.0.{bit}"), area: String::new() }).collect()
+    numbers.map(|bit| Member { ip: format!("10.0.0.{bit}"), zone: String::new() }).collect()
 }
 
 fn addresses(mask: u32) -> Vec<String> {
@@ -12,11 +12,11 @@
 }
 
 fn settled(mask: u32) -> Core {
-    Core { stamp: 1, list: members(mask), prev: Vec::new(), settled: true }
+    Core { version: 1, list: members(mask), prev: Vec::new(), settled: true }
 }
 
 fn changing(old: u32, new: u32) -> Core {
-    Core { stamp: 2, list: members(new), prev: members(old), settled: false }
+    Core { version: 2, list: members(new), prev: members(old), settled: false }
 }
 
 fn quorums(core: &Core) -> Vec<u32> {
--- a/ledger/src/record.rs
+++ b/ledger/src/record.rs
@@ -3,7 +3,7 @@
 //! Header: magic (4 bytes), body length (4), the length of the segment known to be synced when the
 //! record was written (8), check sum of all the rest (4), zero (4). Numbers are little-endian.
 
-pub use crate::voter::Deed as LogRecord;
+pub use crate::voter::LogRecord;
 
 pub const MAGIC: [u8; 4] = *b"tdp1";
 pub const HEADER_BYTES: usize = 24;
--- a/ledger/src/round.rs
+++ b/ledger/src/round.rs
@@ -3,12 +3,12 @@
 /// What an owner holds. Invariants: `entry` is committed; its ballot is the owner's own; a next
 /// change carries `entry.step + 1`, so two changes never share a place.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Helm {
+pub struct Ownership {
     pub entry: wire::msg::Entry,
     pub core: u64,
 }
 
-impl Helm {
+impl Ownership {
     /// Nothing was ever committed under this key.
     pub fn is_blank(&self) -> bool {
         self.entry.step == 0 && self.entry.body.is_empty()
@@ -21,7 +21,7 @@
     /// To be sent to every member.
     Send(wire::msg::Ask),
     /// Committed: a majority has it on disk.
-    Done(Helm),
+    Done(Ownership),
     /// Another owner is at work under a higher ballot; the outcome of an own change is unknown.
     Lost(wire::msg::Ballot),
     Core(wire::msg::Core),
@@ -39,7 +39,7 @@
     ballot: wire::msg::Ballot,
     phase: Phase,
     heard: Vec<String>,
-    horizon: u64,
+    deadline: u64,
 }
 
 impl Round {
@@ -49,16 +49,22 @@
         (Round::new(key, core, ballot, Phase::Reading { found: None }, now), ask)
     }
 
-    /// A change by the holder of a helm.
-    pub fn change(key: &str, core: wire::msg::Core, helm: &Helm, body: Vec<u8>, now: u64) -> (Round, wire::msg::Ask) {
-        let entry = wire::msg::Entry { ballot: helm.entry.ballot, step: helm.entry.step + 1, body };
+    /// A change by the holder of a ownership.
+    pub fn change(
+        key: &str,
+        core: wire::msg::Core,
+        ownership: &Ownership,
+        body: Vec<u8>,
+        now: u64,
+    ) -> (Round, wire::msg::Ask) {
+        let entry = wire::msg::Entry { ballot: ownership.entry.ballot, step: ownership.entry.step + 1, body };
         let ask = wire::msg::Ask::Accept { key: key.into(), entry: entry.clone() };
         (Round::new(key, core, entry.ballot, Phase::Writing(entry), now), ask)
     }
 
     fn new(key: &str, core: wire::msg::Core, ballot: wire::msg::Ballot, phase: Phase, now: u64) -> Round {
-        let horizon = now + crate::ROUND_MS;
-        Round { key: key.into(), core, ballot, phase, heard: Vec::new(), horizon }
+        let deadline = now + crate::ROUND_MS;
+        Round { key: key.into(), core, ballot, phase, heard: Vec::new(), deadline }
     }
 
     pub fn core(&self) -> &wire::msg::Core {
@@ -66,7 +72,7 @@
     }
 
     pub fn over(&self, now: u64) -> bool {
-        now >= self.horizon
+        now >= self.deadline
     }
 
     pub fn hear(&mut self, from: &str, vote: wire::msg::Vote, now: u64) -> Step {
@@ -94,11 +100,11 @@
             return Step::Wait;
         }
         match &mut self.phase {
-            Phase::Writing(entry) => Step::Done(Helm { entry: entry.clone(), core: self.core.stamp }),
+            Phase::Writing(entry) => Step::Done(Ownership { entry: entry.clone(), core: self.core.version }),
             Phase::Reading { found } => {
                 let Some(found) = found.take() else {
                     let entry = wire::msg::Entry { ballot: self.ballot, step: 0, body: Vec::new() };
-                    return Step::Done(Helm { entry, core: self.core.stamp });
+                    return Step::Done(Ownership { entry, core: self.core.version });
                 };
                 // A new number: acceptance of the old phase must not count for the new one.
                 let entry = wire::msg::Entry { ballot: self.ballot, step: 0, body: found.body };
--- a/ledger/src/sim.rs
+++ b/ledger/src/sim.rs
@@ -29,8 +29,8 @@
 struct Seat {
     voter: crate::voter::Voter,
     disk: crate::voter::Voter,
-    wet: Vec<(u64, Vec<crate::voter::Deed>, Option<Letter>)>,
-    helm: Option<crate::round::Helm>,
+    wet: Vec<(u64, Vec<crate::voter::LogRecord>, Option<Letter>)>,
+    ownership: Option<crate::round::Ownership>,
     work: Option<Work>,
     up: bool,
     life: u64,
@@ -64,12 +64,12 @@
     /// An empty machine that may vote where the core names it.
     fn fresh(at: usize, core: Core, born: u64) -> Seat {
         let mut voter = crate::voter::Voter::new(&ip(at));
-        (voter.core, voter.able) = (core, true);
+        (voter.core, voter.may_vote) = (core, true);
         Seat {
             disk: voter.clone(),
             voter,
             wet: Vec::new(),
-            helm: None,
+            ownership: None,
             work: None,
             up: true,
             life: 1,
@@ -82,8 +82,8 @@
 
 impl World {
     pub fn new(seed: u64, size: usize) -> World {
-        let list = (0..size).map(|at| Member { ip: ip(at), area: String::new() }).collect();
-        let core = Core { stamp: 1, list, prev: Vec::new(), settled: true };
+        let list = (0..size).map(|at| Member { ip: ip(at), zone: String::new() }).collect();
+        let core = Core { version: 1, list, prev: Vec::new(), settled: true };
         World {
             now: 0,
             dice: kernel::clock::Dice::new(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15)),
@@ -113,7 +113,7 @@
         }
     }
 
-    /// A keeper begins what its state calls for: a change by a helm, or a take-over.
+    /// A keeper begins what its state calls for: a change by a ownership, or a take-over.
     pub fn propose(&mut self, at: usize) {
         let seat = &mut self.seats[at];
         if !seat.up || seat.work.as_ref().is_some_and(|work| !work.round.over(self.now)) {
@@ -122,10 +122,10 @@
         let core = seat.voter.core.clone();
         let (id, now) = (self.next, self.now);
         self.next += 1;
-        let (round, ask, body) = match &seat.helm {
-            Some(helm) => {
-                let body = format!("{}/{at}.{id}", count(&helm.entry.body) + 1).into_bytes();
-                let (round, ask) = crate::round::Round::change(KEY, core.clone(), helm, body.clone(), now);
+        let (round, ask, body) = match &seat.ownership {
+            Some(ownership) => {
+                let body = format!("{}/{at}.{id}", count(&ownership.entry.body) + 1).into_bytes();
+                let (round, ask) = crate::round::Round::change(KEY, core.clone(), ownership, body.clone(), now);
                 (round, ask, Some(body))
             }
             None => {
@@ -135,7 +135,7 @@
                 (round, ask, None)
             }
         };
-        seat.helm = None;
+        seat.ownership = None;
         seat.work = Some(Work { id, round, body });
         self.ask(at, id, &core, &ask);
     }
@@ -144,12 +144,12 @@
         let now = self.now;
         let seat = &mut self.seats[at];
         if let Vote::Whole { slots } = &vote {
-            if !seat.voter.able {
+            if !seat.voter.may_vote {
                 seat.reads.insert(from, slots.clone());
                 let read: Vec<String> = seat.reads.keys().map(|at| ip(*at)).collect();
                 if seat.voter.enough(&read) {
-                    let deeds = seat.voter.recall(seat.reads.values().cloned().collect());
-                    seat.wet.push((now + 2, deeds, None));
+                    let records = seat.voter.recall(seat.reads.values().cloned().collect());
+                    seat.wet.push((now + 2, records, None));
                 }
             }
             return;
@@ -159,8 +159,8 @@
             crate::round::Step::Wait => {}
             crate::round::Step::Core(core) => {
                 seat.work = None;
-                let deed = seat.voter.adopt(&core);
-                seat.wet.push((now + 2, deed.into_iter().collect(), None));
+                let record = seat.voter.adopt(&core);
+                seat.wet.push((now + 2, record.into_iter().collect(), None));
             }
             crate::round::Step::Send(ask) => {
                 // The second half counts under a new number: votes of the first are not for it.
@@ -173,13 +173,13 @@
                 seat.turn = seat.turn.max(ballot.turn);
                 seat.work = None;
             }
-            crate::round::Step::Done(helm) => {
+            crate::round::Step::Done(ownership) => {
                 let body = work.body.take();
                 seat.work = None;
                 if let Some(body) = body {
                     self.acked.push(body);
                 }
-                seat.helm = Some(helm);
+                seat.ownership = Some(ownership);
             }
         }
     }
@@ -192,14 +192,14 @@
         match mail {
             Mail::Vote { round, vote } => self.vote(to, from, round, vote),
             Mail::Poll { round, poll } => {
-                let (vote, deeds) = self.seats[to].voter.poll(poll);
+                let (vote, records) = self.seats[to].voter.poll(poll);
                 let slow = if self.dice.below(30) == 0 { 700 } else { 6 };
                 let late = 1 + self.dice.below(slow);
                 let reply = Letter { at: 0, from: to, to: from, life: 0, mail: Mail::Vote { round, vote } };
                 let seat = &mut self.seats[to];
                 // The disk works in order: nothing is answered before what came before it is synced.
                 let due = seat.wet.last().map_or(0, |wet| wet.0).max(self.now + late);
-                seat.wet.push((due, deeds, Some(reply)));
+                seat.wet.push((due, records, Some(reply)));
             }
         }
     }
@@ -209,14 +209,14 @@
         let now = self.now;
         for at in 0..self.seats.len() {
             while self.seats[at].up && self.seats[at].wet.first().is_some_and(|wet| wet.0 <= now) {
-                let (_, deeds, reply) = self.seats[at].wet.remove(0);
-                deeds.into_iter().for_each(|deed| self.seats[at].disk.fold(deed));
+                let (_, records, reply) = self.seats[at].wet.remove(0);
+                records.into_iter().for_each(|record| self.seats[at].disk.fold(record));
                 if let Some(reply) = reply {
                     self.post(reply.from, reply.to, reply.mail);
                 }
             }
             let seat = &self.seats[at];
-            if seat.up && !seat.voter.able && now >= seat.born + crate::AMNESIA_MS && now.is_multiple_of(50) {
+            if seat.up && !seat.voter.may_vote && now >= seat.born + crate::RECALL_DELAY_MS && now.is_multiple_of(50) {
                 let (core, others) = (seat.voter.core.clone(), seat.voter.witnesses());
                 self.seats[at].reads.clear();
                 for to in 0..self.seats.len() {
--- a/ledger/src/sim_membership_tests.rs
+++ b/ledger/src/sim_membership_tests.rs
@@ -52,7 +52,7 @@
                 let known = core.clone().expect("a core");
                 stage += u8::from(world.spread(&known));
             }
-            2 | 4 if world.now.is_multiple_of(20) && world.renewed(core.as_ref().expect("a core").stamp) => {
+            2 | 4 if world.now.is_multiple_of(20) && world.renewed(core.as_ref().expect("a core").version) => {
                 stage += 1;
                 if stage == 3 {
                     core = Some(world.change(vec![0, stays, 3], true));
--- a/ledger/src/sim_trouble.rs
+++ b/ledger/src/sim_trouble.rs
@@ -7,13 +7,13 @@
         let seat = &mut self.seats[at];
         seat.up = false;
         seat.wet.clear();
-        (seat.helm, seat.work) = (None, None);
+        (seat.ownership, seat.work) = (None, None);
         seat.reads.clear();
         if wipe {
             let core = seat.disk.core.clone();
             seat.disk = crate::voter::Voter::new(&super::ip(at));
             seat.disk.core = core;
-            seat.disk.able = self.hasty;
+            seat.disk.may_vote = self.hasty;
         }
         seat.born = now;
     }
@@ -32,7 +32,7 @@
     }
 
     pub fn all_able(&self) -> bool {
-        self.seats.iter().all(|seat| seat.voter.able)
+        self.seats.iter().all(|seat| seat.voter.may_vote)
     }
 
     /// What a majority read says at the end, with all up and whole.
@@ -40,12 +40,12 @@
         self.cut.clear();
         (0..self.seats.len()).for_each(|at| self.rise(at));
         for seat in &mut self.seats {
-            (seat.helm, seat.work) = (None, None);
+            (seat.ownership, seat.work) = (None, None);
         }
         for _ in 0..60_000 {
             self.step();
-            if let Some(helm) = &self.seats[0].helm {
-                return helm.entry.body.clone();
+            if let Some(ownership) = &self.seats[0].ownership {
+                return ownership.entry.body.clone();
             }
             if self.now.is_multiple_of(40) {
                 self.propose(0);
@@ -66,11 +66,11 @@
     /// before it are needed too.
     pub fn change(&mut self, list: Vec<usize>, joint: bool) -> super::Core {
         let old = self.seats[0].voter.core.clone();
-        let list = list.into_iter().map(|at| super::Member { ip: super::ip(at), area: String::new() }).collect();
-        let core = super::Core { stamp: old.stamp + 1, list, prev: old.list, settled: !joint };
-        let deed = self.seats[0].voter.adopt(&core);
-        (self.seats[0].helm, self.seats[0].work) = (None, None);
-        self.seats[0].wet.push((self.now + 2, deed.into_iter().collect(), None));
+        let list = list.into_iter().map(|at| super::Member { ip: super::ip(at), zone: String::new() }).collect();
+        let core = super::Core { version: old.version + 1, list, prev: old.list, settled: !joint };
+        let record = self.seats[0].voter.adopt(&core);
+        (self.seats[0].ownership, self.seats[0].work) = (None, None);
+        self.seats[0].wet.push((self.now + 2, record.into_iter().collect(), None));
         core
     }
 
@@ -82,7 +82,7 @@
             self.post(0, to, super::Mail::Poll { round: 0, poll });
         }
         let knows = |ip: &str| {
-            self.seats.iter().any(|seat| seat.up && seat.voter.ip == ip && seat.disk.core.stamp >= core.stamp)
+            self.seats.iter().any(|seat| seat.up && seat.voter.ip == ip && seat.disk.core.version >= core.version)
         };
         let most = |list: &[super::Member]| {
             list.iter().filter(|member| knows(&member.ip)).count() >= crate::quorum::majority(list.len())
@@ -91,8 +91,8 @@
     }
 
     /// Commits the key again under the core of now; true once done.
-    pub fn renewed(&mut self, stamp: u64) -> bool {
-        if self.seats[0].helm.as_ref().is_some_and(|helm| helm.core >= stamp) {
+    pub fn renewed(&mut self, version: u64) -> bool {
+        if self.seats[0].ownership.as_ref().is_some_and(|ownership| ownership.core >= version) {
             return true;
         }
         self.propose(0);
--- a/ledger/src/store_model.rs
+++ b/ledger/src/store_model.rs
@@ -54,7 +54,7 @@
         self.turn += 1;
         match self.dice.below(12) {
             0 => return LogRecord::Vote,
-            1 => return LogRecord::Core(wire::msg::Core { stamp: self.turn, ..Default::default() }),
+            1 => return LogRecord::Core(wire::msg::Core { version: self.turn, ..Default::default() }),
             _ => {}
         }
         let ballot = wire::msg::Ballot { turn: self.turn, seat: 1 };
--- a/ledger/src/voter.rs
+++ b/ledger/src/voter.rs
@@ -3,7 +3,7 @@
 
 /// What goes to disk, in order.
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
-pub enum Deed {
+pub enum LogRecord {
     Slot(wire::msg::Slot),
     Core(wire::msg::Core),
     /// From here on this disk may vote.
@@ -11,14 +11,14 @@
 }
 
 /// Invariants: `slots[..].promised` and the place of each entry never go back; an entry's ballot is
-/// never above what is promised; `core.stamp` never goes back; a voter that is not `able` neither
+/// never above what is promised; `core.version` never goes back; a voter that is not `may_vote` neither
 /// promises nor accepts.
 #[derive(Clone, Debug, Default)]
 pub struct Voter {
     pub ip: String,
     pub core: wire::msg::Core,
     pub slots: std::collections::BTreeMap<String, wire::msg::Slot>,
-    pub able: bool,
+    pub may_vote: bool,
 }
 
 impl Voter {
@@ -27,61 +27,61 @@
     }
 
     /// Folds what was found on disk.
-    pub fn fold(&mut self, deed: Deed) {
-        match deed {
-            Deed::Slot(slot) => {
+    pub fn fold(&mut self, record: LogRecord) {
+        match record {
+            LogRecord::Slot(slot) => {
                 self.slots.insert(slot.key.clone(), slot);
             }
-            Deed::Core(core) => self.core = core,
-            Deed::Vote => self.able = true,
+            LogRecord::Core(core) => self.core = core,
+            LogRecord::Vote => self.may_vote = true,
         }
     }
 
     /// All that a snapshot must hold.
-    pub fn whole(&self) -> Vec<Deed> {
-        let mut list = vec![Deed::Core(self.core.clone())];
-        list.extend(self.slots.values().cloned().map(Deed::Slot));
-        if self.able {
-            list.push(Deed::Vote);
+    pub fn whole(&self) -> Vec<LogRecord> {
+        let mut list = vec![LogRecord::Core(self.core.clone())];
+        list.extend(self.slots.values().cloned().map(LogRecord::Slot));
+        if self.may_vote {
+            list.push(LogRecord::Vote);
         }
         list
     }
 
     pub fn votes(&self) -> bool {
-        self.able && crate::quorum::is_member(&self.core, &self.ip)
+        self.may_vote && crate::quorum::is_member(&self.core, &self.ip)
     }
 
     /// Takes over a committed core. None when it is no newer.
-    pub fn adopt(&mut self, core: &wire::msg::Core) -> Option<Deed> {
-        let newer = core.stamp > self.core.stamp;
-        let calmer = core.stamp == self.core.stamp && core.settled && !self.core.settled;
+    pub fn adopt(&mut self, core: &wire::msg::Core) -> Option<LogRecord> {
+        let newer = core.version > self.core.version;
+        let calmer = core.version == self.core.version && core.settled && !self.core.settled;
         if !newer && !calmer {
             return None;
         }
         self.core = core.clone();
-        Some(Deed::Core(core.clone()))
+        Some(LogRecord::Core(core.clone()))
     }
 
-    pub fn poll(&mut self, poll: wire::msg::Poll) -> (wire::msg::Vote, Vec<Deed>) {
-        if poll.core.stamp < self.core.stamp {
+    pub fn poll(&mut self, poll: wire::msg::Poll) -> (wire::msg::Vote, Vec<LogRecord>) {
+        if poll.core.version < self.core.version {
             return (wire::msg::Vote::Newer { core: self.core.clone() }, Vec::new());
         }
-        let mut deeds: Vec<Deed> = self.adopt(&poll.core).into_iter().collect();
+        let mut records: Vec<LogRecord> = self.adopt(&poll.core).into_iter().collect();
         let vote = match poll.ask {
-            // A disk's whole content is also given by one that may not vote: the reader asks `able`.
-            wire::msg::Ask::Whole if self.able => {
+            // A disk's whole content is also given by one that may not vote: the reader asks `may_vote`.
+            wire::msg::Ask::Whole if self.may_vote => {
                 wire::msg::Vote::Whole { slots: self.slots.values().cloned().collect() }
             }
             _ if !self.votes() => wire::msg::Vote::Mute,
-            wire::msg::Ask::Prepare { key, ballot } => self.prepare(key, ballot, &mut deeds),
-            wire::msg::Ask::Accept { key, entry } => self.accept(key, entry, &mut deeds),
+            wire::msg::Ask::Prepare { key, ballot } => self.prepare(key, ballot, &mut records),
+            wire::msg::Ask::Accept { key, entry } => self.accept(key, entry, &mut records),
             wire::msg::Ask::Places => wire::msg::Vote::Places { list: self.places() },
             wire::msg::Ask::Fetch { key } => {
                 wire::msg::Vote::Fetched { entry: self.slots.get(&key).and_then(|slot| slot.entry.clone()) }
             }
             wire::msg::Ask::Whole => wire::msg::Vote::Mute,
         };
-        (vote, deeds)
+        (vote, records)
     }
 
     pub fn places(&self) -> Vec<(String, wire::msg::Ballot, u64)> {
@@ -94,17 +94,17 @@
         self.slots.entry(key.to_string()).or_insert_with(empty)
     }
 
-    fn prepare(&mut self, key: String, ballot: wire::msg::Ballot, deeds: &mut Vec<Deed>) -> wire::msg::Vote {
+    fn prepare(&mut self, key: String, ballot: wire::msg::Ballot, records: &mut Vec<LogRecord>) -> wire::msg::Vote {
         let slot = self.slot(&key);
         if ballot <= slot.promised {
             return wire::msg::Vote::Refused { promised: slot.promised };
         }
         slot.promised = ballot;
-        deeds.push(Deed::Slot(slot.clone()));
+        records.push(LogRecord::Slot(slot.clone()));
         wire::msg::Vote::Promise { entry: slot.entry.clone() }
     }
 
-    fn accept(&mut self, key: String, entry: wire::msg::Entry, deeds: &mut Vec<Deed>) -> wire::msg::Vote {
+    fn accept(&mut self, key: String, entry: wire::msg::Entry, records: &mut Vec<LogRecord>) -> wire::msg::Vote {
         let slot = self.slot(&key);
         let held = slot.entry.as_ref().map(wire::msg::Entry::place);
         if entry.ballot < slot.promised || held.is_some_and(|place| place > entry.place()) {
@@ -112,13 +112,13 @@
         }
         slot.promised = entry.ballot;
         slot.entry = Some(entry);
-        deeds.push(Deed::Slot(slot.clone()));
+        records.push(LogRecord::Slot(slot.clone()));
         wire::msg::Vote::Accepted
     }
 
     /// Ends a loss of memory with what `enough` other voters hold. The highest promise of any of them
     /// binds, since one of them was part of each lost majority.
-    pub fn recall(&mut self, reads: Vec<Vec<wire::msg::Slot>>) -> Vec<Deed> {
+    pub fn recall(&mut self, reads: Vec<Vec<wire::msg::Slot>>) -> Vec<LogRecord> {
         for read in reads.into_iter().flatten() {
             let slot = self.slot(&read.key.clone());
             slot.promised = slot.promised.max(read.promised);
@@ -128,7 +128,7 @@
                 slot.entry = read.entry;
             }
         }
-        self.able = true;
+        self.may_vote = true;
         self.whole()
     }
 
--- a/roster/src/duty_world.rs
+++ b/roster/src/duty_world.rs
@@ -169,7 +169,7 @@
         for other in (0..3).filter(|other| *other != at) {
             if self.linked(at, other) {
                 let roster = &mut self.keepers[other].roster;
-                roster.hear(&name, crate::Fellow { heard: now, ..Default::default() });
+                roster.hear(&name, crate::Peer { heard: now, ..Default::default() });
                 roster.report(&name, report.clone(), now);
             }
         }
