--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -5,8 +5,8 @@
 pub mod platform_access;
 
 #[derive(Clone, Debug, Default)]
-pub struct Fellow {
-    pub area: String,
+pub struct Peer {
+    pub zone: String,
     pub life: u64,
     pub heard: u64,
     pub fit: bool,
@@ -41,14 +41,14 @@
     pub platform_unreachable: bool,
 }
 
-/// Invariants: `heard` never goes back; a fellow is live while it was heard within `span` ms; a
+/// Invariants: `heard` never goes back; a peer is live while it was heard within `span` ms; a
 /// router holds its lease while `until` lies ahead.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
     pub me: String,
-    pub area: String,
+    pub zone: String,
     pub span: u64,
-    pub keepers: std::collections::BTreeMap<String, Fellow>,
+    pub keepers: std::collections::BTreeMap<String, Peer>,
     pub routers: std::collections::BTreeMap<String, RouterLease>,
     /// Engines about to change their part, by own order, and until when.
     pub resting: Vec<(String, u64)>,
@@ -63,14 +63,14 @@
 }
 
 impl Roster {
-    pub fn new(me: &str, area: &str, span: u64) -> Self {
-        Roster { me: me.into(), area: area.into(), span, ..Roster::default() }
+    pub fn new(me: &str, zone: &str, span: u64) -> Self {
+        Roster { me: me.into(), zone: zone.into(), span, ..Roster::default() }
     }
 
-    pub fn hear(&mut self, ip: &str, fellow: Fellow) {
+    pub fn hear(&mut self, ip: &str, peer: Peer) {
         let held = self.keepers.get(ip).map_or(0, |held| held.heard);
-        let heard = held.max(fellow.heard);
-        self.keepers.insert(ip.into(), Fellow { heard, ..fellow });
+        let heard = held.max(peer.heard);
+        self.keepers.insert(ip.into(), Peer { heard, ..peer });
     }
 
     pub fn lease(&mut self, router: &str, until: u64, busy: Vec<(String, u32)>, door: String) {
@@ -87,8 +87,8 @@
     pub fn door(&self, now: u64, turn: usize) -> Option<String> {
         let mut list = self.own_doors();
         if list.is_empty() {
-            let live = self.keepers.values().filter(|fellow| now < fellow.heard + self.span);
-            list = live.flat_map(|fellow| fellow.doors.clone()).collect();
+            let live = self.keepers.values().filter(|peer| now < peer.heard + self.span);
+            list = live.flat_map(|peer| peer.doors.clone()).collect();
         }
         let at = turn.checked_rem(list.len())?;
         Some(list.swap_remove(at))
@@ -106,8 +106,8 @@
     /// The same from all routers.
     pub fn pressure(&self, now: u64) -> std::collections::HashMap<String, u32> {
         let mut sum: std::collections::HashMap<String, u32> = self.own_pressure().into_iter().collect();
-        let live = self.keepers.values().filter(|fellow| now < fellow.heard + self.span);
-        for (id, busy) in live.flat_map(|fellow| &fellow.busy) {
+        let live = self.keepers.values().filter(|peer| now < peer.heard + self.span);
+        for (id, busy) in live.flat_map(|peer| &peer.busy) {
             *sum.entry(id.clone()).or_default() += busy;
         }
         sum
@@ -121,7 +121,7 @@
     /// The same from all keepers.
     pub fn resting(&self, now: u64) -> Vec<String> {
         let mut list = self.own_resting(now);
-        let far = self.keepers.values().flat_map(|fellow| &fellow.resting);
+        let far = self.keepers.values().flat_map(|peer| &peer.resting);
         list.extend(far.filter(|(_, until)| *until > now).map(|(id, _)| id.clone()));
         list
     }
@@ -133,15 +133,15 @@
 
     /// Was a keeper heard within the span?
     pub fn live(&self, ip: &str, now: u64) -> bool {
-        ip == self.me || self.keepers.get(ip).is_some_and(|fellow| now < fellow.heard + self.span)
+        ip == self.me || self.keepers.get(ip).is_some_and(|peer| now < peer.heard + self.span)
     }
 
-    /// How long a fellow has been silent; never heard counts as for ever.
+    /// How long a peer has been silent; never heard counts as for ever.
     pub fn silent(&self, ip: &str, now: u64) -> u64 {
         if ip == self.me {
             return 0;
         }
-        self.keepers.get(ip).map_or(u64::MAX, |fellow| now.saturating_sub(fellow.heard))
+        self.keepers.get(ip).map_or(u64::MAX, |peer| now.saturating_sub(peer.heard))
     }
 
     /// A peer told of others.
@@ -184,52 +184,52 @@
 
     /// Who polls the platform for a zone: the first live keeper in the order that reaches the platform,
     /// or the first live one while none does.
-    pub fn poller(&self, area: &str, now: u64) -> String {
+    pub fn poller(&self, zone: &str, now: u64) -> String {
         let reaches = |ip: &String| match *ip == self.me {
             true => !self.access.unreachable(now),
             false => !self.reports.get(ip).is_some_and(|report| report.platform_unreachable),
         };
-        let live: Vec<String> = self.order(area, "list").into_iter().filter(|ip| self.live(ip, now)).collect();
+        let live: Vec<String> = self.order(zone, "list").into_iter().filter(|ip| self.live(ip, now)).collect();
         let first = live.iter().find(|ip| reaches(ip)).or(live.first());
         first.cloned().unwrap_or_else(|| self.me.clone())
     }
 
     /// The zone of a keeper; empty while it is not known.
-    pub fn area_of(&self, ip: &str) -> &str {
+    pub fn zone_of(&self, ip: &str) -> &str {
         if ip == self.me {
-            return &self.area;
+            return &self.zone;
         }
-        self.keepers.get(ip).map_or("", |fellow| fellow.area.as_str())
+        self.keepers.get(ip).map_or("", |peer| peer.zone.as_str())
     }
 
     /// How many routers hold a lease anywhere, by which shared bounds are cut. A keeper that is not sure may
     /// be cut off from the others and their routers: it never tells less than when it was last sure, or
     /// each side of a cut would take the whole of a bound.
     pub fn seats(&mut self, now: u64, sure: bool) -> u32 {
-        let far = self.keepers.values().filter(|fellow| now < fellow.heard + 2 * self.span);
+        let far = self.keepers.values().filter(|peer| now < peer.heard + 2 * self.span);
         let own = self.routers.values().filter(|lease| lease.until > now).count() as u32;
-        let count = own + far.map(|fellow| fellow.seats).sum::<u32>();
+        let count = own + far.map(|peer| peer.seats).sum::<u32>();
         self.sure_seats = if sure { count } else { self.sure_seats.max(count) };
         self.sure_seats
     }
 
-    /// The agreed order of keepers for a duty bound to an area: that area's own first, the rest by
+    /// The agreed order of keepers for a duty bound to a zone: that zone's own first, the rest by
     /// a hash of duty and address, so that duties spread.
-    pub fn order(&self, area: &str, duty: &str) -> Vec<String> {
+    pub fn order(&self, zone: &str, duty: &str) -> Vec<String> {
         let mut list: Vec<String> = self.keepers.keys().cloned().collect();
         if !list.contains(&self.me) {
             list.push(self.me.clone());
         }
         list.sort_by_key(|ip| {
-            let far = self.area_of(ip) != area;
+            let far = self.zone_of(ip) != zone;
             (far, kernel::clock::blend(kernel::clock::hash(duty.as_bytes()), kernel::clock::hash(ip.as_bytes())))
         });
         list
     }
 
     /// The first live one in the order.
-    pub fn holder(&self, area: &str, duty: &str, now: u64) -> String {
-        let order = self.order(area, duty);
+    pub fn holder(&self, zone: &str, duty: &str, now: u64) -> String {
+        let order = self.order(zone, duty);
         order.into_iter().find(|ip| self.live(ip, now)).unwrap_or_else(|| self.me.clone())
     }
 }
--- a/roster/src/lib_tests.rs
+++ b/roster/src/lib_tests.rs
@@ -1,6 +1,6 @@
-fn fellow(area: &str, heard: u64) -> super::Fellow {
-    super::Fellow {
-        area: area.into(),
+fn peer(zone: &str, heard: u64) -> super::Peer {
+    super::Peer {
+        zone: zone.into(),
         life: 1,
         heard,
         fit: true,
@@ -13,7 +13,7 @@
 #[test]
 fn own_area_holds_and_the_next_takes_over_when_it_is_silent() {
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-    list.hear("10.0.0.2", fellow("b", 100));
+    list.hear("10.0.0.2", peer("b", 100));
     assert_eq!(list.holder("b", "list", 1000), "10.0.0.2");
     assert_eq!(list.holder("b", "list", 1100), "10.0.0.1");
     assert_eq!(list.holder("a", "list", 1000), "10.0.0.1");
@@ -23,8 +23,8 @@
 fn all_keepers_agree_on_an_order() {
     let mut one = super::Roster::new("10.0.0.1", "a", 1000);
     let mut two = super::Roster::new("10.0.0.2", "b", 1000);
-    one.hear("10.0.0.2", fellow("b", 1));
-    two.hear("10.0.0.1", fellow("a", 1));
+    one.hear("10.0.0.2", peer("b", 1));
+    two.hear("10.0.0.1", peer("a", 1));
     for duty in ["x", "y", "z"] {
         assert_eq!(one.order("c", duty), two.order("c", duty));
     }
@@ -33,13 +33,13 @@
 #[test]
 fn seats_count_own_leases_and_those_of_fellows() {
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
-    list.hear("10.0.0.2", fellow("b", 100));
+    list.hear("10.0.0.2", peer("b", 100));
     list.lease("edge-1", 500, vec![("i-1".into(), 5)], "10.0.0.9:80".into());
     assert_eq!(list.door(400, 7).as_deref(), Some("10.0.0.9:80"));
     assert_eq!(list.pressure(400).get("i-1"), Some(&7));
     assert_eq!(list.seats(400, true), 4);
     assert_eq!(list.seats(600, true), 3);
-    list.hear("10.0.0.2", fellow("b", 50));
+    list.hear("10.0.0.2", peer("b", 50));
     assert!(list.live("10.0.0.2", 1099), "what was heard never goes back");
 }
 
@@ -48,14 +48,14 @@
     let sure = || super::PeerReport { sure: true, ..Default::default() };
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
     assert_eq!(list.absent_ms("10.0.0.2", 50), u64::MAX, "never heard");
-    list.hear("10.0.0.2", fellow("b", 100));
+    list.hear("10.0.0.2", peer("b", 100));
     list.report("10.0.0.2", sure(), 100);
     assert!(list.vouches_for("10.0.0.2", 1099) && !list.vouches_for("10.0.0.2", 1100));
-    list.hear("10.0.0.3", fellow("c", 9000));
+    list.hear("10.0.0.3", peer("c", 9000));
     list.report("10.0.0.3", super::PeerReport { vouches: vec!["10.0.0.2".into()], ..sure() }, 9000);
     assert_eq!((list.silent("10.0.0.2", 9500), list.absent_ms("10.0.0.2", 9500)), (9400, 0));
     assert_eq!(list.absent_ms("10.0.0.2", 10_000), 9900, "the peer itself is no longer heard");
-    list.hear("10.0.0.2", fellow("b", 10_000));
+    list.hear("10.0.0.2", peer("b", 10_000));
     list.report("10.0.0.2", super::PeerReport { vouches: vec!["10.0.0.2".into()], ..sure() }, 10_000);
     assert_eq!(list.absent_ms("10.0.0.2", 10_100), 100, "nobody vouches for itself");
 }
@@ -64,7 +64,7 @@
 fn one_that_is_heard_but_reaches_no_majority_is_absent() {
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
     for now in (0..=5000).step_by(500) {
-        list.hear("10.0.0.2", fellow("b", now));
+        list.hear("10.0.0.2", peer("b", now));
         list.report("10.0.0.2", super::PeerReport { sure: now < 1000, ..Default::default() }, now);
     }
     assert_eq!((list.silent("10.0.0.2", 5000), list.absent_ms("10.0.0.2", 5000)), (0, 4500));
@@ -75,11 +75,11 @@
 fn a_keeper_that_is_cut_off_goes_on_counting_the_routers_of_the_others() {
     let mut list = super::Roster::new("10.0.0.1", "a", 1000);
     list.lease("edge-1", 60_000, Vec::new(), String::new());
-    list.hear("10.0.0.2", fellow("b", 100));
+    list.hear("10.0.0.2", peer("b", 100));
     assert_eq!(list.seats(200, true), 4);
     assert_eq!(list.seats(20_000, false), 4, "its slice of a bound stays a quarter");
     list.lease("edge-2", 60_000, Vec::new(), String::new());
-    list.hear("10.0.0.2", fellow("b", 30_000));
+    list.hear("10.0.0.2", peer("b", 30_000));
     assert_eq!(list.seats(30_000, false), 5);
     assert_eq!(list.seats(40_000, true), 2, "at a majority again: the other keeper and its routers are gone");
 }
--- a/roster/src/platform_access_tests.rs
+++ b/roster/src/platform_access_tests.rs
@@ -42,7 +42,7 @@
         for from in 0..KEEPERS {
             let platform_unreachable = self.rosters[from].access.unreachable(self.now);
             for to in (0..KEEPERS).filter(|to| *to != from) {
-                let peer = crate::Fellow { area: "zone".into(), heard: self.now, ..Default::default() };
+                let peer = crate::Peer { zone: "zone".into(), heard: self.now, ..Default::default() };
                 self.rosters[to].hear(&name(from), peer);
                 let report = crate::PeerReport { platform_unreachable, ..Default::default() };
                 self.rosters[to].report(&name(from), report, self.now);
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,14 +1,14 @@
 //! A newer configuration taken into force, and a catalog that changed hands.
 
 /// A whole configuration as text, from a keeper that knows no other form.
-pub fn config(state: &crate::state::State, stamp: u64, text: &[u8]) {
-    if stamp <= state.news.lock().expect("news").config {
+pub fn config(state: &crate::state::State, version: u64, text: &[u8]) {
+    if version <= state.news.lock().expect("news").config {
         return;
     }
     let read = std::str::from_utf8(text).map_err(|error| error.to_string()).and_then(wire::config::read);
     match read {
         Ok(config) => turn(state, &wire::change::Change::whole(&config)),
-        Err(error) => kernel::say!(crate::event::BAD_CONFIG, "stamp" => stamp, "error" => error),
+        Err(error) => kernel::say!(crate::event::BAD_CONFIG, "version" => version, "error" => error),
     }
 }
 
@@ -16,7 +16,7 @@
 pub fn change(state: &crate::state::State, body: &[u8]) {
     match wire::change::Change::read(body) {
         Some(change) => turn(state, &change),
-        None => kernel::say!(crate::event::BAD_CONFIG, "stamp" => 0, "error" => "a change that can't be read"),
+        None => kernel::say!(crate::event::BAD_CONFIG, "version" => 0, "error" => "a change that can't be read"),
     }
 }
 
--- a/router/src/evacuation.rs
+++ b/router/src/evacuation.rs
@@ -8,23 +8,23 @@
     state.env.cloud_api.lag_ms + DELIVERY_MS
 }
 
-/// Evacuations begun or withdrawn: zone, stamp, whether it is on. Older ones than what is held change nothing.
+/// Evacuations begun or withdrawn: zone, version, whether it is on. Older ones than what is held change nothing.
 pub fn absorb(state: &crate::state::State, list: &[(String, u64, bool)]) {
     let mut park = state.park.lock().expect("park");
     let mut held = state.news.lock().expect("news");
-    for (zone, stamp, on) in list {
-        if held.closed.get(zone).is_some_and(|(known, _)| known >= stamp) {
+    for (zone, version, on) in list {
+        if held.closed.get(zone).is_some_and(|(known, _)| known >= version) {
             continue;
         }
-        let dense = park.area(zone);
-        held.closed.insert(zone.clone(), (*stamp, *on));
+        let dense = park.zone(zone);
+        held.closed.insert(zone.clone(), (*version, *on));
         held.shut.retain(|shut| *shut != dense);
         if *on {
             held.shut.push(dense);
         } else {
             park.presume_zone_cold(dense, kernel::clock::now() + presumed_cold_ms(state));
         }
-        kernel::say!(crate::event::CLOSED, "area" => zone.clone(), "stamp" => *stamp, "on" => *on);
+        kernel::say!(crate::event::CLOSED, "zone" => zone.clone(), "version" => *version, "on" => *on);
     }
 }
 
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -99,7 +99,7 @@
             park: &park,
             now: kernel::clock::now(),
             service: self.service,
-            area: self.state.zone,
+            zone: self.state.zone,
             shut: &self.closed_zones,
             tried: &self.tried,
             seats: routers,
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -1,4 +1,4 @@
-//! Following a home keeper: own area first, the next one when it falls silent or is no longer sure.
+//! Following a home keeper: own zone first, the next one when it falls silent or is no longer sure.
 
 /// How often the lease is renewed and what is lacking asked for.
 const BEAT_MS: u64 = 400;
@@ -97,7 +97,7 @@
 
 /// Until this home is to be left.
 async fn stay(state: &std::sync::Arc<crate::state::State>, home: &str, list: &[String], first_ms: u64) -> Left {
-    let addr = format!("{home}:{}", state.env.fellow_port());
+    let addr = format!("{home}:{}", state.env.peer_port());
     let (send, mut casts) = tokio::sync::mpsc::channel(256);
     let caller = std::sync::Arc::new(wire::link::Caller::start(addr, Some(send)));
     *state.home.lock().expect("home") = Some(caller.clone());
@@ -127,7 +127,7 @@
                     sure_at = now;
                     state.floors.lock().expect("floors").renew(sent);
                 }
-                let better = news.fellows.first().is_some_and(|first| first != home && list.first() != Some(first));
+                let better = news.peers.first().is_some_and(|first| first != home && list.first() != Some(first));
                 let sure = news.sure;
                 absorb(state, *news);
                 ready(state, sure);
@@ -176,18 +176,18 @@
     let (mut sheets, busy): (Vec<_>, Vec<_>) = {
         let park = state.park.lock().expect("park");
         let busy = park.list.iter().filter(|engine| engine.busy > 0).map(|engine| (engine.id.clone(), engine.busy));
-        (park.stamps(), busy.collect())
+        (park.versions(), busy.collect())
     };
-    let (rules, weights) = crate::fresh::stamps(state);
+    let (rules, weights) = crate::fresh::known_versions(state);
     sheets.extend(weights);
     sheets.push(wire::msg::told());
     let news = state.news.lock().expect("news");
     wire::msg::Follow {
         node: state.env.node_name.clone(),
-        area: state.env.zone.clone(),
+        zone: state.env.zone.clone(),
         life: state.life,
         config: news.config,
-        closed: news.closed.iter().map(|(area, (stamp, _))| (area.clone(), *stamp)).chain(rules).collect(),
+        closed: news.closed.iter().map(|(zone, (version, _))| (zone.clone(), *version)).chain(rules).collect(),
         sheets,
         busy,
         door: state.env.bind_addresses.frontend.clone().filter(|_| !state.leaving()).unwrap_or_default(),
@@ -200,18 +200,18 @@
     if state.ready.load(order) || !sure {
         return;
     }
-    let known = state.park.lock().expect("park").stamps().len();
+    let known = state.park.lock().expect("park").versions().len();
     if state.news.lock().expect("news").config > 0 && known >= state.env.zones.len() {
         state.ready.store(true, order);
         kernel::say!(crate::event::READY);
     }
 }
 
-/// Takes what is newer; stamps never go back.
+/// Takes what is newer; versions never go back.
 fn absorb(state: &std::sync::Arc<crate::state::State>, news: wire::msg::News) {
     let now = kernel::clock::now();
-    if let Some((stamp, text)) = &news.config {
-        crate::config::config(state, *stamp, text);
+    if let Some((version, text)) = &news.config {
+        crate::config::config(state, *version, text);
     }
     let mut left = Vec::new();
     {
@@ -228,8 +228,8 @@
     crate::evacuation::absorb(state, &news.closed);
     {
         let mut held = state.news.lock().expect("news");
-        if !news.fellows.is_empty() {
-            held.keepers = news.fellows;
+        if !news.peers.is_empty() {
+            held.keepers = news.peers;
         }
         if news.seats > 0 {
             held.seats.retain(|(time, _)| now < time + SEATS_MS);
@@ -238,7 +238,7 @@
     }
     let seats = state.router_count();
     state.park.lock().expect("park").sit(state.mark(), state.zone, seats);
-    if state.lookup.hold(news.catalog.0, &news.catalog.1, state.env.fellow_port()) {
+    if state.lookup.hold(news.catalog.0, &news.catalog.1, state.env.peer_port()) {
         kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
         tokio::spawn(crate::config::again(state.clone()));
     }
--- a/router/src/follow_tests.rs
+++ b/router/src/follow_tests.rs
@@ -32,6 +32,6 @@
     assert_eq!(pick(&shunned, 10).as_deref(), Some("c"), "no second is spent on one that was just silent");
     shunned.insert("c".to_string(), 6000);
     assert_eq!(pick(&shunned, 20).as_deref(), Some("b"), "all were: the one left first");
-    assert_eq!(pick(&shunned, 5000).as_deref(), Some("a"), "its own area again, once it may be back");
+    assert_eq!(pick(&shunned, 5000).as_deref(), Some("a"), "its own zone again, once it may be back");
     assert_eq!(super::pick(&[], &shunned, 0), None);
 }
--- a/router/src/fresh.rs
+++ b/router/src/fresh.rs
@@ -56,30 +56,30 @@
     let now = kernel::clock::now();
     if state.floors.lock().expect("floors").take(rule, service, now) {
         kernel::say!(crate::event::RULE, "service" => rule.service.clone(), "model" => rule.model.clone(),
-            "stamp" => rule.stamp, "floor" => rule.floor(), "removed" => rule.removed);
+            "version" => rule.version, "floor" => rule.floor(), "removed" => rule.removed);
     }
 }
 
-/// Weight versions of an area. Older ones of the same poller change nothing.
+/// Weight versions of a zone. Older ones of the same poller change nothing.
 pub fn versions(state: &crate::state::State, list: &wire::msg::Versions) {
     {
         let mut held = state.weights.lock().expect("weights");
-        let stamp = held.entry(list.area.clone()).or_default();
-        if stamp.0 == list.turn && stamp.1 >= list.count {
+        let version = held.entry(list.zone.clone()).or_default();
+        if version.0 == list.turn && version.1 >= list.count {
             return;
         }
-        *stamp = (list.turn, list.count);
+        *version = (list.turn, list.count);
     }
     state.park.lock().expect("park").weigh(&list.list);
 }
 
-/// A name and its stamp.
+/// A name and its version.
 type Told = (String, u64);
 
-/// The stamps of rules and versions held, to be told beside those of evacuations and sheets.
-pub fn stamps(state: &crate::state::State) -> (Vec<Told>, Vec<(String, u64, u64)>) {
-    let rules = state.floors.lock().expect("floors").stamps();
+/// The versions of rules and versions held, to be told beside those of evacuations and sheets.
+pub fn known_versions(state: &crate::state::State) -> (Vec<Told>, Vec<(String, u64, u64)>) {
+    let rules = state.floors.lock().expect("floors").versions();
     let weights = state.weights.lock().expect("weights");
-    let weights = weights.iter().map(|(area, (turn, count))| (wire::msg::hide(area), *turn, *count));
-    (rules.into_iter().map(|(key, stamp)| (wire::msg::hide(&key), stamp)).collect(), weights.collect())
+    let weights = weights.iter().map(|(zone, (turn, count))| (wire::msg::hide(zone), *turn, *count));
+    (rules.into_iter().map(|(key, version)| (wire::msg::hide(&key), version)).collect(), weights.collect())
 }
--- a/router/src/kv_handle.rs
+++ b/router/src/kv_handle.rs
@@ -27,7 +27,7 @@
         let good = self.kv_handle.as_ref().is_some_and(|handle| {
             let park = self.state.park.lock().expect("park");
             let engine = &park.list[handle.at];
-            now < handle.until && engine.here && !self.closed_zones.contains(&engine.area)
+            now < handle.until && engine.here && !self.closed_zones.contains(&engine.zone)
         });
         if !good {
             self.release_handle();
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -115,7 +115,7 @@
     let mut park = state.park.lock().expect("park");
     for (zone, region) in &state.env.zones {
         if !homes.contains(region) {
-            list.push(park.area(zone));
+            list.push(park.zone(zone));
         }
     }
     list
--- a/router/src/stand_in.rs
+++ b/router/src/stand_in.rs
@@ -125,7 +125,7 @@
             id: self.id.clone(),
             service: "s".into(),
             addr: self.addr.clone(),
-            area: "a".into(),
+            zone: "a".into(),
             phase: self.phase.into(),
             model: String::new(),
             slots: 8,
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -39,7 +39,7 @@
 /// Tells the router which engines there are.
 pub fn list(state: &crate::state::State, count: u64, engines: &[Engine]) {
     let list = engines.iter().map(Engine::entry).collect();
-    let sheet = wire::msg::Sheet { area: "a".into(), turn: 1, count, list };
+    let sheet = wire::msg::Sheet { zone: "a".into(), turn: 1, count, list };
     state.park.lock().expect("park").take(&sheet, kernel::clock::now());
 }
 
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -15,7 +15,7 @@
     pub lookup: crate::lookup::Lookup,
     /// Limits on stale weights. Taken last, never together with another.
     pub floors: std::sync::Mutex<engines::floor::Floors>,
-    /// By area: the stamp of the weight versions held.
+    /// By zone: the version of the weight versions held.
     pub weights: std::sync::Mutex<std::collections::BTreeMap<String, (u64, u64)>>,
     pub news: std::sync::Mutex<News>,
     /// The home keeper of now.
@@ -33,7 +33,7 @@
     pub held: std::sync::atomic::AtomicUsize,
 }
 
-/// What the keepers told. Invariant: stamps never go back.
+/// What the keepers told. Invariant: versions never go back.
 #[derive(Default)]
 pub struct News {
     pub config: u64,
@@ -53,7 +53,7 @@
     pub fn new(env: kernel::env::Env) -> std::sync::Arc<State> {
         let life = kernel::clock::life();
         let mut park = engines::park::Park::default();
-        let own_zone = park.area(&env.zone);
+        let own_zone = park.zone(&env.zone);
         for (zone, region) in &env.zones {
             park.region(zone, region);
         }
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -70,7 +70,7 @@
                 required --lag lag: u64
                 /// A route that the rule binds.
                 repeated --route route: String
-                /// The stamp it builds on; 0 for a new rule.
+                /// The version it builds on; 0 for a new rule.
                 optional --base base: u64
             }
             /// Report the trainer's latest version.
--- a/tidepoint/tests/scale.rs
+++ b/tidepoint/tests/scale.rs
@@ -108,11 +108,11 @@
 fn beat(engines: usize) -> u64 {
     let gossip = wire::msg::Gossip {
         ip: "10.0.0.1".into(),
-        area: "a".into(),
+        zone: "a".into(),
         life: 1,
         fit: true,
         core: Default::default(),
-        fellows: Vec::new(),
+        peers: Vec::new(),
         seats: 67,
         busy: (0..engines).map(|at| (format!("i-{at:010}"), 3)).collect(),
         resting: Vec::new(),
--- a/tidepoint/tests/stand/hollow.rs
+++ b/tidepoint/tests/stand/hollow.rs
@@ -59,7 +59,7 @@
             }
             wire::msg::Msg::News(news) => {
                 let mut sheets = self.sheets.lock().expect("sheets");
-                sheets.extend(news.sheets.iter().map(|sheet| (sheet.area.clone(), (sheet.turn, sheet.count))));
+                sheets.extend(news.sheets.iter().map(|sheet| (sheet.zone.clone(), (sheet.turn, sheet.count))));
                 let mut catalog = self.catalog.lock().expect("catalog");
                 if news.catalog.0 > catalog.0 {
                     *catalog = news.catalog;
@@ -73,13 +73,13 @@
     fn standing(&self, at: usize, zone: &str) -> wire::msg::Msg {
         let held = self.sheets.lock().expect("sheets").clone();
         let mut sheets: Vec<(String, u64, u64)> =
-            held.into_iter().map(|(area, (turn, count))| (area, turn, count)).collect();
+            held.into_iter().map(|(zone, (turn, count))| (zone, turn, count)).collect();
         sheets.push(wire::msg::told());
         // What a router of the expected fleet has in hand: some two dozen requests.
         let busy = (0..24).map(|step| (format!("i-{}", (at * 31 + step * 7) % 400), 1)).collect();
         wire::msg::Msg::Follow(Box::new(wire::msg::Follow {
             node: format!("hollow-{at}"),
-            area: zone.into(),
+            zone: zone.into(),
             life: 1,
             config: self.config.load(Ordering::Relaxed),
             closed: Vec::new(),
--- /dev/null
+++ b/wire/src/capability.rs
@@ -0,0 +1,42 @@
+//! What a daemon tells of itself beside the versions of its engine lists: which messages it reads, and that it
+//! is about to end. Daemons that know nothing of an entry pass it over.
+
+/// The newest version of these messages. Daemons tell it beside the versions of their sheets, as the turn
+/// of the zone without a name, which no sheet has: those that know nothing of it pass it over.
+pub const READS: u64 = 3;
+
+/// Keepers from this version on count joint quorums while the core changes.
+pub const JOINT_QUORUMS: u64 = 3;
+/// Keepers from this version on take orders that others relay, and changes in place of whole entries.
+pub const RELAYED_ORDERS: u64 = 3;
+
+/// Not a zone: told beside the versions of zones.
+pub fn hidden(name: &str) -> bool {
+    name.is_empty() || name.starts_with('\0')
+}
+
+/// The name under which the version of a zone's weight versions, or of a rule, is told.
+pub fn hide(name: &str) -> String {
+    format!("\0{name}")
+}
+
+/// Told by a keeper whose process is about to end.
+pub fn leaving() -> (String, u64, u64) {
+    (hide(LEAVING), 1, 0)
+}
+
+/// Did the teller of these versions say that its process is about to end?
+pub fn is_leaving(versions: &[(String, u64, u64)]) -> bool {
+    versions.iter().any(|item| item.0 == hide(LEAVING))
+}
+
+const LEAVING: &str = "leaving";
+
+pub fn told() -> (String, u64, u64) {
+    (String::new(), READS, 0)
+}
+
+/// The newest version that the teller of these versions reads.
+pub fn reads(versions: &[(String, u64, u64)]) -> u64 {
+    versions.iter().find(|item| item.0.is_empty()).map_or(1, |item| item.1)
+}
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -10,7 +10,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head {
-    pub stamp: u16,
+    pub version: u16,
     pub kind: Kind,
     pub id: u64,
     pub len: usize,
@@ -62,9 +62,9 @@
     if bytes[..4] != MARK.to_le_bytes() {
         return Err(Flaw::Mark);
     }
-    let stamp = u16::from_le_bytes([bytes[4], bytes[5]]);
-    if !(OLDEST..=NEWEST).contains(&stamp) {
-        return Err(Flaw::Stamp(stamp));
+    let version = u16::from_le_bytes([bytes[4], bytes[5]]);
+    if !(OLDEST..=NEWEST).contains(&version) {
+        return Err(Flaw::Stamp(version));
     }
     let kind = match u16::from_le_bytes([bytes[6], bytes[7]]) {
         1 => Kind::Ask,
@@ -78,7 +78,7 @@
     if len > MOST {
         return Err(Flaw::Long(len));
     }
-    Ok(Head { stamp, kind, id: u64::from_le_bytes(id), len })
+    Ok(Head { version, kind, id: u64::from_le_bytes(id), len })
 }
 
 /// Validates and reads a body.
--- a/wire/src/frame_tests.rs
+++ b/wire/src/frame_tests.rs
@@ -43,21 +43,25 @@
 fn first_version() -> Vec<crate::msg::Msg> {
     use crate::msg::{Ask, Ballot, Core, Engine, Entry, Member, Msg, News, Poll, Sheet, Vote};
     let ballot = Ballot { turn: 3, seat: 9 };
-    let core =
-        Core { stamp: 2, list: vec![Member { ip: "10.0.0.1".into(), area: "a".into() }], prev: vec![], settled: true };
+    let core = Core {
+        version: 2,
+        list: vec![Member { ip: "10.0.0.1".into(), zone: "a".into() }],
+        prev: vec![],
+        settled: true,
+    };
     let entry = Entry { ballot, step: 4, body: b"body".to_vec() };
     let engine = Engine {
         id: "i-1".into(),
         service: "s".into(),
         addr: "10.1.1.1:80".into(),
-        area: "a".into(),
+        zone: "a".into(),
         phase: "decode".into(),
         model: "m".into(),
         slots: 64,
         up: true,
         cold_ms: 5,
     };
-    let sheet = Sheet { area: "a".into(), turn: 1, count: 2, list: vec![engine] };
+    let sheet = Sheet { zone: "a".into(), turn: 1, count: 2, list: vec![engine] };
     vec![
         Msg::Poll(Box::new(Poll { core: core.clone(), ask: Ask::Accept { key: "k".into(), entry: entry.clone() } })),
         Msg::Vote(Box::new(Vote::Promise { entry: Some(entry.clone()) })),
@@ -95,7 +99,7 @@
     while !rest.is_empty() {
         let (head, body) = split(rest);
         let head = super::head(&head).expect("head");
-        assert_eq!(head.stamp, 1);
+        assert_eq!(head.version, 1);
         seen.push(super::open(&body[..head.len]).expect("body"));
         rest = &body[head.len..];
     }
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -1,4 +1,5 @@
 //! What daemons say to one another, and the operator's configuration as a checked value.
+pub mod capability;
 pub mod change;
 pub mod config;
 pub mod frame;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -1,5 +1,6 @@
 //! Messages between our own daemons. Every variant holds a box, so a new one never moves the others.
 
+pub use crate::capability::*;
 pub use crate::rollout::{Rule, Versions, ROLLOUT};
 pub use crate::seek::{Note, Pressure, Seek, Sought};
 
@@ -29,14 +30,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Member {
     pub ip: String,
-    pub area: String,
+    pub zone: String,
 }
 
-/// The core. Invariants: `stamp` rises by one a change; a change is made only from a settled core;
+/// The core. Invariants: `version` rises by one a change; a change is made only from a settled core;
 /// until it is settled, `prev` are the members before it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Core {
-    pub stamp: u64,
+    pub version: u64,
     pub list: Vec<Member>,
     pub prev: Vec<Member>,
     pub settled: bool,
@@ -104,12 +105,12 @@
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Gossip {
     pub ip: String,
-    pub area: String,
+    pub zone: String,
     pub life: u64,
     /// It may be made a member of the core.
     pub fit: bool,
     pub core: Core,
-    pub fellows: Vec<String>,
+    pub peers: Vec<String>,
     /// Routers that hold a lease here.
     pub seats: u32,
     /// Requests of those routers under way, by engine.
@@ -118,7 +119,7 @@
     pub resting: Vec<String>,
     /// Where clients reach the routers that hold a lease here.
     pub doors: Vec<String>,
-    /// The stamps of the engine lists held: who has newer ones sends them.
+    /// The versions of the engine lists held: who has newer ones sends them.
     pub sheets: Vec<(String, u64, u64)>,
     /// Turns of lists that routers told of.
     pub floors: Vec<(String, u64, u64)>,
@@ -129,7 +130,7 @@
     pub id: String,
     pub service: String,
     pub addr: String,
-    pub area: String,
+    pub zone: String,
     pub phase: String,
     pub model: String,
     pub slots: u32,
@@ -137,10 +138,10 @@
     pub cold_ms: u32,
 }
 
-/// The engines of one area as one poller saw them. Invariant: (`turn`, `count`) never goes back.
+/// The engines of one zone as one poller saw them. Invariant: (`turn`, `count`) never goes back.
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Sheet {
-    pub area: String,
+    pub zone: String,
     pub turn: u64,
     pub count: u64,
     pub list: Vec<Engine>,
@@ -149,7 +150,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Follow {
     pub node: String,
-    pub area: String,
+    pub zone: String,
     pub life: u64,
     pub config: u64,
     pub closed: Vec<(String, u64)>,
@@ -162,15 +163,15 @@
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct News {
-    /// The keeper confirmed its stamps at a majority a moment ago.
+    /// The keeper confirmed its versions at a majority a moment ago.
     pub sure: bool,
     pub config: Option<(u64, Vec<u8>)>,
-    /// Area, stamp, whether it is being evacuated.
+    /// Area, version, whether it is being evacuated.
     pub closed: Vec<(String, u64, bool)>,
     pub sheets: Vec<Sheet>,
     /// How many routers hold a lease: shared bounds are cut into as many slices.
     pub seats: u32,
-    pub fellows: Vec<String>,
+    pub peers: Vec<String>,
     /// Engines about to change their part: nothing new is sent to them.
     pub resting: Vec<String>,
     /// The holder of the catalog and its epoch.
@@ -213,9 +214,9 @@
     Note(Box<Note>),
     /// A rule on stale weights, newer than what the router told. Since version 2.
     Rule(Box<Rule>),
-    /// The weight versions of an area's engines as its poller saw them. Since version 2.
+    /// The weight versions of a zone's engines as its poller saw them. Since version 2.
     Versions(Box<Versions>),
-    /// Have all routers that hold a lease at this keeper confirmed a rule? Its key and stamp. Since version 2.
+    /// Have all routers that hold a lease at this keeper confirmed a rule? Its key and version. Since version 2.
     Settle(Box<(String, u64)>),
     /// Routers that hold a lease, and those of them that confirmed. Since version 2.
     Settled(Box<(u32, u32)>),
@@ -225,43 +226,3 @@
     /// As `Learn`, for those that hold the entry before. Since version 3.
     Advance(Box<crate::order::Advance>),
 }
-
-/// The newest version of these messages. Daemons tell it beside the stamps of their sheets, as the turn
-/// of the area without a name, which no sheet has: those that know nothing of it pass it over.
-pub const READS: u64 = 3;
-
-/// Keepers from this version on count joint quorums while the core changes.
-pub const JOINT_QUORUMS: u64 = 3;
-/// Keepers from this version on take orders that others relay, and changes in place of whole entries.
-pub const RELAYED_ORDERS: u64 = 3;
-
-/// Not an area: told beside the stamps of areas.
-pub fn hidden(name: &str) -> bool {
-    name.is_empty() || name.starts_with('\0')
-}
-
-/// The name under which the stamp of an area's weight versions, or of a rule, is told.
-pub fn hide(name: &str) -> String {
-    format!("\0{name}")
-}
-
-/// Told by a keeper whose process is about to end.
-pub fn leaving() -> (String, u64, u64) {
-    (hide(LEAVING), 1, 0)
-}
-
-/// Did the teller of these stamps say that its process is about to end?
-pub fn is_leaving(stamps: &[(String, u64, u64)]) -> bool {
-    stamps.iter().any(|item| item.0 == hide(LEAVING))
-}
-
-const LEAVING: &str = "leaving";
-
-pub fn told() -> (String, u64, u64) {
-    (String::new(), READS, 0)
-}
-
-/// The newest version that the teller of these stamps reads.
-pub fn reads(stamps: &[(String, u64, u64)]) -> u64 {
-    stamps.iter().find(|item| item.0.is_empty()).map_or(1, |item| item.1)
-}
--- a/wire/src/rollout.rs
+++ b/wire/src/rollout.rs
@@ -1,12 +1,12 @@
 //! The limit on stale weights, and the versions that engines have.
 
-/// How far behind the trainer's latest weights a replica may fall. Invariants: `stamp` rises with each
+/// How far behind the trainer's latest weights a replica may fall. Invariants: `version` rises with each
 /// change; the floor goes back only by a rollback, which is counted, or by a wider lag.
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Rule {
     pub service: String,
     pub model: String,
-    pub stamp: u64,
+    pub version: u64,
     pub latest: u64,
     pub lag: u64,
     /// Names of the routes that it binds.
@@ -39,7 +39,7 @@
 /// Invariant: `count` rises with each change that one poller sees; another poller has another `turn`.
 #[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Versions {
-    pub area: String,
+    pub zone: String,
     pub turn: u64,
     pub count: u64,
     /// Engine, model, version.
