--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -12,6 +12,8 @@
     /// No room; come back after so many ms.
     Full(u64),
     Unclear,
+    /// Another keeper is to be asked: its address and the path.
+    Elsewhere(String, String),
 }
 
 pub fn write(receipt: Receipt) -> poem::Response {
@@ -33,6 +35,13 @@
             }
             reply
         }
+        Receipt::Elsewhere(address, path) => {
+            let mut reply = json(307, b"{}".to_vec());
+            if let Ok(value) = poem::http::HeaderValue::from_str(&format!("http://{address}{path}")) {
+                reply.headers_mut().insert("location", value);
+            }
+            reply
+        }
         Receipt::Unclear => {
             kernel::say!(crate::event::UNCLEAR);
             let mut reply =
@@ -51,16 +60,25 @@
 
 impl Config {
     async fn read(&self) -> Receipt {
-        match crate::orders::submit(&self.0, Order::ReadConfig).await {
-            OrderResult::Found { body } => found(&body),
-            result => told(result),
-        }
+        submit(&self.0, CONFIG_PATH.into(), Order::ReadConfig).await
     }
 
     async fn change(&self, base: Option<u64>, text: String, partial: bool) -> Receipt {
         let Some(base) = base else { return Receipt::Bad(400, "If-Match: missing or not a number".into()) };
         let order = Order::Change(ConfigChange { base, text, partial });
-        told(crate::orders::submit(&self.0, order).await)
+        submit(&self.0, CONFIG_PATH.into(), order).await
+    }
+}
+
+const CONFIG_PATH: &str = "/config";
+
+async fn submit(keeper: &std::sync::Arc<crate::keeper::Keeper>, path: String, order: Order) -> Receipt {
+    if let Some(address) = crate::orders::better_place(keeper, &order) {
+        return Receipt::Elsewhere(address, path);
+    }
+    match crate::orders::submit(keeper, order).await {
+        OrderResult::Found { body } => found(&body),
+        result => told(result),
     }
 }
 
@@ -85,7 +103,7 @@
         if !self.0.env.zones.contains_key(zone) {
             return Receipt::Bad(404, format!("zone `{zone}`: not known"));
         }
-        told(crate::orders::submit(&self.0, Order::Evacuate { zone: zone.into(), on }).await)
+        submit(&self.0, format!("/evacuation/{zone}"), Order::Evacuate { zone: zone.into(), on }).await
     }
 }
 
@@ -152,7 +170,7 @@
     let Some(addr) = keeper.env.bind_addresses.control_plane.clone() else { return };
     let app = std::sync::Arc::new(
         poem::Route::new()
-            .at("/config", Config(keeper.clone()))
+            .at(CONFIG_PATH, Config(keeper.clone()))
             .at("/journal", Journal)
             .at("/fleet", Fleet(keeper.clone()))
             .at("/batches", crate::batches::Batches(keeper.clone()))
@@ -180,3 +198,7 @@
         }
     });
 }
+
+#[cfg(test)]
+#[path = "control_tests.rs"]
+mod tests;
--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -56,6 +56,22 @@
     takes_orders.then_some(first)
 }
 
+/// Where a caller had better send an order: to the key's home, from a keeper that is no member of the core. Such
+/// a one may have a slow link, and would only pass both ways on.
+pub fn better_place(keeper: &crate::keeper::Keeper, order: &Order) -> Option<String> {
+    if ledger::quorum::is_member(&keeper.core(), keeper.me()) {
+        return None;
+    }
+    let own = keeper.env.bind_addresses.control_plane.as_deref()?;
+    control_address(own, &home(keeper, &key(order))?)
+}
+
+/// The address at which another keeper serves control: ports are alike on all machines.
+fn control_address(own: &str, peer: &str) -> Option<String> {
+    let (_, port) = own.rsplit_once(':')?;
+    Some(format!("{peer}:{port}"))
+}
+
 /// None: it is to be carried out here.
 async fn relay(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: &Order) -> Option<OrderResult> {
     let home = home(keeper, &key(order))?;
--- a/keeper/src/orders_tests.rs
+++ b/keeper/src/orders_tests.rs
@@ -1,5 +1,5 @@
 //! A change told to other keepers gives them the very body that was committed, or nothing.
-use super::next_body;
+use super::{control_address, next_body};
 use crate::config_change::{apply, Outcome};
 use crate::state::Held;
 use wire::msg::Ballot;
@@ -66,3 +66,9 @@
     let again = Advance { change: None, after: advance.before, ..advance };
     assert_eq!(next_body(&body, &again), Some(body));
 }
+
+#[test]
+fn a_caller_is_sent_to_the_home_at_the_port_that_all_serve() {
+    assert_eq!(control_address("10.0.0.9:8262", "10.0.0.4").as_deref(), Some("10.0.0.4:8262"));
+    assert_eq!(control_address("10.0.0.9", "10.0.0.4"), None);
+}
