Configurations once packed stay packed; a body committed again is told by its place

While one member was away, all others wrote 458 KB where 40 KB would do, to every member in each round and to every keeper after it, until links were so full that heartbeats were dropped and the lost member was never heard.

Change: a body that is packed is followed by packed ones; a read or renewal, which commits the same long body again, tells its place and digest only.

--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: ownerships, voter, committed_state, taken, roster, sheets, weights, followers, shelf. No lock but a ownership is held over an
+//! Lock order: ownerships, voter, committed, taken, roster, sheets, weights, followers, shelf. No lock but an ownership is held over an
 //! await.
 
 pub struct Keeper {
--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -94,11 +94,14 @@
 }
 
 async fn change_config(keeper: &std::sync::Arc<crate::keeper::Keeper>, change: &ConfigChange) -> OrderResult {
-    let pack = keeper.pack();
-    let mut before = 0;
+    // Once packed, always packed: a member that is away since this keeper started is unknown here, and long
+    // bodies without need could fill the links until it is never heard again.
+    let all_read_packed = keeper.pack();
+    let (mut before, mut pack) = (0, all_read_packed);
     let judge = |body: &[u8]| {
         let Some(held) = Held::open(body) else { return Verdict::Answer(OrderResult::Unclear) };
         before = kernel::clock::hash(body);
+        pack = all_read_packed || Held::is_packed(body);
         match crate::config_change::apply(change, &held) {
             Ok(Outcome::TakenBefore) => Verdict::Answer(OrderResult::Done),
             Ok(Outcome::Next(next)) => Verdict::Write(next.seal(pack), OrderResult::Done),
@@ -111,7 +114,7 @@
     let outcome = keeper.change_untold(crate::state::CONFIG, wait_ms(keeper), judge).await;
     let Some((result, owner, wrote)) = outcome else { return OrderResult::Unclear };
     if !owner.is_blank() {
-        tell(keeper, &owner.entry, before, wrote.then_some(change), pack);
+        tell(keeper, &owner.entry, Told { before, change: wrote.then(|| change.clone()), pack });
     }
     if result == OrderResult::Done {
         let revision =
@@ -122,21 +125,34 @@
 }
 
 /// A committed configuration becomes known here and at the other keepers, as a change where they can make it.
-fn tell(
-    keeper: &std::sync::Arc<crate::keeper::Keeper>,
-    entry: &wire::msg::Entry,
-    before: u64,
-    change: Option<&ConfigChange>,
-    pack: bool,
-) {
+fn tell(keeper: &std::sync::Arc<crate::keeper::Keeper>, entry: &wire::msg::Entry, told: Told) {
     keeper.learn(crate::state::CONFIG, entry, false);
-    let after = kernel::clock::hash(&entry.body);
-    let change = change.cloned();
-    let (ballot, step) = entry.place();
     let revision = keeper.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
-    let advance = Advance { key: crate::state::CONFIG.into(), ballot, step, before, after, change, revision, pack };
+    let (ballot, step) = entry.place();
+    let advance = Advance {
+        key: crate::state::CONFIG.into(),
+        ballot,
+        step,
+        before: told.before,
+        after: kernel::clock::hash(&entry.body),
+        change: told.change,
+        revision,
+        pack: told.pack,
+    };
+    send(keeper, entry, advance);
+}
+
+/// What a committed change is told by.
+struct Told {
+    before: u64,
+    change: Option<ConfigChange>,
+    pack: bool,
+}
+
+/// The short form to those that read it, the whole to the others.
+fn send(keeper: &crate::keeper::Keeper, entry: &wire::msg::Entry, advance: Advance) {
+    let whole = wire::msg::Msg::Learn(Box::new((advance.key.clone(), entry.clone())));
     let short = wire::msg::Msg::Advance(Box::new(advance));
-    let whole = wire::msg::Msg::Learn(Box::new((crate::state::CONFIG.into(), entry.clone())));
     for peer in keeper.known() {
         let reads = keeper.roster.lock().expect("roster").keepers.get(&peer).map_or(0, |peer| peer.reads);
         let message = if reads >= wire::msg::RELAYED_ORDERS { &short } else { &whole };
@@ -144,6 +160,16 @@
     }
 }
 
+/// The same body was committed again, by a read or under a changed core: those that hold it need only its place.
+pub fn tell_again(keeper: &crate::keeper::Keeper, key: &str, entry: &wire::msg::Entry) {
+    keeper.learn(key, entry, false);
+    let (ballot, step) = entry.place();
+    let digest = kernel::clock::hash(&entry.body);
+    let (before, after) = (digest, digest);
+    let advance = Advance { key: key.into(), ballot, step, before, after, change: None, revision: 0, pack: false };
+    send(keeper, entry, advance);
+}
+
 /// Makes a change that another keeper committed. What does not fit is left to the next confirmation, which
 /// fetches the whole.
 pub fn advance(keeper: &crate::keeper::Keeper, advance: &Advance) {
--- a/keeper/src/recovery.rs
+++ b/keeper/src/recovery.rs
@@ -4,7 +4,7 @@
 
 const READ_MS: u64 = 800;
 
-/// One attempt. It may be repeated until the voter is may_vote to vote.
+/// One attempt. It may be repeated until the voter may vote.
 pub async fn attempt(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
     let core = keeper.core();
     if kernel::clock::now() < ledger::RECALL_DELAY_MS || core.list.is_empty() {
@@ -20,18 +20,13 @@
 /// Reads what the other voters hold until every quorum of the core has a voter that was read.
 async fn recall(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core) {
     let others = keeper.voter.lock().expect("voter").witnesses();
-    let mut votes = keeper.ask(core, Ask::Whole, &others);
-    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(READ_MS);
+    let enough = |from: &[String]| keeper.voter.lock().expect("voter").enough(from);
+    let Some(answers) = gather(keeper, core, Ask::Whole, &others, enough).await else { return };
     let (mut reads, mut from) = (Vec::new(), Vec::new());
-    while !keeper.voter.lock().expect("voter").enough(&from) {
-        match tokio::time::timeout_at(end, votes.recv()).await {
-            Ok(Some((address, Vote::Whole { slots }))) => {
-                reads.push(slots);
-                from.push(address);
-            }
-            Ok(Some((_, Vote::Newer { core }))) => return keeper.adopt(&core),
-            Ok(Some(_)) => {}
-            _ => return,
+    for (address, vote) in answers {
+        if let Vote::Whole { slots } = vote {
+            reads.push(slots);
+            from.push(address);
         }
     }
     {
@@ -49,16 +44,9 @@
 /// A quorum says that this core is the current one, and this keeper is not in it: it never voted in it.
 async fn become_candidate(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core) {
     let members = ledger::quorum::old_and_new_members(core);
-    let mut votes = keeper.ask(core, Ask::Places, &members);
-    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(READ_MS);
-    let mut seen = Vec::new();
-    while !ledger::quorum::is_quorum(core, &seen) {
-        match tokio::time::timeout_at(end, votes.recv()).await {
-            Ok(Some((address, Vote::Places { .. }))) => seen.push(address),
-            Ok(Some((_, Vote::Newer { core }))) => return keeper.adopt(&core),
-            Ok(Some(_)) => {}
-            _ => return,
-        }
+    let enough = |from: &[String]| ledger::quorum::is_quorum(core, from);
+    if gather(keeper, core, Ask::Places, &members, enough).await.is_none() {
+        return;
     }
     let mut voter = keeper.voter.lock().expect("voter");
     if voter.core.version != core.version {
@@ -68,3 +56,30 @@
     keeper.disk.write(vec![ledger::voter::LogRecord::Vote]);
     kernel::say!(crate::event::FRESH, "core" => core.version);
 }
+
+/// Asks voters until enough of them answered what was asked. None: not in time, or the core is not current.
+async fn gather(
+    keeper: &std::sync::Arc<crate::keeper::Keeper>,
+    core: &Core,
+    ask: Ask,
+    addresses: &[String],
+    enough: impl Fn(&[String]) -> bool,
+) -> Option<Vec<(String, Vote)>> {
+    let mut votes = keeper.ask(core, ask, addresses);
+    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(READ_MS);
+    let (mut answers, mut from) = (Vec::new(), Vec::new());
+    while !enough(&from) {
+        match tokio::time::timeout_at(end, votes.recv()).await.ok()?? {
+            (_, Vote::Newer { core }) => {
+                keeper.adopt(&core);
+                return None;
+            }
+            (address, vote @ (Vote::Whole { .. } | Vote::Places { .. })) => {
+                from.push(address.clone());
+                answers.push((address, vote));
+            }
+            _ => {}
+        }
+    }
+    Some(answers)
+}
--- a/keeper/src/register.rs
+++ b/keeper/src/register.rs
@@ -12,6 +12,8 @@
 /// The longest pause after the first try that was overtaken, and after the last ones.
 const FIRST_PAUSE_MS: u64 = 20;
 const LAST_PAUSE_MS: u64 = 200;
+/// Bodies from this length on are not told again to those that hold them.
+const LONG_BODY: usize = 1024;
 
 type Votes = tokio::sync::mpsc::Receiver<(String, wire::msg::Vote)>;
 
@@ -96,8 +98,10 @@
     /// Changes a key. `judge` sees what is committed and says what to do; it may be asked again, and
     /// an answer without a write is only given on what a quorum was just seen to hold.
     pub async fn change<T>(&self, key: &str, wait_ms: u64, judge: impl FnMut(&[u8]) -> Verdict<T>) -> Outcome<T> {
-        let (answer, owner, _) = self.change_untold(key, wait_ms, judge).await?;
-        if !owner.is_blank() {
+        let (answer, owner, wrote) = self.change_untold(key, wait_ms, judge).await?;
+        if !wrote && owner.entry.body.len() > LONG_BODY {
+            crate::orders::tell_again(self, key, &owner.entry);
+        } else if !owner.is_blank() {
             self.learn(key, &owner.entry, true);
         }
         Some(answer)
--- a/keeper/src/simulation/mod.rs
+++ b/keeper/src/simulation/mod.rs
@@ -15,6 +15,7 @@
 mod isolation_tests;
 mod orders_tests;
 mod replacement_tests;
+mod restart_tests;
 
 use history::History;
 use network::{Message, Network};
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -47,6 +47,11 @@
         [&PACKED[..], &lz4_flex::compress_prepend_size(&plain)].concat()
     }
 
+    /// Is this body packed? Then every keeper that has to read it reads such ones.
+    pub fn is_packed(body: &[u8]) -> bool {
+        body.starts_with(&PACKED)
+    }
+
     /// Reads either form. None: neither, which is never taken for an empty one.
     pub fn open(body: &[u8]) -> Option<Held> {
         if body.is_empty() {
--- a/keeper/src/state_tests.rs
+++ b/keeper/src/state_tests.rs
@@ -29,3 +29,12 @@
     lying[8..12].copy_from_slice(&u32::MAX.to_le_bytes());
     assert!(super::Held::open(&lying).is_none(), "a size over the bound makes no room");
 }
+
+#[test]
+fn a_packed_body_is_told_from_a_plain_one() {
+    let text = format!("{{\"revision\":9,\"x\":\"{}\"}}", "abc".repeat(10_000));
+    let held = super::Held { revision: 9, text, taken: Vec::new() };
+    assert!(super::Held::is_packed(&held.seal(true)));
+    assert!(!super::Held::is_packed(&held.seal(false)));
+    assert!(!super::Held::is_packed(&[]));
+}
--- a/ledger/src/membership.rs
+++ b/ledger/src/membership.rs
@@ -50,7 +50,7 @@
     can_settle(&next, view).then_some(next)
 }
 
-/// Those that stay must be a quorum of the next core. Those before it must be may_vote to commit it, and to hear
+/// Those that stay must be a quorum of the next core. Those before it must be able to commit it, and to hear
 /// of it: one that is leaving still can.
 fn can_settle(next: &wire::msg::Core, view: &View) -> bool {
     let is_candidate = |address: &str| view.candidates.iter().any(|one| one.ip == address);
--- a/ledger/src/voter.rs
+++ b/ledger/src/voter.rs
@@ -11,7 +11,7 @@
 }
 
 /// Invariants: `slots[..].promised` and the place of each entry never go back; an entry's ballot is
-/// never above what is promised; `core.version` never goes back; a voter that is not `may_vote` neither
+/// never above what is promised; `core.version` never goes back; a voter that may not vote (`may_vote`) neither
 /// promises nor accepts.
 #[derive(Clone, Debug, Default)]
 pub struct Voter {
