--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -94,14 +94,12 @@
 }
 
 async fn change_config(keeper: &std::sync::Arc<crate::keeper::Keeper>, change: &ConfigChange) -> OrderResult {
-    // Once packed, always packed: a member that is away since this keeper started is unknown here, and long
-    // bodies without need could fill the links until it is never heard again.
     let all_read_packed = keeper.pack();
     let (mut before, mut pack) = (0, all_read_packed);
     let judge = |body: &[u8]| {
         let Some(held) = Held::open(body) else { return Verdict::Answer(OrderResult::Unclear) };
         before = kernel::clock::hash(body);
-        pack = all_read_packed || Held::is_packed(body);
+        pack = may_pack(all_read_packed, body);
         match crate::config_change::apply(change, &held) {
             Ok(Outcome::TakenBefore) => Verdict::Answer(OrderResult::Done),
             Ok(Outcome::Next(next)) => Verdict::Write(next.seal(pack), OrderResult::Done),
@@ -124,6 +122,12 @@
     result
 }
 
+/// May the body that follows this one be packed? Once packed, always packed: a member that is away since this
+/// keeper started is unknown here, and long bodies without need fill the links until it is never heard again.
+fn may_pack(all_read_packed: bool, body: &[u8]) -> bool {
+    all_read_packed || Held::is_packed(body)
+}
+
 /// A committed configuration becomes known here and at the other keepers, as a change where they can make it.
 fn tell(keeper: &std::sync::Arc<crate::keeper::Keeper>, entry: &wire::msg::Entry, told: Told) {
     keeper.learn(crate::state::CONFIG, entry, false);
--- a/keeper/src/orders_tests.rs
+++ b/keeper/src/orders_tests.rs
@@ -1,5 +1,5 @@
 //! A change told to other keepers gives them the very body that was committed, or nothing.
-use super::{control_address, next_body};
+use super::{control_address, may_pack, next_body};
 use crate::config_change::{apply, Outcome};
 use crate::state::Held;
 use wire::msg::Ballot;
@@ -72,3 +72,11 @@
     assert_eq!(control_address("10.0.0.9:8262", "10.0.0.4").as_deref(), Some("10.0.0.4:8262"));
     assert_eq!(control_address("10.0.0.9", "10.0.0.4"), None);
 }
+
+#[test]
+fn a_packed_configuration_stays_packed_though_a_member_was_never_heard() {
+    let held = Held { revision: 5, text: text(5, 200), taken: Vec::new() };
+    assert!(may_pack(false, &held.seal(true)));
+    assert!(!may_pack(false, &held.seal(false)), "one that may not read packed ones may hold the plain one");
+    assert!(may_pack(true, &held.seal(false)));
+}
