Pauses are noticed by a task of their own

Cause, found in a last read: the beat stood in the loop that settles the core, which may take over a second; a keeper that settled a change took itself for one that had stood still, and answered orders as unclear.

Change: a task of its own beats.

--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -15,6 +15,7 @@
 }
 
 part!(GOSSIP, "gossip", 2, crate::gossip::start);
+part!(PAUSES, "pauses", 1, crate::pause::start);
 part!(MEMBERSHIP, "membership", 3, crate::membership::start);
 part!(PLATFORM, "platform", 4, crate::platform::start);
 part!(DUTY, "duty", 5, crate::duty::start);
--- a/keeper/src/membership.rs
+++ b/keeper/src/membership.rs
@@ -18,7 +18,6 @@
         let mut settlement = None;
         loop {
             beat.tick().await;
-            keeper.pauses.lock().expect("pauses").beat(kernel::clock::now());
             if !keeper.voter.lock().expect("voter").may_vote {
                 crate::recovery::attempt(&keeper).await;
                 continue;
--- a/keeper/src/pause.rs
+++ b/keeper/src/pause.rs
@@ -6,6 +6,20 @@
 /// For so long after the process goes on, orders are taken for old ones.
 const STALE_MS: u64 = 500;
 
+const BEAT_MS: u64 = 250;
+
+/// Beats in a task of its own: one that also does other work would stand still with it.
+pub fn start(keeper: &std::sync::Arc<crate::keeper::Keeper>) {
+    let keeper = keeper.clone();
+    tokio::spawn(async move {
+        let mut beat = kernel::entry::beat(BEAT_MS);
+        loop {
+            beat.tick().await;
+            keeper.pauses.lock().expect("pauses").beat(kernel::clock::now());
+        }
+    });
+}
+
 /// Times of the steady clock. Invariant: `resumed` is the time of the first beat after the last pause.
 #[derive(Debug, Default)]
 pub struct PauseMonitor {
--- a/keeper/src/simulation/members.rs
+++ b/keeper/src/simulation/members.rs
@@ -31,11 +31,11 @@
     pub fn run_membership(&mut self, at: usize) {
         self.end_if_released(at);
         let now = self.now;
+        self.nodes[at].pauses.beat(now);
         if now < self.nodes[at].members.next_beat {
             return;
         }
         self.nodes[at].members.next_beat = now + BEAT_MS;
-        self.nodes[at].pauses.beat(now);
         if !self.nodes[at].voter.may_vote {
             self.attempt_recovery(at);
             return;
