--- a/engines/src/budget.rs
+++ b/engines/src/budget.rs
@@ -67,7 +67,18 @@
     (bound - 3.0 * bound.sqrt()).max(bound / 5.0)
 }
 
+/// The part of the bound of a cold engine that a router without confirmed control state may use by itself.
+const UNCONFIRMED_PART: f64 = 0.25;
+
 impl Ramp {
+    /// May a router send to an engine that is not known to be cold, while it can't know of evacuations? In a
+    /// zone that all others have left it may be the only sender, and engines there turn cold unheard.
+    pub fn allows_unconfirmed(&self, bound: f64, seats: u32, now: u64) -> bool {
+        let most = (bound / f64::from(seats.max(1))).max(bound * UNCONFIRMED_PART);
+        let recent = self.sends.iter().rev().take_while(|sent| **sent + 1000 > now).count();
+        ((recent + 1) as f64) <= most.max(1.0)
+    }
+
     /// `ticket`: this router's draw for this engine, even over all numbers.
     pub fn allows(&mut self, bound: f64, seats: u32, ticket: u64, now: u64) -> bool {
         let slice = bound / f64::from(seats.max(1));
--- a/engines/src/budget_tests.rs
+++ b/engines/src/budget_tests.rs
@@ -120,3 +120,18 @@
         assert!(least as f64 >= 0.1 * requests.len() as f64 / 2.5, "{seats} routers leave it unused: {least}");
     }
 }
+
+#[test]
+fn a_router_without_confirmed_control_state_uses_a_quarter_of_a_bound_at_most() {
+    let mut ramp = super::Ramp::default();
+    let mut sent = 0;
+    for now in (5000..6000).step_by(10) {
+        if ramp.allows_unconfirmed(18.0, 9, now) {
+            ramp.note(now);
+            sent += 1;
+        }
+    }
+    assert_eq!(sent, 4);
+    assert!(ramp.allows_unconfirmed(18.0, 9, 6900), "after a second again");
+    assert!(super::Ramp::default().allows_unconfirmed(2.0, 300, 0), "one send is always allowed");
+}
--- a/engines/src/floor.rs
+++ b/engines/src/floor.rs
@@ -76,6 +76,11 @@
         self.lease_until = self.lease_until.max(sent + LEASE_MS);
     }
 
+    /// Was the control state confirmed lately?
+    pub fn is_confirmed(&self, now: u64) -> bool {
+        now < self.lease_until
+    }
+
     /// Looked at immediately before each send.
     pub fn limit(&self, service: u32, model: &str, route: &str, now: u64) -> Limit {
         let mut limit = Limit::Free;
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -17,6 +17,8 @@
     /// For work bound by a limit on stale weights: the model, the oldest and the newest version. An engine
     /// whose version is not known counts as past the limit.
     pub weights: Option<(u64, u64, u64)>,
+    /// The control state known here was confirmed at a majority a moment ago.
+    pub confirmed: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,9 +58,12 @@
     }
 
     fn ramped(&self, stall: &crate::park::Stall) -> bool {
-        if self.ramp <= 0.0 || stall.cold_until <= self.now {
+        if self.ramp <= 0.0 {
             return true;
         }
+        if stall.cold_until <= self.now {
+            return self.confirmed || stall.ramp.allows_unconfirmed(self.ramp, self.seats, self.now);
+        }
         stall.ramp.clone().allows(self.ramp, self.seats, self.park.ticket(stall.name), self.now)
     }
 
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -24,7 +24,18 @@
 }
 
 fn view<'a>(park: &'a crate::park::Park, shut: &'a [u32], tried: &'a [usize]) -> super::View<'a> {
-    super::View { park, now: 1000, service: 0, zone: 0, shut, tried, seats: 3, ramp: 3.0, weights: None }
+    super::View {
+        park,
+        now: 1000,
+        service: 0,
+        zone: 0,
+        shut,
+        tried,
+        seats: 3,
+        ramp: 3.0,
+        weights: None,
+        confirmed: true,
+    }
 }
 
 fn id(park: &crate::park::Park, at: Option<usize>) -> &str {
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -94,6 +94,7 @@
         let ramp = table.services.get(&self.service).map_or(0.0, |spec| spec.ramp_per_s);
         let routers = self.state.router_count();
         let weights = self.version_bounds();
+        let confirmed = self.state.floors.lock().expect("floors").is_confirmed(kernel::clock::now());
         let park = self.state.park.lock().expect("park");
         look(&engines::place::View {
             park: &park,
@@ -105,6 +106,7 @@
             seats: routers,
             ramp: ramp * self.state.env.bounds.ramp_overage,
             weights,
+            confirmed,
         })
     }
 
