Last read: one rule for an evacuation, one list of candidates, one way to tell a body again

What the change had written twice: the judgement of an evacuation stood in the keeper and in the simulation, which so did not test the keeper's; the candidates for the core in two functions; addresses of members in six places; the version of the configuration in three; a body committed again was told by a copy of tell_again. Heartbeats cloned the loads of all engines for every peer to clear them again.

--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -10,7 +10,7 @@
     names: std::collections::HashMap<u64, usize>,
     services: std::collections::HashMap<String, u32>,
     zones: std::collections::HashMap<String, u32>,
-    /// By zone: its region. An zone that is not named is a region of its own.
+    /// By zone: its region. A zone that is not named is a region of its own.
     regions: std::collections::HashMap<u32, String>,
     sheets: crate::sheet::Sheets,
     /// By service: the prompt tokens that a read takes on average, as sent from here.
--- a/keeper/src/confirm.rs
+++ b/keeper/src/confirm.rs
@@ -34,12 +34,8 @@
     keeper.committed_state.lock().expect("committed_state").entries.get(key).map(wire::msg::Entry::place)
 }
 
-fn addresses(core: &Core) -> Vec<String> {
-    core.list.iter().map(|member| member.ip.clone()).collect()
-}
-
 async fn read(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core) -> Option<Confirmation> {
-    let mut votes = keeper.ask(core, Ask::Places, &addresses(core));
+    let mut votes = keeper.ask(core, Ask::Places, &ledger::quorum::addresses(core));
     let mut confirmation = Confirmation::new(core);
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(READ_MS);
     while !confirmation.is_quorum() {
@@ -80,7 +76,7 @@
 
 /// Takes the entry from the members: the one looked for, or a newer one that a quorum holds by now.
 async fn fetch(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core, behind: &Behind) -> bool {
-    let mut votes = keeper.ask(core, Ask::Fetch { key: behind.key.clone() }, &addresses(core));
+    let mut votes = keeper.ask(core, Ask::Fetch { key: behind.key.clone() }, &ledger::quorum::addresses(core));
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(FETCH_MS);
     let mut fetched = Vec::new();
     while let Ok(Some((from, vote))) = tokio::time::timeout_at(end, votes.recv()).await {
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -28,8 +28,8 @@
     own: bool,
 }
 
-/// What this life of this keeper took, by duty. Invariant: a duty is done only while the committed_state names
-/// this keeper under the same epoch and the committed_state is sure.
+/// What this life of this keeper took, by duty. Invariant: a duty is done only while the committed state names
+/// this keeper under the same epoch and is confirmed.
 #[derive(Default)]
 pub struct Taken(BTreeMap<String, Tenure>);
 
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -77,9 +77,9 @@
         core,
         peers,
         seats,
-        busy,
+        busy: Vec::new(),
         resting,
-        doors,
+        doors: Vec::new(),
         sheets,
         floors,
     };
@@ -90,11 +90,11 @@
     for ip in keeper.known() {
         let mut gossip = gossip.clone();
         // What grows with engines or routers goes to the one keeper that reads it.
-        if balancer.as_ref() != Some(&ip) {
-            gossip.busy.clear();
+        if balancer.as_ref() == Some(&ip) {
+            gossip.busy.clone_from(&busy);
         }
-        if batch_owner.as_ref() != Some(&ip) {
-            gossip.doors.clear();
+        if batch_owner.as_ref() == Some(&ip) {
+            gossip.doors.clone_from(&doors);
         }
         keeper.peer(&ip).cast(wire::msg::Msg::Gossip(Box::new(gossip)));
     }
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -100,6 +100,11 @@
         members && roster.keepers.keys().all(|ip| !roster.live(ip, now) || reads(ip))
     }
 
+    /// The version of the configuration known to be committed; 0: none yet.
+    pub fn revision(&self) -> u64 {
+        self.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0)
+    }
+
     pub fn sure(&self, now: u64) -> bool {
         self.committed_state.lock().expect("committed_state").sure.is_some_and(|time| now < time + SURE_MS)
     }
--- a/keeper/src/membership.rs
+++ b/keeper/src/membership.rs
@@ -65,6 +65,13 @@
     }
 }
 
+/// Live keepers that may be made members and aren't yet.
+fn candidates(core: &Core, roster: &roster::Roster, now: u64) -> Vec<wire::msg::Member> {
+    let waits = |ip: &str| !ledger::quorum::is_member(core, ip) && roster.live(ip, now);
+    let fit = roster.keepers.iter().filter(|(ip, peer)| peer.fit && !peer.leaving && waits(ip));
+    fit.map(|(ip, peer)| wire::msg::Member { ip: ip.clone(), zone: peer.zone.clone() }).collect()
+}
+
 /// The next core as this keeper sees the others.
 pub fn next(core: &Core, roster: &roster::Roster, now: u64) -> Option<Core> {
     let health = |ip: &str| ledger::membership::Health {
@@ -72,9 +79,7 @@
         live: roster.live(ip, now),
         leaving: roster.keepers.get(ip).is_some_and(|peer| peer.leaving),
     };
-    let waits = |ip: &str| !ledger::quorum::is_member(core, ip) && roster.live(ip, now);
-    let fit = roster.keepers.iter().filter(|(ip, peer)| peer.fit && !peer.leaving && waits(ip));
-    let candidates = fit.map(|(ip, peer)| wire::msg::Member { ip: ip.clone(), zone: peer.zone.clone() }).collect();
+    let candidates = candidates(core, roster, now);
     let counts_joint = |peer: &roster::Peer| peer.reads >= wire::msg::JOINT_QUORUMS;
     let joint = roster.keepers.iter().all(|(ip, peer)| !roster.live(ip, now) || counts_joint(peer));
     ledger::membership::next(core, &ledger::membership::View { health: &health, candidates, joint })
@@ -165,9 +170,7 @@
         return !core.settled;
     }
     let roster = keeper.roster.lock().expect("roster");
-    let waits = |ip: &str| !ledger::quorum::is_member(&core, ip) && roster.live(ip, now);
-    let candidate = roster.keepers.iter().any(|(ip, peer)| peer.fit && !peer.leaving && waits(ip));
-    candidate || core.list.len().is_multiple_of(2)
+    !candidates(&core, &roster, now).is_empty() || core.list.len().is_multiple_of(2)
 }
 
 #[cfg(test)]
--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -111,13 +111,13 @@
     };
     let outcome = keeper.change_untold(crate::state::CONFIG, wait_ms(keeper), judge).await;
     let Some((result, owner, wrote)) = outcome else { return OrderResult::Unclear };
-    if !owner.is_blank() {
-        tell(keeper, &owner.entry, Told { before, change: wrote.then(|| change.clone()), pack });
+    if wrote {
+        tell(keeper, &owner.entry, before, change, pack);
+    } else if !owner.is_blank() {
+        tell_again(keeper, crate::state::CONFIG, &owner.entry);
     }
     if result == OrderResult::Done {
-        let revision =
-            keeper.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
-        kernel::say!(crate::event::CONFIG, "base" => change.base, "revision" => revision);
+        kernel::say!(crate::event::CONFIG, "base" => change.base, "revision" => keeper.revision());
     }
     result
 }
@@ -129,30 +129,22 @@
 }
 
 /// A committed configuration becomes known here and at the other keepers, as a change where they can make it.
-fn tell(keeper: &std::sync::Arc<crate::keeper::Keeper>, entry: &wire::msg::Entry, told: Told) {
+fn tell(keeper: &crate::keeper::Keeper, entry: &wire::msg::Entry, before: u64, change: &ConfigChange, pack: bool) {
     keeper.learn(crate::state::CONFIG, entry, false);
-    let revision = keeper.committed_state.lock().expect("committed_state").config.as_ref().map_or(0, |config| config.0);
     let (ballot, step) = entry.place();
     let advance = Advance {
         key: crate::state::CONFIG.into(),
         ballot,
         step,
-        before: told.before,
+        before,
         after: kernel::clock::hash(&entry.body),
-        change: told.change,
-        revision,
-        pack: told.pack,
+        change: Some(change.clone()),
+        revision: keeper.revision(),
+        pack,
     };
     send(keeper, entry, advance);
 }
 
-/// What a committed change is told by.
-struct Told {
-    before: u64,
-    change: Option<ConfigChange>,
-    pack: bool,
-}
-
 /// The short form to those that read it, the whole to the others.
 fn send(keeper: &crate::keeper::Keeper, entry: &wire::msg::Entry, advance: Advance) {
     let whole = wire::msg::Msg::Learn(Box::new((advance.key.clone(), entry.clone())));
@@ -196,16 +188,18 @@
     (kernel::clock::hash(&body) == advance.after).then_some(body)
 }
 
+/// Begins or withdraws an evacuation on top of what is committed; answers with `answer` either way.
+pub fn judge_evacuation<T>(on: bool, body: &[u8], answer: T) -> Verdict<T> {
+    let held = Closed::read_bytes(body).unwrap_or_default();
+    if held.on == on {
+        return Verdict::Answer(answer);
+    }
+    Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), answer)
+}
+
 async fn evacuate(keeper: &std::sync::Arc<crate::keeper::Keeper>, zone: &str, on: bool, wait_ms: u64) -> OrderResult {
     let key = format!("{}{zone}", crate::state::CLOSED);
-    let judge = |body: &[u8]| {
-        let held = Closed::read_bytes(body).unwrap_or_default();
-        if held.on == on {
-            return Verdict::Answer(());
-        }
-        Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), ())
-    };
-    if keeper.change(&key, wait_ms, judge).await.is_none() {
+    if keeper.change(&key, wait_ms, |body: &[u8]| judge_evacuation(on, body, ())).await.is_none() {
         return OrderResult::Unclear;
     }
     kernel::say!(crate::event::EVACUATION, "zone" => zone, "on" => on);
--- a/keeper/src/register.rs
+++ b/keeper/src/register.rs
@@ -71,7 +71,7 @@
         if core.list.is_empty() {
             return None;
         }
-        let members: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+        let members = ledger::quorum::addresses(&core);
         let ballot = self.next_ballot();
         let (mut proposal, ask) =
             ledger::proposal::Proposal::begin(key, &core, held, ballot, judge, kernel::clock::now());
--- a/keeper/src/simulation/changes.rs
+++ b/keeper/src/simulation/changes.rs
@@ -79,7 +79,7 @@
         let ballot = wire::msg::Ballot { turn: node.turn, seat: ledger::seat(&node.voter.ip, node.life) };
         let held = node.owned.remove(key);
         let (proposal, ask) = Proposal::begin(key, &core, held, ballot, &mut change.judge, now);
-        let members: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+        let members = ledger::quorum::addresses(&core);
         let id = self.poll(at, &core, &ask, &members);
         let change = self.nodes[at].changes.get_mut(key).and_then(|list| list.first_mut());
         change.expect("a change").running = Some((id, proposal));
@@ -98,7 +98,7 @@
         match proposal.hear(from, vote.clone(), &mut change.judge, now) {
             Progress::Wait => {}
             Progress::Send(ask) => {
-                let members: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+                let members = ledger::quorum::addresses(&core);
                 let next = self.poll(at, &core, &ask, &members);
                 let change = &mut self.nodes[at].changes.get_mut(&key).expect("a change")[0];
                 change.running.as_mut().expect("under way").0 = next;
--- a/keeper/src/simulation/confirming.rs
+++ b/keeper/src/simulation/confirming.rs
@@ -98,7 +98,7 @@
         if core.list.is_empty() {
             return;
         }
-        let members: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+        let members = ledger::quorum::addresses(&core);
         let id = self.poll(at, &core, &Ask::Places, &members);
         let confirming = &mut self.nodes[at].confirming;
         confirming.begun = self.now;
@@ -159,7 +159,7 @@
             return self.caught_up(at, &key);
         }
         let first = node.roster.holder("", &key, now) == node.voter.ip;
-        let members: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+        let members = ledger::quorum::addresses(&core);
         let id = self.poll(at, &core, &Ask::Fetch { key: key.clone() }, &members);
         self.nodes[at].confirming.behind[number].id = id;
         if half_done && first && !self.is_changing(at, &Purpose::Repair) {
--- a/keeper/src/simulation/operator.rs
+++ b/keeper/src/simulation/operator.rs
@@ -3,7 +3,7 @@
 use super::changes::Purpose;
 use super::network::{Address, Message};
 use crate::config_change::Outcome;
-use crate::state::{Closed, Held};
+use crate::state::Held;
 use ledger::proposal::Verdict;
 use wire::order::ConfigChange;
 
@@ -147,7 +147,7 @@
                 self.begin_change(at, crate::state::CONFIG, purpose, CHANGE_MS, judge);
             }
             Order::Evacuate(on) => {
-                let judge = Box::new(move |body: &[u8]| judge_evacuation(on, body));
+                let judge = Box::new(move |body: &[u8]| crate::orders::judge_evacuation(on, body, Some(Answer::Good)));
                 self.begin_change(at, EVACUATION, purpose, EVACUATE_MS, judge);
             }
             Order::Read if self.guards.quorum_reads => {
@@ -218,11 +218,3 @@
         Err(_) => Verdict::Answer(Some(Answer::Refused)),
     }
 }
-
-fn judge_evacuation(on: bool, body: &[u8]) -> Verdict<Option<Answer>> {
-    let held = Closed::read_bytes(body).unwrap_or_default();
-    if held.on == on {
-        return Verdict::Answer(Some(Answer::Good));
-    }
-    Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), Some(Answer::Good))
-}
--- a/ledger/src/quorum.rs
+++ b/ledger/src/quorum.rs
@@ -10,6 +10,11 @@
     core.list.iter().any(|member| member.ip == address)
 }
 
+/// The addresses of the members.
+pub fn addresses(core: &wire::msg::Core) -> Vec<String> {
+    core.list.iter().map(|member| member.ip.clone()).collect()
+}
+
 /// Do these voters form a quorum of the core?
 ///
 /// Usually that is a majority of its members: majorities before and after one member more or less always
@@ -36,7 +41,7 @@
 /// The members and, until the core is settled, those before the change. One that is only among the latter
 /// no longer votes, but is told of the change and asked what it holds.
 pub fn old_and_new_members(core: &wire::msg::Core) -> Vec<String> {
-    let mut list: Vec<String> = core.list.iter().map(|member| member.ip.clone()).collect();
+    let mut list = addresses(core);
     if core.settled {
         return list;
     }
