Wire: tenants in the configuration, an answer to Follow that says how far it is confirmed

Cause: nothing tells a router until when its configuration is known to be current, and a configuration with tenants is read without them. Measured: nothing yet, tests of wire and kernel pass.

--- a/wire/src/capability.rs
+++ b/wire/src/capability.rs
@@ -3,12 +3,16 @@
 
 /// The newest version of these messages. Daemons tell it beside the versions of their sheets, as the turn
 /// of the zone without a name, which no sheet has: those that know nothing of it pass it over.
-pub const READS: u64 = 3;
+pub const READS: u64 = 4;
 
 /// Keepers from this version on count joint quorums while the core changes.
 pub const JOINT_QUORUMS: u64 = 3;
 /// Keepers from this version on take orders that others relay, and changes in place of whole entries.
 pub const RELAYED_ORDERS: u64 = 3;
+/// Routers from this version on take `Renewed` as the answer to `Follow`.
+pub const CONFIRMED_NEWS: u64 = 4;
+/// Routers from this version on know tenants and their keys.
+pub const TENANTS: u64 = 4;
 
 /// Not a zone: told beside the versions of zones.
 pub fn hidden(name: &str) -> bool {
--- a/wire/src/change.rs
+++ b/wire/src/change.rs
@@ -13,6 +13,9 @@
     pub services: Vec<crate::config::Service>,
     pub lost: Vec<String>,
     pub limits: crate::config::Limits,
+    /// Added or replaced, by name.
+    pub tenants: Vec<crate::config::Tenant>,
+    pub gone_tenants: Vec<String>,
 }
 
 impl Change {
@@ -26,6 +29,8 @@
             services: config.service_table.clone(),
             lost: Vec::new(),
             limits: config.limits.clone(),
+            tenants: config.tenant_table.clone(),
+            gone_tenants: Vec::new(),
         }
     }
 
@@ -33,7 +38,18 @@
     pub fn between(old: &crate::config::Config, new: &crate::config::Config) -> Change {
         let (routes, gone) = difference(&old.route_table, &new.route_table, |route| route.name.as_str());
         let (services, lost) = difference(&old.service_table, &new.service_table, |service| service.name.as_str());
-        Change { from: old.revision, to: new.revision, routes, gone, services, lost, limits: new.limits.clone() }
+        let (tenants, gone_tenants) = difference(&old.tenant_table, &new.tenant_table, |tenant| tenant.name.as_str());
+        Change {
+            from: old.revision,
+            to: new.revision,
+            routes,
+            gone,
+            services,
+            lost,
+            limits: new.limits.clone(),
+            tenants,
+            gone_tenants,
+        }
     }
 
     /// Decodes the packed form. None: it is cut short, or no change.
--- a/wire/src/config.rs
+++ b/wire/src/config.rs
@@ -35,6 +35,27 @@
     #[setting(default = 0)]
     pub gap_target_ms: u64,
     pub allowed_regions: Vec<String>,
+    /// Served without a key, also where the configuration has tenants.
+    pub anonymous: bool,
+}
+
+/// Who sends requests: known by its keys, and bound by a limit over all routers.
+#[derive(
+    Clone, Debug, PartialEq, schematic::Config, serde::Serialize, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+)]
+#[config(allow_unknown_fields, rename_all = "snake_case")]
+pub struct Tenant {
+    pub name: String,
+    pub api_keys: Vec<String>,
+    /// Takes precedence over the priority of a route.
+    pub priority: Option<u32>,
+    /// Requests a second; 0 for no limit.
+    #[setting(default = 0.0)]
+    pub rate_per_s: f64,
+    /// Requests that may come at once above the rate.
+    #[setting(default = 0.0)]
+    pub burst_size: f64,
+    pub allowed_regions: Vec<String>,
 }
 
 #[derive(
@@ -107,6 +128,9 @@
     pub service_table: Vec<Service>,
     #[setting(nested)]
     pub limits: Limits,
+    /// Empty where requests need no key.
+    #[setting(nested)]
+    pub tenant_table: Vec<Tenant>,
 }
 
 /// Reads a configuration and checks it against itself.
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -225,4 +225,8 @@
     OrderDone(Box<crate::order::OrderResult>),
     /// As `Learn`, for those that hold the entry before. Since version 3.
     Advance(Box<crate::order::Advance>),
+    /// The answer to `Follow` for routers that read it. Since version 4.
+    Renewed(Box<crate::renewal::Renewed>),
+    /// A configuration with tenants, whole or as a change: the bytes of `crate::change::Change`. Since version 4.
+    Update(Box<Vec<u8>>),
 }
