--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -138,15 +138,27 @@
 
 /// Reads and checks a settings text.
 pub fn parse(text: &str) -> Result<Env, error_stack::Report<BadEnv>> {
-    let env: Env = toml::from_str(text).map_err(|error| {
-        let name = error.message().split('`').nth(1).unwrap_or("(text)").to_string();
-        let line = error.span().map_or("", |span| text.get(span).unwrap_or(""));
-        bad(&name, format!("{} ({})", line.trim(), error.message()), "as the deployment page lists it")
-    })?;
+    let source = toml::Deserializer::new(text);
+    let env: Env = serde_path_to_error::deserialize(source).map_err(|error| unreadable(text, &error))?;
     check(&env)?;
     Ok(env)
 }
 
+/// Names the field of an error by its path: a missing one by the name that the error gives.
+fn unreadable(text: &str, error: &serde_path_to_error::Error<toml::de::Error>) -> error_stack::Report<BadEnv> {
+    let cause = error.inner();
+    let missing = cause.message().strip_prefix("missing field `").and_then(|rest| rest.split('`').next());
+    let path = Some(error.path().to_string()).filter(|path| path != "." && path != "?");
+    let field = match (path, missing) {
+        (Some(path), Some(missing)) => format!("{path}.{missing}"),
+        (None, Some(missing)) => missing.into(),
+        (Some(path), None) => path,
+        (None, None) => "(text)".into(),
+    };
+    let line = cause.span().map_or("", |span| text.get(span).unwrap_or(""));
+    bad(&field, format!("{} ({})", line.trim(), cause.message()), "as the deployment page lists it")
+}
+
 fn check(env: &Env) -> Result<(), error_stack::Report<BadEnv>> {
     if env.ip.parse::<std::net::Ipv4Addr>().is_err() {
         return Err(bad("ip", &env.ip, "an IPv4 address"));
--- a/kernel/src/env_tests.rs
+++ b/kernel/src/env_tests.rs
@@ -52,3 +52,18 @@
         assert!(!bad.allowed.is_empty());
     }
 }
+
+#[test]
+fn a_field_of_the_wrong_type_is_named_by_its_path() {
+    let cases = [
+        (GOOD.replace("node_name = \"edge-1\"", "node_name = 3"), "node_name"),
+        (GOOD.replace("memory_mb = 260", "memory_mb = \"much\""), "limits.memory_mb"),
+        (GOOD.replace("[7300,7315]", "[7300,\"7315\"]"), "internal_ports[1]"),
+        (GOOD.replace("a = \"r\"", "a = 1"), "zones.a"),
+        (GOOD.replace("fd_limit = 4100\n", ""), "limits.fd_limit"),
+        (GOOD.replace("zone = \"a\"", "zone = "), "(text)"),
+    ];
+    for (text, field) in cases {
+        assert_eq!(fault(&text).field, field, "{text}");
+    }
+}
