Following: a pure state machine that asks several keepers by the age of the proof

Cause: a router follows one home, so each sick home costs its whole wait. Change: the machine keeps the time as of which its table is proved current and asks others beside the home once that is too old or the home is silent: the next in its order and a core member at once, one more each gap. Not wired in yet; the interface is Following::{due, wake_at, answered, failed, current_as_of}.

--- /dev/null
+++ b/router/src/following_answer.rs
@@ -0,0 +1,72 @@
+//! What a keeper's answer proves of the configuration that is held here.
+
+/// How old a confirmation may be behind a keeper of an older version, which says no more than that it is sure.
+pub const OLDER_KEEPER_SURE_MS: u64 = 1100;
+
+/// What a keeper says of its own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    Nothing,
+    /// It had confirmed all up to a revision so long before it answered.
+    Confirmed {
+        age_ms: u64,
+        config: u64,
+    },
+    /// One of an older version is sure of what it sent.
+    Sure,
+}
+
+/// An answer that was taken in.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    pub proof: Proof,
+    /// The revision held here after it.
+    pub held: u64,
+    /// Keepers in the router's order, nearest first.
+    pub keepers: Vec<String>,
+    /// Members of the core.
+    pub members: Vec<String>,
+}
+
+/// What an answer is worth. Times are of the router's steady clock; before its begin they are negative.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Worth {
+    Nothing,
+    /// The keeper knows more than has come here: a frame was lost on the way.
+    FrameLost,
+    /// All that was acknowledged before this time is held here.
+    CurrentAsOf(i64),
+}
+
+impl Answer {
+    pub fn renewed(renewed: &wire::renewal::Renewed, held: u64) -> Answer {
+        let proof = renewed.confirmation.as_ref().map_or(Proof::Nothing, |confirmation| Proof::Confirmed {
+            age_ms: confirmation.age_ms,
+            config: confirmation.config,
+        });
+        Answer { proof, held, keepers: renewed.news.peers.clone(), members: renewed.members.clone() }
+    }
+
+    /// Of a keeper of an older version.
+    pub fn news(news: &wire::msg::News, held: u64) -> Answer {
+        let proof = if news.sure { Proof::Sure } else { Proof::Nothing };
+        Answer { proof, held, keepers: news.peers.clone(), members: Vec::new() }
+    }
+
+    /// Of the answer to a call sent at `sent`. `frames_lost_at`: when frames were last lost on this side.
+    pub fn worth(&self, sent: u64, frames_lost_at: Option<u64>) -> Worth {
+        let before = |age_ms: u64| sent as i64 - age_ms as i64;
+        match self.proof {
+            Proof::Nothing => Worth::Nothing,
+            Proof::Confirmed { config, .. } if config > self.held => Worth::FrameLost,
+            Proof::Confirmed { age_ms, .. } => Worth::CurrentAsOf(before(age_ms)),
+            Proof::Sure if frames_lost_at.is_some_and(|lost| lost >= sent) => Worth::FrameLost,
+            Proof::Sure => Worth::CurrentAsOf(before(OLDER_KEEPER_SURE_MS)),
+        }
+    }
+
+    /// Was it given by a keeper of an older version?
+    pub fn is_older(&self) -> bool {
+        self.proof == Proof::Sure
+    }
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,6 +9,10 @@
 mod failure;
 mod feed;
 mod follow;
+pub mod following;
+pub mod following_answer;
+mod following_candidates;
+mod following_pace;
 mod frames;
 mod fresh;
 mod halves;
@@ -25,6 +29,12 @@
 mod table;
 mod verdict;
 
+#[cfg(test)]
+mod following_single_home;
+
+#[cfg(test)]
+mod following_world;
+
 #[cfg(test)]
 mod stand_in;
 
