Follow several keepers, refuse only with a proof: shell, currency of the table, stand-in keepers

Cause: see Following; beside it a router answered 404 from any table for ever, however late it was. Change: follow.rs drives Following over one connection a keeper and takes in what any keeper sends; currency.rs lets a request that would be refused wait, with all others on one notification, for a proof or a newer table, else 503 with Retry-After. Measured: cargo test -p router.

--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -24,6 +24,8 @@
 /// Bounds for a request that comes before the first configuration is known.
 const EARLY_BYTES: usize = 8 * 1024 * 1024;
 const EARLY_MS: u64 = 1000;
+/// When to come back where the configuration is not known well enough.
+const RETRY_MS: u64 = 300;
 
 /// Until this daemon is ready, or `end`.
 async fn starting(state: &crate::state::State, end: u64) {
@@ -33,6 +35,21 @@
     }
 }
 
+/// The table in force that has a route for a request. That there is none is said only by a table that is proved
+/// to be current.
+async fn table_with_route(
+    state: &crate::state::State,
+    host: &str,
+    parts: &http::request::Parts,
+) -> Result<std::sync::Arc<crate::table::Table>, crate::failure::Failure> {
+    let left_ms = crate::request::number(&parts.headers, wire::word::BUDGET).unwrap_or(EARLY_MS);
+    let has_route = |table: &crate::table::Table| table.find(host, parts.uri.path()).is_some();
+    crate::currency::table_with(state, left_ms, has_route).await.map_err(|miss| match miss {
+        crate::currency::Miss::Certain => crate::failure::Failure::NoRoute,
+        crate::currency::Miss::Unproved => crate::failure::Failure::Refused(RETRY_MS),
+    })
+}
+
 async fn enter(
     state: &std::sync::Arc<crate::state::State>,
     incoming: http::Request<hyper::body::Incoming>,
@@ -53,15 +70,14 @@
     }
     let table = state.table();
     if table.revision == 0 {
-        return Err(crate::failure::Failure::Refused(300));
+        return Err(crate::failure::Failure::Refused(RETRY_MS));
     }
     if !table.seen.swap(true, std::sync::atomic::Ordering::Relaxed) {
         kernel::say!(crate::event::FIRST, "revision" => table.revision);
     }
     let host = parts.headers.get(http::header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
-    let Some(route) = table.find(host, parts.uri.path()) else {
-        return Err(crate::failure::Failure::NoRoute);
-    };
+    let mut table = table_with_route(state, host, &parts).await?;
+    let looked_up = kernel::clock::now();
     let order = std::sync::atomic::Ordering::Relaxed;
     let room = (state.env.limits.memory_mb as usize) << 18;
     if state.held.load(order) > room {
@@ -72,6 +88,13 @@
         (None, Some(body)) => crate::request::body(body, table.body_bytes, table.idle_ms).await?,
         _ => return Err(crate::failure::Failure::TooLarge),
     };
+    if kernel::clock::now() > looked_up + state.currency.budget().lookup_age_ms() {
+        // The body came slowly: a newer configuration may send it elsewhere.
+        table = table_with_route(state, host, &parts).await?;
+    }
+    let Some(route) = table.find(host, parts.uri.path()) else {
+        return Err(crate::failure::Failure::NoRoute);
+    };
     let service = {
         let mut dice = state.dice.lock().expect("dice");
         crate::table::split(&route.targets, dice.roll())
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -25,6 +25,7 @@
     let Some(table) = old.turn(change, &mut state.park.lock().expect("park")) else { return };
     *state.table.lock().expect("table") = std::sync::Arc::new(table);
     state.news.lock().expect("news").config = change.to;
+    state.currency.table_changed();
     kernel::say!(crate::event::CONFIG, "revision" => change.to);
 }
 
--- /dev/null
+++ b/router/src/currency.rs
@@ -0,0 +1,126 @@
+//! Whether the table in force is proved to be current, and the requests that wait to know it.
+//!
+//! A refusal that rests on what the table lacks (no such route, no such key) is only certain if nothing that was
+//! acknowledged in time can be missing. A request that would be refused without that proof waits for a short
+//! time, together with all others: the router's follower is woken once for all of them.
+
+/// No proof yet.
+const NEVER: i64 = i64::MIN;
+/// How many requests may wait at once. Beyond them the answer is uncertain without a wait.
+const MOST_WAITING: usize = 256;
+
+/// Why the table gives nothing for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Miss {
+    /// The table is current, and has nothing for it.
+    Certain,
+    /// The table may only be late.
+    Unproved,
+}
+
+/// Invariant: `current_as_of` never goes back, and the table in force contains all that was acknowledged before.
+pub struct Currency {
+    budget: kernel::convergence::Budget,
+    current_as_of: std::sync::atomic::AtomicI64,
+    waiting: std::sync::atomic::AtomicUsize,
+    /// A proof or a newer table has come.
+    changed: tokio::sync::Notify,
+    /// Somebody waits for a proof.
+    wanted: tokio::sync::Notify,
+}
+
+/// One request that waits; counted until it is dropped.
+struct Waiting<'a>(&'a Currency);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, std::sync::atomic::Ordering::Relaxed);
+    }
+}
+
+impl Currency {
+    pub fn new(budget: kernel::convergence::Budget) -> Currency {
+        Currency {
+            budget,
+            current_as_of: NEVER.into(),
+            waiting: Default::default(),
+            changed: Default::default(),
+            wanted: Default::default(),
+        }
+    }
+
+    pub fn budget(&self) -> &kernel::convergence::Budget {
+        &self.budget
+    }
+
+    /// All that was acknowledged before this time of the steady clock is in the table in force.
+    pub fn prove(&self, as_of: i64) {
+        self.current_as_of.fetch_max(as_of, std::sync::atomic::Ordering::Relaxed);
+        self.changed.notify_waiters();
+    }
+
+    /// A newer table is in force.
+    pub fn table_changed(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// May a refusal rest on the table in force?
+    pub fn is_proved(&self, now: u64) -> bool {
+        let as_of = self.current_as_of.load(std::sync::atomic::Ordering::Relaxed);
+        now as i64 <= as_of.saturating_add(self.budget.refusal_age_ms() as i64)
+    }
+
+    /// Until a request waits for a proof. Many that wait end it once.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
+    fn enter(&self) -> Option<Waiting<'_>> {
+        let order = std::sync::atomic::Ordering::Relaxed;
+        let waiting = Waiting(self);
+        (self.waiting.fetch_add(1, order) < MOST_WAITING).then_some(waiting)
+    }
+}
+
+/// Looks at the table of this moment. The proof is read first: the table that follows is no older.
+fn look(
+    state: &crate::state::State,
+    accepts: &impl Fn(&crate::table::Table) -> bool,
+) -> Result<std::sync::Arc<crate::table::Table>, Miss> {
+    let proved = state.currency.is_proved(kernel::clock::now());
+    let table = state.table();
+    match accepts(&table) {
+        true => Ok(table),
+        false if proved => Err(Miss::Certain),
+        false => Err(Miss::Unproved),
+    }
+}
+
+/// The first table from now on that has what a request needs. A miss is certain only by a table that is proved
+/// current; that proof is waited for during a third of the time that the request has left at most.
+pub async fn table_with(
+    state: &crate::state::State,
+    left_ms: u64,
+    accepts: impl Fn(&crate::table::Table) -> bool,
+) -> Result<std::sync::Arc<crate::table::Table>, Miss> {
+    let first = look(state, &accepts);
+    if !matches!(first, Err(Miss::Unproved)) {
+        return first;
+    }
+    let currency = &state.currency;
+    let Some(_waiting) = currency.enter() else { return first };
+    currency.wanted.notify_one();
+    let wait = std::time::Duration::from_millis(currency.budget.refusal_wait_ms().min(left_ms / 3));
+    let end = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = currency.changed.notified();
+        let now = look(state, &accepts);
+        if !matches!(now, Err(Miss::Unproved)) || tokio::time::timeout_at(end, changed).await.is_err() {
+            return now;
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "currency_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/follow_absorb.rs
@@ -0,0 +1,96 @@
+//! What a router tells keepers of itself, and what it takes in from them. All of it is monotone: whichever
+//! keeper sends what, in whatever order, the newest counts.
+
+/// How long news of engines that are about to change their part holds.
+const REST_MS: u64 = 1500;
+/// For how long a number of routers that was told counts.
+const SEATS_MS: u64 = 10_000;
+
+/// A message that a keeper pushed.
+pub fn take(state: &std::sync::Arc<crate::state::State>, msg: wire::msg::Msg) {
+    match msg {
+        wire::msg::Msg::News(news) => absorb(state, *news),
+        wire::msg::Msg::Change(body) | wire::msg::Msg::Update(body) => crate::config::change(state, &body),
+        wire::msg::Msg::Rule(rule) => crate::fresh::rule(state, &rule),
+        wire::msg::Msg::Versions(list) => crate::fresh::versions(state, &list),
+        wire::msg::Msg::Doubt(doubt) => crate::doubt::hear(state, &doubt.0),
+        _ => {}
+    }
+}
+
+/// What this router holds. Its requests under way are told to its home alone, where they are added up.
+pub fn standing(state: &crate::state::State, at_home: bool) -> wire::msg::Follow {
+    let (mut sheets, busy): (Vec<_>, Vec<_>) = {
+        let park = state.park.lock().expect("park");
+        let busy =
+            park.list.iter().filter(|engine| at_home && engine.busy > 0).map(|engine| (engine.id.clone(), engine.busy));
+        (park.versions(), busy.collect())
+    };
+    let (rules, weights) = crate::fresh::known_versions(state);
+    sheets.extend(weights);
+    sheets.push(wire::msg::told());
+    let news = state.news.lock().expect("news");
+    wire::msg::Follow {
+        node: state.env.node_name.clone(),
+        zone: state.env.zone.clone(),
+        life: state.life,
+        config: news.config,
+        closed: news.closed.iter().map(|(zone, (version, _))| (zone.clone(), *version)).chain(rules).collect(),
+        sheets,
+        busy,
+        door: state.env.bind_addresses.frontend.clone().filter(|_| !state.leaving()).unwrap_or_default(),
+    }
+}
+
+/// Ready once the configuration is proved to be current and the lists are known; from then on until it leaves.
+pub fn ready(state: &crate::state::State) -> bool {
+    let order = std::sync::atomic::Ordering::Relaxed;
+    if state.ready.load(order) {
+        return true;
+    }
+    let known = state.park.lock().expect("park").versions().len();
+    let held = state.news.lock().expect("news").config > 0 && known >= state.env.zones.len();
+    if !held || !state.currency.is_proved(kernel::clock::now()) {
+        return false;
+    }
+    state.ready.store(true, order);
+    kernel::say!(crate::event::READY);
+    true
+}
+
+/// Takes what is newer; versions never go back.
+pub fn absorb(state: &std::sync::Arc<crate::state::State>, news: wire::msg::News) {
+    let now = kernel::clock::now();
+    if let Some((version, text)) = &news.config {
+        crate::config::config(state, *version, text);
+    }
+    let mut left = Vec::new();
+    {
+        let mut park = state.park.lock().expect("park");
+        for sheet in &news.sheets {
+            left.extend(park.take(sheet, now));
+        }
+        park.rest(&news.resting, now + REST_MS);
+    }
+    if !left.is_empty() {
+        let mut record = state.record.lock().expect("record");
+        left.iter().for_each(|engine| record.forget(engine));
+    }
+    crate::evacuation::absorb(state, &news.closed);
+    {
+        let mut held = state.news.lock().expect("news");
+        if !news.peers.is_empty() {
+            held.keepers = news.peers;
+        }
+        if news.seats > 0 {
+            held.seats.retain(|(time, _)| now < time + SEATS_MS);
+            held.seats.push((now, news.seats));
+        }
+    }
+    let seats = state.router_count();
+    state.park.lock().expect("park").sit(state.mark(), state.zone, seats);
+    if state.lookup.hold(news.catalog.0, &news.catalog.1, state.env.peer_port()) {
+        kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
+        tokio::spawn(crate::config::again(state.clone()));
+    }
+}
--- /dev/null
+++ b/router/src/follow_links.rs
@@ -0,0 +1,114 @@
+//! Connections to keepers, and the calls that are under way on them.
+
+/// How many pushed messages may wait to be taken in.
+const PUSHED_MOST: usize = 256;
+
+/// How a call ended.
+pub struct End {
+    pub keeper: String,
+    /// When the call was begun.
+    pub sent: u64,
+    /// None: no connection, or no answer in its time.
+    pub reply: Option<wire::msg::Msg>,
+    number: u64,
+}
+
+/// A connection. `call` is the one that is under way.
+struct Link {
+    caller: std::sync::Arc<wire::link::Caller>,
+    call: Option<(u64, tokio::task::AbortHandle)>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        if let Some((_, call)) = &self.call {
+            call.abort();
+        }
+    }
+}
+
+/// Invariant: one connection a keeper, and at most one call on it.
+pub struct Links {
+    port: u16,
+    open: std::collections::BTreeMap<String, Link>,
+    calls: tokio::task::JoinSet<End>,
+    number: u64,
+    push: tokio::sync::mpsc::Sender<wire::msg::Msg>,
+    pushed: tokio::sync::mpsc::Receiver<wire::msg::Msg>,
+}
+
+/// What comes from keepers.
+pub enum Event {
+    Ended(End),
+    Pushed(wire::msg::Msg),
+}
+
+impl Links {
+    pub fn new(port: u16) -> Links {
+        let (push, pushed) = tokio::sync::mpsc::channel(PUSHED_MOST);
+        Links { port, open: Default::default(), calls: Default::default(), number: 0, push, pushed }
+    }
+
+    /// The connection to a keeper; it comes up with its first call.
+    pub fn caller(&mut self, keeper: &str) -> std::sync::Arc<wire::link::Caller> {
+        let (port, push) = (self.port, &self.push);
+        let connect = || {
+            let caller = wire::link::Caller::start(format!("{keeper}:{port}"), Some(push.clone()));
+            Link { caller: std::sync::Arc::new(caller), call: None }
+        };
+        self.open.entry(keeper.into()).or_insert_with(connect).caller.clone()
+    }
+
+    /// Begins a call.
+    pub fn call(&mut self, keeper: &str, msg: wire::msg::Msg, sent: u64, deadline_ms: u64) {
+        let caller = self.caller(keeper);
+        self.number += 1;
+        let (number, keeper) = (self.number, keeper.to_string());
+        let name = keeper.clone();
+        let handle = self.calls.spawn(async move {
+            let reply = caller.call(msg, deadline_ms).await;
+            End { keeper: name, sent, reply, number }
+        });
+        if let Some(link) = self.open.get_mut(&keeper) {
+            link.call = Some((number, handle));
+        }
+    }
+
+    /// The next thing that comes. What was pushed before an answer comes before it.
+    pub async fn next(&mut self) -> Event {
+        loop {
+            tokio::select! {
+                biased;
+                Some(msg) = self.pushed.recv() => return Event::Pushed(msg),
+                Some(ended) = self.calls.join_next() => {
+                    let Ok(end) = ended else { continue };
+                    let link = self.open.get_mut(&end.keeper);
+                    let current = |link: &&mut Link| link.call.as_ref().is_some_and(|call| call.0 == end.number);
+                    let Some(link) = link.filter(current) else { continue };
+                    link.call = None;
+                    return Event::Ended(end);
+                }
+                else => std::future::pending::<()>().await,
+            }
+        }
+    }
+
+    /// After a message was taken: may others have been dropped because too many waited?
+    pub fn may_have_dropped(&self) -> bool {
+        self.pushed.capacity() <= 1
+    }
+
+    /// Closes the connections that are not to be kept; a call that is under way there ends without a report.
+    pub fn keep(&mut self, kept: impl Fn(&str) -> bool) {
+        self.open.retain(|keeper, _| kept(keeper));
+    }
+
+    /// Closes a connection on which a call failed: the next call dials anew.
+    pub fn close(&mut self, keeper: &str) {
+        self.open.remove(keeper);
+    }
+}
+
+#[cfg(test)]
+#[path = "follow_links_tests.rs"]
+mod tests;
--- a/router/src/follow_tests.rs
+++ b/router/src/follow_tests.rs
@@ -1,37 +1,180 @@
-#[test]
-fn each_home_that_was_waited_for_in_vain_is_followed_by_more_patience() {
-    let mut held = super::FIRST_MS;
-    let mut sum = 0;
-    for _ in 0..4 {
-        held = super::patience(held, super::Left::Slow);
-        sum += held;
-        assert!(held <= super::FIRST_MOST_MS);
-    }
-    assert!(held == super::FIRST_MOST_MS && sum > 10_000, "a slow link gets its time");
-    assert_eq!(super::patience(held, super::Left::Better), super::FIRST_MS);
-}
-
-#[test]
-fn dials_that_fail_during_a_cut_leave_no_long_wait_at_a_frozen_home_after_it() {
-    let mut held = super::FIRST_MS;
-    for _ in 0..20 {
-        held = super::patience(held, super::Left::Unreached);
-    }
-    assert_eq!(held, super::FIRST_MS);
-    assert_eq!(super::patience(super::FIRST_MOST_MS, super::Left::Silent), super::FIRST_MS, "it had answered before");
-}
-
-#[test]
-fn a_silent_keeper_is_passed_over_until_all_are() {
-    let list: Vec<String> = ["a", "b", "c"].iter().map(|ip| ip.to_string()).collect();
-    let mut shunned = std::collections::HashMap::new();
-    let pick = |shunned: &std::collections::HashMap<String, u64>, now| super::pick(&list, shunned, now);
-    assert_eq!(pick(&shunned, 10).as_deref(), Some("a"));
-    shunned.insert("a".to_string(), 5000);
-    shunned.insert("b".to_string(), 2500);
-    assert_eq!(pick(&shunned, 10).as_deref(), Some("c"), "no second is spent on one that was just silent");
-    shunned.insert("c".to_string(), 6000);
-    assert_eq!(pick(&shunned, 20).as_deref(), Some("b"), "all were: the one left first");
-    assert_eq!(pick(&shunned, 5000).as_deref(), Some("a"), "its own zone again, once it may be back");
-    assert_eq!(super::pick(&[], &shunned, 0), None);
+//! A router and keepers on real connections. How long things take is shown in virtual time (`following_tests.rs`);
+//! here each test fails where something comes only with a later call or not at all.
+use crate::stand_in_keeper::{keepers, Keeper, Manner};
+use crate::stand_in_router::{ask, status};
+use crate::state::State;
+
+/// Large enough that a busy machine doesn't make a proof too old by itself.
+const CONVERGE_MS: u64 = 2000;
+
+fn config(revision: u64, routes: &[&str]) -> wire::config::Config {
+    let route = |name: &&str| {
+        serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"),
+            "route_type": "idempotent", "timeout_ms": 20000, "retry_count": 1, "service": "s"})
+    };
+    let text = serde_json::json!({"revision": revision, "service_table": [{"name": "s"}],
+        "route_table": routes.iter().map(route).collect::<Vec<_>>(),
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000}});
+    wire::config::read(&text.to_string()).expect("good")
+}
+
+/// A router that knows these keepers, and follows them.
+fn follow(keepers: &[Keeper], port: u16, converge_ms: u64) -> std::sync::Arc<State> {
+    let seeds: Vec<String> = keepers.iter().map(|keeper| format!("\"{}:{port}\"", keeper.ip)).collect();
+    let text = crate::stand_in_router::SETTINGS
+        .replace("[7300, 7315]", &format!("[{port}, {port}]\nseed_peers = [{}]", seeds.join(", ")))
+        .replace("retry_budget = 1.0", &format!("converge_ms = {converge_ms}, retry_budget = 1.0"));
+    let state = State::new(kernel::env::parse(&text).expect("good settings"));
+    tokio::spawn(super::run(state.clone()));
+    state
+}
+
+/// Waits until the router is ready.
+async fn ready(state: &State) {
+    while !state.ready.load(std::sync::atomic::Ordering::Relaxed) {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Waits until a revision is in force.
+async fn in_force(state: &State, revision: u64) {
+    while state.table().revision < revision {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[tokio::test]
+async fn a_router_is_ready_once_it_has_a_proof() {
+    let (keepers, port) = keepers(3, &config(7, &["x"]));
+    keepers.iter().for_each(|keeper| keeper.set(Manner::Unconfirmed));
+    let state = follow(&keepers, port, CONVERGE_MS);
+    in_force(&state, 7).await;
+    keepers[0].called(keepers[0].calls() + 2).await;
+    assert!(!state.ready.load(std::sync::atomic::Ordering::Relaxed), "it has all, but nothing is confirmed");
+    keepers[1].set(Manner::Confirming);
+    ready(&state).await;
+}
+
+#[tokio::test]
+async fn a_change_comes_from_others_while_the_home_is_frozen() {
+    let (keepers, port) = keepers(3, &config(7, &["x"]));
+    let state = follow(&keepers, port, 600);
+    ready(&state).await;
+    let home = keepers.iter().find(|keeper| keeper.calls() > 0).expect("a home");
+    home.set(Manner::Frozen);
+    home.called(home.calls() + 1).await;
+    let begun = std::time::Instant::now();
+    for keeper in keepers.iter().filter(|keeper| keeper.ip != home.ip) {
+        keeper.commit(&config(8, &["x", "y"]));
+    }
+    in_force(&state, 8).await;
+    // The call at the home is still open; formerly a home was left after 1,800 ms.
+    let took = begun.elapsed().as_millis();
+    assert!(took < 1500, "{took} ms");
+}
+
+#[tokio::test]
+async fn a_frame_lost_on_the_way_is_asked_for_again_without_waiting_for_the_beat() {
+    let (keepers, port) = keepers(1, &config(7, &["x"]));
+    // A beat of 400 ms.
+    let state = follow(&keepers, port, 4000);
+    ready(&state).await;
+    keepers[0].called(keepers[0].calls() + 2).await;
+    keepers[0].set(Manner::LosingFrames);
+    keepers[0].commit(&config(8, &["x", "y"]));
+    let calls = keepers[0].calls();
+    keepers[0].called(calls + 1).await;
+    let begun = std::time::Instant::now();
+    keepers[0].called(calls + 2).await;
+    let took = begun.elapsed().as_millis();
+    assert!(took < 200, "{took} ms");
+    keepers[0].set(Manner::Confirming);
+    in_force(&state, 8).await;
+}
+
+#[tokio::test]
+async fn a_limit_that_was_pushed_is_confirmed_without_waiting_for_the_beat() {
+    let (keepers, port) = keepers(1, &config(7, &["x"]));
+    // A beat of 400 ms.
+    let state = follow(&keepers, port, 4000);
+    ready(&state).await;
+    keepers[0].called(keepers[0].calls() + 1).await;
+    let begun = std::time::Instant::now();
+    let rule = wire::msg::Rule { service: "s".into(), model: "m".into(), version: 1, ..Default::default() };
+    keepers[0].push(&wire::msg::Msg::Rule(Box::new(rule)));
+    keepers[0].called(keepers[0].calls() + 1).await;
+    let took = begun.elapsed().as_millis();
+    assert!(took < 200, "{took} ms");
+}
+
+#[tokio::test]
+async fn keepers_of_version_three_are_followed() {
+    let (keepers, port) = keepers(2, &config(7, &["x"]));
+    keepers.iter().for_each(|keeper| keeper.set(Manner::Older));
+    let state = follow(&keepers, port, CONVERGE_MS);
+    ready(&state).await;
+    assert_eq!(status(&ask(&state, "nowhere", "1", "Time-Budget: 9000\r\n").await), "404");
+}
+
+#[tokio::test]
+async fn an_unknown_route_is_refused_only_with_a_proof() {
+    let (keepers, port) = keepers(2, &config(7, &["x"]));
+    let state = follow(&keepers, port, 600);
+    ready(&state).await;
+    assert_eq!(status(&ask(&state, "nowhere", "1", "Time-Budget: 9000\r\n").await), "404");
+    keepers.iter().for_each(|keeper| keeper.set(Manner::Frozen));
+    while state.currency.is_proved(kernel::clock::now()) {
+        tokio::task::yield_now().await;
+    }
+    let text = ask(&state, "nowhere", "2", "Time-Budget: 9000\r\n").await;
+    assert_eq!(status(&text), "503", "{text}");
+    assert!(text.to_lowercase().contains("retry-after: "), "{text}");
+}
+
+#[tokio::test]
+async fn a_request_on_a_route_that_is_only_late_here_waits_for_it() {
+    let (keepers, port) = keepers(2, &config(7, &["x"]));
+    let state = follow(&keepers, port, CONVERGE_MS);
+    ready(&state).await;
+    keepers.iter().for_each(|keeper| keeper.set(Manner::Unconfirmed));
+    while state.currency.is_proved(kernel::clock::now()) {
+        tokio::task::yield_now().await;
+    }
+    let calls: usize = keepers.iter().map(Keeper::calls).sum();
+    let asking = state.clone();
+    let answer = tokio::spawn(async move { ask(&asking, "y", "1", "Time-Budget: 9000\r\n").await });
+    for keeper in &keepers {
+        keeper.commit(&config(8, &["x", "y"]));
+        keeper.set(Manner::Confirming);
+    }
+    let text = answer.await.expect("it ends");
+    // No engine serves it here; what counts is that it is not taken for unknown.
+    assert_ne!(status(&text), "404", "{text}");
+    assert_eq!(state.table().revision, 8, "{text}");
+    assert!(keepers.iter().map(Keeper::calls).sum::<usize>() > calls);
+}
+
+#[tokio::test]
+async fn a_flood_of_unknown_names_asks_keepers_no_more_than_one_does() {
+    let (keepers, port) = keepers(3, &config(7, &["x"]));
+    let state = follow(&keepers, port, CONVERGE_MS);
+    ready(&state).await;
+    keepers.iter().for_each(|keeper| keeper.set(Manner::Unconfirmed));
+    while state.currency.is_proved(kernel::clock::now()) {
+        tokio::task::yield_now().await;
+    }
+    let total = || keepers.iter().map(Keeper::calls).sum::<usize>();
+    let mut cost = Vec::new();
+    for requests in [1, 150] {
+        let before = total();
+        let names: Vec<String> = (0..requests).map(|number| format!("nowhere-{number}")).collect();
+        let each = names.iter().map(|name| ask(&state, name, name, "Time-Budget: 9000\r\n"));
+        for text in futures_util::future::join_all(each).await {
+            assert_eq!(status(&text), "503", "{text}");
+        }
+        cost.push(total() - before);
+    }
+    // Renewals and hedged calls go on meanwhile, and reading many requests takes a moment.
+    assert!(cost[1] <= cost[0] + 4, "{cost:?}");
 }
--- a/router/src/following.rs
+++ b/router/src/following.rs
@@ -88,6 +88,7 @@
         self.current_as_of
     }
 
+    /// Is an answer of this keeper still waited for? A call may end here before its time, once it is of no use.
     pub fn is_open(&self, keeper: &str) -> bool {
         self.open.contains_key(keeper)
     }
@@ -135,6 +136,10 @@
         let nearer = self.home().is_some_and(|home| self.candidates.is_nearer(keeper, home, now));
         self.patience_ms = patience(self.patience_ms, Outcome::Answered);
         self.candidates.learn(&answer.keepers, &answer.members);
+        if self.held == 0 && answer.held > 0 {
+            // Nobody else need go on sending the whole configuration.
+            self.open.clear();
+        }
         self.held = answer.held;
         let worth = answer.worth(call.sent, self.frames_lost_at);
         let good = self.take_proof(worth, answer.is_older(), now);
@@ -170,8 +175,7 @@
 
     fn move_home(&mut self, keeper: &str, call: &OpenCall, older: bool, others_needed: bool, now: u64) {
         if let Some(left) = self.home.take().filter(|_| others_needed) {
-            let silent = left.failed || self.is_open(&left.keeper);
-            let fault = if silent { Fault::Lost } else { Fault::Unproved };
+            let fault = if left.failed { Fault::Lost } else { Fault::Unproved };
             self.candidates.pass_over(&left.keeper, fault, now);
         }
         let renew_at = call.sent + self.renewal_interval_ms();
--- a/router/src/following_calls.rs
+++ b/router/src/following_calls.rs
@@ -131,17 +131,24 @@
         at.max(free_at)
     }
 
-    /// Neither the home nor one that is being asked.
+    /// Neither the home nor one that is being asked. A member of the core is always among the first two; later
+    /// members that were passed over stand back behind others that were not.
     fn next_to_ask(&self, now: u64) -> Option<String> {
-        let long = self.answers_may_be_long(now);
-        let own_order = self.pace.asks() % ORDER_TURN == if long { ORDER_TURN - 1 } else { 0 };
+        let turn = self.pace.asks() % ORDER_TURN;
+        let order_turn = if self.answers_may_be_long(now) { ORDER_TURN - 1 } else { 0 };
         let times_asked = |keeper: &str| {
             let free = !self.is_open(keeper) && self.home() != Some(keeper);
             free.then(|| self.asked.get(keeper).copied().unwrap_or(0))
         };
-        let pick = |list| self.candidates.pick(list, now, times_asked);
-        let member = if own_order { None } else { pick(List::Core) };
-        member.or_else(|| pick(List::Order))
+        let next = self.candidates.pick(List::Order, now, times_asked);
+        let member = self.candidates.pick(List::Core, now, times_asked).filter(|_| turn != order_turn);
+        let passed_over =
+            |keeper: &Option<String>| keeper.as_ref().is_none_or(|keeper| self.candidates.is_passed_over(keeper, now));
+        let stands_back = self.pace.asks() >= ASKED_AT_ONCE && passed_over(&member) && !passed_over(&next);
+        if stands_back {
+            return next;
+        }
+        member.or(next)
     }
 
     /// A keeper nearer than the home that is not passed over: all being well, the router goes back to it.
@@ -164,3 +171,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "following_calls_tests.rs"]
+mod tests;
--- a/router/src/following_candidates.rs
+++ b/router/src/following_candidates.rs
@@ -152,3 +152,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "following_candidates_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/following_storm_tests.rs
@@ -0,0 +1,95 @@
+//! A loss of power everywhere: all routers start at once with nothing, and the whole configuration comes over
+//! links that carry a few of them a second.
+use crate::following::{Call, Following};
+use crate::following_answer::Answer;
+use crate::following_world::{budget, names, Behaviour, Policy, World};
+
+const ROUTERS: u64 = 300;
+const KEEPERS: usize = 18;
+/// What a keeper's link takes to carry the whole configuration with the lists of engines.
+const WHOLE_MS: u64 = 100;
+const STEP_MS: u64 = 20;
+
+/// Asks all keepers at once, as hedged calls without patience would.
+struct AskEverybody {
+    keepers: Vec<String>,
+    current_as_of: Option<i64>,
+}
+
+impl Policy for AskEverybody {
+    fn due(&mut self, _: u64) -> Vec<Call> {
+        let call = |keeper| Call { keeper, deadline_ms: 100_000 };
+        std::mem::take(&mut self.keepers).into_iter().map(call).collect()
+    }
+
+    fn wake_at(&self, now: u64) -> u64 {
+        now + 1000
+    }
+
+    fn answered(&mut self, now: u64, _: &str, _: &Answer) {
+        self.current_as_of = Some(now as i64);
+    }
+
+    fn failed(&mut self, _: u64, _: &str) {}
+
+    fn current_as_of(&self) -> Option<i64> {
+        self.current_as_of
+    }
+}
+
+/// When the last router has a proof, and how often the whole configuration was asked for.
+fn storm<P: Policy>(make: impl Fn(&str, &[String]) -> P) -> (u64, u64) {
+    let keepers = names("k", KEEPERS);
+    let router = |number: u64| {
+        let mut world = World::with(make(&format!("edge-{number}"), &keepers), keepers.clone());
+        world.held = 0;
+        world
+    };
+    let mut routers: Vec<World<P>> = (0..ROUTERS).map(router).collect();
+    let mut link_free_at = std::collections::BTreeMap::<String, u64>::new();
+    let (begin, mut wholes) = (routers[0].now, 0);
+    let mut now = begin;
+    while routers.iter().any(|router| router.proof_age().is_none()) {
+        now += STEP_MS;
+        assert!(now < begin + 120_000, "it ends");
+        for router in &mut routers {
+            router.run_by_held(now, |keeper, sent, held| {
+                if held > 0 {
+                    return Behaviour::Healthy { answer_ms: 5, age_ms: 100 };
+                }
+                wholes += 1;
+                let free_at = link_free_at.entry(keeper.into()).or_default();
+                *free_at = sent.max(*free_at) + WHOLE_MS;
+                Behaviour::Healthy { answer_ms: *free_at - sent, age_ms: 100 }
+            });
+        }
+    }
+    (now - begin, wholes)
+}
+
+#[test]
+fn after_a_loss_of_power_everywhere_routers_do_not_ask_everybody_for_everything() {
+    let alone = ROUTERS * WHOLE_MS / KEEPERS as u64;
+    let following = |node: &str, seeds: &[String]| Following::new(budget(3000), node, "none", seeds);
+    let (took, wholes) = storm(following);
+    assert!(took <= 2 * alone, "{took} ms, where the links need {alone} if none is asked twice");
+    assert!(wholes <= ROUTERS * 3 / 2, "{wholes}");
+    let everybody = |_: &str, seeds: &[String]| AskEverybody { keepers: seeds.to_vec(), current_as_of: None };
+    let (took, wholes) = storm(everybody);
+    assert!(took > 10 * alone && wholes == ROUTERS * KEEPERS as u64, "the variant without patience: {took}, {wholes}");
+}
+
+#[test]
+fn a_link_that_carries_slowly_gets_its_time() {
+    let keepers = names("k", 3);
+    let mut world = World::with(Following::new(budget(2000), "edge-1", "k0", &keepers), keepers);
+    world.held = 0;
+    let begin = world.now;
+    world.run(begin + 5600, |keeper, _| match keeper {
+        "k0" => Behaviour::Healthy { answer_ms: 5500, age_ms: 100 },
+        _ => Behaviour::Frozen,
+    });
+    assert!(world.proof_age().is_some(), "the answer that was under way was waited for");
+    let times: Vec<u64> = world.begun.iter().map(|begun| begun.at - begin).collect();
+    assert_eq!(times[..3], [0, 1500, 4500], "each time with more patience");
+}
--- a/router/src/following_tests.rs
+++ b/router/src/following_tests.rs
@@ -1,4 +1,5 @@
 //! How long what is held may go without a proof, whatever happens to the keepers that are asked.
+use crate::following_answer::{Answer, Proof};
 use crate::following_single_home::SingleHome;
 use crate::following_world::{budget, names, Behaviour, Policy, World};
 
@@ -71,3 +72,73 @@
         assert!(oldest > converge_ms as i64 * 9 / 10, "{oldest} of {converge_ms}");
     }
 }
+
+/// A settled router is cut off for a while; of those that it turns to afterwards the first are frozen. How old
+/// the proof is at the time from which it counts as in touch again.
+fn proof_age_once_in_touch<P: Policy>(mut world: World<P>, cut_ms: u64, sick: usize) -> i64 {
+    world.run(SETTLED, |_, _| Behaviour::Healthy { answer_ms: 5, age_ms: 100 });
+    let healed = SETTLED + cut_ms;
+    // Bytes on the old connection are sent again only long after the cut.
+    world.run(healed, |keeper, now| match keeper == "k0" && now < SETTLED + 500 {
+        true => Behaviour::Frozen,
+        false => Behaviour::Unreachable,
+    });
+    let mut turned_to: Vec<String> = Vec::new();
+    world.run(healed + kernel::env::Bounds::default().contact_ms, |keeper, _| {
+        if turned_to.len() < sick && !turned_to.iter().any(|known| known == keeper) {
+            turned_to.push(keeper.to_string());
+        }
+        match turned_to.iter().any(|known| known == keeper) {
+            true => Behaviour::Frozen,
+            false => Behaviour::Healthy { answer_ms: 5, age_ms: 100 },
+        }
+    });
+    world.proof_age().expect("proved")
+}
+
+#[test]
+fn contact_that_is_back_is_used_before_it_counts_though_two_are_sick() {
+    for cut_ms in [300, 1000, 2400, 5000, 20_000] {
+        for sick in 0..=2 {
+            let mut world = World::new(2000, KEEPERS);
+            world.policy.set_ready();
+            let age = proof_age_once_in_touch(world, cut_ms, sick);
+            assert!(age <= 1800, "{age}: cut for {cut_ms}, {sick} sick");
+        }
+    }
+    let keepers = names("k", KEEPERS);
+    let single = World::with(SingleHome::new(&keepers), keepers);
+    let age = proof_age_once_in_touch(single, 5000, 2);
+    assert!(age > 2000, "a router with a single home: {age}");
+}
+
+#[test]
+fn a_router_goes_back_to_the_nearest_keeper_once_that_is_well() {
+    let mut world = World::new(2000, KEEPERS);
+    let good = Behaviour::Healthy { answer_ms: 5, age_ms: 100 };
+    world.run(SETTLED, |_, _| good);
+    assert_eq!(world.policy.home(), Some("k0"));
+    world.run(SETTLED + 3000, |keeper, _| if keeper == "k0" { Behaviour::Frozen } else { good });
+    assert_eq!(world.policy.home(), Some("k1"), "the next in its order, not the core member that answered too");
+    world.run(SETTLED + 10_000, |_, _| good);
+    assert_eq!(world.policy.home(), Some("k0"));
+}
+
+#[test]
+fn what_an_older_keeper_is_sure_of_counts_only_if_no_frame_was_lost_since() {
+    let mut world = World::new(2000, KEEPERS);
+    world.run(SETTLED, |_, _| Behaviour::Older { answer_ms: 5 });
+    let proved = world.policy.current_as_of();
+    let Some(call) = (0..2000).find_map(|wait| world.policy.due(SETTLED + wait).pop().map(|call| (call, wait))) else {
+        panic!("a renewal is due");
+    };
+    let (call, sent) = (call.0, SETTLED + call.1);
+    world.policy.frames_lost(sent + 1);
+    let answer = Answer { proof: Proof::Sure, held: 7, keepers: world.keepers.clone(), members: Vec::new() };
+    world.policy.answered(sent + 5, &call.keeper, &answer);
+    assert_eq!(world.policy.current_as_of(), proved);
+    let again = world.policy.due(sent + 5);
+    assert_eq!(again.first().map(|call| &call.keeper), Some(&call.keeper), "at once");
+    world.policy.answered(sent + 10, &call.keeper, &answer);
+    assert_eq!(world.policy.current_as_of(), Some(sent as i64 + 5 - 1100));
+}
--- a/router/src/following_world.rs
+++ b/router/src/following_world.rs
@@ -68,7 +68,6 @@
 pub struct Begun {
     pub at: u64,
     pub keeper: String,
-    pub deadline_ms: u64,
 }
 
 /// One router and its keepers.
@@ -110,12 +109,17 @@
 
     /// Until a time; `behaviour` says how each keeper takes a call that begins at a time.
     pub fn run(&mut self, until: u64, mut behaviour: impl FnMut(&str, u64) -> Behaviour) {
+        self.run_by_held(until, |keeper, now, _| behaviour(keeper, now));
+    }
+
+    /// As `run`; `behaviour` is also told which revision the router holds.
+    pub fn run_by_held(&mut self, until: u64, mut behaviour: impl FnMut(&str, u64, u64) -> Behaviour) {
         while self.now < until {
             self.end_calls();
             self.note_proof_age();
             for call in self.policy.due(self.now) {
-                let end = self.end_of(&call, behaviour(&call.keeper, self.now));
-                self.begun.push(Begun { at: self.now, keeper: call.keeper, deadline_ms: call.deadline_ms });
+                let end = self.end_of(&call, behaviour(&call.keeper, self.now, self.held));
+                self.begun.push(Begun { at: self.now, keeper: call.keeper });
                 self.under_way.push(end);
             }
             let wake_at = self.policy.wake_at(self.now);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -2,6 +2,7 @@
 mod admission;
 pub mod boot;
 mod config;
+mod currency;
 mod doubt;
 mod evacuation;
 mod event;
@@ -9,6 +10,8 @@
 mod failure;
 mod feed;
 mod follow;
+mod follow_absorb;
+mod follow_links;
 pub mod following;
 pub mod following_answer;
 mod following_candidates;
@@ -35,9 +38,16 @@
 #[cfg(test)]
 mod following_world;
 
+#[cfg(test)]
+#[path = "following_storm_tests.rs"]
+mod following_storm_tests;
+
 #[cfg(test)]
 mod stand_in;
 
+#[cfg(test)]
+mod stand_in_keeper;
+
 #[cfg(test)]
 mod stand_in_router;
 
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -2,7 +2,7 @@
 use crate::stand_in::Engine;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-const SETTINGS: &str = r#"
+pub const SETTINGS: &str = r#"
 node_name = "edge-1"
 ip = "127.0.0.1"
 zone = "a"
@@ -32,6 +32,8 @@
             route("stream", "streaming", false), route("resume", "streaming", true)]});
     crate::config::config(&state, 1, config.to_string().as_bytes());
     list(&state, 1, engines);
+    // Nothing else is ever in force in these tests.
+    state.currency.prove(i64::MAX);
     state.ready.store(true, std::sync::atomic::Ordering::Relaxed);
     state
 }
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -18,6 +18,8 @@
     /// By zone: the version of the weight versions held.
     pub weights: std::sync::Mutex<std::collections::BTreeMap<String, (u64, u64)>>,
     pub news: std::sync::Mutex<News>,
+    /// As of when the table is proved to be current.
+    pub currency: crate::currency::Currency,
     /// The home keeper of now.
     pub home: std::sync::Mutex<Option<std::sync::Arc<wire::link::Caller>>>,
     pub dice: std::sync::Mutex<kernel::clock::Dice>,
@@ -70,6 +72,7 @@
             floors: Default::default(),
             weights: Default::default(),
             news: Default::default(),
+            currency: crate::currency::Currency::new(kernel::convergence::Budget::new(&env.bounds)),
             home: Default::default(),
             dice: std::sync::Mutex::new(kernel::clock::Dice::new(life)),
             few_at: Default::default(),
