--- a/router/src/following_calls_tests.rs
+++ b/router/src/following_calls_tests.rs
@@ -1,5 +1,6 @@
 //! How many calls a router makes, whatever keepers do.
-use crate::following_world::{budget, Behaviour, World};
+use crate::following::Following;
+use crate::following_world::{budget, names, Behaviour, World};
 
 const CONVERGE_MS: [u64; 5] = [1500, 2000, 2500, 3000, 4000];
 const KEEPERS: usize = 18;
@@ -122,3 +123,40 @@
         assert!(world.oldest_proof <= 1100 + budget(converge_ms).renewal_interval_ms() as i64 + 10);
     }
 }
+
+#[test]
+fn the_next_keeper_and_a_member_of_the_core_are_asked_at_once_beside_a_silent_home() {
+    for (node, converge_ms) in (0..40).zip(CONVERGE_MS.into_iter().cycle()) {
+        let budget = budget(converge_ms);
+        let keepers = names("k", KEEPERS);
+        let mut world = World::with(Following::new(budget, &format!("edge-{node}"), "k0", &keepers), keepers);
+        world.policy.set_ready();
+        world.run(SETTLED, |_, _| Behaviour::Healthy { answer_ms: 5, age_ms: 50 });
+        let calls = world.begun.len();
+        world.run(SETTLED + 2000, |_, _| Behaviour::Frozen);
+        let asked: Vec<_> = world.begun[calls..].iter().collect();
+        assert_eq!((asked[0].keeper.as_str(), asked[1].keeper.as_str()), ("k0", "k1"));
+        assert!(world.members.contains(&asked[2].keeper), "{asked:?}");
+        assert_eq!(asked[1].at, asked[0].at + budget.silence_ms() + 1);
+        assert_eq!(asked[2].at, asked[1].at);
+        assert_eq!(asked[3].at, asked[2].at + budget.hedge_gap_ms());
+    }
+}
+
+#[test]
+fn once_the_whole_configuration_has_come_nobody_else_need_go_on_sending_it() {
+    let keepers = names("k", 3);
+    let mut world = World::with(Following::new(budget(2000), "edge-1", "k0", &keepers), keepers);
+    world.held = 0;
+    let begin = world.now;
+    let slow = |keeper: &str, _| match keeper {
+        "k0" => Behaviour::Healthy { answer_ms: 1700, age_ms: 100 },
+        _ => Behaviour::Healthy { answer_ms: 5000, age_ms: 100 },
+    };
+    world.run(begin + 1690, slow);
+    let second = world.begun[1].keeper.clone();
+    assert!(world.policy.is_open("k0") && world.policy.is_open(&second));
+    world.run(begin + 1710, slow);
+    assert_eq!(world.policy.home(), Some("k0"));
+    assert!(!world.policy.is_open(&second));
+}
