--- a/router/src/follow_links_tests.rs
+++ b/router/src/follow_links_tests.rs
@@ -48,6 +48,28 @@
     assert!(matches!(links.next().await, Event::Ended(end) if end.sent == 7), "not the call that was given up");
 }
 
+#[tokio::test]
+async fn an_answer_to_a_call_that_was_given_up_is_not_taken_for_that_to_the_next() {
+    let (keepers, port) = keepers(1, &config());
+    let mut links = Links::new(port);
+    links.call(&keepers[0].ip, follow(), 5, 60_000);
+    // The change is pushed right before the answer.
+    while links.pushed.is_empty() {
+        tokio::task::yield_now().await;
+    }
+    for _ in 0..100 {
+        tokio::task::yield_now().await;
+    }
+    links.close(&keepers[0].ip);
+    links.call(&keepers[0].ip, follow(), 6, 60_000);
+    loop {
+        if let Event::Ended(end) = links.next().await {
+            assert_eq!(end.sent, 6);
+            return;
+        }
+    }
+}
+
 #[tokio::test]
 async fn a_queue_that_was_full_is_noticed_with_the_first_message_taken() {
     let mut links = Links::new(1);
--- a/router/src/stand_in_keeper.rs
+++ b/router/src/stand_in_keeper.rs
@@ -80,14 +80,15 @@
         }
     }
 
-    /// Waits until it was called so often.
+    /// Waits until it was called so often, but not without end.
     pub async fn called(&self, times: usize) {
+        let end = tokio::time::Instant::now() + std::time::Duration::from_secs(20);
         loop {
             let called = self.called.notified();
             if self.calls() >= times {
                 return;
             }
-            called.await;
+            tokio::time::timeout_at(end, called).await.expect("called in time");
         }
     }
 }
