--- a/router/src/following_calls_tests.rs
+++ b/router/src/following_calls_tests.rs
@@ -54,7 +54,6 @@
 fn while_the_core_has_no_quorum_routers_do_not_flood_the_keepers() {
     for converge_ms in CONVERGE_MS {
         let mut world = World::new(converge_ms, KEEPERS);
-        world.policy.set_ready();
         world.run(SETTLED, |_, _| Behaviour::Healthy { answer_ms: 5, age_ms: 100 });
         world.run(60_000, |_, _| Behaviour::UnconfirmedSince(SETTLED));
         let most = world.most_calls_within(1000, SETTLED + 4000) as u64;
@@ -69,7 +68,6 @@
     for converge_ms in CONVERGE_MS {
         let count = |wanted: bool| {
             let mut world = World::new(converge_ms, KEEPERS);
-            world.policy.set_ready();
             world.run(SETTLED, |_, _| Behaviour::Healthy { answer_ms: 5, age_ms: 100 });
             for now in SETTLED..SETTLED + 20_000 {
                 if wanted {
@@ -88,7 +86,6 @@
 #[test]
 fn a_frame_that_was_lost_is_asked_for_at_once_and_is_no_proof() {
     let mut world = World::new(2000, KEEPERS);
-    world.policy.set_ready();
     world.run(SETTLED, |_, _| Behaviour::Healthy { answer_ms: 5, age_ms: 100 });
     let mut lost = false;
     let (before, calls) = (world.policy.current_as_of(), world.begun.len());
--- a/router/src/following_pace_tests.rs
+++ b/router/src/following_pace_tests.rs
@@ -1,7 +1,7 @@
 use super::{patience, Outcome, PATIENCE_MOST_MS, PATIENCE_MS};
 
 #[test]
-fn each_keeper_that_was_waited_for_in_vain_is_followed_by_more_patience() {
+fn each_home_that_was_waited_for_in_vain_is_followed_by_more_patience() {
     let mut held = PATIENCE_MS;
     let mut sum = 0;
     for _ in 0..4 {
@@ -14,7 +14,7 @@
 }
 
 #[test]
-fn dials_that_fail_during_a_cut_leave_no_long_wait_at_a_frozen_keeper_after_it() {
+fn dials_that_fail_during_a_cut_leave_no_long_wait_at_a_frozen_home_after_it() {
     let mut held = PATIENCE_MS;
     for _ in 0..20 {
         held = patience(held, Outcome::Unreached);
--- a/router/src/following_tests.rs
+++ b/router/src/following_tests.rs
@@ -100,8 +100,7 @@
 fn contact_that_is_back_is_used_before_it_counts_though_two_are_sick() {
     for cut_ms in [300, 1000, 2400, 5000, 20_000] {
         for sick in 0..=2 {
-            let mut world = World::new(2000, KEEPERS);
-            world.policy.set_ready();
+            let world = World::new(2000, KEEPERS);
             let age = proof_age_once_in_touch(world, cut_ms, sick);
             assert!(age <= 1800, "{age}: cut for {cut_ms}, {sick} sick");
         }
@@ -142,3 +141,42 @@
     world.policy.answered(sent + 10, &call.keeper, &answer);
     assert_eq!(world.policy.current_as_of(), Some(sent as i64 + 5 - 1100));
 }
+
+/// Two thirds of the keepers outside the core and one member of it are sick, others every two seconds.
+fn oldest_proof_on_a_bad_day<P: Policy>(mut world: World<P>, converge_ms: u64, seed: u64) -> i64 {
+    const CHANGE_MS: u64 = 2000;
+    let mut dice = kernel::clock::Dice::new(seed);
+    world.run(SETTLED, |_, _| healthy(&mut dice, converge_ms));
+    world.oldest_proof = 0;
+    let members = world.members.clone();
+    world.run(SETTLED + 60_000, |keeper, now| {
+        let change = now / CHANGE_MS;
+        let luck = kernel::clock::blend(kernel::clock::hash(keeper.as_bytes()), change + (seed << 32));
+        let is_member = members.iter().any(|member| member == keeper);
+        let sick_member = change as usize % members.len();
+        let sick = if is_member { members[sick_member] == keeper } else { !luck.is_multiple_of(3) };
+        match luck / 3 % 3 {
+            _ if !sick => healthy(&mut dice, converge_ms),
+            0 => Behaviour::Frozen,
+            1 => Behaviour::Unreachable,
+            _ => Behaviour::UnconfirmedSince(change * CHANGE_MS),
+        }
+    });
+    world.oldest_proof
+}
+
+#[test]
+fn a_day_on_which_most_keepers_outside_the_core_are_sick_is_borne() {
+    let seeds = 1..12;
+    for converge_ms in CONVERGE_MS {
+        let following = |seed| oldest_proof_on_a_bad_day(World::new(converge_ms, KEEPERS), converge_ms, seed);
+        let oldest = seeds.clone().map(following).max().unwrap_or(0);
+        assert!(oldest * 10 <= converge_ms as i64 * 9, "{oldest} of {converge_ms}");
+        let single = |seed| {
+            let keepers = names("k", KEEPERS);
+            oldest_proof_on_a_bad_day(World::with(SingleHome::new(&keepers), keepers), converge_ms, seed)
+        };
+        let oldest = seeds.clone().map(single).max().unwrap_or(0);
+        assert!(oldest > converge_ms as i64, "a single home: {oldest} of {converge_ms}");
+    }
+}
--- a/router/src/following_world.rs
+++ b/router/src/following_world.rs
@@ -93,10 +93,12 @@
 }
 
 impl World<Following> {
-    /// A router whose order is `k0`, `k1`, ...; from `k4` on every third keeper is a member of the core.
+    /// A ready router whose order is `k0`, `k1`, ...; from `k4` on every third keeper is a member of the core.
     pub fn new(converge_ms: u64, keepers: usize) -> World<Following> {
         let keepers = names("k", keepers);
-        World::with(Following::new(budget(converge_ms), "edge-1", "k0", &keepers[..1]), keepers)
+        let mut following = Following::new(budget(converge_ms), "edge-1", "k0", &keepers[..1]);
+        following.set_ready();
+        World::with(following, keepers)
     }
 }
 
