--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -2,6 +2,7 @@
 mod admission;
 pub mod boot;
 mod config;
+mod currency;
 mod doubt;
 mod evacuation;
 mod event;
@@ -9,6 +10,12 @@
 mod failure;
 mod feed;
 mod follow;
+mod follow_absorb;
+mod follow_links;
+pub mod following;
+pub mod following_answer;
+mod following_candidates;
+mod following_pace;
 mod frames;
 mod fresh;
 mod halves;
@@ -25,9 +32,22 @@
 mod table;
 mod verdict;
 
+#[cfg(test)]
+mod following_single_home;
+
+#[cfg(test)]
+mod following_world;
+
+#[cfg(test)]
+#[path = "following_storm_tests.rs"]
+mod following_storm_tests;
+
 #[cfg(test)]
 mod stand_in;
 
+#[cfg(test)]
+mod stand_in_keeper;
+
 #[cfg(test)]
 mod stand_in_router;
 
