--- a/keeper/src/simulation/history.rs
+++ b/keeper/src/simulation/history.rs
@@ -19,6 +19,8 @@
     /// The newest revision known to be taken when a read was first sent.
     read_floor: BTreeMap<Attempt, u64>,
     refused: Vec<Attempt>,
+    /// Changes that must never be taken.
+    invalid: std::collections::BTreeSet<Attempt>,
     acknowledged: Vec<Acknowledged>,
     /// The evacuation that was acknowledged last, and when; None while another is under way.
     evacuation: Option<(u64, bool)>,
@@ -32,7 +34,7 @@
 
 fn revision(order: &Order) -> u64 {
     let Order::Change(change) = order else { return 0 };
-    wire::config::read(&change.text).map_or(0, |config| config.revision)
+    super::bodies::revision(change)
 }
 
 impl History {
@@ -52,11 +54,19 @@
         self.orders.insert(attempt, order);
     }
 
+    /// An order is sent that must never be taken.
+    pub fn invalid(&mut self, attempt: Attempt) {
+        self.invalid.insert(attempt);
+    }
+
     /// A keeper answered, whether or not the answer arrives.
     pub fn answered(&mut self, attempt: Attempt, answer: &Answer) {
         if *answer == Answer::Refused {
             self.refused.push(attempt);
         }
+        if *answer == Answer::Good && self.invalid.contains(&attempt) {
+            self.violations.push(format!("{attempt:?}: an invalid change was acknowledged"));
+        }
     }
 
     /// The operator got this answer.
@@ -99,6 +109,18 @@
 
     /// What was acknowledged is there at the end, and what is there was never refused.
     pub fn check_end(&mut self, last: &Held) {
+        if last.revision > 0 {
+            match wire::config::read(&last.text) {
+                Ok(config) if config.revision == last.revision => {}
+                other => self.violations.push(format!("version {} reads as {other:?}", last.revision)),
+            }
+        }
+        for attempt in &self.invalid {
+            let Some(Order::Change(change)) = self.orders.get(attempt) else { continue };
+            if is_taken(last, &crate::config_body::digest(change)) {
+                self.violations.push(format!("{attempt:?}: an invalid change is in force"));
+            }
+        }
         for one in &self.acknowledged {
             if one.revision > last.revision || !is_taken(last, &one.digest) {
                 self.violations
--- a/keeper/src/simulation/mod.rs
+++ b/keeper/src/simulation/mod.rs
@@ -2,6 +2,7 @@
 //! frozen processes, losses of power and of disks, replaced machines, operators that race and send again.
 //! The nodes run the state machines of `ledger` and the decisions of this crate; only what carries them
 //! (sockets, timers, the disk) is simulated. `history` checks what operators and followers were told.
+mod bodies;
 mod changes;
 mod confirming;
 mod faults;
@@ -29,6 +30,8 @@
     pub quorum_reads: bool,
     /// A committed configuration remembers the digests of the changes it came from.
     pub digests: bool,
+    /// A change is checked before it is committed.
+    pub validity: bool,
     /// Orders that waited in a socket while the process stood still are not carried out.
     pub stale_orders: bool,
     /// A wiped voter reads the others before it votes.
@@ -42,6 +45,7 @@
 const ALL_GUARDS: Guards = Guards {
     quorum_reads: true,
     digests: true,
+    validity: true,
     stale_orders: true,
     recall: true,
     hand_over: true,
@@ -63,6 +67,8 @@
     pub lost_answers: u64,
     /// The longest time that an operator rests before its next order.
     pub rest_ms: u64,
+    /// Operators send changes of named items and invalid ones too, and some orders are carried out at two keepers at once.
+    pub mixed_orders: bool,
 }
 
 pub fn address(at: usize) -> String {
@@ -83,6 +89,7 @@
             seeds,
             lost_answers: 0,
             rest_ms: 300,
+            mixed_orders: false,
         };
         for at in 0..size {
             let mut node = Node::new(at, &cluster.seeds, 0);
--- a/keeper/src/simulation/operator.rs
+++ b/keeper/src/simulation/operator.rs
@@ -1,9 +1,10 @@
 //! Operators that change the configuration, evacuate zones and read back, and send again what got no
 //! clear answer.
+use super::bodies;
 use super::changes::Purpose;
 use super::network::{Address, Message};
 use crate::config_body::{BodyForm, Held};
-use crate::config_change::Outcome;
+use crate::config_change::{Outcome, Refusal};
 use ledger::proposal::Verdict;
 use wire::order::ConfigChange;
 
@@ -12,6 +13,7 @@
 const CHANGE_MS: u64 = 2000;
 const EVACUATE_MS: u64 = crate::orders::EVACUATE_MS;
 const UNHEARD_CLOSE_ONE_OF: u64 = 4;
+const CARRIED_OUT_TWICE_ONE_OF: u64 = 3;
 pub const EVACUATION: &str = "evacuation/z";
 
 #[derive(Clone, Debug)]
@@ -69,14 +71,6 @@
     }
 }
 
-/// A configuration that no other operator sends, under a number that others may choose too.
-fn text(revision: u64, operator: usize, order: u64) -> String {
-    let timeout = 1 + operator as u64 + 10 * order;
-    serde_json::json!({"revision": revision, "service_table": [{"name": "s"}], "route_table": [{"name": "r",
-        "hostname": "h", "path_prefix": "/", "route_type": "idempotent", "timeout_ms": timeout, "service": "s"}]})
-    .to_string()
-}
-
 impl super::Cluster {
     pub fn run_operator(&mut self, number: usize) {
         let now = self.now;
@@ -101,9 +95,15 @@
             // One operator only, so that what it was told last is what holds.
             2 | 3 if number == 0 => Order::Evacuate(self.random.below(2) == 0),
             _ => {
-                let revision = operator.revision + 1 + self.random.below(2);
-                let text = text(revision, number, operator.orders);
-                Order::Change(ConfigChange { base: operator.revision, text, partial: false })
+                let (order, base) = (operator.orders, operator.revision);
+                let body = match self.mixed_orders {
+                    true => bodies::draw(&mut self.random, number as u64, order, base),
+                    false => bodies::whole(&mut self.random, number as u64, order, base),
+                };
+                if !body.valid {
+                    self.history.invalid(attempt);
+                }
+                Order::Change(body.change)
             }
         };
         operator.current = Some((attempt, order.clone()));
@@ -123,6 +123,12 @@
         let there: Vec<usize> = self.nodes.iter().filter(|node| !node.removed).map(|node| node.at).collect();
         let to = there[self.random.below(there.len() as u64) as usize];
         self.operators[number].asked = Some(to);
+        let may_be_relayed = self.mixed_orders && !matches!(order, Order::Evacuate(_));
+        if may_be_relayed && self.random.below(CARRIED_OUT_TWICE_ONE_OF) == 0 {
+            // As where a keeper relays it to the home of its key, hears nothing, and carries it out too.
+            let other = there[self.random.below(there.len() as u64) as usize];
+            self.send(Address::Operator(number), Address::Node(other), Message::Order(attempt, order.clone()));
+        }
         self.send(Address::Operator(number), Address::Node(to), Message::Order(attempt, order));
     }
 
@@ -142,8 +148,8 @@
         let purpose = Purpose::Order(from, attempt);
         match order {
             Order::Change(change) => {
-                let digests = self.guards.digests;
-                let judge = Box::new(move |body: &[u8]| judge_change(&change, body, digests));
+                let guards = self.guards;
+                let judge = Box::new(move |body: &[u8]| judge_change(&change, body, guards));
                 self.begin_change(at, crate::state::CONFIG, purpose, CHANGE_MS, judge);
             }
             Order::Evacuate(on) => {
@@ -184,7 +190,7 @@
             Answer::Found { revision, .. } => operator.revision = *revision,
             Answer::Good => {
                 if let Order::Change(change) = &order {
-                    operator.revision = wire::config::read(&change.text).expect("valid").revision;
+                    operator.revision = bodies::revision(change);
                 }
             }
             // Another version is current: it is read before the next change.
@@ -211,12 +217,17 @@
     crate::orders::judge_evacuation(on, body, Some(Answer::Good), Some(Answer::Unclear))
 }
 
-fn judge_change(change: &ConfigChange, body: &[u8], digests: bool) -> Verdict<Option<Answer>> {
+fn judge_change(change: &ConfigChange, body: &[u8], guards: super::Guards) -> Verdict<Option<Answer>> {
     let mut held = Held::open(body).expect("a configuration that reads");
-    if !digests {
+    if !guards.digests {
         held.taken.clear();
     }
-    match crate::config_change::apply(change, &held) {
+    let mut outcome = crate::config_change::apply(change, &held);
+    if !guards.validity && matches!(outcome, Err(Refusal::Invalid(_))) {
+        let next = crate::config_change::repeat(change, bodies::revision(change), &held, None, BodyForm::Digested);
+        outcome = next.map(Outcome::Next).ok_or(Refusal::Conflict { base: change.base, current: held.revision });
+    }
+    match outcome {
         Ok(Outcome::TakenBefore) => Verdict::Answer(Some(Answer::Good)),
         Ok(Outcome::Unknown) => Verdict::Answer(Some(Answer::Unclear)),
         Ok(Outcome::Next(next)) => Verdict::Write(next.held.seal(BodyForm::Digested), Some(Answer::Good)),
--- a/keeper/src/simulation/orders_tests.rs
+++ b/keeper/src/simulation/orders_tests.rs
@@ -36,3 +36,48 @@
     let broken = (1..=20).any(|seed| !run(seed, guards).history.violations.is_empty());
     assert!(broken, "a simulation that can't fail shows nothing");
 }
+
+/// The same with operators that send everything: changes of named items, invalid ones of every kind, orders that reach two
+/// keepers at once.
+fn run_mixed(seed: u64, guards: Guards) -> Cluster {
+    let mut cluster = Cluster::new(seed, 3, 4);
+    cluster.guards = guards;
+    cluster.lost_answers = 40;
+    cluster.mixed_orders = true;
+    let mut chance = kernel::clock::Dice::new(seed ^ 0x3a1f);
+    for _ in 0..3 {
+        cluster.run(3000);
+        let at = chance.below(3) as usize;
+        cluster.lose_power(at, false);
+        cluster.run(300 + chance.below(1500));
+        cluster.start(at);
+        cluster.run(3000);
+    }
+    cluster.finish();
+    cluster
+}
+
+#[test]
+fn no_invalid_change_is_taken_whatever_else_is_sent() {
+    let mut acknowledged = 0;
+    for seed in 1..=40 {
+        let cluster = run_mixed(seed, ALL_GUARDS);
+        assert!(cluster.history.violations.is_empty(), "seed {seed}: {:?}", cluster.history.violations);
+        acknowledged += cluster.history.acknowledged();
+    }
+    assert!(acknowledged > 400, "operators must get work done: {acknowledged}");
+}
+
+#[test]
+fn without_checks_an_invalid_change_is_taken() {
+    let guards = Guards { validity: false, ..ALL_GUARDS };
+    let broken = (1..=20).any(|seed| !run_mixed(seed, guards).history.violations.is_empty());
+    assert!(broken, "a simulation that can't fail shows nothing");
+}
+
+#[test]
+fn without_digests_an_order_that_two_keepers_carry_out_is_refused() {
+    let guards = Guards { digests: false, ..ALL_GUARDS };
+    let broken = (1..=20).any(|seed| !run_mixed(seed, guards).history.violations.is_empty());
+    assert!(broken, "a simulation that can't fail shows nothing");
+}
