A relayed evacuation names its version, so that one that comes late undoes nothing

Cause: a keeper relays an order, hears nothing for 0.5 s and carries it out itself; what it relayed is carried out up to 0.9 s after it arrives, maybe after the operator took it back.

--- a/keeper/src/orders.rs
+++ b/keeper/src/orders.rs
@@ -39,7 +39,7 @@
 fn key(order: &Order) -> String {
     match order {
         Order::Change(_) | Order::ReadConfig => crate::state::CONFIG.into(),
-        Order::Evacuate { zone, .. } => format!("{}{zone}", crate::state::CLOSED),
+        Order::Evacuate { zone, .. } | Order::EvacuateFrom { zone, .. } => format!("{}{zone}", crate::state::CLOSED),
     }
 }
 
@@ -74,17 +74,32 @@
 /// None: it is to be carried out here.
 async fn relay(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: &Order) -> Option<OrderResult> {
     let home = home(keeper, &key(order))?;
-    let message = wire::msg::Msg::Order(Box::new(order.clone()));
+    let reads = keeper.roster.lock().expect("roster").keepers.get(&home).map_or(0, |peer| peer.reads);
+    let message = wire::msg::Msg::Order(Box::new(as_relayed(keeper, order, reads)));
     match keeper.peer(&home).call(message, RELAY_MS).await {
         Some(wire::msg::Msg::OrderDone(result)) if *result != OrderResult::Unclear => Some(*result),
         _ => None,
     }
 }
 
+/// An order as it goes to a keeper that reads messages of this version. It may arrive late, after it was carried out here
+/// and then taken back: an evacuation names the version of the zone's that it is made on top of.
+fn as_relayed(keeper: &crate::keeper::Keeper, order: &Order, reads: u64) -> Order {
+    match order {
+        Order::Evacuate { zone, on } if reads >= wire::msg::VERSIONED_EVACUATIONS => {
+            let committed_state = keeper.committed_state.lock().expect("committed_state");
+            let version = committed_state.closed.get(zone).map_or(0, |(version, _)| *version);
+            Order::EvacuateFrom { zone: zone.clone(), on: *on, version }
+        }
+        _ => order.clone(),
+    }
+}
+
 async fn execute(keeper: &std::sync::Arc<crate::keeper::Keeper>, order: &Order, spent: u64) -> OrderResult {
     match order {
         Order::Change(change) => crate::config_orders::change(keeper, change).await,
-        Order::Evacuate { zone, on } => evacuate(keeper, zone, *on, EVACUATE_MS.saturating_sub(spent)).await,
+        Order::Evacuate { zone, on } => evacuate(keeper, zone, *on, None, EVACUATE_MS.saturating_sub(spent)).await,
+        Order::EvacuateFrom { zone, on, version } => evacuate(keeper, zone, *on, Some(*version), EVACUATE_MS).await,
         Order::ReadConfig => {
             let judge = |body: &[u8]| Verdict::Answer(OrderResult::Found { body: body.to_vec() });
             keeper.change(crate::state::CONFIG, wait_ms(keeper), judge).await.unwrap_or(OrderResult::Unclear)
@@ -92,19 +107,28 @@
     }
 }
 
-/// Begins or withdraws an evacuation on top of what is committed; answers with `done` either way, or with `unclear` where
-/// that cannot be read.
-pub fn judge_evacuation<T>(on: bool, body: &[u8], done: T, unclear: T) -> Verdict<T> {
+/// Begins or withdraws an evacuation on top of what is committed, or only on top of a version of it. Answers with `done` once
+/// it is so, and with `unclear` where another version is in place or what is committed cannot be read.
+pub fn judge_evacuation<T>(on: bool, from: Option<u64>, body: &[u8], done: T, unclear: T) -> Verdict<T> {
     let Some(held) = Closed::open(body) else { return Verdict::Answer(unclear) };
     if held.on == on {
         return Verdict::Answer(done);
     }
+    if from.is_some_and(|version| version != held.version) {
+        return Verdict::Answer(unclear);
+    }
     Verdict::Write(Closed { version: held.version + 1, on }.write_bytes(), done)
 }
 
-async fn evacuate(keeper: &std::sync::Arc<crate::keeper::Keeper>, zone: &str, on: bool, wait_ms: u64) -> OrderResult {
+async fn evacuate(
+    keeper: &std::sync::Arc<crate::keeper::Keeper>,
+    zone: &str,
+    on: bool,
+    from: Option<u64>,
+    wait_ms: u64,
+) -> OrderResult {
     let key = format!("{}{zone}", crate::state::CLOSED);
-    let judge = |body: &[u8]| judge_evacuation(on, body, OrderResult::Done, OrderResult::Unclear);
+    let judge = |body: &[u8]| judge_evacuation(on, from, body, OrderResult::Done, OrderResult::Unclear);
     let result = keeper.change(&key, wait_ms, judge).await.unwrap_or(OrderResult::Unclear);
     if result == OrderResult::Done {
         kernel::say!(crate::event::EVACUATION, "zone" => zone, "on" => on);
--- a/keeper/src/orders_tests.rs
+++ b/keeper/src/orders_tests.rs
@@ -11,10 +11,23 @@
 /// An evacuation that cannot be read was once taken for none, so that its version began anew.
 #[test]
 fn an_evacuation_that_cannot_be_read_is_never_taken_for_none() {
-    assert_eq!(judge_evacuation(true, b"of another form", "done", "unclear"), Verdict::Answer("unclear"));
-    let Verdict::Write(body, "done") = judge_evacuation(true, &[], "done", "unclear") else { panic!("a change") };
-    assert_eq!(judge_evacuation(true, &body, "done", "unclear"), Verdict::Answer("done"));
-    let Verdict::Write(body, "done") = judge_evacuation(false, &body, "done", "unclear") else { panic!("a change") };
+    let judge = |on, body: &[u8]| judge_evacuation(on, None, body, "done", "unclear");
+    assert_eq!(judge(true, b"of another form"), Verdict::Answer("unclear"));
+    let Verdict::Write(body, "done") = judge(true, &[]) else { panic!("a change") };
+    assert_eq!(judge(true, &body), Verdict::Answer("done"));
+    let Verdict::Write(body, "done") = judge(false, &body) else { panic!("a change") };
     let closed = crate::state::Closed::open(&body).expect("read");
     assert_eq!((closed.version, closed.on), (2, false));
 }
+
+/// A keeper relays an order, hears nothing, and carries it out itself; what it relayed comes late, after the evacuation was
+/// withdrawn again.
+#[test]
+fn a_relayed_evacuation_that_comes_late_undoes_nothing() {
+    let judge = |on, from, body: &[u8]| judge_evacuation(on, from, body, "done", "unclear");
+    let Verdict::Write(begun, _) = judge(true, None, &[]) else { panic!("a change") };
+    assert_eq!(judge(true, Some(0), &begun), Verdict::Answer("done"), "the same came to pass already");
+    let Verdict::Write(withdrawn, _) = judge(false, None, &begun) else { panic!("a change") };
+    assert_eq!(judge(true, Some(0), &withdrawn), Verdict::Answer("unclear"));
+    let Verdict::Write(..) = judge(true, Some(2), &withdrawn) else { panic!("a new one") };
+}
--- a/keeper/src/simulation/mod.rs
+++ b/keeper/src/simulation/mod.rs
@@ -32,6 +32,8 @@
     pub digests: bool,
     /// A change is checked before it is committed.
     pub validity: bool,
+    /// A relayed evacuation names the version that it is made on top of.
+    pub versioned_evacuations: bool,
     /// Orders that waited in a socket while the process stood still are not carried out.
     pub stale_orders: bool,
     /// A wiped voter reads the others before it votes.
@@ -46,6 +48,7 @@
     quorum_reads: true,
     digests: true,
     validity: true,
+    versioned_evacuations: true,
     stale_orders: true,
     recall: true,
     hand_over: true,
--- a/keeper/src/simulation/node.rs
+++ b/keeper/src/simulation/node.rs
@@ -103,9 +103,13 @@
         crate::config_body::Held::open(body).expect("a configuration that reads")
     }
 
-    pub fn is_evacuated(&self) -> bool {
+    pub fn evacuation(&self) -> crate::state::Closed {
         let body = self.committed.get(super::operator::EVACUATION).map_or(&[][..], |entry| &entry.body);
-        crate::state::Closed::read_bytes(body).is_some_and(|closed| closed.on)
+        crate::state::Closed::open(body).expect("an evacuation that reads")
+    }
+
+    pub fn is_evacuated(&self) -> bool {
+        self.evacuation().on
     }
 
     /// All that is known of other keepers.
--- a/keeper/src/simulation/operator.rs
+++ b/keeper/src/simulation/operator.rs
@@ -20,6 +20,8 @@
 pub enum Order {
     Change(ConfigChange),
     Evacuate(bool),
+    /// Relayed: on top of a version.
+    EvacuateFrom(bool, u64),
     Read,
 }
 
@@ -123,11 +125,16 @@
         let there: Vec<usize> = self.nodes.iter().filter(|node| !node.removed).map(|node| node.at).collect();
         let to = there[self.random.below(there.len() as u64) as usize];
         self.operators[number].asked = Some(to);
-        let may_be_relayed = self.mixed_orders && !matches!(order, Order::Evacuate(_));
-        if may_be_relayed && self.random.below(CARRIED_OUT_TWICE_ONE_OF) == 0 {
-            // As where a keeper relays it to the home of its key, hears nothing, and carries it out too.
+        if self.mixed_orders && self.random.below(CARRIED_OUT_TWICE_ONE_OF) == 0 {
+            // The one asked relays it to the home of its key, hears nothing, and carries it out too.
             let other = there[self.random.below(there.len() as u64) as usize];
-            self.send(Address::Operator(number), Address::Node(other), Message::Order(attempt, order.clone()));
+            let relayed = match order {
+                Order::Evacuate(on) if self.guards.versioned_evacuations => {
+                    Order::EvacuateFrom(on, self.nodes[to].evacuation().version)
+                }
+                _ => order.clone(),
+            };
+            self.send(Address::Node(to), Address::Node(other), Message::Order(attempt, relayed));
         }
         self.send(Address::Operator(number), Address::Node(to), Message::Order(attempt, order));
     }
@@ -153,7 +160,11 @@
                 self.begin_change(at, crate::state::CONFIG, purpose, CHANGE_MS, judge);
             }
             Order::Evacuate(on) => {
-                let judge = Box::new(move |body: &[u8]| judge_evacuation(on, body));
+                let judge = Box::new(move |body: &[u8]| judge_evacuation(on, None, body));
+                self.begin_change(at, EVACUATION, purpose, EVACUATE_MS, judge);
+            }
+            Order::EvacuateFrom(on, version) => {
+                let judge = Box::new(move |body: &[u8]| judge_evacuation(on, Some(version), body));
                 self.begin_change(at, EVACUATION, purpose, EVACUATE_MS, judge);
             }
             Order::Read if self.guards.quorum_reads => {
@@ -213,8 +224,8 @@
     Answer::Found { revision: held.revision, taken: held.taken.clone() }
 }
 
-fn judge_evacuation(on: bool, body: &[u8]) -> Verdict<Option<Answer>> {
-    crate::orders::judge_evacuation(on, body, Some(Answer::Good), Some(Answer::Unclear))
+fn judge_evacuation(on: bool, from: Option<u64>, body: &[u8]) -> Verdict<Option<Answer>> {
+    crate::orders::judge_evacuation(on, from, body, Some(Answer::Good), Some(Answer::Unclear))
 }
 
 fn judge_change(change: &ConfigChange, body: &[u8], guards: super::Guards) -> Verdict<Option<Answer>> {
--- a/keeper/src/simulation/orders_tests.rs
+++ b/keeper/src/simulation/orders_tests.rs
@@ -81,3 +81,35 @@
     let broken = (1..=20).any(|seed| !run_mixed(seed, guards).history.violations.is_empty());
     assert!(broken, "a simulation that can't fail shows nothing");
 }
+
+/// One keeper after the other is cut off for a moment: what it was relayed meanwhile it carries out late.
+fn run_short_cuts(seed: u64, guards: Guards) -> Cluster {
+    let mut cluster = Cluster::new(seed, 3, 2);
+    cluster.guards = guards;
+    cluster.rest_ms = 20;
+    cluster.mixed_orders = true;
+    let mut chance = kernel::clock::Dice::new(seed ^ 0x55c1);
+    for _ in 0..40 {
+        cluster.isolate(chance.below(3) as usize);
+        cluster.run(100 + chance.below(700));
+        cluster.network.heal();
+        cluster.run(20 + chance.below(200));
+    }
+    cluster.finish();
+    cluster
+}
+
+#[test]
+fn a_relayed_order_that_comes_late_undoes_no_later_one() {
+    for seed in 1..=40 {
+        let cluster = run_short_cuts(seed, ALL_GUARDS);
+        assert!(cluster.history.violations.is_empty(), "seed {seed}: {:?}", cluster.history.violations);
+    }
+}
+
+#[test]
+fn without_versions_a_relayed_evacuation_that_comes_late_undoes_a_later_order() {
+    let guards = Guards { versioned_evacuations: false, ..ALL_GUARDS };
+    let broken = (1..=300).any(|seed| !run_short_cuts(seed, guards).history.violations.is_empty());
+    assert!(broken, "a simulation that can't fail shows nothing");
+}
--- a/wire/src/capability.rs
+++ b/wire/src/capability.rs
@@ -12,6 +12,8 @@
 /// Keepers from this version on read bodies of the configuration with cryptographic digests, and make a told change of
 /// named items to the letter as its committer did.
 pub const DIGESTED_BODIES: u64 = 4;
+/// Keepers from this version on take `EvacuateFrom`.
+pub const VERSIONED_EVACUATIONS: u64 = 4;
 /// Routers from this version on take `Renewed` as the answer to `Follow`.
 pub const CONFIRMED_NEWS: u64 = 4;
 /// Routers from this version on know tenants and their keys.
--- a/wire/src/order.rs
+++ b/wire/src/order.rs
@@ -2,11 +2,22 @@
 //! them reaches the others.
 use crate::msg::Ballot;
 
+/// Invariant: no later variant is larger than `Change` in its archived form, or orders of earlier versions would not be read.
 #[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Order {
     Change(ConfigChange),
-    Evacuate { zone: String, on: bool },
+    Evacuate {
+        zone: String,
+        on: bool,
+    },
     ReadConfig,
+    /// As `Evacuate`, relayed: only on top of this version of the zone's evacuation, so that one that arrives late undoes
+    /// nothing. Since version 4.
+    EvacuateFrom {
+        zone: String,
+        on: bool,
+        version: u64,
+    },
 }
 
 /// A whole configuration or a change of named items, as an operator sent it.
@@ -51,3 +62,7 @@
     /// Whether the body is packed when it is long.
     pub pack: bool,
 }
+
+#[cfg(test)]
+#[path = "order_tests.rs"]
+mod tests;
