--- a/wire/src/config/property_tests.rs
+++ b/wire/src/config/property_tests.rs
@@ -84,7 +84,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 400, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
     fn valid_bodies_are_taken_and_kept_as_they_were_sent(seed: u64) {
