--- a/keeper/src/simulation/history.rs
+++ b/keeper/src/simulation/history.rs
@@ -1,6 +1,6 @@
 //! What operators were told, and whether it holds together.
 use super::operator::{Answer, Attempt, Order};
-use crate::state::Held;
+use crate::config_body::Held;
 use std::collections::BTreeMap;
 
 /// A change that an operator knows to be taken.
@@ -9,7 +9,7 @@
     at: u64,
     base: u64,
     revision: u64,
-    digest: u64,
+    digest: [u8; 16],
 }
 
 /// Everything that is checked, as it happened. Broken promises are listed in `violations`.
@@ -19,6 +19,8 @@
     /// The newest revision known to be taken when a read was first sent.
     read_floor: BTreeMap<Attempt, u64>,
     refused: Vec<Attempt>,
+    /// Changes that must never be taken.
+    invalid: std::collections::BTreeSet<Attempt>,
     acknowledged: Vec<Acknowledged>,
     /// The evacuation that was acknowledged last, and when; None while another is under way.
     evacuation: Option<(u64, bool)>,
@@ -26,9 +28,13 @@
     pub violations: Vec<String>,
 }
 
+fn is_taken(held: &Held, digest: &[u8; 16]) -> bool {
+    held.taken.iter().any(|taken| taken.digest == *digest)
+}
+
 fn revision(order: &Order) -> u64 {
     let Order::Change(change) = order else { return 0 };
-    wire::config::read(&change.text).map_or(0, |config| config.revision)
+    super::bodies::revision(change)
 }
 
 impl History {
@@ -48,11 +54,19 @@
         self.orders.insert(attempt, order);
     }
 
+    /// An order is sent that must never be taken.
+    pub fn invalid(&mut self, attempt: Attempt) {
+        self.invalid.insert(attempt);
+    }
+
     /// A keeper answered, whether or not the answer arrives.
     pub fn answered(&mut self, attempt: Attempt, answer: &Answer) {
         if *answer == Answer::Refused {
             self.refused.push(attempt);
         }
+        if *answer == Answer::Good && self.invalid.contains(&attempt) {
+            self.violations.push(format!("{attempt:?}: an invalid change was acknowledged"));
+        }
     }
 
     /// The operator got this answer.
@@ -60,7 +74,7 @@
         let Some(order) = self.orders.get(&attempt) else { return };
         match (order, answer) {
             (Order::Change(change), Answer::Good) => {
-                let (base, digest) = (change.base, crate::config_change::digest(change));
+                let (base, digest) = (change.base, crate::config_body::digest(change));
                 let same_base = self.acknowledged.iter().find(|one| one.base == base && one.digest != digest);
                 if same_base.is_some() {
                     self.violations.push(format!("{now}: two changes of version {base} were acknowledged"));
@@ -95,15 +109,27 @@
 
     /// What was acknowledged is there at the end, and what is there was never refused.
     pub fn check_end(&mut self, last: &Held) {
+        if last.revision > 0 {
+            match wire::config::read(&last.text) {
+                Ok(config) if config.revision == last.revision => {}
+                other => self.violations.push(format!("version {} reads as {other:?}", last.revision)),
+            }
+        }
+        for attempt in &self.invalid {
+            let Some(Order::Change(change)) = self.orders.get(attempt) else { continue };
+            if is_taken(last, &crate::config_body::digest(change)) {
+                self.violations.push(format!("{attempt:?}: an invalid change is in force"));
+            }
+        }
         for one in &self.acknowledged {
-            if one.revision > last.revision || !last.taken.contains(&one.digest) {
+            if one.revision > last.revision || !is_taken(last, &one.digest) {
                 self.violations
                     .push(format!("version {} was acknowledged and is not in {}", one.revision, last.revision));
             }
         }
         for attempt in &self.refused {
             let Some(Order::Change(change)) = self.orders.get(attempt) else { continue };
-            if last.taken.contains(&crate::config_change::digest(change)) {
+            if is_taken(last, &crate::config_body::digest(change)) {
                 self.violations.push(format!("a change of version {} was taken and refused", change.base));
             }
         }
