Router: tenants known by their keys; a key is checked at each send and never passed on

Until now the router knew no tenants: the client's key and its own Tenant header went on to engines, and unknown or revoked keys were served.

Where there are tenants and the route is not anonymous, a request without exactly one known key gets 401 and its body is read off, so that the connection goes on. Authorization and Tenant are taken from every request, with or without tenants; Tenant is set to the name of the key's tenant. Its priority goes before the route's, and its homes bind beside the route's. Before each send the key is looked up again in the table of the moment.

--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -33,6 +33,18 @@
     }
 }
 
+/// The refusal of a request whose route needs a key, and whose key is not known here. Its body, where that has not
+/// been read yet, is read and thrown away, so that the next request on the connection is found where it begins.
+async fn refuse_key(parts: &http::request::Parts, body: Option<hyper::body::Incoming>) -> crate::failure::Failure {
+    // A client that asks before it sends its body is not told to send it.
+    let asks = parts.headers.contains_key(http::header::EXPECT);
+    let read = match body {
+        Some(body) => !asks && crate::request::discard(body).await,
+        None => true,
+    };
+    crate::failure::Failure::Unauthorized { ends: !read }
+}
+
 async fn enter(
     state: &std::sync::Arc<crate::state::State>,
     incoming: http::Request<hyper::body::Incoming>,
@@ -62,6 +74,10 @@
     let Some(route) = table.find(host, parts.uri.path()) else {
         return Err(crate::failure::Failure::NoRoute);
     };
+    let key = crate::authorization::key(&parts.headers);
+    let Ok(authorization) = crate::authorization::Authorization::grant(&table, route, key) else {
+        return Err(refuse_key(&parts, body).await);
+    };
     let order = std::sync::atomic::Ordering::Relaxed;
     let room = (state.env.limits.memory_mb as usize) << 18;
     if state.held.load(order) > room {
@@ -76,12 +92,13 @@
         let mut dice = state.dice.lock().expect("dice");
         crate::table::split(&route.targets, dice.roll())
     };
-    let request = crate::request::Request::make(parts, body, route, u64::from(service), born);
+    let request = crate::request::Request::make(parts, body, route, authorization, u64::from(service), born);
     state.open.fetch_add(1, order);
     state.held.fetch_add(request.body.len(), order);
     state.budget.lock().expect("budget").errand(service, born);
+    let (homes, priority) = (request.authorization.homes(), request.authorization.priority());
     Ok(crate::exchange::Exchange {
-        closed_zones: crate::plan::closed_zones(state, &route.homes),
+        closed_zones: crate::plan::closed_zones(state, homes),
         route: route.name.clone(),
         pinned_version: None,
         state: state.clone(),
@@ -90,7 +107,7 @@
         repeatable: route.repeatable(),
         max_sends: route.tries,
         target_ms: route.target_ms.max(1),
-        priority: route.priority,
+        priority,
         service,
         service_config: table.services.get(&service).cloned().unwrap_or_default(),
         prefix_owners: Vec::new(),
--- /dev/null
+++ b/router/src/authorization.rs
@@ -0,0 +1,96 @@
+//! May a request go to an engine, and as which tenant's? Asked when it is admitted, and again before each send.
+
+/// The one scheme by which a key is carried: `Authorization: Bearer KEY`.
+const SCHEME: &[u8] = b"bearer";
+
+/// The key of a request. None: it has none, or not exactly one in the form that the protocol knows.
+pub fn key(head: &http::HeaderMap) -> Option<crate::tenants::KeyDigest> {
+    let mut values = head.get_all(http::header::AUTHORIZATION).iter();
+    let value = values.next()?.as_bytes().trim_ascii();
+    if values.next().is_some() {
+        return None;
+    }
+    let end = value.iter().position(u8::is_ascii_whitespace)?;
+    let (scheme, key) = (&value[..end], value[end..].trim_ascii());
+    (scheme.eq_ignore_ascii_case(SCHEME) && !key.is_empty()).then(|| crate::tenants::KeyDigest::of(key))
+}
+
+/// The route needs a key, and the request has none that is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnknownKey;
+
+/// What a request was admitted with. It is sent as this tenant's, or not at all.
+pub struct Authorization {
+    key: Option<crate::tenants::KeyDigest>,
+    route: std::sync::Arc<crate::table::Route>,
+    /// None: the request is nobody's, since there are no tenants or its route is anonymous.
+    tenant: Option<std::sync::Arc<crate::tenants::Tenant>>,
+}
+
+impl Authorization {
+    /// Judges a request by the configuration of the moment.
+    pub fn grant(
+        table: &crate::table::Table,
+        route: &std::sync::Arc<crate::table::Route>,
+        key: Option<crate::tenants::KeyDigest>,
+    ) -> Result<Authorization, UnknownKey> {
+        let tenant = holder(table, route.anonymous, key.as_ref())?.cloned();
+        Ok(Authorization { key, route: route.clone(), tenant })
+    }
+
+    /// Would the request be admitted now, and on the same terms? A key may be revoked, or pass to another tenant,
+    /// while its request waits.
+    pub fn holds(&self, table: &crate::table::Table) -> bool {
+        let anonymous = table.route(&self.route.name).unwrap_or(&self.route).anonymous;
+        match (holder(table, anonymous, self.key.as_ref()), &self.tenant) {
+            (Err(UnknownKey), _) => false,
+            (Ok(now), then) => {
+                now.map(|now| (&now.name, &now.homes)) == then.as_ref().map(|then| (&then.name, &then.homes))
+            }
+        }
+    }
+
+    /// The rank of the request: its tenant's, else its route's.
+    pub fn priority(&self) -> u32 {
+        self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
+    }
+
+    /// The lists of regions that bind the request, each by itself; an empty one binds nothing.
+    pub fn homes(&self) -> [&[String]; 2] {
+        let tenant = self.tenant.as_ref().map_or(&[][..], |tenant| &tenant.homes);
+        [&self.route.homes, tenant]
+    }
+
+    /// Removes the key, which no engine is to see, and what the client called itself; names the tenant.
+    pub fn rewrite(&self, head: &mut http::HeaderMap) {
+        head.remove(http::header::AUTHORIZATION);
+        head.remove(wire::word::TENANT);
+        if let Some(name) = self.tenant.as_ref().and_then(|tenant| tenant.header.clone()) {
+            head.insert(wire::word::TENANT, name);
+        }
+    }
+}
+
+/// Whose request it is. None: nobody's, and it may go all the same. A known key counts on an anonymous route too.
+fn holder<'a>(
+    table: &'a crate::table::Table,
+    anonymous: bool,
+    key: Option<&crate::tenants::KeyDigest>,
+) -> Result<Option<&'a std::sync::Arc<crate::tenants::Tenant>>, UnknownKey> {
+    let tenant = key.and_then(|key| table.tenants.holder(key));
+    if tenant.is_some() || anonymous || table.tenants.is_empty() {
+        return Ok(tenant);
+    }
+    Err(UnknownKey)
+}
+
+impl crate::exchange::Exchange {
+    /// May the request still be sent to an engine?
+    pub fn is_authorized(&self) -> bool {
+        self.request.authorization.holds(&self.state.table())
+    }
+}
+
+#[cfg(test)]
+#[path = "authorization_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/authorization_tests.rs
@@ -0,0 +1,167 @@
+use super::{key, Authorization, UnknownKey};
+use crate::tenants::KeyDigest;
+
+fn head(values: &[&[u8]]) -> http::HeaderMap {
+    let mut map = http::HeaderMap::new();
+    for value in values {
+        map.append("authorization", http::HeaderValue::from_bytes(value).expect("value"));
+    }
+    map
+}
+
+#[test]
+fn a_key_is_carried_once_and_under_one_scheme() {
+    let good: [&[u8]; 6] = [b"Bearer k1", b"bearer k1", b"BEARER k1", b"Bearer   k1", b"Bearer\tk1 ", b" Bearer k1\t"];
+    for value in good {
+        assert_eq!(key(&head(&[value])), Some(KeyDigest::of(b"k1")), "{value:?}");
+    }
+    let bad: [&[u8]; 11] = [
+        b"",
+        b" ",
+        b"Bearer",
+        b"Bearer ",
+        b"Bearer \t",
+        b"k1",
+        b"Basic k1",
+        b"Bearerk1",
+        b"Bearer:k1",
+        b"Bearer\xa0k1",
+        b"B\xe9arer k1",
+    ];
+    for value in bad {
+        assert_eq!(key(&head(&[value])), None, "{value:?}");
+    }
+    assert_eq!(key(&head(&[])), None);
+    for other in [&b"Bearer k1"[..], b"Bearer k2", b"", b"Basic k1"] {
+        assert_eq!(key(&head(&[b"Bearer k1", other])), None, "more than one says nothing: {other:?}");
+        assert_eq!(key(&head(&[other, b"Bearer k1"])), None, "{other:?}");
+    }
+}
+
+#[test]
+fn what_is_no_key_as_it_stands_is_another_key() {
+    for value in [
+        &b"Bearer k1,k2"[..],
+        b"Bearer k1, Bearer k1",
+        b"Bearer K1",
+        b"Bearer \"k1\"",
+        b"Bearer k1 k1",
+        b"Bearer k\xe9",
+    ] {
+        assert_ne!(key(&head(&[value])), Some(KeyDigest::of(b"k1")), "{value:?}");
+    }
+}
+
+/// A configuration with the routes `keyed` and `open`; the latter is anonymous where that is `open`.
+fn table(tenants: serde_json::Value, open: bool) -> crate::table::Table {
+    table_of(&[("keyed", false), ("open", open)], tenants)
+}
+
+fn table_of(routes: &[(&str, bool)], tenants: serde_json::Value) -> crate::table::Table {
+    let route = |(name, anonymous): &(&str, bool)| {
+        serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "service": "s",
+            "route_type": "streaming", "timeout_ms": 5, "priority": 3, "allowed_regions": ["r"], "anonymous": anonymous})
+    };
+    let text = serde_json::json!({"revision": 1, "service_table": [{"name": "s"}],
+        "route_table": routes.iter().map(route).collect::<Vec<_>>(), "tenant_table": tenants});
+    let config = wire::config::read(&text.to_string()).expect("good");
+    let change = wire::change::Change::whole(&config);
+    crate::table::Table::default().turn(&change, &mut engines::park::Park::default()).expect("newer")
+}
+
+fn tenants() -> serde_json::Value {
+    serde_json::json!([{"name": "one", "api_keys": ["k1"], "priority": 0, "allowed_regions": ["q", "r"]},
+        {"name": "two", "api_keys": ["k2"]}])
+}
+
+fn grant(table: &crate::table::Table, route: &str, key: Option<&str>) -> Result<Authorization, UnknownKey> {
+    let route = table.find("h", &format!("/{route}/x")).expect("there");
+    Authorization::grant(table, route, key.map(|key| KeyDigest::of(key.as_bytes())))
+}
+
+/// The tenant that an engine is told. None: the request is refused; empty: nobody's.
+fn named(table: &crate::table::Table, route: &str, key: Option<&str>) -> Option<String> {
+    let granted = grant(table, route, key).ok()?;
+    let mut head = http::HeaderMap::new();
+    granted.rewrite(&mut head);
+    Some(head.get("tenant").map_or(String::new(), |name| name.to_str().expect("text").into()))
+}
+
+#[test]
+fn a_route_needs_a_known_key_where_there_are_tenants_unless_it_is_anonymous() {
+    let table = table(tenants(), true);
+    let found = [Some("k1"), Some("k2"), Some("k3"), None].map(|key| named(&table, "keyed", key));
+    assert_eq!(found, [Some("one".to_string()), Some("two".to_string()), None, None]);
+    // A known key counts there too: the engine is told whose it is.
+    let found = [Some("k1"), Some("k3"), None].map(|key| named(&table, "open", key));
+    assert_eq!(found, [Some("one".to_string()), Some(String::new()), Some(String::new())]);
+    let without = self::table(serde_json::json!([]), false);
+    let found = [Some("k1"), None].map(|key| named(&without, "keyed", key));
+    assert_eq!(found, [Some(String::new()), Some(String::new())]);
+}
+
+#[test]
+fn the_rank_is_the_tenants_before_the_routes_and_both_homes_bind() {
+    let table = table(tenants(), true);
+    let granted = |key| grant(&table, "open", key).expect("granted");
+    assert_eq!([Some("k1"), Some("k2"), None].map(|key| granted(key).priority()), [0, 3, 3]);
+    let of_route = &["r".to_string()][..];
+    assert_eq!(granted(Some("k1")).homes(), [of_route, &["q".to_string(), "r".to_string()]]);
+    assert_eq!(granted(Some("k2")).homes(), [of_route, &[]]);
+    assert_eq!(granted(None).homes(), [of_route, &[]]);
+}
+
+#[test]
+fn what_was_granted_holds_as_long_as_its_tenant_has_the_key_and_the_same_homes() {
+    let first = table(tenants(), true);
+    let next = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut list = tenants();
+        change(&mut list);
+        table(list, true)
+    };
+    let granted = grant(&first, "keyed", Some("k1")).expect("granted");
+    assert!(granted.holds(&first));
+    assert!(granted.holds(&next(&|list| list[0]["priority"] = 5.into())), "still the same tenant's");
+    assert!(granted.holds(&next(&|list| list[0]["api_keys"] = serde_json::json!(["k9", "k1"]))));
+    assert!(granted.holds(&next(&|list| list[1]["api_keys"] = serde_json::json!([]))), "another's key");
+    assert!(!granted.holds(&next(&|list| list[0]["api_keys"] = serde_json::json!(["k9"]))), "revoked");
+    assert!(!granted.holds(&next(&|list| drop(list.as_array_mut().expect("list").remove(0)))), "its tenant is gone");
+    assert!(!granted.holds(&next(&|list| list[0]["allowed_regions"] = serde_json::json!(["q"]))), "other homes");
+    let moved = next(&|list| {
+        list[0]["api_keys"] = serde_json::json!([]);
+        list[1]["api_keys"] = serde_json::json!(["k1", "k2"]);
+    });
+    assert!(!granted.holds(&moved), "the engine was to be told another tenant");
+    assert!(!granted.holds(&table(serde_json::json!([]), true)), "there are no tenants any more");
+}
+
+#[test]
+fn what_was_granted_without_a_key_holds_while_none_is_needed() {
+    let (open, closed) = (table(tenants(), true), table(tenants(), false));
+    let anonymous = grant(&open, "open", None).expect("granted");
+    assert!(anonymous.holds(&open) && !anonymous.holds(&closed), "the route is not anonymous any more");
+    let without = table(serde_json::json!([]), false);
+    let early = grant(&without, "keyed", None).expect("granted");
+    assert!(early.holds(&without) && !early.holds(&closed), "there are tenants now");
+    let stranger = grant(&without, "keyed", Some("k1")).expect("granted");
+    assert!(!stranger.holds(&closed), "its key is a tenant's now, which no engine was told");
+    let gone = table_of(&[("keyed", false)], tenants());
+    assert!(anonymous.holds(&gone), "of a route that is gone the last word counts");
+}
+
+#[test]
+fn neither_the_key_nor_a_tenant_of_the_clients_choice_is_passed_on() {
+    let with = table(tenants(), true);
+    for (route, key, expected) in [("keyed", Some("k1"), Some("one")), ("open", None, None), ("open", Some("k3"), None)]
+    {
+        let mut map = head(&[b"Bearer k1", b"Basic x"]);
+        for name in ["two", "three"] {
+            map.append("tenant", name.parse().expect("value"));
+        }
+        map.insert("x-other", "kept".parse().expect("value"));
+        grant(&with, route, key).expect("granted").rewrite(&mut map);
+        let names: Vec<_> = map.get_all("tenant").iter().map(|name| name.to_str().expect("text")).collect();
+        assert_eq!(names, expected.into_iter().collect::<Vec<_>>());
+        assert!(!map.contains_key("authorization") && map.contains_key("x-other"));
+    }
+}
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -79,7 +79,7 @@
 
     /// May one more send be made that the operator counts? The first arrival draws on no budget.
     pub fn grant_send(&self) -> bool {
-        if self.sends >= self.max_sends {
+        if self.sends >= self.max_sends || !self.is_authorized() {
             return false;
         }
         if !self.arrived {
@@ -236,7 +236,7 @@
                 engine.good(now);
                 engine.weigh(self.request.model_key, *version);
             }
-            crate::send::Outcome::Unsent(crate::pool::SendError::Behind) => {}
+            crate::send::Outcome::Unsent(crate::pool::SendError::Behind | crate::pool::SendError::Unauthorized) => {}
             crate::send::Outcome::Unsent(crate::pool::SendError::Full) => engine.full_until = now + 20,
             _ => {
                 drop(park);
--- a/router/src/failure.rs
+++ b/router/src/failure.rs
@@ -7,6 +7,10 @@
     /// Not as the protocol has it; the connection ends.
     Malformed,
     NoRoute,
+    /// The route needs a key that is known. `ends`: its body was not read, so the connection can't go on.
+    Unauthorized {
+        ends: bool,
+    },
     Late,
     TooLarge,
     /// It has not run and never will; come back after so many milliseconds.
@@ -20,6 +24,7 @@
 pub fn write(failure: Failure, leaving: bool) -> http::Response<Body> {
     let status = match failure {
         Failure::Malformed => 400,
+        Failure::Unauthorized { .. } => 401,
         Failure::NoRoute => 404,
         Failure::Late => 408,
         Failure::TooLarge => 413,
@@ -38,7 +43,13 @@
             head.insert(http::header::RETRY_AFTER, value);
         }
     }
-    let ends = matches!(failure, Failure::Malformed | Failure::Late | Failure::TooLarge);
+    if matches!(failure, Failure::Unauthorized { .. }) {
+        head.insert(http::header::WWW_AUTHENTICATE, http::HeaderValue::from_static("Bearer"));
+    }
+    let ends = matches!(
+        failure,
+        Failure::Malformed | Failure::Late | Failure::TooLarge | Failure::Unauthorized { ends: true }
+    );
     if ends || leaving {
         head.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
--- a/router/src/halves_tests.rs
+++ b/router/src/halves_tests.rs
@@ -1,22 +1,7 @@
 //! Requests whose prompt one engine reads and another answers: whose memory is named, and how often.
-use crate::stand_in::{answer, engines, events, not_executed, seen, Act, Engine, Seen};
+use crate::stand_in::{answer, engines, events, handle, held, not_executed, seen, Act, Engine, Seen, PROMPT};
 use crate::stand_in_router::{ask, router, status};
 
-const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
-
-/// The answer of an engine that has read a prompt; the handle is named after the request.
-fn held(seen: &Seen) -> String {
-    handle(seen.attempt(), seen.attempt())
-}
-
-fn handle(attempt: &str, id: &str) -> String {
-    let body = format!("{{\"kv_handle\":\"h{id}\",\"token_count\":150,\"revision\":1}}");
-    let length = body.len();
-    format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nKeep-Alive: timeout=30\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
-
 /// Readers that give a handle and take it back, and makers that follow a script.
 async fn fleet(
     read: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The data plane: takes clients' requests and carries them to engines.
 mod admission;
+mod authorization;
 pub mod boot;
 mod config;
 mod doubt;
@@ -23,6 +24,7 @@
 mod state;
 mod stream;
 mod table;
+mod tenants;
 mod verdict;
 
 #[cfg(test)]
@@ -31,6 +33,14 @@
 #[cfg(test)]
 mod stand_in_router;
 
+#[cfg(test)]
+#[path = "tenant_requests_tests.rs"]
+mod tenant_requests_tests;
+
+#[cfg(test)]
+#[path = "revocation_tests.rs"]
+mod revocation_tests;
+
 #[cfg(test)]
 #[path = "exchange_tests.rs"]
 mod exchange_tests;
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -106,15 +106,16 @@
     shared.or(request.keys.first()).copied().unwrap_or(request.born)
 }
 
-/// Zones that a route may not use: evacuated ones and those outside its homes.
-pub fn closed_zones(state: &crate::state::State, homes: &[String]) -> Vec<u32> {
+/// Zones that a request may not use: evacuated ones, and those outside the homes of its route or of its tenant.
+pub fn closed_zones(state: &crate::state::State, homes: [&[String]; 2]) -> Vec<u32> {
     let mut list = state.news.lock().expect("news").shut.clone();
-    if homes.is_empty() {
+    let outside = |region| homes.iter().any(|homes| !homes.is_empty() && !homes.contains(region));
+    if homes.iter().all(|homes| homes.is_empty()) {
         return list;
     }
     let mut park = state.park.lock().expect("park");
     for (zone, region) in &state.env.zones {
-        if !homes.contains(region) {
+        if outside(region) {
             list.push(park.zone(zone));
         }
     }
--- a/router/src/pool.rs
+++ b/router/src/pool.rs
@@ -43,6 +43,8 @@
     Down,
     /// The limit on stale weights rose, or its lease lapsed, before anything was written.
     Behind,
+    /// The key of the request was revoked, or passed to another tenant, before anything was written.
+    Unauthorized,
 }
 
 impl Pools {
--- a/router/src/request.rs
+++ b/router/src/request.rs
@@ -16,6 +16,7 @@
     pub parts: Vec<catalog::Part>,
     pub keys: Vec<u64>,
     pub last: Option<http::HeaderValue>,
+    pub authorization: crate::authorization::Authorization,
     /// Deferrable work: it only fills what is idle. The share of places it leaves free.
     pub spare: Option<f64>,
 }
@@ -91,11 +92,33 @@
     }
 }
 
+/// What of a body that nobody needs is read, and for how long.
+const DISCARD_BYTES: usize = 256 * 1024;
+const DISCARD_MS: u64 = 1000;
+
+/// Reads a body that nobody needs to its end, so that its connection can be used again. False: it is too long,
+/// too slow or broken.
+pub async fn discard(mut body: hyper::body::Incoming) -> bool {
+    use http_body_util::BodyExt;
+    let whole = async {
+        let mut left = DISCARD_BYTES;
+        while let Some(frame) = body.frame().await {
+            let Ok(frame) = frame else { return false };
+            let size = frame.data_ref().map_or(0, bytes::Bytes::len);
+            let Some(rest) = left.checked_sub(size) else { return false };
+            left = rest;
+        }
+        true
+    };
+    tokio::time::timeout(std::time::Duration::from_millis(DISCARD_MS), whole).await.unwrap_or(false)
+}
+
 impl Request {
     pub fn make(
         parts: http::request::Parts,
         body: bytes::Bytes,
         route: &crate::table::Route,
+        authorization: crate::authorization::Authorization,
         seed: u64,
         born: u64,
     ) -> Request {
@@ -105,6 +128,7 @@
         for name in SYSTEM {
             head.remove(name);
         }
+        authorization.rewrite(&mut head);
         let spare = head.remove(DEFER).map(|press| if press == "near" { NEAR } else { IDLE });
         let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
@@ -126,6 +150,7 @@
             born,
             parts: list,
             keys,
+            authorization,
             spare,
         }
     }
--- /dev/null
+++ b/router/src/revocation_tests.rs
@@ -0,0 +1,180 @@
+//! Keys that are revoked, or pass to another tenant, while their clients are connected and their requests wait.
+use crate::stand_in::{answer, engines, events, held, not_executed, sealed, seen, Act, Engine, Seen, PROMPT};
+use crate::stand_in_router::{configure, post, router, status, Client};
+
+const KEYED: &str = "Authorization: Bearer k1\r\n";
+
+/// Brings a configuration into force in which tenant `one` has these keys and tenant `two` those.
+fn tenants(state: &crate::state::State, one: &[&str], two: &[&str]) {
+    let revision = state.table().revision + 1;
+    let table = serde_json::json!([{"name": "one", "api_keys": one}, {"name": "two", "api_keys": two}]);
+    configure(state, revision, serde_json::json!({"tenant_table": table}));
+}
+
+/// A router that the scripts of its engines can reach.
+type Cell = std::sync::Arc<std::sync::OnceLock<std::sync::Arc<crate::state::State>>>;
+
+/// Takes `k1` away: from everybody, or to give it to the other tenant.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Loss {
+    Revoked,
+    Moved,
+}
+
+impl Loss {
+    fn happen(self, cell: &Cell) {
+        let two: &[&str] = if self == Loss::Moved { &["k1", "k2"] } else { &["k2"] };
+        tenants(cell.get().expect("set"), &["k3"], two);
+    }
+}
+
+const LOSSES: [Loss; 2] = [Loss::Revoked, Loss::Moved];
+
+/// One request of a client whose key is lost as soon as an engine has got it: what the client gets, and what
+/// reached the readers and the makers.
+async fn lost_on_the_way(
+    loss: Loss,
+    route: &str,
+    more: &str,
+    first: fn(&Seen) -> Act,
+) -> (String, Vec<Seen>, Vec<Seen>) {
+    let cell = Cell::default();
+    let script = |cell: Cell| {
+        move |seen: &Seen, before: usize| {
+            if before == 0 {
+                loss.happen(&cell);
+                return first(seen);
+            }
+            Act::Send(events(seen, 1, 4, true))
+        }
+    };
+    let mut list = Vec::new();
+    if !more.is_empty() {
+        list.extend(engines("prefill", 1, script(cell.clone())).await);
+    }
+    let readers = list.len();
+    list.extend(engines("decode", 2, script(cell.clone())).await);
+    let state = router(&list);
+    tenants(&state, &["k1"], &["k2"]);
+    assert!(cell.set(state.clone()).is_ok());
+    let mut client = Client::connect(&state).await;
+    client.write(&post(route, "1", &format!("Connection: close\r\n{KEYED}{more}"))).await;
+    let text = client.rest().await;
+    (text, seen(&list[..readers]), seen(&list[readers..]))
+}
+
+#[tokio::test]
+async fn a_revoked_key_is_refused_on_a_connection_that_is_open() {
+    let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+    let state = router(&list);
+    tenants(&state, &["k1"], &["k2"]);
+    let mut client = Client::connect(&state).await;
+    client.write(&post("once", "1", KEYED)).await;
+    assert_eq!(status(&client.until("hello").await), "200");
+    tenants(&state, &[], &["k2"]);
+    client.write(&post("once", "2", KEYED)).await;
+    assert_eq!(status(&client.until("\r\n\r\n").await), "401");
+    client.write(&post("once", "3", "Authorization: Bearer k2\r\n")).await;
+    assert_eq!(status(&client.until("hello").await), "200");
+    tenants(&state, &["k1"], &["k2"]);
+    client.write(&post("once", "4", &format!("Connection: close\r\n{KEYED}"))).await;
+    assert_eq!(status(&client.rest().await), "200", "it was given back");
+    let attempts: Vec<_> = seen(&list).iter().map(|seen| seen.attempt().to_string()).collect();
+    assert_eq!(attempts, ["1", "3", "4"]);
+}
+
+#[tokio::test]
+async fn a_key_that_moved_names_its_new_tenant_from_the_next_request_on() {
+    let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+    let state = router(&list);
+    let mut client = Client::connect(&state).await;
+    for (one, two) in [(&["k1", "k3"][..], &["k2"][..]), (&["k3"], &["k2", "k1"]), (&["k1"], &["k2"])] {
+        tenants(&state, one, two);
+        client.write(&post("once", "1", KEYED)).await;
+        assert_eq!(status(&client.until("hello").await), "200");
+    }
+    let named: Vec<_> = seen(&list).iter().map(|seen| seen.header("tenant").unwrap_or("none").to_string()).collect();
+    assert_eq!(named, ["one", "two", "one"]);
+}
+
+#[tokio::test]
+async fn a_request_that_was_not_run_is_refused_before_another_engine_gets_it() {
+    for loss in LOSSES {
+        for route in ["once", "again", "stream", "resume"] {
+            let (text, _, made) = lost_on_the_way(loss, route, "", |seen| Act::Send(not_executed(seen))).await;
+            assert_eq!((status(&text), made.len()), ("503", 1), "{loss:?} on {route}: {text}");
+            assert!(text.to_lowercase().contains("retry-after"), "{text}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_have_run_goes_to_no_other_engine_and_is_promised_nothing() {
+    for loss in LOSSES {
+        for route in ["again", "resume"] {
+            let (text, _, made) = lost_on_the_way(loss, route, "", |_| Act::SendAndReset(String::new())).await;
+            assert_eq!((status(&text), made.len()), ("502", 1), "{loss:?} on {route}: {text}");
+        }
+    }
+}
+
+#[tokio::test]
+async fn an_engines_own_failure_is_passed_on_where_no_other_may_be_asked() {
+    for loss in LOSSES {
+        let failed = |seen: &Seen| Act::Send(sealed(seen.attempt(), "500 Internal Server Error", "why"));
+        let (text, _, made) = lost_on_the_way(loss, "again", "", failed).await;
+        assert_eq!((status(&text), made.len()), ("500", 1), "{loss:?}: {text}");
+        assert!(text.contains("seal-1") && text.ends_with("why"), "{text}");
+    }
+}
+
+#[tokio::test]
+async fn a_prompt_that_was_read_goes_to_no_maker_and_its_memory_is_given_free() {
+    for loss in LOSSES {
+        let (text, read, made) = lost_on_the_way(loss, "stream", PROMPT, |seen| Act::Send(held(seen))).await;
+        assert_eq!((status(&text), made.len()), ("503", 0), "{loss:?}: {text}");
+        assert_eq!(read[0].header("serving-phase"), Some("prefill"));
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_is_not_gone_on_with() {
+    for loss in LOSSES {
+        let first = |seen: &Seen| Act::SendAndReset(events(seen, 1, 3, false));
+        let (text, _, made) = lost_on_the_way(loss, "resume", "", first).await;
+        assert!(text.contains("token-2") && !text.contains("token-3"), "{loss:?}: {text}");
+        assert!(!text.ends_with("0\r\n\r\n"), "it must not look complete: {text}");
+        assert_eq!(made.len(), 1, "{loss:?}");
+    }
+}
+
+#[tokio::test]
+async fn a_stream_under_way_goes_on_to_its_end() {
+    let (text, _, made) =
+        lost_on_the_way(Loss::Revoked, "stream", "", |seen| Act::Send(events(seen, 1, 4, true))).await;
+    assert!(status(&text) == "200" && text.ends_with("0\r\n\r\n"), "{text}");
+    assert_eq!(made.len(), 1);
+}
+
+#[tokio::test]
+async fn a_request_whose_body_is_still_coming_is_judged_by_the_table_of_its_send() {
+    for loss in LOSSES {
+        let list: Vec<Engine> = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+        let cell = Cell::default();
+        let state = router(&list);
+        tenants(&state, &["k1"], &["k2"]);
+        assert!(cell.set(state.clone()).is_ok());
+        let mut client = Client::connect(&state).await;
+        let whole = post("once", "1", &format!("Connection: close\r\n{KEYED}"));
+        let (first, last) = whole.split_at(whole.len() - 2);
+        client.write(first).await;
+        // Admitted: the body is waited for.
+        while !state.table().seen.load(std::sync::atomic::Ordering::Relaxed) {
+            tokio::task::yield_now().await;
+        }
+        loss.happen(&cell);
+        client.write(last).await;
+        let text = client.rest().await;
+        assert_eq!((status(&text), seen(&list).len()), ("503", 0), "{loss:?}: {text}");
+    }
+}
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -113,6 +113,9 @@
         if !holds(state, service, &request.model, extra) {
             return Outcome::Unsent(crate::pool::SendError::Behind);
         }
+        if !request.authorization.holds(&state.table()) {
+            return Outcome::Unsent(crate::pool::SendError::Unauthorized);
+        }
         let reply = match tokio::time::timeout_at(end, connection.try_send_request(outgoing)).await {
             Err(_) => return Outcome::Lost,
             Ok(Ok(reply)) => reply,
--- a/router/src/stand_in.rs
+++ b/router/src/stand_in.rs
@@ -231,3 +231,19 @@
     }
     text
 }
+
+/// The header lines of a request whose prompt can be read by one engine and answered by another.
+pub const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
+
+/// The answer of an engine that has read a prompt; the handle is named after the request.
+pub fn held(seen: &Seen) -> String {
+    handle(seen.attempt(), seen.attempt())
+}
+
+pub fn handle(attempt: &str, id: &str) -> String {
+    let body = format!("{{\"kv_handle\":\"h{id}\",\"token_count\":150,\"revision\":1}}");
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nKeep-Alive: timeout=30\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -21,19 +21,31 @@
 /// One whose engines hold the memory of a prompt for so long.
 pub fn router_holding(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
     let state = crate::state::State::new(kernel::env::parse(SETTINGS).expect("good settings"));
-    let route = |name: &str, kind: &str, resumable: bool| {
-        serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "route_type": kind,
-            "timeout_ms": 20000, "target_ms": 1000, "retry_count": 2, "service": "s", "resumable": resumable})
-    };
-    let config = serde_json::json!({"revision": 1, "service_table": [{"name": "s", "engine": {"kv_hold_s": hold_s}}],
+    let service = serde_json::json!([{"name": "s", "engine": {"kv_hold_s": hold_s}}]);
+    configure(&state, 1, serde_json::json!({"service_table": service}));
+    list(&state, 1, engines);
+    state.ready.store(true, std::sync::atomic::Ordering::Relaxed);
+    state
+}
+
+/// Brings a whole configuration into force: the usual one, with the tables of `more` in place of its own.
+pub fn configure(state: &crate::state::State, revision: u64, more: serde_json::Value) {
+    let mut config = serde_json::json!({"revision": revision,
+        "service_table": [{"name": "s", "engine": {"kv_hold_s": 5.0}}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000},
         "route_table": [route("once", "non_idempotent", false), route("again", "idempotent", false),
             route("stream", "streaming", false), route("resume", "streaming", true)]});
-    crate::config::config(&state, 1, config.to_string().as_bytes());
-    list(&state, 1, engines);
-    state.ready.store(true, std::sync::atomic::Ordering::Relaxed);
-    state
+    let (tables, more) = (config.as_object_mut().expect("tables"), more.as_object().expect("tables").clone());
+    tables.extend(more);
+    crate::config::config(state, revision, config.to_string().as_bytes());
+    assert_eq!(state.table().revision, revision, "in force");
+}
+
+/// A route of the usual configuration; its paths begin with its name.
+pub fn route(name: &str, kind: &str, resumable: bool) -> serde_json::Value {
+    serde_json::json!({"name": name, "hostname": "h", "path_prefix": format!("/{name}/"), "route_type": kind,
+        "timeout_ms": 20000, "target_ms": 1000, "retry_count": 2, "service": "s", "resumable": resumable})
 }
 
 /// Tells the router which engines there are.
--- a/router/src/table.rs
+++ b/router/src/table.rs
@@ -19,6 +19,8 @@
     pub tries: u32,
     pub targets: Vec<(u32, u64)>,
     pub homes: Vec<String>,
+    /// Served without a key.
+    pub anonymous: bool,
 }
 
 impl Route {
@@ -44,6 +46,7 @@
     hosts: std::collections::HashMap<std::sync::Arc<str>, Vec<std::sync::Arc<Route>>>,
     names: std::collections::HashMap<std::sync::Arc<str>, std::sync::Arc<str>>,
     pub services: std::collections::HashMap<u32, Service>,
+    pub tenants: std::sync::Arc<crate::tenants::Tenants>,
     pub header_bytes: usize,
     pub body_bytes: usize,
     pub header_ms: u64,
@@ -68,6 +71,7 @@
         tries: item.retry_count.max(1),
         targets: targets.collect(),
         homes: item.allowed_regions.clone(),
+        anonymous: item.anonymous,
     }
 }
 
@@ -92,6 +96,7 @@
             body_bytes: change.limits.max_body_bytes as usize,
             header_ms: change.limits.header_timeout_ms,
             idle_ms: change.limits.idle_timeout_ms,
+            tenants: crate::tenants::Tenants::after(&self.tenants, change),
             ..Table::default()
         };
         if change.from != 0 {
@@ -127,10 +132,15 @@
         }
     }
 
-    pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
+    pub fn find(&self, host: &str, path: &str) -> Option<&std::sync::Arc<Route>> {
         let host = host.to_ascii_lowercase();
         let list = self.hosts.get(host.as_str()).or_else(|| self.hosts.get(host.rsplit_once(':')?.0))?;
-        list.iter().find(|route| path.starts_with(&route.prefix)).map(std::sync::Arc::as_ref)
+        list.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    pub fn route(&self, name: &str) -> Option<&std::sync::Arc<Route>> {
+        let list = self.hosts.get(self.names.get(name)?)?;
+        list.iter().find(|route| route.name == name)
     }
 }
 
--- /dev/null
+++ b/router/src/tenants.rs
@@ -0,0 +1,112 @@
+//! The tenants of the configuration in force, found by the digests of their keys.
+
+/// The digest of an API key. Keys are secrets: the clear text is not held, and a digest is not shown either,
+/// since a weak key can be guessed from it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    pub fn of(key: &[u8]) -> KeyDigest {
+        use sha2::Digest;
+        KeyDigest(sha2::Sha256::digest(key).into())
+    }
+}
+
+impl std::fmt::Debug for KeyDigest {
+    fn fmt(&self, out: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        out.write_str("KeyDigest(..)")
+    }
+}
+
+/// One tenant, as far as requests are served by it. Its quota (`rate_per_s`, `burst_size`) is not enforced yet.
+#[derive(Debug)]
+pub struct Tenant {
+    pub name: String,
+    /// Its name as engines are told. None: no header can carry it.
+    pub header: Option<http::HeaderValue>,
+    /// Takes precedence over the priority of a route.
+    pub priority: Option<u32>,
+    /// The regions that its requests may go to; empty: all.
+    pub homes: Vec<String>,
+    keys: Vec<KeyDigest>,
+}
+
+impl Tenant {
+    fn new(item: &wire::config::Tenant) -> Tenant {
+        Tenant {
+            name: item.name.clone(),
+            header: http::HeaderValue::from_bytes(item.name.as_bytes()).ok(),
+            priority: item.priority,
+            homes: item.allowed_regions.clone(),
+            keys: item.api_keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect(),
+        }
+    }
+}
+
+/// All tenants. Invariant: `by_key` holds the keys of those in `by_name` and no others.
+#[derive(Debug, Default)]
+pub struct Tenants {
+    by_name: std::collections::BTreeMap<String, std::sync::Arc<Tenant>>,
+    by_key: std::collections::HashMap<KeyDigest, Holder>,
+}
+
+/// Who holds a key.
+#[derive(Debug)]
+enum Holder {
+    One(std::sync::Arc<Tenant>),
+    /// Several tenants do, which no valid configuration has: the key tells nobody apart and counts as unknown.
+    Several,
+}
+
+impl Tenants {
+    /// Does the configuration have tenants, so that requests need a key?
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// The tenant that holds a key. None: the key is unknown.
+    pub fn holder(&self, key: &KeyDigest) -> Option<&std::sync::Arc<Tenant>> {
+        match self.by_key.get(key)? {
+            Holder::One(tenant) => Some(tenant),
+            Holder::Several => None,
+        }
+    }
+
+    /// The tenants after a change: those that it removes are gone, those that it names stand as it has them.
+    pub fn after(held: &std::sync::Arc<Tenants>, change: &wire::change::Change) -> std::sync::Arc<Tenants> {
+        let whole = change.from == 0;
+        if !whole && change.tenants.is_empty() && change.gone_tenants.is_empty() {
+            return held.clone();
+        }
+        let mut by_name = if whole { Default::default() } else { held.by_name.clone() };
+        for name in &change.gone_tenants {
+            by_name.remove(name);
+        }
+        for item in &change.tenants {
+            by_name.insert(item.name.clone(), std::sync::Arc::new(Tenant::new(item)));
+        }
+        std::sync::Arc::new(Tenants { by_key: holders(by_name.values()), by_name })
+    }
+}
+
+/// The holder of each key. Made anew from all tenants with each change of one: a key that moves from one tenant to
+/// another is then its new holder's whatever the order in which a change names them.
+fn holders<'a>(
+    tenants: impl Iterator<Item = &'a std::sync::Arc<Tenant>>,
+) -> std::collections::HashMap<KeyDigest, Holder> {
+    let mut by_key = std::collections::HashMap::new();
+    // A tenant whose name no header can carry can't be named to engines: its keys stay unknown.
+    for tenant in tenants.filter(|tenant| tenant.header.is_some()) {
+        for key in &tenant.keys {
+            let holder = by_key.entry(*key).or_insert_with(|| Holder::One(tenant.clone()));
+            if matches!(holder, Holder::One(other) if !std::sync::Arc::ptr_eq(other, tenant)) {
+                *holder = Holder::Several;
+            }
+        }
+    }
+    by_key
+}
+
+#[cfg(test)]
+#[path = "tenants_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/tenants_tests.rs
@@ -0,0 +1,150 @@
+use super::{KeyDigest, Tenants};
+use std::sync::Arc;
+
+type Item<'a> = (&'a str, Vec<&'a str>);
+
+fn config(revision: u64, tenants: &[Item]) -> wire::config::Config {
+    let tenant = |(name, keys): &Item| serde_json::json!({"name": name, "api_keys": keys});
+    let text = serde_json::json!({"revision": revision, "service_table": [{"name": "s"}],
+        "route_table": [{"name": "r", "hostname": "h", "path_prefix": "/", "route_type": "streaming", "timeout_ms": 5,
+            "service": "s"}],
+        "tenant_table": tenants.iter().map(tenant).collect::<Vec<_>>()});
+    wire::config::read(&text.to_string()).expect("good")
+}
+
+fn whole(config: &wire::config::Config) -> Arc<Tenants> {
+    Tenants::after(&Arc::default(), &wire::change::Change::whole(config))
+}
+
+fn holder(tenants: &Tenants, key: &str) -> Option<String> {
+    tenants.holder(&KeyDigest::of(key.as_bytes())).map(|tenant| tenant.name.clone())
+}
+
+/// The tenants after the change from one list to another, as routers get it.
+fn after(old: &[Item], new: &[Item]) -> Arc<Tenants> {
+    let (old, new) = (config(1, old), config(2, new));
+    Tenants::after(&whole(&old), &wire::change::Change::between(&old, &new))
+}
+
+#[test]
+fn each_key_is_its_tenants() {
+    let tenants = whole(&config(1, &[("one", vec!["k1", "k2"]), ("two", vec!["k3"]), ("none", vec![])]));
+    let found: Vec<_> = ["k1", "k2", "k3", "k4", "", "K1"].iter().map(|key| holder(&tenants, key)).collect();
+    let name = |name: &str| Some(name.to_string());
+    assert_eq!(found, [name("one"), name("one"), name("two"), None, None, None]);
+    assert!(!tenants.is_empty());
+    assert!(whole(&config(1, &[])).is_empty());
+}
+
+#[test]
+fn a_key_that_moves_to_another_tenant_in_one_change_is_that_ones() {
+    for (from, to) in [("a", "b"), ("b", "a")] {
+        let tenants =
+            after(&[(from, vec!["moves", "stays"]), (to, vec![])], &[(from, vec!["stays"]), (to, vec!["moves"])]);
+        assert_eq!(holder(&tenants, "moves").as_deref(), Some(to));
+        assert_eq!(holder(&tenants, "stays").as_deref(), Some(from));
+        // Its old holder may leave in the same change, and so may the new one come.
+        let tenants = after(&[(from, vec!["moves"])], &[(to, vec!["moves"])]);
+        assert_eq!(holder(&tenants, "moves").as_deref(), Some(to));
+    }
+}
+
+#[test]
+fn two_tenants_may_exchange_their_keys() {
+    let tenants = after(&[("a", vec!["x"]), ("b", vec!["y"])], &[("a", vec!["y"]), ("b", vec!["x"])]);
+    assert_eq!((holder(&tenants, "x").as_deref(), holder(&tenants, "y").as_deref()), (Some("b"), Some("a")));
+}
+
+#[test]
+fn a_tenant_that_was_removed_and_added_again_has_its_new_keys_only() {
+    let first = config(1, &[("a", vec!["old"]), ("b", vec!["other"])]);
+    let (second, third) = (config(2, &[("b", vec!["other"])]), config(3, &[("a", vec!["new"]), ("b", vec!["other"])]));
+    let removed = Tenants::after(&whole(&first), &wire::change::Change::between(&first, &second));
+    assert_eq!(holder(&removed, "old"), None);
+    let added = Tenants::after(&removed, &wire::change::Change::between(&second, &third));
+    let found = ["old", "new", "other"].map(|key| holder(&added, key));
+    assert_eq!(found, [None, Some("a".to_string()), Some("b".to_string())]);
+}
+
+#[test]
+fn the_last_tenant_that_leaves_takes_the_need_for_a_key_with_it() {
+    assert!(after(&[("a", vec!["k"])], &[]).is_empty());
+}
+
+#[test]
+fn a_whole_configuration_leaves_nothing_of_the_one_before() {
+    let held = whole(&config(1, &[("a", vec!["old"])]));
+    let change = wire::change::Change::whole(&config(2, &[("b", vec!["new"])]));
+    let tenants = Tenants::after(&held, &change);
+    assert_eq!((holder(&tenants, "old"), holder(&tenants, "new").as_deref()), (None, Some("b")));
+}
+
+#[test]
+fn a_change_without_tenants_shares_those_that_are_held() {
+    let (old, new) = (config(1, &[("a", vec!["k"])]), config(2, &[("a", vec!["k"])]));
+    let held = whole(&old);
+    assert!(Arc::ptr_eq(&held, &Tenants::after(&held, &wire::change::Change::between(&old, &new))));
+}
+
+#[test]
+fn a_chain_of_changes_gives_the_tenants_that_the_whole_gives() {
+    let mut dice = kernel::clock::Dice::new(11);
+    let keys: Vec<String> = (0..20).map(|at| format!("key-{at}")).collect();
+    let names = ["a", "b", "c", "d", "e"];
+    let mut held = config(1, &[]);
+    let mut tenants = whole(&held);
+    for revision in 2..300 {
+        // Each tenant is there or not; each key is one tenant's or nobody's.
+        let mut list: Vec<Item> = names.iter().filter(|_| dice.below(4) > 0).map(|name| (*name, vec![])).collect();
+        for key in &keys {
+            let at = dice.below(names.len() as u64 + 1) as usize;
+            if let Some((_, held)) = list.get_mut(at) {
+                held.push(key);
+            }
+        }
+        let next = config(revision, &list);
+        tenants = Tenants::after(&tenants, &wire::change::Change::between(&held, &next));
+        let expected = whole(&next);
+        for key in &keys {
+            assert_eq!(holder(&tenants, key), holder(&expected, key), "revision {revision}, {key}");
+        }
+        assert_eq!(tenants.is_empty(), expected.is_empty());
+        held = next;
+    }
+}
+
+#[test]
+fn a_key_that_several_tenants_hold_is_nobodys() {
+    // No valid configuration has one: the change is made by hand.
+    let mut change = wire::change::Change::whole(&config(1, &[("a", vec!["own", "shared"]), ("b", vec![])]));
+    change.tenants[1].api_keys = vec!["shared".into()];
+    let tenants = Tenants::after(&Arc::default(), &change);
+    assert_eq!((holder(&tenants, "own").as_deref(), holder(&tenants, "shared")), (Some("a"), None));
+    // Its own key named twice is still its own.
+    change.tenants[1].api_keys = vec!["twice".into(), "twice".into()];
+    let tenants = Tenants::after(&Arc::default(), &change);
+    assert_eq!(holder(&tenants, "twice").as_deref(), Some("b"));
+}
+
+#[test]
+fn a_tenant_whose_name_no_header_can_carry_is_not_served() {
+    let mut change = wire::change::Change::whole(&config(1, &[("a", vec!["k"]), ("b", vec!["other"])]));
+    change.tenants[0].name = "a\r\nTenant: b".into();
+    let tenants = Tenants::after(&Arc::default(), &change);
+    assert_eq!((holder(&tenants, "k"), holder(&tenants, "other").as_deref()), (None, Some("b")));
+    assert!(!tenants.is_empty());
+}
+
+#[test]
+fn nothing_that_is_printed_holds_a_key_or_its_digest() {
+    let key = "x42q492cqf75rjvz48wu";
+    let tenants = whole(&config(1, &[("a", vec![key])]));
+    let text = format!("{tenants:?}");
+    assert!(text.contains("KeyDigest(..)"), "{text}");
+    let KeyDigest(digest) = KeyDigest::of(key.as_bytes());
+    for shown in
+        [key.to_string(), format!("{digest:?}"), format!("{:02x}{:02x}{:02x}", digest[0], digest[1], digest[2])]
+    {
+        assert!(!text.contains(&shown), "{text}");
+    }
+}
--- a/wire/src/word.rs
+++ b/wire/src/word.rs
@@ -15,3 +15,5 @@
 pub const WEIGHTS: &str = "weight-versions";
 pub const MODEL: &str = "model";
 pub const INSTANCE: &str = "instance-id";
+/// The name of the tenant that holds the client's key; set by the system alone.
+pub const TENANT: &str = "tenant";
