--- a/router/src/revocation_tests.rs
+++ b/router/src/revocation_tests.rs
@@ -30,14 +30,15 @@
 
 const LOSSES: [Loss; 2] = [Loss::Revoked, Loss::Moved];
 
-/// One request of a client whose key is lost as soon as an engine has got it: what the client gets, and what
-/// reached the readers and the makers.
-async fn lost_on_the_way(
-    loss: Loss,
-    route: &str,
-    more: &str,
-    first: fn(&Seen) -> Act,
-) -> (String, Vec<Seen>, Vec<Seen>) {
+/// What came of one request whose key is lost as soon as an engine has got it.
+struct Played {
+    /// What the client got.
+    text: String,
+    readers: Vec<Engine>,
+    makers: Vec<Engine>,
+}
+
+async fn lost_on_the_way(loss: Loss, route: &str, more: &str, first: fn(&Seen) -> Act) -> Played {
     let cell = Cell::default();
     let script = |cell: Cell| {
         move |seen: &Seen, before: usize| {
@@ -48,19 +49,27 @@
             Act::Send(events(seen, 1, 4, true))
         }
     };
-    let mut list = Vec::new();
+    let mut readers = Vec::new();
     if !more.is_empty() {
-        list.extend(engines("prefill", 1, script(cell.clone())).await);
+        readers = engines("prefill", 1, script(cell.clone())).await;
     }
-    let readers = list.len();
-    list.extend(engines("decode", 2, script(cell.clone())).await);
+    let mut list = engines("decode", 2, script(cell.clone())).await;
+    list.append(&mut readers);
     let state = router(&list);
     tenants(&state, &["k1"], &["k2"]);
     assert!(cell.set(state.clone()).is_ok());
     let mut client = Client::connect(&state).await;
     client.write(&post(route, "1", &format!("Connection: close\r\n{KEYED}{more}"))).await;
     let text = client.rest().await;
-    (text, seen(&list[..readers]), seen(&list[readers..]))
+    let readers = list.split_off(2);
+    Played { text, readers, makers: list }
+}
+
+impl Played {
+    /// The status that the client got, and how many requests the makers did.
+    fn outcome(&self) -> (&str, usize) {
+        (status(&self.text), seen(&self.makers).len())
+    }
 }
 
 #[tokio::test]
@@ -101,9 +110,9 @@
 async fn a_request_that_was_not_run_is_refused_before_another_engine_gets_it() {
     for loss in LOSSES {
         for route in ["once", "again", "stream", "resume"] {
-            let (text, _, made) = lost_on_the_way(loss, route, "", |seen| Act::Send(not_executed(seen))).await;
-            assert_eq!((status(&text), made.len()), ("503", 1), "{loss:?} on {route}: {text}");
-            assert!(text.to_lowercase().contains("retry-after"), "{text}");
+            let played = lost_on_the_way(loss, route, "", |seen| Act::Send(not_executed(seen))).await;
+            assert_eq!(played.outcome(), ("503", 1), "{loss:?} on {route}: {}", played.text);
+            assert!(played.text.to_lowercase().contains("retry-after"), "{}", played.text);
         }
     }
 }
@@ -112,8 +121,8 @@
 async fn a_request_that_may_have_run_goes_to_no_other_engine_and_is_promised_nothing() {
     for loss in LOSSES {
         for route in ["again", "resume"] {
-            let (text, _, made) = lost_on_the_way(loss, route, "", |_| Act::SendAndReset(String::new())).await;
-            assert_eq!((status(&text), made.len()), ("502", 1), "{loss:?} on {route}: {text}");
+            let played = lost_on_the_way(loss, route, "", |_| Act::SendAndReset(String::new())).await;
+            assert_eq!(played.outcome(), ("502", 1), "{loss:?} on {route}: {}", played.text);
         }
     }
 }
@@ -122,18 +131,23 @@
 async fn an_engines_own_failure_is_passed_on_where_no_other_may_be_asked() {
     for loss in LOSSES {
         let failed = |seen: &Seen| Act::Send(sealed(seen.attempt(), "500 Internal Server Error", "why"));
-        let (text, _, made) = lost_on_the_way(loss, "again", "", failed).await;
-        assert_eq!((status(&text), made.len()), ("500", 1), "{loss:?}: {text}");
-        assert!(text.contains("seal-1") && text.ends_with("why"), "{text}");
+        let played = lost_on_the_way(loss, "again", "", failed).await;
+        assert_eq!(played.outcome(), ("500", 1), "{loss:?}: {}", played.text);
+        assert!(played.text.contains("seal-1") && played.text.ends_with("why"), "{}", played.text);
     }
 }
 
 #[tokio::test]
 async fn a_prompt_that_was_read_goes_to_no_maker_and_its_memory_is_given_free() {
     for loss in LOSSES {
-        let (text, read, made) = lost_on_the_way(loss, "stream", PROMPT, |seen| Act::Send(held(seen))).await;
-        assert_eq!((status(&text), made.len()), ("503", 0), "{loss:?}: {text}");
+        let played = lost_on_the_way(loss, "stream", PROMPT, |seen| Act::Send(held(seen))).await;
+        assert_eq!(played.outcome(), ("503", 0), "{loss:?}: {}", played.text);
+        while played.readers[0].seen().len() < 2 {
+            tokio::task::yield_now().await;
+        }
+        let read = played.readers[0].seen();
         assert_eq!(read[0].header("serving-phase"), Some("prefill"));
+        assert!(read[1].head.starts_with("DELETE /kv-handle/h1 "), "{}", read[1].head);
     }
 }
 
@@ -141,40 +155,76 @@
 async fn a_stream_that_breaks_off_is_not_gone_on_with() {
     for loss in LOSSES {
         let first = |seen: &Seen| Act::SendAndReset(events(seen, 1, 3, false));
-        let (text, _, made) = lost_on_the_way(loss, "resume", "", first).await;
+        let Played { text, makers, .. } = lost_on_the_way(loss, "resume", "", first).await;
         assert!(text.contains("token-2") && !text.contains("token-3"), "{loss:?}: {text}");
         assert!(!text.ends_with("0\r\n\r\n"), "it must not look complete: {text}");
-        assert_eq!(made.len(), 1, "{loss:?}");
+        assert_eq!(seen(&makers).len(), 1, "{loss:?}");
     }
 }
 
 #[tokio::test]
 async fn a_stream_under_way_goes_on_to_its_end() {
-    let (text, _, made) =
-        lost_on_the_way(Loss::Revoked, "stream", "", |seen| Act::Send(events(seen, 1, 4, true))).await;
-    assert!(status(&text) == "200" && text.ends_with("0\r\n\r\n"), "{text}");
-    assert_eq!(made.len(), 1);
+    let played = lost_on_the_way(Loss::Revoked, "stream", "", |seen| Act::Send(events(seen, 1, 4, true))).await;
+    assert_eq!(played.outcome(), ("200", 1));
+    assert!(played.text.ends_with("0\r\n\r\n"), "{}", played.text);
+}
+
+/// Two readers and a maker that would answer anything.
+async fn willing() -> Vec<Engine> {
+    let mut list = engines("prefill", 2, |seen, _| Act::Send(held(seen))).await;
+    list.extend(engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await);
+    list
 }
 
 #[tokio::test]
 async fn a_request_whose_body_is_still_coming_is_judged_by_the_table_of_its_send() {
     for loss in LOSSES {
-        let list: Vec<Engine> = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+        for more in ["", PROMPT] {
+            let list = willing().await;
+            let cell = Cell::default();
+            let state = router(&list);
+            tenants(&state, &["k1"], &["k2"]);
+            assert!(cell.set(state.clone()).is_ok());
+            let mut client = Client::connect(&state).await;
+            let whole = post("stream", "1", &format!("Connection: close\r\n{KEYED}{more}"));
+            let (first, last) = whole.split_at(whole.len() - 2);
+            client.write(first).await;
+            // Admitted: the body is waited for.
+            while !state.table().seen.load(std::sync::atomic::Ordering::Relaxed) {
+                tokio::task::yield_now().await;
+            }
+            loss.happen(&cell);
+            client.write(last).await;
+            let text = client.rest().await;
+            assert_eq!((status(&text), seen(&list).len()), ("503", 0), "{loss:?}: {text}");
+        }
+    }
+}
+
+/// A request as it was admitted under the table of the moment.
+fn admitted(state: &crate::state::State) -> crate::request::Request {
+    let request = http::Request::post("/once/x").header("authorization", "Bearer k1").body(()).expect("good");
+    let (parts, ()) = request.into_parts();
+    let table = state.table();
+    let route = table.find("h", "/once/x").expect("there");
+    let key = crate::authorization::key(&parts.headers);
+    let authorization = crate::authorization::Authorization::grant(&table, route, key).expect("granted");
+    crate::request::Request::make(parts, bytes::Bytes::new(), route, authorization, 0, kernel::clock::now())
+}
+
+#[tokio::test]
+async fn a_key_that_is_lost_while_a_connection_is_made_stops_the_send() {
+    for loss in LOSSES {
+        let list = willing().await;
         let cell = Cell::default();
         let state = router(&list);
-        tenants(&state, &["k1"], &["k2"]);
         assert!(cell.set(state.clone()).is_ok());
-        let mut client = Client::connect(&state).await;
-        let whole = post("once", "1", &format!("Connection: close\r\n{KEYED}"));
-        let (first, last) = whole.split_at(whole.len() - 2);
-        client.write(first).await;
-        // Admitted: the body is waited for.
-        while !state.table().seen.load(std::sync::atomic::Ordering::Relaxed) {
-            tokio::task::yield_now().await;
-        }
+        tenants(&state, &["k1"], &["k2"]);
+        let request = admitted(&state);
         loss.happen(&cell);
-        client.write(last).await;
-        let text = client.rest().await;
-        assert_eq!((status(&text), seen(&list).len()), ("503", 0), "{loss:?}: {text}");
+        let to = crate::pool::Endpoint { addr: list[2].addr.clone(), engine: list[2].id.clone() };
+        let outcome = crate::send::send(&state, &request, 0, &to, 1, &Default::default(), 1000).await;
+        assert!(matches!(outcome, crate::send::Outcome::Unsent(crate::pool::SendError::Unauthorized)), "{loss:?}");
+        assert_eq!(seen(&list).len(), 0);
     }
 }
--- a/router/src/tenant_requests_tests.rs
+++ b/router/src/tenant_requests_tests.rs
@@ -172,6 +172,18 @@
     assert_eq!(status(&ask(&state, "once", "2", "Authorization: Bearer near\r\n").await), "200");
 }
 
+#[tokio::test]
+async fn a_zone_is_closed_where_it_is_outside_one_of_the_lists_of_homes() {
+    let state = router(&[]);
+    let (inside, outside, none) = (&["q".into(), "r".into()][..], &["q".into()][..], &[][..]);
+    for open in [[none, none], [inside, none], [none, inside], [inside, inside]] {
+        assert!(crate::plan::closed_zones(&state, open).is_empty(), "{open:?}");
+    }
+    for closed in [[outside, none], [none, outside], [inside, outside], [outside, inside]] {
+        assert_eq!(crate::plan::closed_zones(&state, closed), [state.zone], "{closed:?}");
+    }
+}
+
 /// What a connection answers: a refused request, and a good one behind it.
 async fn refused_then_served(pieces: &[&str]) -> String {
     let list = good_engines().await;
