--- /dev/null
+++ b/router/src/admission_tests.rs
@@ -0,0 +1,53 @@
+//! Refusals that rest on what the configuration lacks, where it is not known to be current.
+use crate::stand_in::{answer, engines, seen, Act, Engine};
+use crate::stand_in_router::{ask, configure, post, status, unproved_router, Client};
+
+const KEYED: &str = "Authorization: Bearer k1\r\n";
+
+async fn good_engines() -> Vec<Engine> {
+    engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await
+}
+
+/// Brings a configuration into force in which the one tenant has these keys.
+fn keys(state: &crate::state::State, keys: &[&str]) {
+    let revision = state.table().revision + 1;
+    configure(state, revision, serde_json::json!({"tenant_table": [{"name": "one", "api_keys": keys}]}));
+}
+
+#[tokio::test]
+async fn a_key_or_route_that_may_only_be_late_is_refused_with_a_promise() {
+    let list = good_engines().await;
+    let state = unproved_router(&list, 5.0);
+    keys(&state, &["k2"]);
+    for route in ["once", "gone"] {
+        let text = ask(&state, route, "1", &format!("Time-Budget: 60\r\n{KEYED}")).await;
+        assert_eq!(status(&text), "503", "{route}: {text}");
+        assert!(text.to_lowercase().contains("retry-after"), "{text}");
+    }
+    state.currency.prove(i64::MAX);
+    for (route, expected) in [("once", "401"), ("gone", "404")] {
+        assert_eq!(status(&ask(&state, route, "1", KEYED).await), expected);
+    }
+    assert_eq!(seen(&list).len(), 0);
+}
+
+#[tokio::test]
+async fn a_key_that_comes_while_its_request_waits_is_served() {
+    let list = good_engines().await;
+    let state = unproved_router(&list, 5.0);
+    keys(&state, &["k2"]);
+    let mut client = Client::connect(&state).await;
+    client.write(&post("once", "1", &format!("Connection: close\r\n{KEYED}"))).await;
+    state.currency.wanted().await;
+    keys(&state, &["k1"]);
+    let text = client.rest().await;
+    assert_eq!((status(&text), seen(&list).len()), ("200", 1), "{text}");
+}
+
+#[tokio::test]
+async fn a_key_that_is_known_needs_no_proof() {
+    let list = good_engines().await;
+    let state = unproved_router(&list, 5.0);
+    keys(&state, &["k1"]);
+    assert_eq!(status(&ask(&state, "once", "1", KEYED).await), "200");
+}
--- a/router/src/authorization.rs
+++ b/router/src/authorization.rs
@@ -50,6 +50,10 @@
         }
     }
 
+    pub fn route(&self) -> &std::sync::Arc<crate::table::Route> {
+        &self.route
+    }
+
     /// The rank of the request: its tenant's, else its route's.
     pub fn priority(&self) -> u32 {
         self.tenant.as_ref().and_then(|tenant| tenant.priority).unwrap_or(self.route.priority)
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,6 +3,7 @@
 mod authorization;
 pub mod boot;
 mod config;
+mod currency;
 mod doubt;
 mod evacuation;
 mod event;
@@ -10,6 +11,12 @@
 mod failure;
 mod feed;
 mod follow;
+mod follow_absorb;
+mod follow_links;
+pub mod following;
+pub mod following_answer;
+mod following_candidates;
+mod following_pace;
 mod frames;
 mod fresh;
 mod halves;
@@ -27,9 +34,22 @@
 mod tenants;
 mod verdict;
 
+#[cfg(test)]
+mod following_single_home;
+
+#[cfg(test)]
+mod following_world;
+
+#[cfg(test)]
+#[path = "following_storm_tests.rs"]
+mod following_storm_tests;
+
 #[cfg(test)]
 mod stand_in;
 
+#[cfg(test)]
+mod stand_in_keeper;
+
 #[cfg(test)]
 mod stand_in_router;
 
--- a/router/src/request.rs
+++ b/router/src/request.rs
@@ -121,7 +121,6 @@
     pub fn make(
         parts: http::request::Parts,
         body: bytes::Bytes,
-        route: &crate::table::Route,
         authorization: crate::authorization::Authorization,
         seed: u64,
         born: u64,
@@ -134,7 +133,8 @@
         }
         authorization.rewrite(&mut head);
         let spare = head.remove(DEFER).map(|press| if press == "near" { NEAR } else { IDLE });
-        let wait = number(&head, wire::word::BUDGET).unwrap_or(route.timeout_ms).min(route.timeout_ms);
+        let most = authorization.route().timeout_ms;
+        let wait = number(&head, wire::word::BUDGET).unwrap_or(most).min(most);
         let text = head.get(wire::word::PREFIX).and_then(|value| value.to_str().ok());
         let list = text.and_then(catalog::parts).unwrap_or_default();
         let model = head.get(wire::word::MODEL).map_or(&b""[..], http::HeaderValue::as_bytes);
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -2,7 +2,7 @@
 use crate::stand_in::Engine;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-const SETTINGS: &str = r#"
+pub const SETTINGS: &str = r#"
 node_name = "edge-1"
 ip = "127.0.0.1"
 zone = "a"
@@ -20,6 +20,14 @@
 
 /// One whose engines hold the memory of a prompt for so long.
 pub fn router_holding(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
+    let state = unproved_router(engines, hold_s);
+    // Nothing is ever in force in these tests that this router does not hold.
+    state.currency.prove(i64::MAX);
+    state
+}
+
+/// One that does not know whether its configuration is current.
+pub fn unproved_router(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
     let state = crate::state::State::new(kernel::env::parse(SETTINGS).expect("good settings"));
     let service = serde_json::json!([{"name": "s", "engine": {"kv_hold_s": hold_s}}]);
     configure(&state, 1, serde_json::json!({"service_table": service}));
