--- a/router/src/admission_tests.rs
+++ b/router/src/admission_tests.rs
@@ -38,7 +38,8 @@
     keys(&state, &["k2"]);
     let mut client = Client::connect(&state).await;
     client.write(&post("once", "1", &format!("Connection: close\r\n{KEYED}"))).await;
-    state.currency.wanted().await;
+    let asked = std::time::Duration::from_secs(10);
+    tokio::time::timeout(asked, state.currency.wanted()).await.expect("the proof is asked for");
     keys(&state, &["k1"]);
     let text = client.rest().await;
     assert_eq!((status(&text), seen(&list).len()), ("200", 1), "{text}");
