--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -17,7 +17,7 @@
             Ok(reply) => reply,
             Err(failure) => crate::failure::write(failure, state.leaving()),
         },
-        Err(failure) => crate::failure::write(failure, leaving),
+        Err(rejection) => crate::failure::write(rejection.failure, leaving || rejection.ends),
     }
 }
 
@@ -35,29 +35,77 @@
     }
 }
 
-/// The table in force that has a route for a request. That there is none is said only by a table that is proved
-/// to be current.
-async fn table_with_route(
-    state: &crate::state::State,
-    host: &str,
+/// A request that is not let in.
+struct Rejection {
+    failure: crate::failure::Failure,
+    /// Its body was not read to the end: the connection can't go on.
+    ends: bool,
+}
+
+impl From<crate::failure::Failure> for Rejection {
+    fn from(failure: crate::failure::Failure) -> Rejection {
+        Rejection { failure, ends: false }
+    }
+}
+
+/// Rejects a request whose body is not needed. What of it has not been read yet is read and thrown away, so that the
+/// next request on the connection is found where it begins.
+async fn reject(
+    failure: crate::failure::Failure,
     parts: &http::request::Parts,
-) -> Result<std::sync::Arc<crate::table::Table>, crate::failure::Failure> {
+    body: Option<hyper::body::Incoming>,
+) -> Rejection {
+    // A client that asks before it sends its body is not told to send it.
+    let asks = parts.headers.contains_key(http::header::EXPECT);
+    let read = match body {
+        Some(body) => !asks && crate::request::discard(body).await,
+        None => true,
+    };
+    Rejection { failure, ends: !read }
+}
+
+/// What lets a request in: the table of that moment, and the route and tenant that it has for the request.
+struct Admitted {
+    table: std::sync::Arc<crate::table::Table>,
+    authorization: crate::authorization::Authorization,
+}
+
+/// Judges a request by one table: the route first, since it says whether a key is needed.
+fn judge(
+    table: &crate::table::Table,
+    parts: &http::request::Parts,
+    key: Option<crate::tenants::KeyDigest>,
+) -> Result<crate::authorization::Authorization, crate::failure::Failure> {
+    let host = parts.headers.get(http::header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
+    let route = table.find(host, parts.uri.path()).ok_or(crate::failure::Failure::NoRoute)?;
+    let granted = crate::authorization::Authorization::grant(table, route, key);
+    granted.map_err(|crate::authorization::UnknownKey| crate::failure::Failure::Unauthorized)
+}
+
+/// Judges a request by the table in force. That there is no such route or no such key is said only by a table that is
+/// proved to be current.
+async fn admit(state: &crate::state::State, parts: &http::request::Parts) -> Result<Admitted, crate::failure::Failure> {
     let left_ms = crate::request::number(&parts.headers, wire::word::BUDGET).unwrap_or(EARLY_MS);
-    let has_route = |table: &crate::table::Table| table.find(host, parts.uri.path()).is_some();
-    crate::currency::table_with(state, left_ms, has_route).await.map_err(|miss| match miss {
-        crate::currency::Miss::Certain => crate::failure::Failure::NoRoute,
-        crate::currency::Miss::Unproved => crate::failure::Failure::Refused(RETRY_MS),
-    })
+    let key = crate::authorization::key(&parts.headers);
+    let accepts = |table: &crate::table::Table| judge(table, parts, key).is_ok();
+    let table = match crate::currency::table_with(state, left_ms, accepts).await {
+        Ok(table) => table,
+        Err(crate::currency::Miss::Unproved) => return Err(crate::failure::Failure::Refused(RETRY_MS)),
+        // The proof holds for this table as well: it is the same or a newer one.
+        Err(crate::currency::Miss::Certain) => state.table(),
+    };
+    let authorization = judge(&table, parts, key)?;
+    Ok(Admitted { table, authorization })
 }
 
 async fn enter(
     state: &std::sync::Arc<crate::state::State>,
     incoming: http::Request<hyper::body::Incoming>,
-) -> Result<crate::exchange::Exchange, crate::failure::Failure> {
+) -> Result<crate::exchange::Exchange, Rejection> {
     let born = kernel::clock::now();
     let (parts, body) = incoming.into_parts();
     if !crate::request::sound(&parts.headers) {
-        return Err(crate::failure::Failure::Malformed);
+        return Err(crate::failure::Failure::Malformed.into());
     }
     let mut body = Some(body);
     let mut whole = None;
@@ -70,41 +118,55 @@
     }
     let table = state.table();
     if table.revision == 0 {
-        return Err(crate::failure::Failure::Refused(RETRY_MS));
+        return Err(crate::failure::Failure::Refused(RETRY_MS).into());
     }
     if !table.seen.swap(true, std::sync::atomic::Ordering::Relaxed) {
         kernel::say!(crate::event::FIRST, "revision" => table.revision);
     }
-    let host = parts.headers.get(http::header::HOST).and_then(|value| value.to_str().ok()).unwrap_or("");
-    let mut table = table_with_route(state, host, &parts).await?;
+    let mut admitted = match admit(state, &parts).await {
+        Ok(admitted) => admitted,
+        Err(failure) => return Err(reject(failure, &parts, body).await),
+    };
     let looked_up = kernel::clock::now();
-    let order = std::sync::atomic::Ordering::Relaxed;
     let room = (state.env.limits.memory_mb as usize) << 18;
-    if state.held.load(order) > room {
-        return Err(crate::failure::Failure::Refused(250));
+    if state.held.load(std::sync::atomic::Ordering::Relaxed) > room {
+        return Err(crate::failure::Failure::Refused(250).into());
     }
+    let most = admitted.table.body_bytes;
     let body = match (whole, body) {
-        (Some(whole), _) if whole.len() <= table.body_bytes => whole,
-        (None, Some(body)) => crate::request::body(body, table.body_bytes, table.idle_ms).await?,
-        _ => return Err(crate::failure::Failure::TooLarge),
+        (Some(whole), _) if whole.len() <= most => whole,
+        (None, Some(body)) => crate::request::body(body, most, admitted.table.idle_ms).await?,
+        _ => return Err(crate::failure::Failure::TooLarge.into()),
     };
     if kernel::clock::now() > looked_up + state.currency.budget().lookup_age_ms() {
         // The body came slowly: a newer configuration may send it elsewhere.
-        table = table_with_route(state, host, &parts).await?;
+        admitted = admit(state, &parts).await?;
     }
-    let Some(route) = table.find(host, parts.uri.path()) else {
-        return Err(crate::failure::Failure::NoRoute);
-    };
+    Ok(begin(state, admitted, parts, body, born))
+}
+
+/// The exchange of a request that was let in and read.
+fn begin(
+    state: &std::sync::Arc<crate::state::State>,
+    admitted: Admitted,
+    parts: http::request::Parts,
+    body: bytes::Bytes,
+    born: u64,
+) -> crate::exchange::Exchange {
+    let Admitted { table, authorization } = admitted;
+    let route = authorization.route().clone();
     let service = {
         let mut dice = state.dice.lock().expect("dice");
         crate::table::split(&route.targets, dice.roll())
     };
-    let request = crate::request::Request::make(parts, body, route, u64::from(service), born);
+    let request = crate::request::Request::make(parts, body, authorization, u64::from(service), born);
+    let order = std::sync::atomic::Ordering::Relaxed;
     state.open.fetch_add(1, order);
     state.held.fetch_add(request.body.len(), order);
     state.budget.lock().expect("budget").errand(service, born);
-    Ok(crate::exchange::Exchange {
-        closed_zones: crate::plan::closed_zones(state, &route.homes),
+    crate::exchange::Exchange {
+        closed_zones: crate::plan::closed_zones(state, request.authorization.homes()),
+        priority: request.authorization.priority(),
         route: route.name.clone(),
         pinned_version: None,
         state: state.clone(),
@@ -113,7 +175,6 @@
         repeatable: route.repeatable(),
         max_sends: route.tries,
         target_ms: route.target_ms.max(1),
-        priority: route.priority,
         service,
         service_config: table.services.get(&service).cloned().unwrap_or_default(),
         prefix_owners: Vec::new(),
@@ -123,5 +184,9 @@
         tried: Vec::new(),
         in_flight: Vec::new(),
         kv_handle: None,
-    })
+    }
 }
+
+#[cfg(test)]
+#[path = "admission_tests.rs"]
+mod tests;
--- a/router/src/failure.rs
+++ b/router/src/failure.rs
@@ -7,6 +7,8 @@
     /// Not as the protocol has it; the connection ends.
     Malformed,
     NoRoute,
+    /// The route needs a key that is known.
+    Unauthorized,
     Late,
     TooLarge,
     /// It has not run and never will; come back after so many milliseconds.
@@ -17,9 +19,11 @@
     TimedOut,
 }
 
-pub fn write(failure: Failure, leaving: bool) -> http::Response<Body> {
+/// `last`: the connection ends with this answer, whatever it says.
+pub fn write(failure: Failure, last: bool) -> http::Response<Body> {
     let status = match failure {
         Failure::Malformed => 400,
+        Failure::Unauthorized => 401,
         Failure::NoRoute => 404,
         Failure::Late => 408,
         Failure::TooLarge => 413,
@@ -38,8 +42,11 @@
             head.insert(http::header::RETRY_AFTER, value);
         }
     }
+    if failure == Failure::Unauthorized {
+        head.insert(http::header::WWW_AUTHENTICATE, http::HeaderValue::from_static("Bearer"));
+    }
     let ends = matches!(failure, Failure::Malformed | Failure::Late | Failure::TooLarge);
-    if ends || leaving {
+    if ends || last {
         head.insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
     reply
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The data plane: takes clients' requests and carries them to engines.
 mod admission;
+mod authorization;
 pub mod boot;
 mod config;
 mod currency;
@@ -30,6 +31,7 @@
 mod state;
 mod stream;
 mod table;
+mod tenants;
 mod verdict;
 
 #[cfg(test)]
@@ -51,6 +53,14 @@
 #[cfg(test)]
 mod stand_in_router;
 
+#[cfg(test)]
+#[path = "tenant_requests_tests.rs"]
+mod tenant_requests_tests;
+
+#[cfg(test)]
+#[path = "revocation_tests.rs"]
+mod revocation_tests;
+
 #[cfg(test)]
 #[path = "exchange_tests.rs"]
 mod exchange_tests;
