A configuration with an empty table of tenants lets nobody in; keys are not in Debug output

Cause: withdrawing the last tenant could not be told from having no tenants, and let everybody in; wire::config::Tenant printed its keys. Change: configurations and changes say whether keys are required (the table is there, if empty); Debug shows the number of keys. Tests that took an empty table for none now use none and demand more (a table that comes or goes is noticed). Measured: tests of wire, router, keeper and tidepoint pass.

--- a/router/src/authorization.rs
+++ b/router/src/authorization.rs
@@ -82,7 +82,7 @@
     key: Option<&crate::tenants::KeyDigest>,
 ) -> Result<Option<&'a std::sync::Arc<crate::tenants::Tenant>>, UnknownKey> {
     let tenant = key.and_then(|key| table.tenants.holder(key));
-    if tenant.is_some() || anonymous || table.tenants.is_empty() {
+    if tenant.is_some() || anonymous || !table.tenants.requires_keys() {
         return Ok(tenant);
     }
     Err(UnknownKey)
--- a/router/src/authorization_tests.rs
+++ b/router/src/authorization_tests.rs
@@ -95,7 +95,7 @@
     // A known key counts there too: the engine is told whose it is.
     let found = [Some("k1"), Some("k3"), None].map(|key| named(&table, "open", key));
     assert_eq!(found, [Some("one".to_string()), Some(String::new()), Some(String::new())]);
-    let without = self::table(serde_json::json!([]), false);
+    let without = self::table(serde_json::Value::Null, false);
     let found = [Some("k1"), None].map(|key| named(&without, "keyed", key));
     assert_eq!(found, [Some(String::new()), Some(String::new())]);
 }
@@ -140,7 +140,7 @@
     let (open, closed) = (table(tenants(), true), table(tenants(), false));
     let anonymous = grant(&open, "open", None).expect("granted");
     assert!(anonymous.holds(&open) && !anonymous.holds(&closed), "the route is not anonymous any more");
-    let without = table(serde_json::json!([]), false);
+    let without = table(serde_json::Value::Null, false);
     let early = grant(&without, "keyed", None).expect("granted");
     assert!(early.holds(&without) && !early.holds(&closed), "there are tenants now");
     let stranger = grant(&without, "keyed", Some("k1")).expect("granted");
--- a/router/src/tenants.rs
+++ b/router/src/tenants.rs
@@ -48,6 +48,7 @@
 pub struct Tenants {
     by_name: std::collections::BTreeMap<String, std::sync::Arc<Tenant>>,
     by_key: std::collections::HashMap<KeyDigest, Holder>,
+    requires_keys: bool,
 }
 
 /// Who holds a key.
@@ -59,9 +60,9 @@
 }
 
 impl Tenants {
-    /// Does the configuration have tenants, so that requests need a key?
-    pub fn is_empty(&self) -> bool {
-        self.by_name.is_empty()
+    /// Does the configuration have a table of tenants, so that requests need a key?
+    pub fn requires_keys(&self) -> bool {
+        self.requires_keys
     }
 
     /// The tenant that holds a key. None: the key is unknown.
@@ -75,7 +76,8 @@
     /// The tenants after a change: those that it removes are gone, those that it names stand as it has them.
     pub fn after(held: &std::sync::Arc<Tenants>, change: &wire::change::Change) -> std::sync::Arc<Tenants> {
         let whole = change.from == 0;
-        if !whole && change.tenants.is_empty() && change.gone_tenants.is_empty() {
+        let same_tenants = change.tenants.is_empty() && change.gone_tenants.is_empty();
+        if !whole && same_tenants && change.requires_keys == held.requires_keys {
             return held.clone();
         }
         let mut by_name = if whole { Default::default() } else { held.by_name.clone() };
@@ -85,7 +87,8 @@
         for item in &change.tenants {
             by_name.insert(item.name.clone(), std::sync::Arc::new(Tenant::new(item)));
         }
-        std::sync::Arc::new(Tenants { by_key: holders(by_name.values()), by_name })
+        let by_key = holders(by_name.values());
+        std::sync::Arc::new(Tenants { by_name, by_key, requires_keys: change.requires_keys })
     }
 }
 
--- a/router/src/tenants_tests.rs
+++ b/router/src/tenants_tests.rs
@@ -12,6 +12,10 @@
     wire::config::read(&text.to_string()).expect("good")
 }
 
+fn without_tenants(revision: u64) -> wire::config::Config {
+    wire::config::Config { requires_keys: false, ..config(revision, &[]) }
+}
+
 fn whole(config: &wire::config::Config) -> Arc<Tenants> {
     Tenants::after(&Arc::default(), &wire::change::Change::whole(config))
 }
@@ -32,8 +36,9 @@
     let found: Vec<_> = ["k1", "k2", "k3", "k4", "", "K1"].iter().map(|key| holder(&tenants, key)).collect();
     let name = |name: &str| Some(name.to_string());
     assert_eq!(found, [name("one"), name("one"), name("two"), None, None, None]);
-    assert!(!tenants.is_empty());
-    assert!(whole(&config(1, &[])).is_empty());
+    assert!(tenants.requires_keys());
+    assert!(!whole(&without_tenants(1)).requires_keys());
+    assert!(!Tenants::default().requires_keys());
 }
 
 #[test]
@@ -67,8 +72,18 @@
 }
 
 #[test]
-fn the_last_tenant_that_leaves_takes_the_need_for_a_key_with_it() {
-    assert!(after(&[("a", vec!["k"])], &[]).is_empty());
+fn the_last_tenant_that_leaves_lets_nobody_in() {
+    let emptied = after(&[("a", vec!["k"])], &[]);
+    assert_eq!((emptied.requires_keys(), holder(&emptied, "k")), (true, None));
+}
+
+#[test]
+fn a_table_that_comes_or_goes_without_any_tenant_is_noticed() {
+    let (none, empty) = (without_tenants(1), config(2, &[]));
+    let came = Tenants::after(&whole(&none), &wire::change::Change::between(&none, &empty));
+    assert!(came.requires_keys());
+    let gone = Tenants::after(&came, &wire::change::Change::between(&empty, &without_tenants(3)));
+    assert!(!gone.requires_keys());
 }
 
 #[test]
@@ -108,7 +123,7 @@
         for key in &keys {
             assert_eq!(holder(&tenants, key), holder(&expected, key), "revision {revision}, {key}");
         }
-        assert_eq!(tenants.is_empty(), expected.is_empty());
+        assert!(tenants.requires_keys() && expected.requires_keys());
         held = next;
     }
 }
@@ -132,7 +147,7 @@
     change.tenants[0].name = "a\r\nTenant: b".into();
     let tenants = Tenants::after(&Arc::default(), &change);
     assert_eq!((holder(&tenants, "k"), holder(&tenants, "other").as_deref()), (None, Some("b")));
-    assert!(!tenants.is_empty());
+    assert!(tenants.requires_keys());
 }
 
 #[test]
--- a/wire/src/change.rs
+++ b/wire/src/change.rs
@@ -25,6 +25,8 @@
     /// Added or replaced, by name.
     pub tenants: Vec<crate::config::Tenant>,
     pub gone_tenants: Vec<String>,
+    /// As in the configuration that it leads to.
+    pub requires_keys: bool,
 }
 
 impl Change {
@@ -40,6 +42,7 @@
             limits: config.limits.clone(),
             tenants: config.tenant_table.clone(),
             gone_tenants: Vec::new(),
+            requires_keys: config.requires_keys,
         }
     }
 
@@ -58,6 +61,7 @@
             limits: new.limits.clone(),
             tenants,
             gone_tenants,
+            requires_keys: new.requires_keys,
         }
     }
 
--- a/wire/src/change/before_tenants.rs
+++ b/wire/src/change/before_tenants.rs
@@ -76,7 +76,7 @@
 
 /// May a configuration be told in this layout?
 pub fn can_tell(config: &config::Config) -> bool {
-    config.tenant_table.is_empty()
+    !config.requires_keys
 }
 
 /// Decodes the packed form. None: it is cut short, or no change.
@@ -116,6 +116,7 @@
             limits: config::Limits::from(change.limits),
             tenants: Vec::new(),
             gone_tenants: Vec::new(),
+            requires_keys: false,
         }
     }
 }
--- a/wire/src/change_tests.rs
+++ b/wire/src/change_tests.rs
@@ -109,6 +109,7 @@
         limits: limits.clone(),
         tenants: Vec::new(),
         gone_tenants: Vec::new(),
+        requires_keys: false,
     };
     let step = super::Change {
         from: 7,
@@ -153,7 +154,9 @@
     let names: Vec<&str> = change.tenants.iter().map(|tenant| tenant.name.as_str()).collect();
     assert_eq!((names, &change.gone_tenants), (vec!["b", "c"], &vec!["a".to_string()]));
     assert_eq!(super::Change::read(&change.write()), Some(change));
-    assert!(!super::before_tenants::can_tell(&old) && super::before_tenants::can_tell(&with(5, serde_json::json!([]))));
+    assert!(
+        !super::before_tenants::can_tell(&old) && super::before_tenants::can_tell(&with(5, serde_json::Value::Null))
+    );
 }
 
 /// The largest configurations that are taken still fit into a message, and are read back.
--- a/wire/src/config/apply.rs
+++ b/wire/src/config/apply.rs
@@ -34,6 +34,7 @@
         service_table: merge_typed(&old.service_table, patch.withdrawn(SERVICES), &patch.services, |item| &item.name),
         tenant_table: merge_typed(&old.tenant_table, patch.withdrawn(TENANTS), &patch.tenants, |item| &item.name),
         limits: old.limits.clone(),
+        requires_keys: held(&fields, TENANTS).is_some(),
     };
     if patch.objects.iter().any(|object| object.name == LIMITS) {
         let limits = fields.iter().rev().find(|(name, _)| name == LIMITS).map_or("{}", |(_, raw)| raw);
--- a/wire/src/config/decode.rs
+++ b/wire/src/config/decode.rs
@@ -31,7 +31,10 @@
             REVISION => config.revision = revision(value)?,
             ROUTES => routes = Some(table(ROUTES, value, route)?),
             SERVICES => services = Some(table(SERVICES, value, service)?),
-            TENANTS => config.tenant_table = table(TENANTS, value, tenant)?,
+            TENANTS => {
+                config.tenant_table = table(TENANTS, value, tenant)?;
+                config.requires_keys = true;
+            }
             LIMITS => config.limits = limits(value)?,
             _ => {}
         }
--- a/wire/src/config/model.rs
+++ b/wire/src/config/model.rs
@@ -52,7 +52,7 @@
 }
 
 /// Who sends requests: known by its keys, and bound by a limit over all routers.
-#[derive(Clone, Debug, Default, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Default, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Tenant {
     pub name: String,
     /// Secrets: they appear in no error and no log.
@@ -98,6 +98,15 @@
     }
 }
 
+impl std::fmt::Debug for Tenant {
+    /// Without the keys, which are secrets.
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let mut shown = out.debug_struct("Tenant");
+        shown.field("name", &self.name).field("api_keys", &self.api_keys.len());
+        shown.finish_non_exhaustive()
+    }
+}
+
 /// A service, to which routes lead.
 #[derive(Clone, Debug, PartialEq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Service {
@@ -144,8 +153,10 @@
     pub route_table: Vec<Route>,
     pub service_table: Vec<Service>,
     pub limits: Limits,
-    /// Empty where requests need no key.
     pub tenant_table: Vec<Tenant>,
+    /// Has it a table of tenants, if an empty one? Then requests need a key: taking the last tenant away must not let
+    /// everybody in.
+    pub requires_keys: bool,
 }
 
 /// The services of a route with their weights, whose sum fits into 64 bits.
--- a/wire/src/config/patch_tests.rs
+++ b/wire/src/config/patch_tests.rs
@@ -182,3 +182,14 @@
         assert_eq!(Checked::read(next.text()), Ok(next));
     }
 }
+
+#[test]
+fn keys_are_needed_as_long_as_there_is_a_table_of_tenants() {
+    let names: Vec<String> = base().config().tenant_table.iter().map(|tenant| tenant.name.clone()).collect();
+    assert!(!names.is_empty() && base().config().requires_keys);
+    let emptied = taken(&json!({"revision": 900_001, "withdraw": {"tenant_table": names}}));
+    assert_eq!((emptied.config().tenant_table.len(), emptied.config().requires_keys), (0, true));
+    let mut whole = good();
+    whole.as_object_mut().expect("an object").remove("tenant_table");
+    assert!(!Checked::read(&whole.to_string()).expect("good").config().requires_keys);
+}
