--- a/keeper/src/config_body.rs
+++ b/keeper/src/config_body.rs
@@ -62,11 +62,22 @@
     Forgotten,
 }
 
+/// Keepers from this version of messages on read packed bodies.
+const PACKED_SINCE: u64 = 2;
+
 impl BodyForm {
+    /// The form for these readers, told by the versions of messages that they read; 0 for one that was not heard. Such
+    /// a one is taken to read packed bodies: right after the first start nobody was heard, and the long form of the
+    /// first configuration would fill the links of all who fetch it.
+    pub fn for_readers(versions: impl Iterator<Item = u64>) -> BodyForm {
+        let known = versions.map(|version| if version == 0 { PACKED_SINCE } else { version });
+        BodyForm::read_by_all(known.min().unwrap_or(wire::msg::READS))
+    }
+
     /// The newest form that everyone reads, where `oldest` is the oldest version of messages that anyone reads.
     pub fn read_by_all(oldest: u64) -> BodyForm {
         match oldest {
-            0 | 1 => BodyForm::Plain,
+            reads if reads < PACKED_SINCE => BodyForm::Plain,
             reads if reads < wire::msg::DIGESTED_BODIES => BodyForm::Packed,
             _ => BodyForm::Digested,
         }
--- a/keeper/src/config_body_tests.rs
+++ b/keeper/src/config_body_tests.rs
@@ -144,3 +144,12 @@
     use BodyForm::{Digested, Packed, Plain};
     assert_eq!(forms, [Plain, Plain, Packed, Packed, Digested, Digested]);
 }
+
+#[test]
+fn a_reader_that_was_never_heard_does_not_make_a_long_body_longer() {
+    let form = |versions: &[u64]| BodyForm::for_readers(versions.iter().copied());
+    assert_eq!(form(&[4, 0, 4]), BodyForm::Packed, "not heard yet: it may not read the newest form");
+    assert_eq!(form(&[0, 0]), BodyForm::Packed);
+    assert_eq!(form(&[4, 0, 1]), BodyForm::Plain, "one of version 1 said so");
+    assert_eq!((form(&[4, 4]), form(&[])), (BodyForm::Digested, BodyForm::Digested));
+}
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -92,7 +92,7 @@
         list
     }
 
-    /// The newest form of the configuration's body that every keeper which lives is known to read.
+    /// The form of the configuration's body for the members of the core and all keepers that live.
     pub fn body_form(&self) -> crate::config_body::BodyForm {
         let now = kernel::clock::now();
         let core = self.core();
@@ -100,8 +100,7 @@
         let reads = |ip: &str| roster.keepers.get(ip).map_or(0, |peer| peer.reads);
         let members = core.list.iter().map(|member| member.ip.as_str()).filter(|ip| *ip != self.me());
         let live = roster.keepers.keys().map(String::as_str).filter(|ip| roster.live(ip, now));
-        let oldest = members.chain(live).map(reads).min().unwrap_or(wire::msg::READS);
-        crate::config_body::BodyForm::read_by_all(oldest)
+        crate::config_body::BodyForm::for_readers(members.chain(live).map(reads))
     }
 
     /// The version of the configuration known to be committed; 0: none yet.
