Changes of members: four ways in which an acknowledged change was lost, mended

- A settlement counted voters that did not say which keys they hold: one that is leaving, and one without memory.
A key first written on such a one and a member out of touch was not committed again.
Now only an answer with places counts, and one that is no member any more gives it.
- A voter that lost its disk and was told an older core could read others that knew nothing of what a quorum of the newer core, which it had voted in, had committed.
`Voter::recall` waits while the newest entry of the key `core` among what was read is newer than the core that is known.
- A former member that lost its disk before the change was settled took itself for a newcomer and answered that it held nothing.
It reads the others now, like a member.
- A change left half done under the old core could outrank one committed under the new one, since the promise it was made under was on members that did not matter any more.
Turns of ballots now rise with the core's version (`round::next_turn`).

The body of the key `core` is read in `ledger` (`core_body`). Hash on the types that a state is made of; no other change.

--- a/keeper/src/membership.rs
+++ b/keeper/src/membership.rs
@@ -123,8 +123,7 @@
                 keeper.adopt(&core);
                 return false;
             }
-            Vote::Places { list } => settlement.hear(&from, list.into_iter().map(|(key, _, _)| key)),
-            _ => settlement.hear(&from, []),
+            vote => settlement.hear_vote(&from, &vote),
         }
     }
     true
--- a/keeper/src/recovery.rs
+++ b/keeper/src/recovery.rs
@@ -10,7 +10,8 @@
     if kernel::clock::now() < ledger::RECALL_DELAY_MS || core.list.is_empty() {
         return;
     }
-    if ledger::quorum::is_member(&core, keeper.me()) {
+    // One that is being removed votes no more, but the change is settled on what it says that it holds.
+    if ledger::quorum::is_old_or_new_member(&core, keeper.me()) {
         recall(keeper, &core).await;
     } else {
         become_candidate(keeper, &core).await;
@@ -35,13 +36,15 @@
             // What was read answers for the quorums of another core.
             return;
         }
-        let records = voter.recall(reads);
+        // Otherwise a newer core is on its way here.
+        let Some(records) = voter.recall(reads) else { return };
         keeper.disk.write(records);
     }
     kernel::say!(crate::event::RECALLED, "from" => from.join(","));
 }
 
-/// A quorum says that this core is the current one, and this keeper is not in it: it never voted in it.
+/// A quorum says that this core is the current one, and this keeper is neither in it nor, as long as it matters,
+/// in the one before: no vote of it counts.
 async fn become_candidate(keeper: &std::sync::Arc<crate::keeper::Keeper>, core: &Core) {
     let members = ledger::quorum::old_and_new_members(core);
     let enough = |from: &[String]| ledger::quorum::is_quorum(core, from);
--- a/keeper/src/register.rs
+++ b/keeper/src/register.rs
@@ -54,9 +54,9 @@
     }
 
     /// A ballot that no one used before.
-    fn next_ballot(&self) -> wire::msg::Ballot {
+    fn next_ballot(&self, core: &wire::msg::Core) -> wire::msg::Ballot {
         let mut committed_state = self.committed_state.lock().expect("committed_state");
-        committed_state.turn += 1;
+        committed_state.turn = ledger::round::next_turn(committed_state.turn, core);
         wire::msg::Ballot { turn: committed_state.turn, seat: self.seat }
     }
 
@@ -72,7 +72,7 @@
             return None;
         }
         let members = ledger::quorum::addresses(&core);
-        let ballot = self.next_ballot();
+        let ballot = self.next_ballot(&core);
         let (mut proposal, ask) =
             ledger::proposal::Proposal::begin(key, &core, held, ballot, judge, kernel::clock::now());
         let mut votes = self.ask(&core, ask, &members);
--- a/keeper/src/simulation/changes.rs
+++ b/keeper/src/simulation/changes.rs
@@ -75,7 +75,7 @@
         if change.running.is_some() || now < change.resume || core.list.is_empty() {
             return;
         }
-        node.turn += 1;
+        node.turn = ledger::round::next_turn(node.turn, &core);
         let ballot = wire::msg::Ballot { turn: node.turn, seat: ledger::seat(&node.voter.ip, node.life) };
         let held = node.owned.remove(key);
         let (proposal, ask) = Proposal::begin(key, &core, held, ballot, &mut change.judge, now);
--- a/keeper/src/simulation/members.rs
+++ b/keeper/src/simulation/members.rs
@@ -129,7 +129,7 @@
         if self.now < node.born + ledger::RECALL_DELAY_MS || core.list.is_empty() || at_work {
             return;
         }
-        let member = ledger::quorum::is_member(&core, &node.voter.ip);
+        let member = ledger::quorum::is_old_or_new_member(&core, &node.voter.ip);
         let others = node.voter.witnesses();
         let ask = if member { Ask::Whole } else { Ask::Places };
         let id = self.poll(at, &core, &ask, &others);
@@ -158,8 +158,7 @@
         let Some(settlement) = &mut members.settlement else { return false };
         match vote {
             Vote::Newer { core } => self.adopt(at, &core.clone()),
-            Vote::Places { list } => settlement.hear(from, list.iter().map(|(key, _, _)| key.clone())),
-            _ => settlement.hear(from, []),
+            vote => settlement.hear_vote(from, vote),
         }
         true
     }
@@ -179,10 +178,10 @@
             _ => return true,
         }
         recovery.from.push(from.into());
-        let member = ledger::quorum::is_member(&recovery.core, &node.voter.ip);
+        let member = ledger::quorum::is_old_or_new_member(&recovery.core, &node.voter.ip);
         let records = if member && current && node.voter.enough(&recovery.from) {
             let reads = std::mem::take(&mut recovery.reads);
-            node.voter.recall(reads)
+            node.voter.recall(reads).unwrap_or_default()
         } else if !member && current && ledger::quorum::is_quorum(&recovery.core, &recovery.from) {
             node.voter.may_vote = true;
             vec![ledger::voter::LogRecord::Vote]
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -67,15 +67,7 @@
 }
 kernel::bytes!(Duty);
 
-pub fn read_core(body: &[u8]) -> Option<wire::msg::Core> {
-    let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
-    room.extend_from_slice(body);
-    rkyv::from_bytes::<wire::msg::Core, rkyv::rancor::Error>(&room).ok()
-}
-
-pub fn write_core(core: &wire::msg::Core) -> Vec<u8> {
-    rkyv::to_bytes::<rkyv::rancor::Error>(core).map(|body| body.to_vec()).unwrap_or_default()
-}
+pub use ledger::core_body::{read as read_core, write as write_core};
 
 impl crate::keeper::Keeper {
     /// A committed entry becomes known here; with `tell` also to the other keepers. Followers get
--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -1,6 +1,7 @@
 //! Control state. Each key is a register of its own: one owner at a time under a rising ballot, a
 //! change on a majority of the disks before any answer. No common log, no leader for all.
 pub mod confirmation;
+pub mod core_body;
 mod folder;
 mod listing;
 pub mod membership;
--- a/ledger/src/membership.rs
+++ b/ledger/src/membership.rs
@@ -105,8 +105,16 @@
         &self.core
     }
 
-    /// A voter answered a poll that carried the new core: it knows it, and told its keys.
-    pub fn hear(&mut self, from: &str, keys: impl IntoIterator<Item = String>) {
+    /// A voter answered a poll that carried the new core. One that did not say which keys it holds does not
+    /// count: what only it and others out of touch hold would not be committed again.
+    pub fn hear_vote(&mut self, from: &str, vote: &wire::msg::Vote) {
+        if let wire::msg::Vote::Places { list } = vote {
+            self.hear(from, list.iter().map(|(key, _, _)| key.clone()));
+        }
+    }
+
+    /// A voter knows the new core, and told its keys.
+    fn hear(&mut self, from: &str, keys: impl IntoIterator<Item = String>) {
         self.keys.extend(keys);
         if !self.knows.iter().any(|known| known == from) {
             self.knows.push(from.into());
--- a/ledger/src/membership_tests.rs
+++ b/ledger/src/membership_tests.rs
@@ -1,6 +1,6 @@
 //! Which members a core gets next, and when a change of it is settled.
 use super::{next, Health, Settlement, View, GONE_MS};
-use wire::msg::{Core, Member};
+use wire::msg::{Ballot, Core, Member, Vote};
 
 const LIVE: Health = Health { silent_ms: 100, live: true, leaving: false };
 const SILENT: Health = Health { silent_ms: GONE_MS + 1, live: false, leaving: false };
@@ -100,3 +100,24 @@
     settlement.renewed("evacuation/z");
     assert!(settlement.is_done());
 }
+
+/// A voter's answer to a spread: the keys that it holds.
+fn places(keys: &[&str]) -> Vote {
+    Vote::Places { list: keys.iter().map(|key| (key.to_string(), Ballot::default(), 0)).collect() }
+}
+
+/// The member `c` exchanged for `d`.
+fn exchange() -> Core {
+    Core { version: 5, list: core(&["a", "b", "d"]).list, prev: core(&["a", "b", "c"]).list, settled: false }
+}
+
+#[test]
+fn a_voter_that_does_not_say_what_it_holds_does_not_count_for_a_settlement() {
+    let mut settlement = Settlement::new(&exchange());
+    for (from, vote) in [("a", places(&[])), ("d", places(&[])), ("c", Vote::Mute)] {
+        settlement.hear_vote(from, &vote);
+    }
+    assert!(!settlement.is_known(), "what b and c hold would not be committed again");
+    settlement.hear_vote("c", &places(&["config"]));
+    assert_eq!(settlement.left(), ["config", "core"]);
+}
--- a/ledger/src/proposal.rs
+++ b/ledger/src/proposal.rs
@@ -29,6 +29,7 @@
     NewerCore(wire::msg::Core),
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Stage<T> {
     /// Taking the key over: reading a quorum under a new ballot and committing again what is found.
     Claiming,
@@ -38,6 +39,7 @@
 
 /// Invariants: an answer without a write is given only on what this proposal itself read at a quorum; a
 /// change is written only under a ballot that a quorum has promised to this owner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposal<T> {
     key: String,
     round: Round,
--- a/ledger/src/quorum.rs
+++ b/ledger/src/quorum.rs
@@ -10,6 +10,11 @@
     core.list.iter().any(|member| member.ip == address)
 }
 
+/// May votes of this address have counted in the core or, until that is settled, in the one before?
+pub fn is_old_or_new_member(core: &wire::msg::Core, address: &str) -> bool {
+    is_member(core, address) || (!core.settled && core.prev.iter().any(|member| member.ip == address))
+}
+
 /// The addresses of the members.
 pub fn addresses(core: &wire::msg::Core) -> Vec<String> {
     core.list.iter().map(|member| member.ip.clone()).collect()
--- a/ledger/src/quorum_tests.rs
+++ b/ledger/src/quorum_tests.rs
@@ -1,5 +1,5 @@
 //! Quorums of a core before, during and after a change always share a voter.
-use super::{is_quorum, old_and_new_members};
+use super::{is_old_or_new_member, is_quorum, old_and_new_members};
 use wire::msg::{Core, Member};
 
 fn members(mask: u32) -> Vec<Member> {
@@ -72,3 +72,16 @@
     core.settled = true;
     assert_eq!(old_and_new_members(&core).len(), 3);
 }
+
+#[test]
+fn old_and_new_members_are_those_that_are_told() {
+    for mut core in [changing(0b0111, 0b1011), changing(0b0011, 0b0111), changing(0b1111, 0b0111)] {
+        for settled in [false, true] {
+            core.settled = settled;
+            let told = old_and_new_members(&core);
+            for member in addresses(0b1_1111) {
+                assert_eq!(is_old_or_new_member(&core, &member), told.contains(&member), "{core:?} {member}");
+            }
+        }
+    }
+}
--- a/ledger/src/round.rs
+++ b/ledger/src/round.rs
@@ -2,7 +2,7 @@
 
 /// What an owner holds. Invariants: `entry` is committed; its ballot is the owner's own; a next
 /// change carries `entry.step + 1`, so two changes never share a place.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Ownership {
     pub entry: wire::msg::Entry,
     pub core: u64,
@@ -15,6 +15,17 @@
     }
 }
 
+/// Turns of one version of the core.
+const TURNS_OF_A_CORE: u64 = 1 << 32;
+
+/// The turn of an owner's next ballot: above its last one, and above every turn under an earlier core.
+///
+/// What an owner left half done under the core before may be on one disk only, and its promise on members that
+/// are gone. It must not outrank what was committed since by a quorum that never heard of it.
+pub fn next_turn(last: u64, core: &wire::msg::Core) -> u64 {
+    (last + 1).max(core.version * TURNS_OF_A_CORE)
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Step {
     Wait,
@@ -27,12 +38,14 @@
     Core(wire::msg::Core),
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum Phase {
     Reading { found: Option<wire::msg::Entry> },
     Writing(wire::msg::Entry),
 }
 
 /// Invariant: `heard` counts each member once a phase, and only members of the round's core.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Round {
     key: String,
     core: wire::msg::Core,
@@ -115,3 +128,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "round_tests.rs"]
+mod tests;
--- /dev/null
+++ b/ledger/src/round_tests.rs
@@ -0,0 +1,26 @@
+//! The turns of ballots.
+use super::{next_turn, TURNS_OF_A_CORE};
+use wire::msg::Core;
+
+fn core(version: u64) -> Core {
+    Core { version, ..Core::default() }
+}
+
+#[test]
+fn a_turn_is_above_the_last_one_of_its_owner() {
+    let first = next_turn(0, &core(1));
+    assert!(next_turn(first, &core(1)) == first + 1);
+}
+
+#[test]
+fn a_turn_is_above_every_one_under_an_earlier_core() {
+    let last = next_turn(0, &core(1)) + TURNS_OF_A_CORE - 1;
+    assert!(next_turn(0, &core(2)) > last - 1);
+    assert!(next_turn(7, &core(2)) == next_turn(0, &core(2)), "whatever its owner did before");
+}
+
+#[test]
+fn a_turn_above_the_own_core_is_kept() {
+    let newer = next_turn(0, &core(3));
+    assert!(next_turn(newer, &core(2)) > newer);
+}
--- a/ledger/src/sim.rs
+++ b/ledger/src/sim.rs
@@ -129,7 +129,7 @@
                 (round, ask, Some(body))
             }
             None => {
-                seat.turn += 1;
+                seat.turn = crate::round::next_turn(seat.turn, &core);
                 let ballot = wire::msg::Ballot { turn: seat.turn, seat: crate::seat(&ip(at), seat.life) };
                 let (round, ask) = crate::round::Round::take(KEY, core.clone(), ballot, now);
                 (round, ask, None)
@@ -149,7 +149,7 @@
                 let read: Vec<String> = seat.reads.keys().map(|at| ip(*at)).collect();
                 if seat.voter.enough(&read) {
                     let records = seat.voter.recall(seat.reads.values().cloned().collect());
-                    seat.wet.push((now + 2, records, None));
+                    seat.wet.push((now + 2, records.unwrap_or_default(), None));
                 }
             }
             return;
--- a/ledger/src/voter.rs
+++ b/ledger/src/voter.rs
@@ -13,7 +13,7 @@
 /// Invariants: `slots[..].promised` and the place of each entry never go back; an entry's ballot is
 /// never above what is promised; `core.version` never goes back; a voter that may not vote (`may_vote`) neither
 /// promises nor accepts.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Voter {
     pub ip: String,
     pub core: wire::msg::Core,
@@ -72,14 +72,15 @@
             wire::msg::Ask::Whole if self.may_vote => {
                 wire::msg::Vote::Whole { slots: self.slots.values().cloned().collect() }
             }
+            // The places, too, by one that is no member any more: its keys are part of a change's settlement.
+            wire::msg::Ask::Places if self.may_vote => wire::msg::Vote::Places { list: self.places() },
             _ if !self.votes() => wire::msg::Vote::Mute,
             wire::msg::Ask::Prepare { key, ballot } => self.prepare(key, ballot, &mut records),
             wire::msg::Ask::Accept { key, entry } => self.accept(key, entry, &mut records),
-            wire::msg::Ask::Places => wire::msg::Vote::Places { list: self.places() },
             wire::msg::Ask::Fetch { key } => {
                 wire::msg::Vote::Fetched { entry: self.slots.get(&key).and_then(|slot| slot.entry.clone()) }
             }
-            wire::msg::Ask::Whole => wire::msg::Vote::Mute,
+            wire::msg::Ask::Whole | wire::msg::Ask::Places => wire::msg::Vote::Mute,
         };
         (vote, records)
     }
@@ -118,7 +119,13 @@
 
     /// Ends a loss of memory with what `enough` other voters hold. The highest promise of any of them
     /// binds, since one of them was part of each lost majority.
-    pub fn recall(&mut self, reads: Vec<Vec<wire::msg::Slot>>) -> Vec<LogRecord> {
+    ///
+    /// None: a core newer than the one that is known here may be committed. Votes that were lost may have been
+    /// given under it, and its quorums need no voter that was read.
+    pub fn recall(&mut self, reads: Vec<Vec<wire::msg::Slot>>) -> Option<Vec<LogRecord>> {
+        if written_core(&reads).is_some_and(|written| written.version > self.core.version) {
+            return None;
+        }
         for read in reads.into_iter().flatten() {
             let slot = self.slot(&read.key.clone());
             slot.promised = slot.promised.max(read.promised);
@@ -129,7 +136,7 @@
             }
         }
         self.may_vote = true;
-        self.whole()
+        Some(self.whole())
     }
 
     /// Have enough voters been read to end a loss of memory? Every majority of the core (and of the one
@@ -150,3 +157,13 @@
         list
     }
 }
+
+/// The newest core that any of these voters accepted, committed or not.
+fn written_core(reads: &[Vec<wire::msg::Slot>]) -> Option<wire::msg::Core> {
+    let entries = reads.iter().flatten().filter(|slot| slot.key == crate::CORE).filter_map(|slot| slot.entry.as_ref());
+    crate::core_body::read(&entries.max_by_key(|entry| entry.place())?.body)
+}
+
+#[cfg(test)]
+#[path = "voter_tests.rs"]
+mod tests;
--- /dev/null
+++ b/ledger/src/voter_tests.rs
@@ -0,0 +1,98 @@
+//! Voters that changes of the members concern.
+use super::{LogRecord, Voter};
+use wire::msg::{Ask, Ballot, Core, Entry, Member, Poll, Slot, Vote};
+
+const KEY: &str = "config";
+
+fn address(machine: usize) -> String {
+    format!("10.0.0.{machine}")
+}
+
+fn members(machines: &[usize]) -> Vec<Member> {
+    machines.iter().map(|machine| Member { ip: address(*machine), zone: String::new() }).collect()
+}
+
+/// Four members, before the last of them is removed.
+fn four() -> Core {
+    Core { version: 1, list: members(&[0, 1, 2, 3]), prev: Vec::new(), settled: true }
+}
+
+fn three() -> Core {
+    Core { version: 2, list: members(&[0, 1, 2]), prev: four().list, settled: false }
+}
+
+fn voter(machine: usize) -> Voter {
+    Voter { core: four(), may_vote: true, ..Voter::new(&address(machine)) }
+}
+
+fn entry(body: Vec<u8>) -> Entry {
+    Entry { ballot: Ballot { turn: 1, seat: 1 }, step: 1, body }
+}
+
+fn accept(voter: &mut Voter, core: Core, key: &str, body: Vec<u8>) {
+    let ask = Ask::Accept { key: key.into(), entry: entry(body) };
+    assert_eq!(voter.poll(Poll { core, ask }).0, Vote::Accepted);
+}
+
+fn whole(voter: &mut Voter, core: Core) -> Vec<Slot> {
+    match voter.poll(Poll { core, ask: Ask::Whole }).0 {
+        Vote::Whole { slots } => slots,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// All four voters; the core of three was committed on the disks of the first three.
+fn voters_as_one_is_removed() -> Vec<Voter> {
+    let mut voters: Vec<Voter> = (0..4).map(voter).collect();
+    for voter in &mut voters[..3] {
+        accept(voter, four(), crate::CORE, crate::core_body::write(&three()));
+    }
+    voters
+}
+
+#[test]
+fn one_that_is_no_member_any_more_says_what_it_holds() {
+    let mut leaving = voter(3);
+    accept(&mut leaving, four(), KEY, b"x".to_vec());
+    let (vote, _) = leaving.poll(Poll { core: three(), ask: Ask::Places });
+    assert_eq!(vote, Vote::Places { list: vec![(KEY.into(), entry(Vec::new()).ballot, 1)] });
+    let (vote, _) =
+        leaving.poll(Poll { core: three(), ask: Ask::Prepare { key: KEY.into(), ballot: Ballot::default() } });
+    assert_eq!(vote, Vote::Mute, "it votes no more");
+}
+
+#[test]
+fn one_without_memory_says_nothing_of_places() {
+    let mut wiped = Voter { core: four(), ..Voter::new(&address(0)) };
+    assert_eq!(wiped.poll(Poll { core: four(), ask: Ask::Places }).0, Vote::Mute);
+}
+
+/// Two of three are a quorum of the new core, and no majority of the four before.
+#[test]
+fn a_voter_without_memory_waits_while_a_newer_core_may_be_committed() {
+    let mut voters = voters_as_one_is_removed();
+    for voter in &mut voters[..2] {
+        accept(voter, three(), KEY, b"acknowledged".to_vec());
+    }
+    let mut wiped = Voter { core: four(), ..Voter::new(&address(0)) };
+    assert!(wiped.enough(&[address(2), address(3)]));
+    let reads = vec![whole(&mut voters[2], four()), whole(&mut voters[3], four())];
+    assert_eq!(wiped.recall(reads), None);
+    assert!(!wiped.may_vote);
+
+    // Told of the new core, it reads those who voted under it.
+    wiped.adopt(&three());
+    assert!(!wiped.enough(&[address(2), address(3)]));
+    let reads = (1..4).map(|machine| whole(&mut voters[machine], three())).collect();
+    let records = wiped.recall(reads).expect("enough");
+    assert_eq!(wiped.slots[KEY].entry, Some(entry(b"acknowledged".to_vec())));
+    assert_eq!(records.last(), Some(&LogRecord::Vote));
+}
+
+#[test]
+fn a_core_that_is_known_keeps_no_voter_without_memory_waiting() {
+    let mut voters = voters_as_one_is_removed();
+    let mut wiped = Voter { core: three(), ..Voter::new(&address(0)) };
+    let reads = (1..4).map(|machine| whole(&mut voters[machine], three())).collect();
+    assert!(wiped.recall(reads).is_some());
+}
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -7,14 +7,14 @@
 /// A ledger position: rises with each take-over (`turn`, ties by `seat`) and each change (`step`).
 /// Invariant: one owner acts under one (`turn`, `seat`); `step` restarts at 0 with each of them.
 #[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize,
 )]
 pub struct Ballot {
     pub turn: u64,
     pub seat: u64,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Entry {
     pub ballot: Ballot,
     pub step: u64,
@@ -27,7 +27,7 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Member {
     pub ip: String,
     pub zone: String,
@@ -35,7 +35,7 @@
 
 /// The core. Invariants: `version` rises by one a change; a change is made only from a settled core;
 /// until it is settled, `prev` are the members before it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Core {
     pub version: u64,
     pub list: Vec<Member>,
@@ -43,7 +43,7 @@
     pub settled: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Ask {
     Prepare {
         key: String,
@@ -62,21 +62,21 @@
     },
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Poll {
     /// A core is only ever sent once it is committed.
     pub core: Core,
     pub ask: Ask,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub struct Slot {
     pub key: String,
     pub promised: Ballot,
     pub entry: Option<Entry>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
 pub enum Vote {
     Promise {
         entry: Option<Entry>,
