Model check of agreement: every state of small cores, over the real Voter and Proposal

An explicit-state search of our own (breadth first, states hashed to 64 bits, interchangeable machines renumbered) over the production voter, proposals, quorums, membership and recovery: polls in any order, late, again or never; proposers that restart; disks lost within tolerance; members exchanged, added and removed. Checked in every state: one value per place, one owner per ballot, nothing acknowledged lost at any quorum of any core, answers on one line of history, and progress. Nine faults put in on purpose are each found.

--- a/ledger/src/lib.rs
+++ b/ledger/src/lib.rs
@@ -28,6 +28,8 @@
     kernel::clock::blend(kernel::clock::hash(ip.as_bytes()), life)
 }
 
+#[cfg(test)]
+mod model;
 #[cfg(test)]
 mod sim;
 #[cfg(test)]
--- /dev/null
+++ b/ledger/src/model/changing_core.rs
@@ -0,0 +1,154 @@
+//! Changes of the members, as the keeper that coordinates them makes them.
+//!
+//! The key of the core is a register like any other, and what the exploration shows of the key that it follows
+//! holds for it as well. So its rounds are not played again: a change of the core is committed in one step, by
+//! any quorum that answers. What comes of it is explored in full: who knows of the change, and the keys.
+use super::action::{Action, Successor};
+use super::machines::MachineSet;
+use super::scenario::Flaw;
+use super::shared::Shared;
+use super::state::State;
+use super::violation::Violation;
+use super::voting::Answer;
+use super::Model;
+use crate::membership::{Health, Settlement, View};
+use crate::voter::{LogRecord, Voter};
+use wire::msg::{Ask, Ballot, Core, Entry, Poll, Slot, Vote};
+
+impl Model {
+    pub fn change_core(&self, state: &State, list: &mut Vec<Successor>) {
+        for at in 0..state.proposers.len() {
+            if !state.proposers[at].coordinates {
+                continue;
+            }
+            self.inform(state, at, list);
+            match self.settlement(state, at) {
+                None => self.begin_change(state, at, list),
+                Some(settlement) => self.settle(state, at, settlement, list),
+            }
+        }
+    }
+
+    /// A coordinator hears of the newest core. (Other proposers do when they begin a proposal.)
+    fn inform(&self, state: &State, proposer: usize, list: &mut Vec<Successor>) {
+        let newest = state.cores.len() - 1;
+        if state.proposers[proposer].core < newest {
+            let mut next = state.clone();
+            next.proposers[proposer].edit(|proposer| proposer.know_core(newest));
+            list.push(Successor { action: Action::Inform { proposer }, outcome: Ok(next) });
+        }
+    }
+
+    /// The settlement that this proposer is at, if its core is changing.
+    pub fn settlement(&self, state: &State, at: usize) -> Option<Settlement> {
+        let proposer = &state.proposers[at];
+        let core = &state.cores[proposer.core];
+        if core.settled {
+            return None;
+        }
+        let mut settlement = Settlement::new(core);
+        for (machine, vote) in &proposer.settlement.heard {
+            settlement.hear_vote(&self.addresses[*machine], vote);
+        }
+        settlement.renewed(crate::CORE);
+        proposer.settlement.renewed.iter().for_each(|key| settlement.renewed(key));
+        Some(settlement)
+    }
+
+    /// The next core as the coordinator decides it.
+    fn next_core(&self, core: &Core) -> Option<Core> {
+        let change = self.scenario.core_change.as_ref()?;
+        let leaving = change.leaving.map(|machine| self.addresses[machine].clone());
+        let health = |address: &str| Health { silent_ms: 0, live: true, leaving: leaving.as_deref() == Some(address) };
+        let waits = |machine: &usize| !crate::quorum::is_member(core, &self.addresses[*machine]);
+        let waiting = change.candidates.iter().copied().filter(waits);
+        let candidates = waiting.map(super::machines::member).collect();
+        let next = crate::membership::next(core, &View { health: &health, candidates, joint: true })?;
+        match self.has(Flaw::NoJointQuorums) {
+            true => Some(crate::membership::settled(&next)),
+            false => Some(next),
+        }
+    }
+
+    fn begin_change(&self, state: &State, at: usize, list: &mut Vec<Successor>) {
+        let Some(next) = self.next_core(&state.cores[state.proposers[at].core]) else { return };
+        self.commit_core(state, at, &next, list);
+    }
+
+    fn settle(&self, state: &State, at: usize, settlement: Settlement, list: &mut Vec<Successor>) {
+        if !settlement.is_known() {
+            return self.spread(state, at, list);
+        }
+        if settlement.is_done() || self.has(Flaw::SettledWithoutRenewal) {
+            self.commit_core(state, at, &crate::membership::settled(settlement.core()), list);
+        }
+    }
+
+    /// The next core is committed under the one that the coordinator knows, by any quorum that answers.
+    fn commit_core(&self, state: &State, at: usize, next: &Core, list: &mut Vec<Successor>) {
+        let known = state.proposers[at].core;
+        if known + 1 < state.cores.len() {
+            // What it would change is not what it finds committed.
+            return;
+        }
+        let core = &state.cores[known];
+        let facts = self.core_facts(core);
+        let answers = |quorum: &&MachineSet| quorum.iter().all(|machine| self.answers(state, machine, core));
+        let quorums = facts.quorums.iter().filter(answers).copied();
+        // Who holds the entry matters only where one may have to read it from the others.
+        let choices: Vec<MachineSet> = match state.wipes_left > 0 || state.mute() > 0 {
+            true => quorums.collect(),
+            false => quorums.take(1).map(|_| MachineSet::default()).collect(),
+        };
+        for quorum in choices {
+            let mut state = state.clone();
+            state.write_core(quorum, next);
+            let newest = state.cores.len() - 1;
+            state.proposers[at].edit(|proposer| proposer.know_core(newest));
+            list.push(Successor { action: Action::CommitCore { proposer: at, quorum }, outcome: Ok(state) });
+        }
+    }
+
+    /// Tells machines of the changed core.
+    fn spread(&self, state: &State, at: usize, list: &mut Vec<Successor>) {
+        let core = &state.cores[state.proposers[at].core];
+        let told = crate::quorum::old_and_new_members(core);
+        let poll = Shared::new(Poll { core: core.clone(), ask: Ask::Places });
+        for machine in (0..self.addresses.len()).filter(|machine| told.contains(&self.addresses[*machine])) {
+            let outcome = self.tell_change(state, at, machine, &poll);
+            list.push(Successor { action: Action::Spread { proposer: at, machine }, outcome });
+        }
+    }
+
+    fn tell_change(&self, state: &State, at: usize, machine: usize, poll: &Shared<Poll>) -> Result<State, Violation> {
+        let Answer { voter, vote } = self.poll(machine, &state.replicas[machine].voter, poll)?;
+        let mut next = state.clone();
+        next.put_voter(machine, voter);
+        if let Vote::Places { list } = &*vote {
+            let vote = Shared::new(keys_only(list));
+            next.proposers[at].edit(|proposer| drop(proposer.settlement.heard.insert(machine, vote)));
+        }
+        Ok(next)
+    }
+}
+
+impl State {
+    fn write_core(&mut self, quorum: MachineSet, core: &Core) {
+        let ballot = Ballot { turn: self.cores.len() as u64, seat: 0 };
+        let entry = Entry { ballot, step: 0, body: crate::core_body::write(core) };
+        let slot = Slot { key: crate::CORE.into(), promised: ballot, entry: Some(entry) };
+        for machine in quorum.iter() {
+            let mut voter = Voter::clone(&self.replicas[machine].voter);
+            voter.fold(LogRecord::Slot(slot.clone()));
+            self.put_voter(machine, Shared::new(voter));
+        }
+        self.cores.edit(|cores| cores.push(core.clone()));
+    }
+}
+
+/// A settlement cares for the keys and not for their places, and always for the key of the core: states that
+/// differ only in these are one.
+fn keys_only(list: &[(String, Ballot, u64)]) -> Vote {
+    let keys = list.iter().map(|(key, _, _)| key).filter(|key| *key != crate::CORE);
+    Vote::Places { list: keys.map(|key| (key.clone(), Ballot::default(), 0)).collect() }
+}
--- /dev/null
+++ b/ledger/src/model/machines.rs
@@ -0,0 +1,52 @@
+//! Machines by number, and small sets of them.
+
+/// The address of a machine.
+pub fn address(machine: usize) -> String {
+    format!("10.0.0.{machine}")
+}
+
+/// A member of the core on this machine.
+pub fn member(machine: usize) -> wire::msg::Member {
+    wire::msg::Member { ip: address(machine), zone: String::new() }
+}
+
+/// A set of at most eight machines.
+#[derive(Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct MachineSet(u8);
+
+impl MachineSet {
+    pub const COUNT: usize = 8;
+
+    /// All sets of the first `count` machines, smaller numbers first.
+    pub fn subsets(count: usize) -> impl Iterator<Item = MachineSet> {
+        (0..1u16 << count).map(|bits| MachineSet(bits as u8))
+    }
+
+    pub fn contains(self, machine: usize) -> bool {
+        self.0 & (1 << machine) != 0
+    }
+
+    pub fn includes(self, other: MachineSet) -> bool {
+        self.0 & other.0 == other.0
+    }
+
+    pub fn without(self, machine: usize) -> MachineSet {
+        MachineSet(self.0 & !(1 << machine))
+    }
+
+    pub fn iter(self) -> impl Iterator<Item = usize> {
+        (0..MachineSet::COUNT).filter(move |machine| self.contains(*machine))
+    }
+}
+
+impl FromIterator<usize> for MachineSet {
+    fn from_iter<I: IntoIterator<Item = usize>>(machines: I) -> MachineSet {
+        MachineSet(machines.into_iter().fold(0, |bits, machine| bits | 1 << machine))
+    }
+}
+
+impl std::fmt::Debug for MachineSet {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        out.debug_set().entries(self.iter()).finish()
+    }
+}
--- /dev/null
+++ b/ledger/src/model/mod.rs
@@ -0,0 +1,105 @@
+//! An exhaustive, bounded model check of agreement.
+//!
+//! The explorer visits every state that a small core can reach: each poll reaches each voter at any time, in
+//! any order, more than once or never; votes are counted late or never; proposers and voters restart, disks
+//! are lost and members change. What votes, counts votes and decides is the production code: `Voter`,
+//! `Proposal` with `Round`, `quorum` and `membership`. Only what carries them (network, disk, clock, clients)
+//! is modelled here. `docs/ledger.md` says what is checked, what was left out and why that loses nothing.
+mod action;
+mod changing_core;
+mod check;
+mod ending;
+mod explore;
+mod machines;
+mod progress;
+mod proposing;
+mod recovering;
+mod scenario;
+mod shared;
+mod state;
+mod symmetry;
+mod violation;
+mod voting;
+
+use action::{Action, Successor};
+use scenario::Scenario;
+use state::State;
+use violation::Violation;
+
+/// The key whose history is checked.
+const KEY: &str = "k";
+
+/// A scenario together with what is computed once for all its states.
+pub struct Model {
+    scenario: Scenario,
+    addresses: Vec<String>,
+    cores: check::CoreCache,
+    answers: voting::AnswerCache,
+    /// Contents of disks from which progress was shown.
+    progressed: std::cell::RefCell<std::collections::HashSet<u64>>,
+}
+
+impl Model {
+    pub fn new(scenario: Scenario) -> Model {
+        let addresses = (0..scenario.machines).map(machines::address).collect();
+        Model {
+            scenario,
+            addresses,
+            cores: Default::default(),
+            answers: Default::default(),
+            progressed: Default::default(),
+        }
+    }
+
+    fn has(&self, flaw: scenario::Flaw) -> bool {
+        self.scenario.flaw == Some(flaw)
+    }
+}
+
+impl explore::System for Model {
+    type State = State;
+    type Action = Action;
+    type Violation = Violation;
+
+    fn initial(&self) -> State {
+        let mut state = self.initial_state();
+        self.normalize(&mut state);
+        state
+    }
+
+    fn successors(&self, state: &State) -> Vec<Successor> {
+        let mut list = Vec::new();
+        self.propose(state, &mut list);
+        self.vote(state, &mut list);
+        self.recover(state, &mut list);
+        self.change_core(state, &mut list);
+        for successor in &mut list {
+            if let Ok(next) = &mut successor.outcome {
+                self.normalize(next);
+            }
+        }
+        list
+    }
+
+    fn check(&self, state: &State) -> Result<(), Violation> {
+        self.check_places(state)?;
+        self.check_owners(state)?;
+        self.check_quorum_reads(state)?;
+        self.check_progress(state)
+    }
+}
+
+#[cfg(test)]
+mod runs;
+
+#[cfg(test)]
+#[path = "register_tests.rs"]
+mod register_tests;
+
+#[cfg(test)]
+#[path = "membership_tests.rs"]
+mod membership_tests;
+
+#[cfg(test)]
+#[path = "flaw_tests.rs"]
+mod flaw_tests;
--- /dev/null
+++ b/ledger/src/model/recovering.rs
@@ -0,0 +1,160 @@
+//! Disks that are lost, and voters that read the others before they vote again.
+use super::action::{Action, Successor};
+use super::scenario::{Flaw, Scenario};
+use super::shared::Shared;
+use super::state::{Replica, State};
+use super::violation::Violation;
+use super::Model;
+use crate::voter::{LogRecord, Voter};
+use wire::msg::{Ask, Core, Poll, Vote};
+
+/// Time passes in steps so long that a round begun when a disk was lost is over when its voter reads the
+/// others, and one begun a step later is not.
+const STEP_MS: u64 = crate::RECALL_DELAY_MS / 2;
+const _: () = assert!(STEP_MS < crate::ROUND_MS && crate::ROUND_MS <= 2 * STEP_MS);
+
+impl Model {
+    pub fn recover(&self, state: &State, list: &mut Vec<Successor>) {
+        self.elapse(state, list);
+        for machine in 0..state.replicas.len() {
+            self.wipe(state, machine, list);
+            if !state.replicas[machine].voter.may_vote {
+                self.learn(state, machine, list);
+                self.read(state, machine, list);
+            }
+        }
+    }
+
+    /// A disk is lost, as long as the core tolerates it.
+    fn wipe(&self, state: &State, machine: usize, list: &mut Vec<Successor>) {
+        let tolerated = Scenario::tolerated_losses(state.newest_core().list.len());
+        let held = &state.replicas[machine].voter;
+        let forgets = !held.slots.is_empty() || held.core != state.cores[0];
+        if state.wipes_left == 0 || !held.may_vote || !forgets || state.mute() >= tolerated {
+            return;
+        }
+        for core in 0..state.cores.len() {
+            let mut voter = Voter { core: state.cores[core].clone(), ..Voter::default() };
+            if self.has(Flaw::WipedVotesAtOnce) {
+                (voter.core, voter.may_vote) = (held.core.clone(), true);
+            }
+            let wiped_at = (!voter.may_vote).then_some(state.now);
+            let wiped = Replica { voter: Shared::new(voter), wiped_at, reads: Default::default() };
+            let mut next = state.clone();
+            next.wipes_left -= 1;
+            next.replicas[machine].edit(|replica| *replica = wiped);
+            list.push(Successor { action: Action::Wipe { machine, core }, outcome: Ok(next) });
+        }
+    }
+
+    fn is_ready_to_read(&self, replica: &Replica, now: u64) -> bool {
+        let delay = if self.has(Flaw::RecallWithoutDelay) { 0 } else { crate::RECALL_DELAY_MS };
+        replica.wiped_at.is_some_and(|wiped_at| now >= wiped_at + delay)
+    }
+
+    /// Time matters only to voters that wait before they read the others.
+    fn elapse(&self, state: &State, list: &mut Vec<Successor>) {
+        let waits = |replica: &Replica| replica.wiped_at.is_some() && !self.is_ready_to_read(replica, state.now);
+        if !state.replicas.iter().any(|replica| waits(replica)) {
+            return;
+        }
+        let mut next = state.clone();
+        next.now += STEP_MS;
+        for at in 0..next.proposers.len() {
+            if next.proposers[at].task.as_ref().is_some_and(|task| task.proposal.expired(next.now)) {
+                next.end_task(at);
+            }
+        }
+        list.push(Successor { action: Action::Elapse, outcome: Ok(next) });
+    }
+
+    fn learn(&self, state: &State, machine: usize, list: &mut Vec<Successor>) {
+        for (core, committed) in state.cores.iter().enumerate() {
+            let mut next = state.clone();
+            if next.tell(machine, committed) {
+                list.push(Successor { action: Action::Learn { machine, core }, outcome: Ok(next) });
+            }
+        }
+    }
+
+    /// Reads one of the others, and votes again once enough were read.
+    fn read(&self, state: &State, machine: usize, list: &mut Vec<Successor>) {
+        let replica = &state.replicas[machine];
+        if !self.is_ready_to_read(replica, state.now) {
+            return;
+        }
+        for from in self.witnesses(machine, &replica.voter) {
+            if !replica.reads.contains_key(&from) {
+                let action = Action::Read { machine, from };
+                if let Some(outcome) = self.read_from(state, machine, from).transpose() {
+                    list.push(Successor { action, outcome });
+                }
+            }
+        }
+    }
+
+    /// Those whom a voter without memory asks, as machines.
+    pub fn witnesses(&self, machine: usize, voter: &Voter) -> Vec<usize> {
+        let asking = Voter { ip: self.addresses[machine].clone(), ..Voter::clone(voter) };
+        let witnesses = asking.witnesses();
+        (0..self.addresses.len()).filter(|other| witnesses.contains(&self.addresses[*other])).collect()
+    }
+
+    /// None: the other does not answer what was asked.
+    pub fn read_from(&self, state: &State, machine: usize, from: usize) -> Result<Option<State>, Violation> {
+        let core = state.replicas[machine].voter.core.clone();
+        let is_member = crate::quorum::is_old_or_new_member(&core, &self.addresses[machine]);
+        let ask = if is_member { Ask::Whole } else { Ask::Places };
+        let poll = Shared::new(Poll { core: core.clone(), ask });
+        let answer = self.poll(from, &state.replicas[from].voter, &poll)?;
+        let mut next = state.clone();
+        next.put_voter(from, answer.voter);
+        match &*answer.vote {
+            Vote::Newer { core } => {
+                next.tell(machine, core);
+                return Ok(Some(next));
+            }
+            Vote::Whole { slots } if is_member => {
+                next.replicas[machine].edit(|replica| drop(replica.reads.insert(from, slots.clone())));
+            }
+            Vote::Places { .. } if !is_member => {
+                next.replicas[machine].edit(|replica| drop(replica.reads.insert(from, Vec::new())));
+            }
+            _ => return Ok(None),
+        }
+        self.vote_again(&mut next, machine, &core);
+        Ok(Some(next))
+    }
+
+    /// Ends the loss of memory if enough others were read.
+    fn vote_again(&self, state: &mut State, machine: usize, core: &Core) {
+        let replica = &state.replicas[machine];
+        let mut voter = Voter { ip: self.addresses[machine].clone(), ..Voter::clone(&replica.voter) };
+        let read: Vec<String> = replica.reads.keys().map(|from| self.addresses[*from].clone()).collect();
+        if crate::quorum::is_old_or_new_member(core, &voter.ip) {
+            if !voter.enough(&read) {
+                return;
+            }
+            if voter.recall(replica.reads.values().cloned().collect()).is_none() {
+                state.replicas[machine].edit(|replica| replica.reads.clear());
+                return;
+            }
+        } else {
+            if !crate::quorum::is_quorum(core, &read) {
+                return;
+            }
+            voter.fold(LogRecord::Vote);
+        }
+        voter.ip.clear();
+        let replica = Replica { voter: Shared::new(voter), wiped_at: None, reads: Default::default() };
+        state.replicas[machine].edit(|held| *held = replica);
+    }
+}
+
+impl State {
+    /// A voter hears of a committed core. False: it is no newer than the one that it knows.
+    pub fn tell(&mut self, machine: usize, core: &Core) -> bool {
+        let mut voter = Voter::clone(&self.replicas[machine].voter);
+        voter.adopt(core).is_some() && self.put_voter(machine, Shared::new(voter))
+    }
+}
--- /dev/null
+++ b/ledger/src/model/scenario.rs
@@ -0,0 +1,97 @@
+//! What bounds one exploration: the machines, what is asked of the proposers, and how much trouble there is.
+use super::machines::MachineSet;
+use crate::proposal::Verdict;
+
+/// What a client asks of a proposer. A body is the list of the changes that were made, oldest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Operation {
+    /// Add this change, unless it was taken before.
+    Write(u8),
+    Read,
+}
+
+impl Operation {
+    /// Decides on the body that is committed, as the keeper does for a configuration.
+    pub fn judge(self, committed: &[u8]) -> Verdict<Vec<u8>> {
+        match self {
+            Operation::Write(change) if !committed.contains(&change) => {
+                let body = [committed, &[change]].concat();
+                Verdict::Write(body.clone(), body)
+            }
+            _ => Verdict::Answer(committed.to_vec()),
+        }
+    }
+}
+
+/// One proposer: its operations, done in this order, and how many proposals it may begin in total.
+#[derive(Clone, Debug, Default)]
+pub struct Workload {
+    pub operations: Vec<Operation>,
+    pub attempts: u8,
+}
+
+/// A change of the core, as `membership::next` is to see it.
+#[derive(Clone, Debug)]
+pub struct CoreChange {
+    /// A member that is about to end. It is exchanged, or removed when there is one too many.
+    pub leaving: Option<usize>,
+    pub candidates: Vec<usize>,
+    /// How many keepers take it on themselves to make the change.
+    pub coordinators: usize,
+}
+
+/// A change of an owner that is gone: its ballot was promised by some, and the change accepted by others.
+#[derive(Clone, Copy, Debug)]
+pub struct HalfDone {
+    pub promised_by: MachineSet,
+    pub accepted_by: MachineSet,
+}
+
+/// A fault that is put in on purpose: the exploration must find it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Flaw {
+    /// A round is over with one vote less than a quorum.
+    QuorumOneShort,
+    /// A voter accepts a ballot below the one that it promised.
+    OldBallotAccepted,
+    /// A vote leaves before it is on disk.
+    VoteBeforeDisk,
+    /// A voter with an empty disk votes at once.
+    WipedVotesAtOnce,
+    /// A voter with an empty disk reads the others before the rounds that counted its lost votes are over.
+    RecallWithoutDelay,
+    /// A proposer that was restarted takes up the ballots of its life before.
+    BallotsUsedAgain,
+    /// A read is answered from what was held, without asking a quorum.
+    ReadFromMemory,
+    /// Members are exchanged without joint quorums.
+    NoJointQuorums,
+    /// A change of members is settled without committing the keys again.
+    SettledWithoutRenewal,
+}
+
+/// Invariant: machines that are interchangeable have the same part in every core.
+#[derive(Clone, Debug, Default)]
+pub struct Scenario {
+    pub machines: usize,
+    /// The first machines are the members of the first core.
+    pub core_size: usize,
+    pub proposers: Vec<Workload>,
+    /// An operation that was done before the exploration begins, heard of by these machines only. The first
+    /// proposer, if any, did it and owns the key.
+    pub done_before: Option<(Operation, MachineSet)>,
+    pub left_half_done: Option<HalfDone>,
+    pub core_change: Option<CoreChange>,
+    pub restarts: u8,
+    pub wipes: u8,
+    /// Groups of machines that differ in nothing but their number.
+    pub interchangeable: Vec<Vec<usize>>,
+    pub flaw: Option<Flaw>,
+}
+
+impl Scenario {
+    /// How many members of a core may be without their memory at a time.
+    pub fn tolerated_losses(members: usize) -> usize {
+        members - crate::quorum::majority(members)
+    }
+}
--- /dev/null
+++ b/ledger/src/model/state.rs
@@ -0,0 +1,168 @@
+//! The state of the modelled world.
+use super::scenario::Operation;
+use super::shared::Shared;
+use crate::round::next_turn;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::msg::{Ask, Ballot, Core, Entry, Poll, Slot, Vote};
+
+/// How often a key may be begun to be committed again under a changed core.
+const COORDINATOR_ATTEMPTS: u8 = 1;
+/// The change that may have been left half done before the exploration begins.
+const HALF_DONE_CHANGE: u8 = 8;
+
+/// One voter and its disk, which hold the same between two polls: a vote leaves only once it is on disk, and
+/// polls that a crash loses are polls that did not come. Its address is put in for each call, so that
+/// interchangeable replicas are equal.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
+pub struct Replica {
+    pub voter: Shared<crate::voter::Voter>,
+    /// When it lost its disk, as long as it may not vote again.
+    pub wiped_at: Option<u64>,
+    /// What it read of others since, in order to vote again.
+    pub reads: BTreeMap<usize, Vec<Slot>>,
+}
+
+/// What a proposal is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Purpose {
+    Operation(Operation),
+    /// The key is committed again under a changed core.
+    Renewal,
+}
+
+impl Purpose {
+    pub fn operation(self) -> Operation {
+        match self {
+            Purpose::Operation(operation) => operation,
+            Purpose::Renewal => Operation::Read,
+        }
+    }
+}
+
+/// A proposal under way. Votes are under way until those of a quorum are counted at once: counting them one by
+/// one changes nothing that others can see before the last one.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Task {
+    pub purpose: Purpose,
+    pub proposal: Shared<crate::proposal::Proposal<Vec<u8>>>,
+    /// The present poll, on its way to every member.
+    pub poll: Shared<Poll>,
+    pub votes: BTreeMap<usize, Shared<Vote>>,
+    /// What was acknowledged when the proposal began: its answer must hold it.
+    pub acknowledged_before: Shared<Vec<u8>>,
+}
+
+/// The settlement of a changed core, from which the real one is built when it is asked.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
+pub struct SettlementRecord {
+    /// Votes of those that were told of the core.
+    pub heard: BTreeMap<usize, Shared<Vote>>,
+    pub renewed: BTreeSet<String>,
+}
+
+/// A process that proposes changes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Default)]
+pub struct Proposer {
+    pub life: u64,
+    pub turn: u64,
+    /// The core that it knows, as an index of the committed ones.
+    pub core: usize,
+    /// How many of its operations are done.
+    pub done: usize,
+    pub attempts_left: u8,
+    pub held: Option<crate::round::Ownership>,
+    pub task: Option<Task>,
+    /// This one coordinates changes of the core.
+    pub coordinates: bool,
+    pub settlement: SettlementRecord,
+}
+
+#[derive(Clone, Debug, Hash)]
+pub struct State {
+    pub now: u64,
+    pub replicas: Vec<Shared<Replica>>,
+    pub proposers: Vec<Shared<Proposer>>,
+    /// Acceptances asked for in rounds that are over: they may still reach a voter.
+    pub late: Shared<Vec<Shared<Poll>>>,
+    /// The cores that were committed, oldest first.
+    pub cores: Shared<Vec<Core>>,
+    /// The longest body that any client was answered with.
+    pub acknowledged: Shared<Vec<u8>>,
+    pub restarts_left: u8,
+    pub wipes_left: u8,
+}
+
+impl State {
+    pub fn newest_core(&self) -> &Core {
+        self.cores.last().expect("a first core")
+    }
+
+    /// The highest turn that a voter promised.
+    pub fn highest_turn(&self) -> u64 {
+        let slots = self.replicas.iter().filter_map(|replica| replica.voter.slots.get(super::KEY));
+        slots.map(|slot| slot.promised.turn).max().unwrap_or_default()
+    }
+
+    /// Replicas that may not vote.
+    pub fn mute(&self) -> usize {
+        self.replicas.iter().filter(|replica| !replica.voter.may_vote).count()
+    }
+}
+
+impl super::Model {
+    /// All machines in touch and idle, with what the scenario says was acknowledged before.
+    pub fn initial_state(&self) -> State {
+        let list = (0..self.scenario.core_size).map(super::machines::member).collect();
+        let core = Core { version: 1, list, prev: Vec::new(), settled: true };
+        let voter = crate::voter::Voter { core: core.clone(), may_vote: true, ..Default::default() };
+        let replica = Shared::new(Replica { voter: Shared::new(voter), ..Replica::default() });
+        let idle = |workload: &super::scenario::Workload| {
+            Shared::new(Proposer { attempts_left: workload.attempts, ..Proposer::default() })
+        };
+        let mut state = State {
+            now: 0,
+            replicas: vec![replica; self.scenario.machines],
+            proposers: self.scenario.proposers.iter().map(idle).collect(),
+            late: Shared::new(Vec::new()),
+            cores: Shared::new(vec![core]),
+            acknowledged: Shared::new(Vec::new()),
+            restarts_left: self.scenario.restarts,
+            wipes_left: self.scenario.wipes,
+        };
+        if let Some(change) = &self.scenario.core_change {
+            let attempts_left = COORDINATOR_ATTEMPTS;
+            let coordinator = Proposer { attempts_left, coordinates: true, ..Proposer::default() };
+            state.proposers.extend(std::iter::repeat_n(Shared::new(coordinator), change.coordinators));
+        }
+        self.do_first(&mut state);
+        self.leave_half_done(&mut state);
+        state
+    }
+
+    fn leave_half_done(&self, state: &mut State) {
+        let Some(half_done) = self.scenario.left_half_done else { return };
+        let core = state.newest_core().clone();
+        let ballot = Ballot { turn: next_turn(state.highest_turn(), &core), seat: u64::MAX };
+        let entry = Entry { ballot, step: 1, body: vec![HALF_DONE_CHANGE] };
+        let prepare = Ask::Prepare { key: super::KEY.into(), ballot };
+        let accept = Ask::Accept { key: super::KEY.into(), entry };
+        for (ask, machines) in [(prepare, half_done.promised_by), (accept, half_done.accepted_by)] {
+            let poll = Shared::new(Poll { core: core.clone(), ask });
+            for machine in machines.iter() {
+                let answer = self.poll(machine, &state.replicas[machine].voter, &poll).expect("no violation");
+                state.put_voter(machine, answer.voter);
+            }
+        }
+    }
+
+    fn do_first(&self, state: &mut State) {
+        let Some((operation, machines)) = self.scenario.done_before else { return };
+        let core = state.newest_core().clone();
+        let progress = self.run(state, &core, machines, operation).expect("no violation");
+        let crate::proposal::Progress::Finished { answer, owner, .. } = progress else { panic!("no quorum") };
+        state.acknowledged = Shared::new(answer);
+        if let Some(first) = state.proposers.first_mut().filter(|proposer| !proposer.coordinates) {
+            first.edit(|proposer| proposer.held = Some(owner));
+        }
+    }
+}
--- /dev/null
+++ b/ledger/src/model/symmetry_tests.rs
@@ -0,0 +1,47 @@
+//! Renumbering against an exploration without it.
+use super::super::explore::{fingerprint, System};
+use super::super::runs::{core_of, proposer};
+use super::super::scenario::{CoreChange, Operation, Scenario};
+use super::{Model, State};
+use std::collections::HashSet;
+
+fn reachable(model: &Model) -> Vec<State> {
+    let mut states = vec![model.initial()];
+    let mut seen: HashSet<u64> = states.iter().map(fingerprint).collect();
+    let mut next = 0;
+    while next < states.len() {
+        let steps = model.successors(&states[next]);
+        let reached = steps.into_iter().filter_map(|step| step.outcome.ok());
+        states.extend(reached.filter(|state| seen.insert(fingerprint(state))));
+        next += 1;
+    }
+    states
+}
+
+/// Every state that is reached without renumbering is, renumbered, one that is reached with it, and the reverse.
+fn hides_nothing(scenario: Scenario) {
+    let whole = Model::new(Scenario { interchangeable: Vec::new(), ..scenario.clone() });
+    let reduced = Model::new(scenario);
+    let normalized = reachable(&whole).into_iter().map(|mut state| {
+        reduced.normalize(&mut state);
+        fingerprint(&state)
+    });
+    let expected: HashSet<u64> = normalized.collect();
+    let found: HashSet<u64> = reachable(&reduced).iter().map(fingerprint).collect();
+    assert!(found.len() > 100, "{}", found.len());
+    assert!(found == expected, "{} states, expected {}", found.len(), expected.len());
+}
+
+#[test]
+fn renumbering_hides_nothing_while_members_stay() {
+    let proposers = vec![proposer(&[Operation::Write(1)], 1), proposer(&[Operation::Write(2)], 1)];
+    hides_nothing(Scenario { proposers, ..core_of(3) });
+}
+
+#[test]
+fn renumbering_hides_nothing_while_members_change() {
+    let core_change = Some(CoreChange { leaving: None, candidates: vec![3], coordinators: 1 });
+    let done_before = Some((Operation::Write(9), [0, 1].into_iter().collect()));
+    let scenario = Scenario { machines: 4, core_change, done_before, ..core_of(3) };
+    hides_nothing(scenario);
+}
--- /dev/null
+++ b/ledger/src/model/violation.rs
@@ -0,0 +1,21 @@
+//! What an exploration may find.
+use wire::msg::Ballot;
+
+/// A state or an action that must not be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Violation {
+    /// Two bodies at one place of the history.
+    TwoValues { place: (Ballot, u64), bodies: [Vec<u8>; 2] },
+    /// Two owners act under one ballot.
+    TwoOwners { ballot: Ballot },
+    /// What was acknowledged is not part of what a later quorum read returns.
+    Lost { acknowledged: Vec<u8>, found: Vec<u8> },
+    /// A change was acknowledged and is not in the body that was committed for it.
+    NotTaken { change: u8, body: Vec<u8> },
+    /// A vote left a voter whose disk does not hold what the vote rests on.
+    NotOnDisk,
+    /// A promise or the place of an entry went back, or an entry is above the promise.
+    WentBack,
+    /// With a majority in touch and no further trouble something does not come to an end.
+    Stuck(&'static str),
+}
--- /dev/null
+++ b/ledger/src/model/voting.rs
@@ -0,0 +1,157 @@
+//! Polls that reach voters, in time or late.
+use super::action::{Action, Successor};
+use super::proposing::ballot;
+use super::scenario::Flaw;
+use super::shared::Shared;
+use super::state::State;
+use super::violation::Violation;
+use super::Model;
+use crate::voter::Voter;
+use wire::msg::{Ask, Ballot, Entry, Poll, Vote};
+
+/// A voter after a poll, and its vote.
+#[derive(Clone)]
+pub struct Answer {
+    pub voter: Shared<Voter>,
+    pub vote: Shared<Vote>,
+}
+
+/// What each voter answered to each poll: told apart by machine, voter and poll.
+pub type AnswerCache = std::cell::RefCell<std::collections::HashMap<(usize, u64, u64), Answer>>;
+
+impl Model {
+    /// Lets a voter answer a poll. Both the voter and what a restart would find on its disk are as returned.
+    pub fn poll(&self, machine: usize, voter: &Shared<Voter>, poll: &Shared<Poll>) -> Result<Answer, Violation> {
+        let key = (machine, voter.fingerprint(), poll.fingerprint());
+        if let Some(known) = self.answers.borrow().get(&key) {
+            return Ok(known.clone());
+        }
+        let (after, vote) = self.answer(machine, voter, poll)?;
+        let after = if after == **voter { voter.clone() } else { Shared::new(after) };
+        let answer = Answer { voter: after, vote: Shared::new(vote) };
+        self.answers.borrow_mut().insert(key, answer.clone());
+        Ok(answer)
+    }
+
+    fn answer(&self, machine: usize, voter: &Voter, poll: &Poll) -> Result<(Voter, Vote), Violation> {
+        let mut after = Voter { ip: self.addresses[machine].clone(), ..voter.clone() };
+        let accepts_old = self.has(Flaw::OldBallotAccepted);
+        if accepts_old {
+            forget_promise(&mut after, &poll.ask);
+        }
+        let (vote, records) = after.poll(poll.clone());
+        if accepts_old && matches!(vote, Vote::Refused { .. }) {
+            return Ok((voter.clone(), vote));
+        }
+        after.ip.clear();
+        let mut restarted = voter.clone();
+        if !self.has(Flaw::VoteBeforeDisk) {
+            records.into_iter().for_each(|record| restarted.fold(record));
+        }
+        if restarted != after {
+            return Err(Violation::NotOnDisk);
+        }
+        if !accepts_old {
+            check_only_rises(voter, &after)?;
+        }
+        Ok((after, vote))
+    }
+
+    pub fn vote(&self, state: &State, list: &mut Vec<Successor>) {
+        for proposer in 0..state.proposers.len() {
+            self.deliver(state, proposer, list);
+        }
+        for poll in state.late.iter() {
+            self.deliver_late(state, poll, list);
+        }
+    }
+
+    /// The present poll of a proposer reaches one of the members.
+    fn deliver(&self, state: &State, proposer: usize, list: &mut Vec<Successor>) {
+        let Some(task) = &state.proposers[proposer].task else { return };
+        for machine in self.core_facts(&task.poll.core).members.iter() {
+            let action = Action::Deliver { proposer, machine };
+            let Answer { voter, vote } = match self.poll(machine, &state.replicas[machine].voter, &task.poll) {
+                Ok(answer) => answer,
+                Err(violation) => {
+                    list.push(Successor { action, outcome: Err(violation) });
+                    continue;
+                }
+            };
+            let mut next = state.clone();
+            let changed = next.put_voter(machine, voter);
+            match &*vote {
+                // The first vote counts; what is answered to a poll that comes again goes nowhere.
+                Vote::Promise { .. } | Vote::Accepted if !task.votes.contains_key(&machine) => {
+                    next.edit_task(proposer, |task| drop(task.votes.insert(machine, vote)));
+                    list.push(Successor { action, outcome: Ok(next) });
+                }
+                // A refusal under the own ballot answers a poll that came twice.
+                Vote::Refused { promised } if Some(*promised) <= ballot(&task.poll.ask) => {}
+                Vote::Refused { .. } | Vote::Newer { .. } => {
+                    let outcome = self.hear(next, proposer, &[(machine, vote)]);
+                    list.push(Successor { action: Action::Refuse { proposer, machine }, outcome });
+                }
+                _ if changed => list.push(Successor { action, outcome: Ok(next) }),
+                _ => {}
+            }
+        }
+    }
+
+    fn deliver_late(&self, state: &State, poll: &Shared<Poll>, list: &mut Vec<Successor>) {
+        let Ask::Accept { entry, .. } = &poll.ask else { return };
+        for machine in self.core_facts(&poll.core).members.iter() {
+            let action = Action::DeliverLate { place: entry.place(), machine };
+            match self.poll(machine, &state.replicas[machine].voter, poll) {
+                Err(violation) => list.push(Successor { action, outcome: Err(violation) }),
+                Ok(answer) if answer.voter == state.replicas[machine].voter => {}
+                Ok(answer) => {
+                    let mut next = state.clone();
+                    next.put_voter(machine, answer.voter);
+                    list.push(Successor { action, outcome: Ok(next) });
+                }
+            }
+        }
+    }
+}
+
+impl State {
+    /// Gives a replica its voter after a poll. False: nothing changed.
+    pub fn put_voter(&mut self, machine: usize, voter: Shared<Voter>) -> bool {
+        let replica = &mut self.replicas[machine];
+        if replica.voter == voter {
+            return false;
+        }
+        replica.edit(|replica| {
+            // What was read answers for the quorums of another core.
+            if replica.voter.core.version != voter.core.version {
+                replica.reads.clear();
+            }
+            replica.voter = voter;
+        });
+        true
+    }
+}
+
+fn forget_promise(voter: &mut Voter, ask: &Ask) {
+    let Ask::Accept { key, .. } = ask else { return };
+    if let Some(slot) = voter.slots.get_mut(key) {
+        slot.promised = Ballot::default();
+    }
+}
+
+/// Promises and places of entries never go back, and no entry is above what is promised.
+fn check_only_rises(before: &Voter, after: &Voter) -> Result<(), Violation> {
+    for (key, slot) in &after.slots {
+        let place = slot.entry.as_ref().map(Entry::place);
+        let above = slot.entry.as_ref().is_some_and(|entry| entry.ballot > slot.promised);
+        let back = before
+            .slots
+            .get(key)
+            .is_some_and(|held| held.promised > slot.promised || held.entry.as_ref().map(Entry::place) > place);
+        if above || back {
+            return Err(Violation::WentBack);
+        }
+    }
+    Ok(())
+}
