--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -24,6 +24,8 @@
 kernel::bytes!(Closed);
 kernel::bytes!(Duty);
 
+pub use ledger::core_body::{read as read_core, write as write_core};
+
 /// The value in a body; the first one where there is none yet. None: the body is of another form, and is never taken for
 /// an empty one.
 macro_rules! open {
@@ -42,16 +44,6 @@
 open!(Closed);
 open!(Duty);
 
-pub fn read_core(body: &[u8]) -> Option<wire::msg::Core> {
-    let mut room = rkyv::util::AlignedVec::<16>::with_capacity(body.len());
-    room.extend_from_slice(body);
-    rkyv::from_bytes::<wire::msg::Core, rkyv::rancor::Error>(&room).ok()
-}
-
-pub fn write_core(core: &wire::msg::Core) -> Vec<u8> {
-    rkyv::to_bytes::<rkyv::rancor::Error>(core).map(|body| body.to_vec()).unwrap_or_default()
-}
-
 /// Why a committed entry cannot be taken for what a key holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Unreadable {
