Doubt about an engine: some routers are drawn to ask it, the others take their word

Change: about eight routers are drawn to ask, the first without an answer tells the rest that it is dark, and its first answer is told likewise; one whose own request gets no sign of life asks for itself at once.

--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -34,8 +34,10 @@
     /// When it was last found silent, and whether it is being asked just now.
     pub struck_at: u64,
     pub asked: bool,
-    /// It answered a fellow since it was last asked here.
+    /// It answered another router since it was last asked here.
     pub calm: bool,
+    /// A request of this router got no sign of life since it was last asked.
+    pub silent: bool,
     pub full_until: u64,
     /// About to change its part: nothing new until then.
     pub rest_until: u64,
@@ -69,6 +71,7 @@
             struck_at: 0,
             asked: false,
             calm: false,
+            silent: false,
             shy_until: 0,
             full_until: 0,
             rest_until: 0,
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -1,43 +1,59 @@
 //! Doubt about an engine that gives no sign of life: settled by asking it, never by a client's
 //! request. `GET /report` takes no slot; a slow engine answers it, a dark one does not.
+//!
+//! One engine that goes dark must not be asked by every router: one that doubts it tells, some others are drawn to
+//! ask it too, and the rest take their word, both for its silence and for its first answer.
 
 /// How long a request may go without a sign of life from its engine before that is asked.
 pub const SIGN_MS: u64 = 150;
-/// How long the answer to a probe may take, and the pause to the next one where few ask.
-const WAIT_MS: u64 = 250;
-const PAUSE_MS: u64 = 300;
-/// Of many routers that doubt an engine only about so many ask in each pause: the rest are told when it
-/// answers one of them, and ask once more for themselves.
-const ASKERS: u64 = 8;
-const PAUSE_MOST_MS: u64 = 3000;
-/// How the name of an engine that answered again is told, beside the names of those in doubt. Peers of the
-/// first version know no engine of such a name.
-const CALM: &str = "\0calm/";
-
-/// The pause to the next probe; the second comes soon, so that a false alarm is short.
-pub fn pause(strikes: u32, seats: u32, roll: u64) -> u64 {
-    if strikes < 2 {
-        return PAUSE_MS;
-    }
-    let mean = (PAUSE_MS * u64::from(seats) / ASKERS).clamp(PAUSE_MS, PAUSE_MOST_MS);
-    mean * 3 / 4 + roll % (mean / 2)
+/// How often a router tells of its own doubt while it gets no answer.
+const TELLINGS: u32 = 3;
+/// An engine that gave no answer for so long was not only slow.
+const DARK_MS: u64 = 1000;
+
+use crate::doubt_pace::{is_drawn, pause, told_pause, SHY_MS, SPREAD_MS};
+use crate::doubt_probe::probe;
+use crate::doubt_word::Word;
+
+/// Why an engine is asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// A request of this router got no sign of life.
+    Seen,
+    /// Another router's doubt, and this one was drawn to ask.
+    Drawn,
+    /// It is told to be dark.
+    Told,
+}
+
+fn roll(state: &crate::state::State) -> u64 {
+    state.dice.lock().expect("dice").roll()
 }
 
-/// Word of an engine from a keeper: in doubt, or answering again.
+/// Word of an engine from a keeper.
 pub fn hear(state: &std::sync::Arc<crate::state::State>, name: &str) {
-    let calm = name.strip_prefix(CALM);
-    let at = {
-        let mut park = state.park.lock().expect("park");
-        let at = park.find(calm.unwrap_or(name));
-        if let (Some(at), true) = (at, calm.is_some()) {
-            park.list[at].calm = true;
+    let word = Word::read(name);
+    let Some(at) = state.park.lock().expect("park").find(word.engine()) else { return };
+    match word {
+        Word::Answered(_) => {
+            state.park.lock().expect("park").list[at].calm = true;
+            state.calm.notify_waiters();
+        }
+        Word::Dark(_) => {
+            let now = kernel::clock::now();
+            {
+                let mut park = state.park.lock().expect("park");
+                let engine = &mut park.list[at];
+                // Nothing new is sent there; answers under way are no worse for what others saw.
+                engine.shy_until = engine.shy_until.max(now + SHY_MS);
+            }
+            start(state, at, Cause::Told);
+        }
+        Word::Doubted(_) => {
+            if is_drawn(state.router_count(), roll(state)) {
+                start(state, at, Cause::Drawn);
+            }
         }
-        at
-    };
-    match (at, calm) {
-        (Some(at), None) => raise(state, at, false),
-        (Some(_), Some(_)) => state.calm.notify_waiters(),
-        _ => {}
     }
 }
 
@@ -55,98 +71,139 @@
     }
 }
 
-fn tell(state: &crate::state::State, name: String) {
+/// As `rest`, until a request of this router gets no sign of life either: then it asks for itself.
+async fn rest_on_word(state: &crate::state::State, at: usize, wait_ms: u64) -> bool {
+    let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
+    loop {
+        let woken = state.calm.notified();
+        {
+            let mut park = state.park.lock().expect("park");
+            let engine = &mut park.list[at];
+            if std::mem::take(&mut engine.calm) {
+                return true;
+            }
+            if std::mem::take(&mut engine.silent) {
+                return false;
+            }
+        }
+        if tokio::time::timeout_at(end, woken).await.is_err() {
+            return false;
+        }
+    }
+}
+
+fn tell(state: &crate::state::State, word: Word) {
     let home = state.home.lock().expect("home").clone();
     if let Some(home) = home {
-        home.cast(wire::msg::Msg::Doubt(Box::new((name, false))));
+        home.cast(wire::msg::Msg::Doubt(Box::new((word.write(), false))));
     }
 }
-/// An engine that gave no answer for so long was not only slow.
-const DARK_MS: u64 = 1000;
-/// While in doubt an engine is left alone; a probe that is answered ends it.
-const SHY_MS: u64 = 20_000;
 
-/// Asks an engine until it answers or is gone. One asker an engine at a time.
-pub fn raise(state: &std::sync::Arc<crate::state::State>, at: usize, tell: bool) {
+/// A request got no sign of life from an engine: it is asked until it answers or is gone.
+pub fn raise(state: &std::sync::Arc<crate::state::State>, at: usize) {
+    if let Some(engine) = state.park.lock().expect("park").list.get_mut(at) {
+        engine.silent = true;
+    }
+    state.calm.notify_waiters();
+    start(state, at, Cause::Seen);
+}
+
+/// One asker an engine at a time.
+fn start(state: &std::sync::Arc<crate::state::State>, at: usize, cause: Cause) {
     {
         let mut park = state.park.lock().expect("park");
         let Some(engine) = park.list.get_mut(at).filter(|engine| engine.here && !engine.asked) else { return };
         engine.asked = true;
+        engine.calm = false;
+        engine.silent = false;
     }
-    tokio::spawn(ask(state.clone(), at, tell));
+    tokio::spawn(ask(state.clone(), at, cause));
 }
 
-async fn ask(state: std::sync::Arc<crate::state::State>, at: usize, mut first: bool) {
+/// What came of one probe.
+enum Found {
+    /// Nothing more is to be asked.
+    Ended,
+    /// No answer; whether the engine was known to be dark before.
+    Silent { known: bool },
+}
+
+async fn ask(state: std::sync::Arc<crate::state::State>, at: usize, cause: Cause) {
     let begun = kernel::clock::now();
-    let (mut asked, mut told) = (0u32, false);
+    let roll_of = || roll(&state);
+    if cause == Cause::Drawn {
+        tokio::time::sleep(std::time::Duration::from_millis(roll_of() % SPREAD_MS)).await;
+    }
+    if cause == Cause::Told && rest_on_word(&state, at, told_pause(state.router_count(), roll_of())).await {
+        return trust(&state, at, begun);
+    }
+    let (mut unanswered, mut woken) = (0u32, false);
     loop {
         let (addr, id) = {
             let park = state.park.lock().expect("park");
             (park.list[at].addr.clone(), park.list[at].id.clone())
         };
         let answer = probe(&addr).await;
-        let now = kernel::clock::now();
-        {
-            let mut park = state.park.lock().expect("park");
-            let engine = &mut park.list[at];
-            match answer {
-                Some(name) if name.as_ref().is_none_or(|name| *name == id) => {
-                    engine.good(now);
-                    if now > begun + DARK_MS {
-                        // It may have been started anew meanwhile.
-                        engine.presume_cold(now + crate::evacuation::presumed_cold_ms(&state));
-                    }
-                }
-                Some(_) => engine.over(),
-                None => engine.strike(now, SHY_MS),
-            }
-            if answer_ends(engine, now) {
-                engine.asked = false;
+        let known = match judge(&state, at, &id, answer, begun) {
+            Found::Ended => {
                 // Whoever was told need not tell.
-                let back = engine.here && asked > 0 && !told;
-                drop(park);
-                if back {
-                    tell(&state, format!("{CALM}{id}"));
+                let is_here = state.park.lock().expect("park").list[at].here;
+                if is_here && !woken && (unanswered > 0 || cause == Cause::Told) {
+                    tell(&state, Word::Answered(&id));
                 }
                 return;
             }
-            engine.calm = false;
-            kernel::say!(crate::event::STRIKE, "engine" => id.clone(), "strikes" => engine.strikes);
-        }
+            Found::Silent { known } => known,
+        };
         state.pools.forget(&addr);
-        if std::mem::take(&mut first) {
-            tell(&state, id.clone());
+        match cause {
+            Cause::Seen if unanswered < TELLINGS => tell(&state, Word::Doubted(&id)),
+            Cause::Drawn if unanswered == 0 && !known => tell(&state, Word::Dark(&id)),
+            _ => {}
         }
-        asked += 1;
-        let roll = state.dice.lock().expect("dice").roll();
-        told = rest(&state, at, pause(asked, state.router_count(), roll)).await;
+        unanswered += 1;
+        woken = rest(&state, at, pause(unanswered, state.router_count(), roll_of())).await;
     }
 }
 
-fn answer_ends(engine: &engines::park::Stall, now: u64) -> bool {
-    !engine.here || engine.shy_until <= now
+/// Takes the answer of an engine, or its silence, for what it says.
+fn judge(state: &crate::state::State, at: usize, id: &str, answer: Option<Option<String>>, begun: u64) -> Found {
+    let now = kernel::clock::now();
+    let mut park = state.park.lock().expect("park");
+    let engine = &mut park.list[at];
+    let known = engine.shy_until > now;
+    match answer {
+        Some(name) if name.as_ref().is_none_or(|name| name == id) => answered(state, engine, now, begun),
+        Some(_) => engine.over(),
+        None => engine.strike(now, SHY_MS),
+    }
+    if answer_ends(engine, now) {
+        engine.asked = false;
+        return Found::Ended;
+    }
+    engine.calm = false;
+    kernel::say!(crate::event::STRIKE, "engine" => id, "strikes" => engine.strikes);
+    Found::Silent { known }
+}
+
+fn answered(state: &crate::state::State, engine: &mut engines::park::Stall, now: u64, begun: u64) {
+    engine.good(now);
+    if now > begun + DARK_MS {
+        // It may have been started anew meanwhile.
+        engine.presume_cold(now + crate::evacuation::presumed_cold_ms(state));
+    }
 }
 
-/// Some: it answered, with its id where it gave one.
-async fn probe(addr: &str) -> Option<Option<String>> {
-    let wait = std::time::Duration::from_millis(WAIT_MS);
-    tokio::time::timeout(wait, report(addr)).await.ok()?
+/// Another router got an answer, and this one has no reason of its own to doubt it.
+fn trust(state: &crate::state::State, at: usize, begun: u64) {
+    let mut park = state.park.lock().expect("park");
+    let engine = &mut park.list[at];
+    engine.asked = false;
+    answered(state, engine, kernel::clock::now(), begun);
 }
 
-async fn report(addr: &str) -> Option<Option<String>> {
-    let stream = wire::sock::dial(addr, WAIT_MS, wire::sock::SILENCE_MS).await.ok()?;
-    let io = hyper_util::rt::TokioIo::new(stream);
-    let (mut link, conn) = hyper::client::conn::http1::handshake(io).await.ok()?;
-    tokio::spawn(async move {
-        let _ = conn.await;
-    });
-    let mut request = http::Request::new(http_body_util::Empty::<bytes::Bytes>::new());
-    *request.uri_mut() = http::Uri::from_static("/report");
-    request.headers_mut().insert(http::header::HOST, http::HeaderValue::from_str(addr).ok()?);
-    request.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
-    let reply = link.send_request(request).await.ok()?;
-    let name = reply.headers().get(wire::word::INSTANCE).and_then(|value| value.to_str().ok());
-    Some(name.map(str::to_string))
+fn answer_ends(engine: &engines::park::Stall, now: u64) -> bool {
+    !engine.here || engine.shy_until <= now
 }
 
 #[cfg(test)]
--- a/router/src/doubt_tests.rs
+++ b/router/src/doubt_tests.rs
@@ -1,28 +1,84 @@
-/// Probes that all routers send to one dark engine in ten seconds.
-fn probes(seats: u32) -> u64 {
-    let mut dice = kernel::clock::Dice::new(u64::from(seats));
-    let mut count = 0;
-    for _ in 0..seats {
-        let (mut now, mut asked) = (0, 0);
-        while now < 10_000 {
-            (count, asked) = (count + 1, asked + 1);
-            now += super::WAIT_MS + super::pause(asked, seats, dice.roll());
+//! Engines in doubt: who asks them, and whose word is taken.
+use crate::doubt_word::Word;
+use crate::stand_in::{answer, engines, Act, Engine};
+use crate::stand_in_router::router;
+
+async fn fleet() -> Vec<Engine> {
+    engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "{}"))).await
+}
+
+fn id(engines: &[Engine]) -> String {
+    engines[0].id.clone()
+}
+
+/// Is the engine left alone?
+fn is_left_alone(state: &crate::state::State) -> bool {
+    state.park.lock().expect("park").list[0].shy_until > kernel::clock::now()
+}
+
+fn is_asked(state: &crate::state::State) -> bool {
+    state.park.lock().expect("park").list[0].asked
+}
+
+/// Until the asker has ended.
+async fn settled(state: &crate::state::State) {
+    let done = async {
+        while is_asked(state) {
+            tokio::task::yield_now().await;
         }
-    }
-    count
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(20), done).await.expect("it ends");
 }
 
 #[test]
-fn a_false_alarm_is_short_and_few_routers_ask_as_before() {
-    assert_eq!(super::pause(1, 1600, 7), super::PAUSE_MS);
-    for seats in 1..=8 {
-        assert!((225..=375).contains(&super::pause(5, seats, u64::from(seats) * 31)), "{seats}");
+fn words_are_read_as_they_were_written_and_the_plain_name_is_a_doubt() {
+    for word in [Word::Doubted("i-1"), Word::Dark("i-1"), Word::Answered("i-1")] {
+        assert_eq!((Word::read(&word.write()), word.engine()), (word, "i-1"));
     }
+    assert_eq!(Word::Doubted("i-1").write(), "i-1", "as earlier versions tell it");
 }
 
-#[test]
-fn many_routers_do_not_all_ask_a_dark_engine_all_the_time() {
-    let (few, many) = (probes(8), probes(88));
-    assert!(many < 4 * few, "{many} against {few}: eleven times the routers");
-    assert!((0..99).all(|roll| super::pause(9, 1600, roll * 37) <= super::PAUSE_MOST_MS * 5 / 4));
+#[tokio::test]
+async fn what_others_found_dark_is_left_alone_without_asking_until_it_answers_one_of_them() {
+    let list = fleet().await;
+    let state = router(&list);
+    super::hear(&state, &Word::Dark(&id(&list)).write());
+    assert!(is_left_alone(&state) && is_asked(&state));
+    super::hear(&state, &Word::Answered(&id(&list)).write());
+    settled(&state).await;
+    assert!(!is_left_alone(&state));
+    assert_eq!(list[0].probes(), 0, "nobody asked it");
+}
+
+#[tokio::test]
+async fn a_doubt_alone_stops_nothing_and_one_that_is_drawn_asks() {
+    let list = fleet().await;
+    let state = router(&list);
+    // A fleet of one: it is always drawn.
+    super::hear(&state, &Word::Doubted(&id(&list)).write());
+    assert!(!is_left_alone(&state), "not before somebody got no answer");
+    settled(&state).await;
+    assert!(!is_left_alone(&state));
+    assert_eq!(list[0].probes(), 1);
+}
+
+#[tokio::test]
+async fn one_that_was_only_told_asks_at_once_when_a_request_of_its_own_gets_no_sign_of_life() {
+    let list = fleet().await;
+    let state = router(&list);
+    // Of a thousand routers each would else ask after many seconds.
+    state.news.lock().expect("news").seats.push((kernel::clock::now(), 1000));
+    super::hear(&state, &Word::Dark(&id(&list)).write());
+    super::raise(&state, 0);
+    settled(&state).await;
+    assert!(!is_left_alone(&state));
+    assert_eq!(list[0].probes(), 1, "asked, and it answered");
+}
+
+#[tokio::test]
+async fn an_answer_under_way_is_not_given_up_for_what_others_found() {
+    let list = fleet().await;
+    let state = router(&list);
+    super::hear(&state, &Word::Dark(&id(&list)).write());
+    assert_eq!(state.park.lock().expect("park").list[0].struck_at, 0, "only own questions end an answer");
 }
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -207,7 +207,7 @@
             return true;
         }
         if now >= seen + crate::doubt::SIGN_MS {
-            crate::doubt::raise(&self.state, at, true);
+            crate::doubt::raise(&self.state, at);
         }
         false
     }
@@ -240,7 +240,7 @@
             crate::send::Outcome::Unsent(crate::pool::SendError::Full) => engine.full_until = now + 20,
             _ => {
                 drop(park);
-                crate::doubt::raise(&self.state, at, true);
+                crate::doubt::raise(&self.state, at);
             }
         }
     }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,9 @@
 mod config;
 mod currency;
 mod doubt;
+mod doubt_pace;
+mod doubt_probe;
+mod doubt_word;
 mod evacuation;
 mod event;
 mod exchange;
@@ -46,6 +49,8 @@
 
 #[cfg(test)]
 mod stand_in;
+#[cfg(test)]
+mod stand_in_answers;
 
 #[cfg(test)]
 mod stand_in_keeper;
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -106,7 +106,7 @@
     /// Goes on at another engine after a break, behind the last event that was passed on.
     async fn resume(&mut self, at: usize, split: &crate::stream::Splitter) -> Option<(usize, crate::send::Answer)> {
         self.may_have_run = true;
-        crate::doubt::raise(&self.state, at, true);
+        crate::doubt::raise(&self.state, at);
         self.tried.push(at);
         if !self.is_resumable() || !split.resumable() {
             return None;
--- a/router/src/stand_in.rs
+++ b/router/src/stand_in.rs
@@ -1,5 +1,6 @@
 //! Engines in the test's own process, on real connections over the loopback.
 
+pub use crate::stand_in_answers::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// A request as an engine saw it.
@@ -65,12 +66,15 @@
     engines.iter().flat_map(Engine::seen).collect()
 }
 
-/// An engine that follows a script. Probes (`GET /report`) are answered and not recorded.
+type Probes = std::sync::Arc<std::sync::atomic::AtomicUsize>;
+
+/// An engine that follows a script. Probes (`GET /report`) are answered and only counted.
 pub struct Engine {
     pub id: String,
     pub addr: String,
     pub phase: &'static str,
     seen: std::sync::Arc<std::sync::Mutex<Vec<Seen>>>,
+    probes: Probes,
     ended: tokio::sync::watch::Receiver<usize>,
 }
 
@@ -91,7 +95,8 @@
         let addr = listener.local_addr().expect("its address").to_string();
         let seen = std::sync::Arc::new(std::sync::Mutex::new(Vec::new()));
         let (end, ended) = tokio::sync::watch::channel(0);
-        let engine = Engine { id: id.into(), addr, phase, seen: seen.clone(), ended };
+        let probes = Probes::default();
+        let engine = Engine { id: id.into(), addr, phase, seen: seen.clone(), probes: probes.clone(), ended };
         let script: Script = std::sync::Arc::new(script);
         tokio::spawn(async move {
             let end = std::sync::Arc::new(end);
@@ -99,8 +104,9 @@
                 let Ok((mut stream, _)) = listener.accept().await else { return };
                 let _ = stream.write_all(greeting.as_bytes()).await;
                 let (script, seen, end) = (script.clone(), seen.clone(), end.clone());
+                let probes = probes.clone();
                 tokio::spawn(async move {
-                    if follow(stream, connection, script, seen).await {
+                    if follow(stream, connection, script, seen, probes).await {
                         end.send_modify(|count| *count += 1);
                     }
                 });
@@ -113,6 +119,11 @@
         self.seen.lock().expect("seen").clone()
     }
 
+    /// How often it was asked for a report.
+    pub fn probes(&self) -> usize {
+        self.probes.load(std::sync::atomic::Ordering::Relaxed)
+    }
+
     /// Waits until so many connections have ended, probes apart.
     pub async fn ended(&self, count: usize) {
         let mut ended = self.ended.clone();
@@ -141,10 +152,12 @@
     connection: usize,
     script: Script,
     seen: std::sync::Arc<std::sync::Mutex<Vec<Seen>>>,
+    probes: Probes,
 ) -> bool {
     let mut unread = Vec::new();
     while let Some((head, body)) = request(&mut stream, &mut unread).await {
         if head.starts_with("GET /report") {
+            probes.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
             let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}").await;
             return false;
         }
@@ -195,55 +208,3 @@
     unread.drain(..end + length);
     Some((head, body))
 }
-
-/// An engine's answer to a request, with the seal and the id that belong there.
-pub fn answer(seen: &Seen, status: &str, body: &str) -> String {
-    sealed(seen.attempt(), status, body)
-}
-
-pub fn sealed(attempt: &str, status: &str, body: &str) -> String {
-    let length = body.len();
-    format!(
-        "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\nKeep-Alive: timeout=30\r\n\
-         Content-Length: {length}\r\n\r\n{body}"
-    )
-}
-
-/// An engine's word that it did not run a request.
-pub fn not_executed(seen: &Seen) -> String {
-    let attempt = seen.attempt();
-    format!("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-}
-
-/// The head of a stream and events `from..to`; the end only where it is `whole`.
-pub fn events(seen: &Seen, from: u32, to: u32, whole: bool) -> String {
-    let attempt = seen.attempt();
-    let mut text = format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\n\
-         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    for id in from..to {
-        let event = format!("id: {id}\ndata: token-{id}\n\n");
-        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
-    }
-    if whole {
-        text.push_str("0\r\n\r\n");
-    }
-    text
-}
-
-/// The header lines of a request whose prompt can be read by one engine and answered by another.
-pub const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
-
-/// The answer of an engine that has read a prompt; the handle is named after the request.
-pub fn held(seen: &Seen) -> String {
-    handle(seen.attempt(), seen.attempt())
-}
-
-pub fn handle(attempt: &str, id: &str) -> String {
-    let body = format!("{{\"kv_handle\":\"h{id}\",\"token_count\":150,\"revision\":1}}");
-    let length = body.len();
-    format!(
-        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nKeep-Alive: timeout=30\r\nContent-Length: {length}\r\n\r\n{body}"
-    )
-}
--- /dev/null
+++ b/router/src/stand_in_answers.rs
@@ -0,0 +1,54 @@
+//! What stand-in engines answer.
+use crate::stand_in::Seen;
+
+/// An engine's answer to a request, with the seal and the id that belong there.
+pub fn answer(seen: &Seen, status: &str, body: &str) -> String {
+    sealed(seen.attempt(), status, body)
+}
+
+pub fn sealed(attempt: &str, status: &str, body: &str) -> String {
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status}\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\nKeep-Alive: timeout=30\r\n\
+         Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
+/// An engine's word that it did not run a request.
+pub fn not_executed(seen: &Seen) -> String {
+    let attempt = seen.attempt();
+    format!("HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: {attempt}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// The head of a stream and events `from..to`; the end only where it is `whole`.
+pub fn events(seen: &Seen, from: u32, to: u32, whole: bool) -> String {
+    let attempt = seen.attempt();
+    let mut text = format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: seal-{attempt}\r\n\
+         Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    for id in from..to {
+        let event = format!("id: {id}\ndata: token-{id}\n\n");
+        text.push_str(&format!("{:x}\r\n{event}\r\n", event.len()));
+    }
+    if whole {
+        text.push_str("0\r\n\r\n");
+    }
+    text
+}
+
+/// The header lines of a request whose prompt can be read by one engine and answered by another.
+pub const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
+
+/// The answer of an engine that has read a prompt; the handle is named after the request.
+pub fn held(seen: &Seen) -> String {
+    handle(seen.attempt(), seen.attempt())
+}
+
+pub fn handle(attempt: &str, id: &str) -> String {
+    let body = format!("{{\"kv_handle\":\"h{id}\",\"token_count\":150,\"revision\":1}}");
+    let length = body.len();
+    format!(
+        "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nKeep-Alive: timeout=30\r\nContent-Length: {length}\r\n\r\n{body}"
+    )
+}
