--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -75,11 +75,13 @@
         return;
     }
     for (service, list) in candidates(keeper, balance, now) {
-        let Some((at, prefill)) = balance.decide(&service, &list, now) else { continue };
+        let Some(change) = balance.decide(&service, &list, now) else { continue };
         let switch_ms = switch_ms(keeper, &service);
         balance.calm_until.insert(service, now + SPREAD_MS + switch_ms + LIST_MS);
-        let order = Order { engine: list[at].engine.clone(), prefill, switch_ms };
-        tokio::spawn(carry_out(keeper.clone(), client.clone(), order));
+        for at in change.engines {
+            let order = Order { engine: list[at].engine.clone(), prefill: change.prefill, switch_ms };
+            tokio::spawn(carry_out(keeper.clone(), client.clone(), order));
+        }
         return;
     }
 }
@@ -110,19 +112,20 @@
 }
 
 impl Balance {
-    /// The engine to order and its new part, once the judgement has stood for long enough.
-    fn decide(&mut self, service: &str, list: &[Candidate], now: u64) -> Option<(usize, bool)> {
+    /// The engines to order and their new part, once the judgement has stood for long enough.
+    fn decide(&mut self, service: &str, list: &[Candidate], now: u64) -> Option<engines::balance::Change> {
         let seen: Vec<engines::balance::Seen> = list.iter().map(|candidate| candidate.seen.clone()).collect();
-        let Some((at, prefill)) = engines::balance::judge(&seen) else {
+        let Some(change) = engines::balance::judge(&seen) else {
             self.judgements.remove(service);
             return None;
         };
+        let prefill = change.prefill;
         let judgement = self.judgements.entry(service.into()).or_insert(Judgement { prefill, count: 0 });
         judgement.count = if judgement.prefill == prefill { judgement.count + 1 } else { 1 };
         judgement.prefill = prefill;
         let need = if prefill { LASTS } else { STANDS };
         let calm = self.calm_until.get(service).is_some_and(|until| now < *until);
-        (judgement.count >= need && !calm).then_some((at, prefill))
+        (judgement.count >= need && !calm).then_some(change)
     }
 }
 
--- a/keeper/src/balance_tests.rs
+++ b/keeper/src/balance_tests.rs
@@ -36,16 +36,17 @@
     let loaded = [candidate("p", true, 9), candidate("d", false, 0), candidate("e", false, 0)];
     let idle = [candidate("p", true, 0), candidate("q", true, 0), candidate("d", false, 9)];
     let mut balance = Balance::default();
+    let one = |at: usize, prefill: bool| Some(engines::balance::Change { engines: vec![at], prefill });
     for _ in 1..LASTS {
         assert_eq!(balance.decide("s", &loaded, 0), None);
     }
-    assert_eq!(balance.decide("s", &loaded, 0), Some((1, true)));
+    assert_eq!(balance.decide("s", &loaded, 0), one(1, true));
     balance.calm_until.insert("s".into(), 100);
     assert_eq!(balance.decide("s", &loaded, 99), None);
-    assert_eq!(balance.decide("s", &loaded, 100), Some((1, true)));
+    assert_eq!(balance.decide("s", &loaded, 100), one(1, true));
     // Another judgement starts to count anew.
     for _ in 1..STANDS {
         assert_eq!(balance.decide("s", &idle, 200), None);
     }
-    assert_eq!(balance.decide("s", &idle, 200), Some((0, false)));
+    assert_eq!(balance.decide("s", &idle, 200), one(0, false));
 }
