Metrics for both programs in Prometheus text; requests counted from head to end of answer

Cause: logs could not tell what was read and not counted, on which connection a request came or in which phase. No logic changed.

--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -72,7 +72,8 @@
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone(), "empty" => empty,
         "bootstrap" => env.bootstrap, "may_vote" => voter.may_vote, "core" => voter.core.version);
     let mirror = voter.clone();
-    let disk = crate::disk::Disk::start(store, mirror);
+    let metrics = crate::metrics::Metrics::default();
+    let disk = crate::disk::Disk::start(store, mirror, metrics.disk_write.clone());
     disk.write(first);
     let shelf = catalog::shelf::Shelf::new(200_000, 30_000);
     let keeper = std::sync::Arc::new(crate::keeper::Keeper {
@@ -99,8 +100,11 @@
         polls: tokio::sync::Semaphore::new(1),
         pauses: Default::default(),
         leaving: Default::default(),
+        metrics,
         env,
     });
+    let observed = keeper.clone();
+    telemetry::start(&keeper.env.ip, keeper.env.metrics.as_ref(), move || observed.metrics.render(&observed));
     let mut word = kernel::signal::watch();
     kernel::plug::start(&KEEPER_PARTS, &keeper);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -70,10 +70,14 @@
 const CONFIG_PATH: &str = "/config";
 
 async fn submit(keeper: &std::sync::Arc<crate::keeper::Keeper>, path: String, order: Order) -> Receipt {
+    let timer = crate::metrics::OrderTimer::start(&keeper.metrics, &order);
     if let Some(address) = crate::orders::better_place(keeper, &order) {
+        timer.finish(crate::metrics::OrderOutcome::Redirected);
         return Receipt::Elsewhere(address, path);
     }
-    match crate::orders::submit(keeper, order).await {
+    let result = crate::orders::submit(keeper, order).await;
+    timer.finish((&result).into());
+    match result {
         OrderResult::Found { body } => found(&body),
         result => told(result),
     }
--- a/keeper/src/disk.rs
+++ b/keeper/src/disk.rs
@@ -4,6 +4,7 @@
 use ledger::record::LogRecord;
 use ledger::store::{Store, StoreError};
 use ledger::voter::Voter;
+use prometheus_client::metrics::histogram::Histogram;
 
 /// The pause before a write that failed is tried again.
 const RETRY: std::time::Duration = std::time::Duration::from_millis(100);
@@ -22,10 +23,11 @@
 }
 
 impl Disk {
-    /// Without a store everything is kept in memory only. `voter` is what the store holds.
-    pub fn start(store: Option<Store>, voter: Voter) -> Disk {
+    /// Without a store everything is kept in memory only. `voter` is what the store holds. The time of each write is
+    /// noted in `write_seconds`.
+    pub fn start(store: Option<Store>, voter: Voter, write_seconds: Histogram) -> Disk {
         let (queue, requests) = std::sync::mpsc::channel();
-        std::thread::spawn(move || run(store, voter, &requests));
+        std::thread::spawn(move || run(store, voter, &requests, &write_seconds));
         Disk { queue }
     }
 
@@ -61,7 +63,12 @@
 }
 
 /// `synced_voter` follows what is on disk, for snapshots.
-fn run(mut store: Option<Store>, mut synced_voter: Voter, requests: &std::sync::mpsc::Receiver<WriteRequest>) {
+fn run(
+    mut store: Option<Store>,
+    mut synced_voter: Voter,
+    requests: &std::sync::mpsc::Receiver<WriteRequest>,
+    write_seconds: &Histogram,
+) {
     while let Ok(first) = requests.recv() {
         let mut records = Vec::new();
         let mut completions = Vec::new();
@@ -70,7 +77,9 @@
             completions.extend(request.completion);
         }
         if let (Some(store), false) = (&mut store, records.is_empty()) {
+            let begun = std::time::Instant::now();
             persist(store, newest(records), &mut synced_voter);
+            write_seconds.observe(begun.elapsed().as_secs_f64());
         }
         for completion in completions {
             completion();
--- a/keeper/src/disk_tests.rs
+++ b/keeper/src/disk_tests.rs
@@ -37,7 +37,7 @@
     let mut voter = Voter::new("10.0.0.1");
     let (store, empty) = super::open(&path, &mut voter).expect("opens");
     assert!(empty && voter.whole().len() == 1);
-    let disk = super::Disk::start(Some(store), voter);
+    let disk = super::Disk::start(Some(store), voter, telemetry::latency_histogram());
     let (done, wait) = std::sync::mpsc::channel();
     disk.write(vec![core(1), LogRecord::Vote]);
     for turn in 1..=300 {
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -129,6 +129,7 @@
     let Some(epoch) = take(keeper, key, epoch, own).await else { return };
     let tenure = Tenure { epoch, since: kernel::clock::now(), own };
     keeper.taken.lock().expect("taken").0.insert(key.into(), tenure);
+    keeper.metrics.duties_taken.inc();
     kernel::say!(crate::event::DUTY, "duty" => key, "epoch" => epoch);
 }
 
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -24,6 +24,7 @@
     pub pauses: std::sync::Mutex<crate::pause::PauseMonitor>,
     /// The process is about to end.
     pub leaving: std::sync::atomic::AtomicBool,
+    pub metrics: crate::metrics::Metrics,
 }
 
 /// What is known to be committed. Invariant: the place of an entry never goes back.
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -19,6 +19,7 @@
 mod listing;
 mod membership;
 mod message;
+mod metrics;
 mod news;
 mod orders;
 mod outbound;
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -1,6 +1,8 @@
 //! The control plane: knows which engines and daemons exist, holds and delivers the configuration.
 
 mod flags {
+    use kernel::env::MetricsEndpoint;
+
     xflags::xflags! {
         /// Control-plane daemon of tidepoint.
         cmd keeper {
@@ -8,6 +10,8 @@
             optional --check
             /// Print the version.
             optional --version
+            /// Where to tell metrics, in place of what the settings say: PORT/PATH.
+            optional --metrics endpoint: MetricsEndpoint
         }
     }
 }
@@ -17,5 +21,6 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    kernel::entry::enter("keeper", env!("CARGO_PKG_VERSION"), (flags.check, flags.version), keeper::boot::run)
+    let entry_flags = kernel::entry::EntryFlags { check: flags.check, version: flags.version, metrics: flags.metrics };
+    kernel::entry::enter("keeper", env!("CARGO_PKG_VERSION"), entry_flags, keeper::boot::run)
 }
--- /dev/null
+++ b/keeper/src/metrics.rs
@@ -0,0 +1,197 @@
+//! What a keeper counts. The list with units stands in `docs/metrics.md`; a test holds the two together.
+
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// What an operator's call asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderKind {
+    ReadConfig,
+    ChangeConfig,
+    Evacuate,
+}
+
+/// What an operator's call came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum OrderOutcome {
+    Done,
+    Refused,
+    Unclear,
+    Redirected,
+}
+
+/// What a poll of the platform's list came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum PollOutcome {
+    Read,
+    Refused,
+    Unreachable,
+    Stalled,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct OrderLabels {
+    pub kind: OrderKind,
+    pub result: OrderOutcome,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct PollLabels {
+    pub result: PollOutcome,
+}
+
+/// All metrics of a keeper. Labels have fixed values only, so that their number never grows.
+pub struct Metrics {
+    registry: Registry,
+    pub orders: Family<OrderLabels, Counter>,
+    pub orders_under_way: Gauge,
+    pub order_duration: Histogram,
+    pub disk_write: Histogram,
+    pub platform_polls: Family<PollLabels, Counter>,
+    pub duties_taken: Counter,
+    config_revision: Gauge,
+    confirmed: Gauge,
+    core_version: Gauge,
+    core_members: Gauge,
+    core_settled: Gauge,
+    live_keepers: Gauge,
+    following_routers: Gauge,
+    batches: Gauge,
+    leaving: Gauge,
+}
+
+const PREFIX: &str = "tidepoint_keeper";
+const MS_PER_S: f64 = 1000.0;
+
+impl Default for Metrics {
+    fn default() -> Metrics {
+        let mut metrics = Metrics {
+            registry: Registry::with_prefix(PREFIX),
+            orders: Default::default(),
+            orders_under_way: Default::default(),
+            order_duration: telemetry::latency_histogram(),
+            disk_write: telemetry::latency_histogram(),
+            platform_polls: Default::default(),
+            duties_taken: Default::default(),
+            config_revision: Default::default(),
+            confirmed: Default::default(),
+            core_version: Default::default(),
+            core_members: Default::default(),
+            core_settled: Default::default(),
+            live_keepers: Default::default(),
+            following_routers: Default::default(),
+            batches: Default::default(),
+            leaving: Default::default(),
+        };
+        metrics.register_work();
+        metrics.register_state();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register_work(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("orders", "Operators' calls by what they came to", self.orders.clone());
+        let under_way = self.orders_under_way.clone();
+        registry.register("orders_under_way", "Operators' calls not answered yet", under_way);
+        let duration = self.order_duration.clone();
+        let help = "Time from the reading of an operator's call to its answer";
+        registry.register_with_unit("order_duration", help, Unit::Seconds, duration);
+        let help = "Time of a write of records and its sync, with tries again";
+        registry.register_with_unit("disk_write", help, Unit::Seconds, self.disk_write.clone());
+        registry.register("platform_polls", "Polls of the platform's list", self.platform_polls.clone());
+        registry.register("duties_taken", "Duties taken under a new epoch", self.duties_taken.clone());
+    }
+
+    fn register_state(&mut self) {
+        let registry = &mut self.registry;
+        let help = "Version of the configuration known to be committed";
+        registry.register("config_revision", help, self.config_revision.clone());
+        let help = "1 while what is known is confirmed by a quorum";
+        registry.register("confirmed", help, self.confirmed.clone());
+        let help = "Version of the list of the core's members";
+        registry.register("core_version", help, self.core_version.clone());
+        registry.register("core_members", "Members of the core", self.core_members.clone());
+        registry.register("core_settled", "1 while the core is not being changed", self.core_settled.clone());
+        registry.register("live_keepers", "Other keepers heard lately", self.live_keepers.clone());
+        let help = "Routers that hold a lease at this keeper";
+        registry.register("following_routers", help, self.following_routers.clone());
+        registry.register("batches", "Batches that are kept", self.batches.clone());
+        registry.register("leaving", "1 once SIGTERM came", self.leaving.clone());
+    }
+
+    /// All metrics as text, with the figures that are only read when asked for.
+    pub fn render(&self, keeper: &crate::keeper::Keeper) -> String {
+        let now = kernel::clock::now();
+        let core = keeper.core();
+        self.config_revision.set(keeper.revision() as i64);
+        self.confirmed.set(i64::from(keeper.sure(now)));
+        self.core_version.set(core.version as i64);
+        self.core_members.set(core.list.len() as i64);
+        self.core_settled.set(i64::from(core.settled));
+        self.live_keepers.set(live_keepers(keeper, now));
+        let followers = keeper.followers.lock().expect("followers").list.values().filter(|one| one.until > now).count();
+        self.following_routers.set(followers as i64);
+        let batches = crate::batches::ids(&keeper.committed_state.lock().expect("committed_state")).len();
+        self.batches.set(batches as i64);
+        self.leaving.set(i64::from(keeper.leaving.load(std::sync::atomic::Ordering::Relaxed)));
+        telemetry::encode(&self.registry)
+    }
+}
+
+fn live_keepers(keeper: &crate::keeper::Keeper, now: u64) -> i64 {
+    let roster = keeper.roster.lock().expect("roster");
+    roster.keepers.keys().filter(|ip| **ip != roster.me && roster.live(ip, now)).count() as i64
+}
+
+/// One call of an operator, counted while it is under way.
+pub struct OrderTimer<'a> {
+    metrics: &'a Metrics,
+    kind: OrderKind,
+    begun: u64,
+}
+
+impl<'a> OrderTimer<'a> {
+    pub fn start(metrics: &'a Metrics, order: &wire::order::Order) -> OrderTimer<'a> {
+        use wire::order::Order;
+        let kind = match order {
+            Order::ReadConfig => OrderKind::ReadConfig,
+            Order::Change(_) => OrderKind::ChangeConfig,
+            Order::Evacuate { .. } | Order::EvacuateFrom { .. } => OrderKind::Evacuate,
+        };
+        metrics.orders_under_way.inc();
+        OrderTimer { metrics, kind, begun: kernel::clock::now() }
+    }
+
+    pub fn finish(self, result: OrderOutcome) {
+        self.metrics.orders.get_or_create(&OrderLabels { kind: self.kind, result }).inc();
+    }
+}
+
+impl Drop for OrderTimer<'_> {
+    fn drop(&mut self) {
+        self.metrics.orders_under_way.dec();
+        let spent_ms = kernel::clock::now() - self.begun;
+        self.metrics.order_duration.observe(spent_ms as f64 / MS_PER_S);
+    }
+}
+
+impl From<&wire::order::OrderResult> for OrderOutcome {
+    fn from(result: &wire::order::OrderResult) -> OrderOutcome {
+        use wire::order::OrderResult;
+        match result {
+            OrderResult::Done | OrderResult::Found { .. } => OrderOutcome::Done,
+            OrderResult::Refused { .. } => OrderOutcome::Refused,
+            OrderResult::Unclear => OrderOutcome::Unclear,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "metrics_tests.rs"]
+mod tests;
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's list of engines: one poller a zone, within the rate that all daemons share.
 
 use crate::listing::{Listing, Page};
+use crate::metrics::{PollLabels, PollOutcome};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,16 @@
     Stalled,
 }
 
+impl From<PollError> for PollOutcome {
+    fn from(error: PollError) -> PollOutcome {
+        match error {
+            PollError::Unreachable => PollOutcome::Unreachable,
+            PollError::Refused => PollOutcome::Refused,
+            PollError::Stalled => PollOutcome::Stalled,
+        }
+    }
+}
+
 /// The longest that one call may take.
 const CALL_MS: u64 = 1500;
 /// A step that takes this much longer than it may shows that the process stood still.
@@ -83,6 +94,8 @@
         let ruled = !keeper.committed_state.lock().expect("committed_state").rules.is_empty();
         let outcome = poll(&keeper, &client, &zone, ruled).await;
         note_access(&keeper, outcome.as_ref().err().copied());
+        let result = outcome.as_ref().map_or_else(|error| (*error).into(), |_| PollOutcome::Read);
+        keeper.metrics.platform_polls.get_or_create(&PollLabels { result }).inc();
         let Ok(listing) = outcome else {
             // What is known stays in force, the next try comes a little later.
             wait = wait * 3 / 2;
--- a/kernel/src/entry.rs
+++ b/kernel/src/entry.rs
@@ -1,24 +1,36 @@
 //! The beginning of a daemon's process: settings read and checked, one thread, one runtime.
 
-/// `check` only checks the settings, `version` only tells the version.
+/// What the command line of a daemon may say.
+#[derive(Default)]
+pub struct EntryFlags {
+    /// Only check the settings.
+    pub check: bool,
+    /// Only tell the version.
+    pub version: bool,
+    /// Where metrics are told, in place of what the settings say.
+    pub metrics: Option<crate::env::MetricsEndpoint>,
+}
+
+/// Reads the settings and runs the daemon on one thread.
 pub fn enter<F: std::future::Future<Output = std::process::ExitCode>>(
     name: &str,
     release: &str,
-    (check, version): (bool, bool),
+    flags: EntryFlags,
     run: impl FnOnce(crate::env::Env) -> F,
 ) -> std::process::ExitCode {
-    if version {
+    if flags.version {
         println!("{name} {release}");
         return std::process::ExitCode::SUCCESS;
     }
-    let env = match crate::env::load(&crate::env::path()) {
+    let mut env = match crate::env::load(&crate::env::path()) {
         Ok(env) => env,
         Err(error) => {
             eprintln!("{name}: {}", error.current_context());
             return std::process::ExitCode::from(2);
         }
     };
-    if check {
+    env.metrics = flags.metrics.or(env.metrics);
+    if flags.check {
         println!("settings are good");
         return std::process::ExitCode::SUCCESS;
     }
--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -28,6 +28,52 @@
     #[serde(default)]
     pub bounds: Bounds,
     pub cloud_api: Cloud,
+    /// Where the process tells its metrics; nowhere if left out.
+    #[serde(default)]
+    pub metrics: Option<MetricsEndpoint>,
+}
+
+/// A port of the own machine and a path on it, written `PORT/PATH`.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Deserialize)]
+#[serde(try_from = "String")]
+pub struct MetricsEndpoint {
+    pub port: u16,
+    /// With a slash at its beginning.
+    pub path: String,
+}
+
+/// A metrics endpoint that is not written `PORT/PATH`.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadMetricsEndpoint(String);
+
+impl std::fmt::Display for BadMetricsEndpoint {
+    fn fmt(&self, out: &mut std::fmt::Formatter) -> std::fmt::Result {
+        write!(out, "`{}` is not PORT/PATH", self.0)
+    }
+}
+
+impl std::error::Error for BadMetricsEndpoint {}
+
+impl TryFrom<String> for MetricsEndpoint {
+    type Error = BadMetricsEndpoint;
+
+    fn try_from(text: String) -> Result<MetricsEndpoint, BadMetricsEndpoint> {
+        text.parse()
+    }
+}
+
+impl std::str::FromStr for MetricsEndpoint {
+    type Err = BadMetricsEndpoint;
+
+    fn from_str(text: &str) -> Result<MetricsEndpoint, BadMetricsEndpoint> {
+        let bad = || BadMetricsEndpoint(text.to_string());
+        let (port, path) = text.split_once('/').ok_or_else(bad)?;
+        let port = port.parse().ok().filter(|port| *port > 0).ok_or_else(bad)?;
+        if path.contains(|sign: char| sign.is_whitespace() || sign == '?') {
+            return Err(bad());
+        }
+        Ok(MetricsEndpoint { port, path: format!("/{path}") })
+    }
 }
 
 #[derive(Clone, Debug, Default, serde::Deserialize)]
--- a/kernel/src/env_tests.rs
+++ b/kernel/src/env_tests.rs
@@ -67,3 +67,15 @@
         assert_eq!(fault(&text).field, field, "{text}");
     }
 }
+
+#[test]
+fn a_metrics_endpoint_is_a_port_and_a_path() {
+    let with = |text: &str| GOOD.replace("new_field", &format!("metrics = {text:?}\nnew_field"));
+    let metrics = super::parse(&with("9464/metrics")).expect("good settings").metrics.expect("given");
+    assert_eq!((metrics.port, metrics.path.as_str()), (9464, "/metrics"));
+    assert_eq!(super::parse(GOOD).expect("good settings").metrics, None);
+    for bad in ["9464", "metrics", "0/metrics", "70000/metrics", "9464/two words"] {
+        let bad = fault(&with(bad));
+        assert_eq!(bad.field, "metrics");
+    }
+}
--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -5,19 +5,38 @@
     state: std::sync::Arc<crate::state::State>,
     incoming: http::Request<hyper::body::Incoming>,
     look: &crate::frames::Look,
+    connection: crate::metrics::Connection,
 ) -> http::Response<crate::failure::Body> {
+    let mut guard = crate::request_guard::RequestGuard::begin(&state, connection);
     let leaving = state.leaving();
+    let fail = |failure: crate::failure::Failure, last| (crate::failure::write(failure, last), failure.into());
     if look.both() {
-        return crate::failure::write(crate::failure::Failure::Malformed, leaving);
+        let (response, outcome) = fail(crate::failure::Failure::Malformed, leaving);
+        return guard.follow(response, outcome);
     }
     let entered = enter(&state, incoming).await;
     look.arm();
-    match entered {
-        Ok(exchange) => match crate::relay::answer(exchange).await {
-            Ok(reply) => reply,
-            Err(failure) => crate::failure::write(failure, state.leaving()),
-        },
-        Err(rejection) => crate::failure::write(rejection.failure, leaving || rejection.ends),
+    let (response, outcome) = match entered {
+        Ok(exchange) => {
+            guard.enter(crate::metrics::Stage::Forwarding);
+            match crate::relay::answer(exchange).await {
+                Ok(response) => {
+                    let outcome = passed_on(&response);
+                    (response, outcome)
+                }
+                Err(failure) => fail(failure, state.leaving()),
+            }
+        }
+        Err(rejection) => fail(rejection.failure, leaving || rejection.ends),
+    };
+    guard.follow(response, outcome)
+}
+
+/// What an engine's answer comes to once it is passed on whole.
+fn passed_on(response: &http::Response<crate::failure::Body>) -> crate::metrics::Outcome {
+    match response.status().is_success() {
+        true => crate::metrics::Outcome::Success,
+        false => crate::metrics::Outcome::EngineFailure,
     }
 }
 
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -21,6 +21,8 @@
     kernel::say!(crate::event::START, "node" => env.node_name.clone(), "ip" => env.ip.clone());
     let state = crate::state::State::new(env);
     let mut word = kernel::signal::watch();
+    let observed = state.clone();
+    telemetry::start(&state.env.ip, state.env.metrics.as_ref(), move || observed.metrics.render(&observed));
     kernel::plug::start(&ROUTER_PARTS, &state);
     let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
     leave(&state).await;
@@ -47,8 +49,19 @@
         let spent = kernel::clock::now() - begun;
         let idle = state.open.load(order) == 0;
         if (idle && spent >= calm) || spent >= last {
-            kernel::say!(crate::event::GONE, "open" => state.open.load(order));
+            report_end(state);
             return;
         }
     }
 }
+
+/// What is left unfinished, by how far it is and whether it came before or after SIGTERM.
+fn report_end(state: &crate::state::State) {
+    use crate::metrics::{Phase, Stage};
+    let left = |stage| state.metrics.under_way(Phase::Serving, stage) + state.metrics.under_way(Phase::Leaving, stage);
+    let stages = [Stage::Reading, Stage::Forwarding, Stage::Answering];
+    let late: i64 = stages.into_iter().map(|stage| state.metrics.under_way(Phase::Leaving, stage)).sum();
+    kernel::say!(crate::event::GONE, "open" => state.open.load(std::sync::atomic::Ordering::Relaxed),
+        "reading" => left(Stage::Reading), "forwarding" => left(Stage::Forwarding),
+        "answering" => left(Stage::Answering), "taken_since" => late, "connections" => state.metrics.connections_open.get());
+}
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -86,7 +86,11 @@
             return true;
         }
         let part = self.state.env.bounds.budget_slack * 0.5 / f64::from(self.state.router_count());
-        self.state.budget.lock().expect("budget").allow(self.service, kernel::clock::now(), part)
+        let is_allowed = self.state.budget.lock().expect("budget").allow(self.service, kernel::clock::now(), part);
+        if !is_allowed {
+            self.state.metrics.retries_denied.inc();
+        }
+        is_allowed
     }
 
     pub fn view<T>(&self, look: impl FnOnce(&engines::place::View) -> T) -> T {
@@ -161,6 +165,9 @@
         extra.budget_ms = self.request.left(now).max(1);
         let outcome = self.await_outcome(at, &to, &extra, again).await;
         self.record_outcome(at, &outcome);
+        let half = if extra.stage { crate::metrics::Half::Prefill } else { crate::metrics::Half::Run };
+        let sent = crate::metrics::Sent { half, result: (&outcome).into() };
+        self.state.metrics.engine_sends.get_or_create(&sent).inc();
         let answered = matches!(outcome, crate::send::Outcome::Answer(_));
         let unsent = matches!(outcome, crate::send::Outcome::Unsent(_));
         // The first read that an engine takes up is no arrival that counts. One without an answer
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -1,6 +1,8 @@
 //! The data plane: takes clients' requests and carries them to engines.
 
 mod flags {
+    use kernel::env::MetricsEndpoint;
+
     xflags::xflags! {
         /// Data-plane daemon of tidepoint.
         cmd router {
@@ -8,6 +10,8 @@
             optional --check
             /// Print the version.
             optional --version
+            /// Where to tell metrics, in place of what the settings say: PORT/PATH.
+            optional --metrics endpoint: MetricsEndpoint
         }
     }
 }
@@ -17,5 +21,6 @@
         Ok(flags) => flags,
         Err(error) => error.exit(),
     };
-    kernel::entry::enter("router", env!("CARGO_PKG_VERSION"), (flags.check, flags.version), router::boot::run)
+    let entry_flags = kernel::entry::EntryFlags { check: flags.check, version: flags.version, metrics: flags.metrics };
+    kernel::entry::enter("router", env!("CARGO_PKG_VERSION"), entry_flags, router::boot::run)
 }
--- /dev/null
+++ b/router/src/metrics_tests.rs
@@ -0,0 +1,78 @@
+//! What is counted when requests come, and that the page and the code name the same metrics.
+use crate::metrics::{Ended, Outcome, Phase, Stage};
+use crate::stand_in::{answer, engines, events, Act};
+use crate::stand_in_router::{ask, post, router, Client};
+
+fn ended(state: &crate::state::State, outcome: Outcome) -> u64 {
+    state.metrics.requests_ended.get_or_create(&Ended { phase: Phase::Serving, outcome }).get()
+}
+
+fn total_under_way(state: &crate::state::State) -> i64 {
+    let stages = [Stage::Reading, Stage::Forwarding, Stage::Answering];
+    stages.into_iter().map(|stage| state.metrics.under_way(Phase::Serving, stage)).sum()
+}
+
+/// Waits until a figure is as wished.
+async fn until(figure: impl Fn() -> bool) {
+    let wait = async {
+        while !figure() {
+            tokio::task::yield_now().await;
+        }
+    };
+    tokio::time::timeout(std::time::Duration::from_secs(10), wait).await.expect("the figure comes");
+}
+
+#[tokio::test]
+async fn each_request_ends_once_as_what_it_came_to() {
+    let list = engines("decode", 1, |seen, _| match seen.attempt() {
+        "broken" => Act::SendAndClose(events(seen, 1, 3, false)),
+        "failed" => Act::Send(answer(seen, "500 Internal Server Error", "no")),
+        _ => Act::Send(answer(seen, "200 OK", "hello")),
+    })
+    .await;
+    let state = router(&list);
+    ask(&state, "once", "good", "").await;
+    ask(&state, "once", "failed", "").await;
+    ask(&state, "none", "nowhere", "").await;
+    ask(&state, "stream", "broken", "").await;
+    until(|| total_under_way(&state) == 0).await;
+    let outcomes = [Outcome::Success, Outcome::EngineFailure, Outcome::NoRoute, Outcome::Cut, Outcome::Lost];
+    assert_eq!(outcomes.map(|outcome| ended(&state, outcome)), [1, 1, 1, 1, 0]);
+    let text = state.metrics.render(&state);
+    assert!(text.contains("tidepoint_router_request_duration_seconds_count 4\n"), "{text}");
+}
+
+#[tokio::test]
+async fn a_request_is_under_way_from_its_head_to_the_end_of_its_answer() {
+    let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
+    let later = go_on.clone();
+    let list = engines("decode", 1, move |seen, _| {
+        let whole = events(seen, 1, 3, true);
+        let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
+        Act::SendAndLater(head.into(), later.clone(), rest.into())
+    })
+    .await;
+    let state = router(&list);
+    let mut client = Client::connect(&state).await;
+    let request = post("stream", "1", "");
+    let (head, body) = request.split_at(request.len() - 2);
+    client.write(head).await;
+    until(|| state.metrics.under_way(Phase::Serving, Stage::Reading) == 1).await;
+    client.write(body).await;
+    until(|| state.metrics.under_way(Phase::Serving, Stage::Answering) == 1).await;
+    assert_eq!(total_under_way(&state), 1);
+    go_on.notify_one();
+    client.until("0\r\n\r\n").await;
+    until(|| total_under_way(&state) == 0).await;
+    assert_eq!(ended(&state, Outcome::Success), 1);
+}
+
+#[tokio::test]
+async fn every_metric_stands_on_the_page_and_none_besides() {
+    let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+    let state = router(&list);
+    // A family without a series is not told.
+    ask(&state, "once", "1", "").await;
+    let page = include_str!("../../docs/metrics.md");
+    assert_eq!(telemetry::names(&state.metrics.render(&state)), telemetry::listed(page, "tidepoint_router_"));
+}
--- /dev/null
+++ b/router/src/request_guard.rs
@@ -0,0 +1,123 @@
+//! One request, counted from the reading of its head until its answer has left or its connection is gone.
+
+use crate::metrics::{Arrival, Connection, Ended, Outcome, Phase, Stage, UnderWay};
+use std::sync::Arc;
+
+/// Counts a request under way. Invariant: it is counted in one stage at a time, and its end once, on drop: as cut,
+/// unless an outcome was noted before.
+pub struct RequestGuard {
+    state: Arc<crate::state::State>,
+    phase: Phase,
+    stage: Stage,
+    outcome: Outcome,
+    begun: u64,
+}
+
+const MS_PER_S: f64 = 1000.0;
+
+impl RequestGuard {
+    /// A request whose head was just read.
+    pub fn begin(state: &Arc<crate::state::State>, connection: Connection) -> RequestGuard {
+        let phase = state.phase();
+        state.metrics.requests_received.get_or_create(&Arrival { phase, connection }).inc();
+        let stage = Stage::Reading;
+        state.metrics.requests_under_way.get_or_create(&UnderWay { phase, stage }).inc();
+        RequestGuard { state: state.clone(), phase, stage, outcome: Outcome::Cut, begun: kernel::clock::now() }
+    }
+
+    /// It goes on to a further stage.
+    pub fn enter(&mut self, stage: Stage) {
+        let gauges = &self.state.metrics.requests_under_way;
+        gauges.get_or_create(&UnderWay { phase: self.phase, stage: self.stage }).dec();
+        gauges.get_or_create(&UnderWay { phase: self.phase, stage }).inc();
+        self.stage = stage;
+    }
+
+    fn age_s(&self) -> f64 {
+        (kernel::clock::now() - self.begun) as f64 / MS_PER_S
+    }
+
+    /// Follows the answer to its end: `outcome` counts once all of the body was taken.
+    pub fn follow(
+        mut self,
+        response: http::Response<crate::failure::Body>,
+        outcome: Outcome,
+    ) -> http::Response<crate::failure::Body> {
+        use http_body::Body;
+        self.enter(Stage::Answering);
+        self.state.metrics.first_byte.observe(self.age_s());
+        response.map(|body| {
+            let left = body.size_hint().exact();
+            let mut followed = FollowedBody { body, left, outcome, guard: self };
+            followed.note_end(left == Some(0));
+            crate::failure::Body::new(followed)
+        })
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        let metrics = &self.state.metrics;
+        metrics.requests_under_way.get_or_create(&UnderWay { phase: self.phase, stage: self.stage }).dec();
+        metrics.requests_ended.get_or_create(&Ended { phase: self.phase, outcome: self.outcome }).inc();
+        metrics.request_duration.observe(self.age_s());
+    }
+}
+
+/// The body of an answer, and the request that it ends.
+struct FollowedBody {
+    body: crate::failure::Body,
+    /// Bytes still to come, where that is known.
+    left: Option<u64>,
+    /// What the request came to once the body is taken whole.
+    outcome: Outcome,
+    guard: RequestGuard,
+}
+
+impl FollowedBody {
+    fn note_end(&mut self, is_whole: bool) {
+        if is_whole {
+            self.guard.outcome = self.outcome;
+        }
+    }
+}
+
+impl http_body::Body for FollowedBody {
+    type Data = bytes::Bytes;
+    type Error = std::io::Error;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<bytes::Bytes>, std::io::Error>>> {
+        let frame = std::task::ready!(std::pin::Pin::new(&mut self.body).poll_frame(cx));
+        if let Some(Ok(frame)) = &frame {
+            let size = frame.data_ref().map_or(0, bytes::Bytes::len) as u64;
+            self.left = self.left.map(|left| left.saturating_sub(size));
+        }
+        let is_whole = frame.is_none() || self.left == Some(0);
+        self.note_end(is_whole);
+        std::task::Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> http_body::SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl From<crate::failure::Failure> for Outcome {
+    fn from(failure: crate::failure::Failure) -> Outcome {
+        use crate::failure::Failure;
+        match failure {
+            Failure::Refused(_) => Outcome::Refused,
+            Failure::NoRoute => Outcome::NoRoute,
+            Failure::Unauthorized => Outcome::Unauthorized,
+            Failure::Malformed | Failure::Late | Failure::TooLarge => Outcome::Rejected,
+            Failure::Lost | Failure::TimedOut => Outcome::Lost,
+        }
+    }
+}
--- a/router/src/send.rs
+++ b/router/src/send.rs
@@ -106,7 +106,10 @@
         let (mut connection, fresh) = match state.pools.idle(to) {
             Some(connection) => (connection, false),
             None => match state.pools.dial(to, most).await {
-                Ok(connection) => (connection, true),
+                Ok(connection) => {
+                    state.metrics.engine_connections.inc();
+                    (connection, true)
+                }
                 Err(error) => return Outcome::Unsent(error),
             },
         };
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -5,14 +5,20 @@
     (env.limits.fd_limit.saturating_sub(200) / 2).max(16) as usize
 }
 
+/// Connections that ask for readiness at once.
+const READINESS_CONNECTIONS: usize = 64;
+
 pub async fn readiness(state: std::sync::Arc<crate::state::State>) {
     let Some(addr) = state.env.bind_addresses.readiness.clone() else { return };
-    serve(&addr, 64, |stream| {
+    wire::sock::accept_each(&addr, READINESS_CONNECTIONS, |stream| {
         let state = state.clone();
         async move {
             let service = hyper::service::service_fn(move |_: http::Request<hyper::body::Incoming>| {
                 let order = std::sync::atomic::Ordering::Relaxed;
                 let good = state.ready.load(order) && !state.leaving();
+                if !good {
+                    state.metrics.readiness_checks_failed.inc();
+                }
                 async move {
                     let mut reply = http::Response::new(http_body_util::Empty::<bytes::Bytes>::new());
                     *reply.status_mut() =
@@ -30,47 +36,41 @@
 pub async fn frontend(state: std::sync::Arc<crate::state::State>) {
     let Some(addr) = state.env.bind_addresses.frontend.clone() else { return };
     let room = room(&state.env);
-    serve(&addr, room, |stream| client(state.clone(), stream)).await;
+    wire::sock::accept_each(&addr, room, |stream| client(state.clone(), stream)).await;
 }
 
-/// Accepts for ever; over `room` connections at once the next waits in the kernel's queue.
-async fn serve<F: std::future::Future<Output = ()> + Send + 'static>(
-    addr: &str,
-    room: usize,
-    each: impl Fn(tokio::net::TcpStream) -> F,
-) {
-    let places = std::sync::Arc::new(tokio::sync::Semaphore::new(room));
-    let pause = std::time::Duration::from_millis(100);
-    loop {
-        let Ok(listener) = wire::sock::listen(addr) else {
-            tokio::time::sleep(pause).await;
-            continue;
-        };
-        loop {
-            let Ok(place) = places.clone().acquire_owned().await else { return };
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(pause).await;
-                continue;
-            };
-            let work = each(stream);
-            tokio::spawn(async move {
-                work.await;
-                drop(place);
-            });
-        }
+/// One client's connection, counted while it is open.
+struct OpenConnection(prometheus_client::metrics::gauge::Gauge);
+
+impl OpenConnection {
+    fn count(state: &crate::state::State) -> OpenConnection {
+        let gauge = state.metrics.connections_open.clone();
+        gauge.inc();
+        OpenConnection(gauge)
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.dec();
     }
 }
 
 /// Serves one client's connection until it ends.
 pub async fn client(state: std::sync::Arc<crate::state::State>, stream: tokio::net::TcpStream) {
     wire::sock::tune(&stream, 10_000);
+    let phase = state.phase();
+    state.metrics.connections_accepted.get_or_create(&crate::metrics::InPhase { phase }).inc();
+    let _open = OpenConnection::count(&state);
     let table = state.table();
     let look = crate::frames::Look::new();
     let io = hyper_util::rt::TokioIo::new(crate::frames::Stream::new(stream, look.clone()));
     let inner = state.clone();
+    let connection = std::cell::Cell::new(crate::metrics::Connection::New);
     let service = hyper::service::service_fn(move |request| {
         let (state, look) = (inner.clone(), look.clone());
-        async move { Ok::<_, std::convert::Infallible>(crate::admission::serve(state, request, &look).await) }
+        let connection = connection.replace(crate::metrics::Connection::Kept);
+        async move { Ok::<_, std::convert::Infallible>(crate::admission::serve(state, request, &look, connection).await) }
     });
     let mut builder = hyper::server::conn::http1::Builder::new();
     builder.timer(hyper_util::rt::TokioTimer::new());
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -33,6 +33,7 @@
     pub open: std::sync::atomic::AtomicUsize,
     /// Bytes of request bodies held.
     pub held: std::sync::atomic::AtomicUsize,
+    pub metrics: crate::metrics::Metrics,
 }
 
 /// What the keepers told. Invariant: versions never go back.
@@ -81,6 +82,7 @@
             leaving: Default::default(),
             open: Default::default(),
             held: Default::default(),
+            metrics: Default::default(),
             env,
         })
     }
@@ -100,6 +102,14 @@
         self.table.lock().expect("table").clone()
     }
 
+    /// How far this process is on its way out.
+    pub fn phase(&self) -> crate::metrics::Phase {
+        match self.leaving() {
+            true => crate::metrics::Phase::Leaving,
+            false => crate::metrics::Phase::Serving,
+        }
+    }
+
     pub fn leaving(&self) -> bool {
         self.leaving.load(std::sync::atomic::Ordering::Relaxed)
     }
--- /dev/null
+++ b/telemetry/src/lib.rs
@@ -0,0 +1,48 @@
+//! Metrics of a process, told over HTTP in the Prometheus text format.
+#![warn(missing_docs)]
+
+mod endpoint;
+
+pub use endpoint::start;
+
+use prometheus_client::metrics::histogram::{exponential_buckets, Histogram};
+use prometheus_client::registry::Registry;
+
+/// The upper bound of the first bucket of a latency histogram, in seconds, the factor between buckets and their number:
+/// 1 ms to 16 s.
+const FIRST_BUCKET_S: f64 = 0.001;
+const BUCKET_FACTOR: f64 = 2.0;
+const BUCKET_COUNT: u16 = 15;
+
+/// A histogram of times in seconds.
+pub fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKET_COUNT))
+}
+
+/// The metrics of a registry as text. Empty where a metric can't be encoded.
+pub fn encode(registry: &Registry) -> String {
+    let mut text = String::new();
+    if prometheus_client::encoding::text::encode(&mut text, registry).is_err() {
+        text.clear();
+    }
+    text
+}
+
+/// The names of the metrics in a text, in order.
+pub fn names(text: &str) -> Vec<String> {
+    let mut names: Vec<String> =
+        text.lines().filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next()).map(str::to_string).collect();
+    names.sort();
+    names
+}
+
+/// The names that a page lists in the first column of its tables, of those that begin so, in order.
+pub fn listed(page: &str, prefix: &str) -> Vec<String> {
+    let cells = page.lines().filter_map(|line| line.strip_prefix("| `")?.split('`').next());
+    let mut names: Vec<String> = cells.filter(|name| name.starts_with(prefix)).map(str::to_string).collect();
+    names.sort();
+    names
+}
+
+#[cfg(test)]
+mod endpoint_tests;
--- a/wire/src/sock.rs
+++ b/wire/src/sock.rs
@@ -26,3 +26,33 @@
     sock.bind(addr)?;
     sock.listen(1024)
 }
+
+/// The pause before a socket that can't be had is tried again.
+const RETRY: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Accepts for ever; over `room` connections at once the next waits in the kernel's queue.
+pub async fn accept_each<F: std::future::Future<Output = ()> + Send + 'static>(
+    addr: &str,
+    room: usize,
+    each: impl Fn(tokio::net::TcpStream) -> F,
+) {
+    let places = std::sync::Arc::new(tokio::sync::Semaphore::new(room));
+    loop {
+        let Ok(listener) = listen(addr) else {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        };
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(RETRY).await;
+                continue;
+            };
+            let work = each(stream);
+            tokio::spawn(async move {
+                work.await;
+                drop(place);
+            });
+        }
+    }
+}
