--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -31,7 +31,7 @@
 
 /// Unready at once; new connections are still served until the platform has seen it; then what is
 /// under way is finished, all well inside the grace.
-async fn leave(state: &std::sync::Arc<crate::state::State>) {
+pub(crate) async fn leave(state: &std::sync::Arc<crate::state::State>) {
     let order = std::sync::atomic::Ordering::Relaxed;
     state.leaving.store(true, order);
     let begun = kernel::clock::now();
--- /dev/null
+++ b/router/src/leaving_tests.rs
@@ -0,0 +1,160 @@
+//! A router that ends while clients go on sending to it, as they do where fewer than half of a zone's routers are ready.
+use crate::stand_in::{answer, engines, events, Act, Engine};
+use crate::stand_in_router::{post, status, unproved_router_of, SETTINGS};
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// The grace of these routers, in seconds.
+const GRACE_S: f64 = 1.6;
+const WHOLE_STREAM: &str = "0\r\n\r\n";
+
+/// A router in a runtime of its own, which ends as its process would: with all that is open in it.
+struct Process {
+    state: Arc<crate::state::State>,
+    address: String,
+    terminate: Arc<tokio::sync::Notify>,
+    ended: tokio::sync::oneshot::Receiver<()>,
+}
+
+fn free_address() -> String {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address").to_string()
+}
+
+impl Process {
+    fn start(engines: &[Engine], is_proved: bool) -> Process {
+        let address = free_address();
+        let bounds = format!("budget_slack = 0.0, grace_s = {GRACE_S:?}");
+        let settings = SETTINGS.replace("budget_slack = 0.0", &bounds);
+        let settings = format!("{settings}\nbind_addresses = {{ frontend = {address:?} }}\n");
+        let state = unproved_router_of(&settings, engines, 5.0);
+        if is_proved {
+            state.currency.prove(i64::MAX);
+        }
+        let terminate = Arc::new(tokio::sync::Notify::new());
+        let (end, ended) = tokio::sync::oneshot::channel();
+        let (inner, signal) = (state.clone(), terminate.clone());
+        std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+            runtime.block_on(async {
+                tokio::spawn(crate::server::frontend(inner.clone()));
+                signal.notified().await;
+                crate::boot::leave(&inner).await;
+            });
+            drop(runtime);
+            let _ = end.send(());
+        });
+        Process { state, address, terminate, ended }
+    }
+
+    /// A connection to it, or none where nobody listens any more.
+    async fn connect(address: &str) -> Option<tokio::net::TcpStream> {
+        tokio::net::TcpStream::connect(address).await.ok()
+    }
+
+    async fn first_connection(&self) -> tokio::net::TcpStream {
+        loop {
+            match Process::connect(&self.address).await {
+                Some(stream) => return stream,
+                None => tokio::task::yield_now().await,
+            }
+        }
+    }
+}
+
+/// What a client got for one request.
+#[derive(Debug)]
+struct Received {
+    attempt: String,
+    text: String,
+}
+
+async fn request(address: String, attempt: String) -> Received {
+    let mut received = Received { attempt, text: String::new() };
+    let Some(mut stream) = Process::connect(&address).await else { return received };
+    let text = post("stream", &received.attempt, "");
+    if stream.write_all(text.as_bytes()).await.is_err() {
+        return received;
+    }
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    while let Ok(size) = stream.read(&mut piece).await {
+        bytes.extend_from_slice(&piece[..size]);
+        if size == 0 || bytes.ends_with(WHOLE_STREAM.as_bytes()) {
+            break;
+        }
+    }
+    received.text = String::from_utf8_lossy(&bytes).into_owned();
+    received
+}
+
+/// Was a request lost? It is whole, or it was refused before any engine had it, or nobody took it.
+fn is_lost(received: &Received, engines: &[Engine]) -> bool {
+    if status(&received.text) == "200" {
+        return !received.text.ends_with(WHOLE_STREAM);
+    }
+    crate::stand_in::seen(engines).iter().any(|seen| seen.attempt() == received.attempt)
+}
+
+/// Engines whose streams end at the next beat after their head, so that some are always under way.
+async fn slow_engines() -> Vec<Engine> {
+    let beat = Arc::new(tokio::sync::Notify::new());
+    let ticking = beat.clone();
+    tokio::spawn(async move {
+        let mut interval = tokio::time::interval(std::time::Duration::from_millis(150));
+        loop {
+            interval.tick().await;
+            ticking.notify_waiters();
+        }
+    });
+    engines("decode", 3, move |seen, _| {
+        let whole = events(seen, 1, 3, true);
+        let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
+        Act::SendAndLater(head.into(), beat.clone(), rest.into())
+    })
+    .await
+}
+
+#[tokio::test]
+async fn nothing_that_was_taken_is_given_up_while_requests_keep_coming() {
+    let list = slow_engines().await;
+    let mut process = Process::start(&list, true);
+    drop(process.first_connection().await);
+    let mut clients = tokio::task::JoinSet::new();
+    let mut arrivals = tokio::time::interval(std::time::Duration::from_millis(15));
+    let mut number = 0;
+    loop {
+        arrivals.tick().await;
+        number += 1;
+        clients.spawn(request(process.address.clone(), format!("r{number}")));
+        if number == 20 {
+            process.terminate.notify_one();
+        }
+        if process.ended.try_recv().is_ok() {
+            break;
+        }
+        assert!(number < 1000, "the process ends inside its grace");
+    }
+    let received = clients.join_all().await;
+    let served = received.iter().filter(|one| one.text.ends_with(WHOLE_STREAM)).count();
+    assert!(served > 20, "requests are served also after SIGTERM: {served}");
+    let lost: Vec<_> = received.iter().filter(|one| is_lost(one, &list)).collect();
+    assert!(lost.is_empty(), "{} of {} lost, first {:?}", lost.len(), received.len(), lost[0]);
+}
+
+#[tokio::test]
+async fn a_request_that_waits_to_be_let_in_is_answered_before_the_process_ends() {
+    let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+    let process = Process::start(&list, false);
+    let mut stream = process.first_connection().await;
+    process.terminate.notify_one();
+    // Its route is not known, and no proof comes: it waits while the time for which the router serves on runs out.
+    let served_on = std::time::Duration::from_secs_f64(GRACE_S / 2.0);
+    tokio::time::sleep(served_on.saturating_sub(std::time::Duration::from_millis(100))).await;
+    let text = post("unknown", "1", "Connection: close\r\n");
+    stream.write_all(text.as_bytes()).await.expect("written");
+    let mut answer = String::new();
+    let read = stream.read_to_string(&mut answer).await;
+    assert!(read.is_ok() && status(&answer) == "503", "{read:?} {answer:?}");
+    assert_eq!(process.state.metrics.under_way(crate::metrics::Phase::Leaving, crate::metrics::Stage::Reading), 0);
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -76,6 +76,10 @@
 #[path = "reuse_tests.rs"]
 mod reuse_tests;
 
+#[cfg(test)]
+#[path = "leaving_tests.rs"]
+mod leaving_tests;
+
 #[cfg(test)]
 #[path = "stream_end_tests.rs"]
 mod stream_end_tests;
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -28,7 +28,12 @@
 
 /// One that does not know whether its configuration is current.
 pub fn unproved_router(engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
-    let state = crate::state::State::new(kernel::env::parse(SETTINGS).expect("good settings"));
+    unproved_router_of(SETTINGS, engines, hold_s)
+}
+
+/// One with these settings that does not know whether its configuration is current.
+pub fn unproved_router_of(settings: &str, engines: &[Engine], hold_s: f64) -> std::sync::Arc<crate::state::State> {
+    let state = crate::state::State::new(kernel::env::parse(settings).expect("good settings"));
     let service = serde_json::json!([{"name": "s", "engine": {"kv_hold_s": hold_s}}]);
     configure(&state, 1, serde_json::json!({"service_table": service}));
     list(&state, 1, engines);
