A leaving router takes nothing new after three seconds and finishes what it took

Cause: the end of a leaving router depended on nothing being under way, so one that the platform went on sending to served until its grace was over and broke off what it took last; requests that were read and not let in did not hold it at all. Change: phases that only go forward (drain.rs). Unready at once, requests taken for 3 s, then the listener and idle connections close, and the process ends with its last connection. Keepers finish operators' calls and jobs under way (shutdown.rs) and send no new jobs. Signals are taken over before the settings are read: a SIGHUP during the start ended it.

--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -48,7 +48,11 @@
     wire::msg::Core { version: 1, list, prev: Vec::new(), settled: true }
 }
 
-pub async fn run(env: kernel::env::Env) -> std::process::ExitCode {
+/// Messages to peers that were handed over get so long to leave.
+const FAREWELL: std::time::Duration = std::time::Duration::from_millis(300);
+
+/// Runs a keeper until it is told to end and has finished what it took.
+pub async fn run(env: kernel::env::Env, mut signals: kernel::signal::Signals) -> std::process::ExitCode {
     let life = kernel::clock::life();
     let mut voter = ledger::voter::Voter::new(&env.ip);
     let mut store = None;
@@ -100,17 +104,19 @@
         polls: tokio::sync::Semaphore::new(1),
         pauses: Default::default(),
         leaving: Default::default(),
+        shutdown: Default::default(),
         metrics,
         env,
     });
     let observed = keeper.clone();
     telemetry::start(&keeper.env.ip, keeper.env.metrics.as_ref(), move || observed.metrics.render(&observed));
-    let mut word = kernel::signal::watch();
     kernel::plug::start(&KEEPER_PARTS, &keeper);
-    let _ = word.wait_for(|word| *word == kernel::signal::Word::Leave).await;
+    kernel::signal::until_leave(&mut signals).await;
     kernel::say!(crate::event::LEAVE);
+    let end = crate::shutdown::last_moment(keeper.env.bounds.grace_s);
     crate::membership::leave(&keeper).await;
-    // Calls under way get a moment; nothing else is owed, since all that was answered is on disk.
-    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    // What was answered is on disk; what is under way is finished. Meanwhile peers hear that this keeper ends.
+    let (finished, ()) = tokio::join!(keeper.shutdown.run(end), tokio::time::sleep(FAREWELL));
+    kernel::say!(crate::event::GONE, "finished" => finished, "orders" => keeper.metrics.orders_under_way.get());
     std::process::ExitCode::SUCCESS
 }
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -186,23 +186,32 @@
             .at("/rollouts/:service/:model/rollback", crate::rollout_calls::Latest(keeper.clone(), true))
             .at("/evacuation/:zone", Evacuation(keeper.clone())),
     );
-    tokio::spawn(async move {
-        loop {
-            let pause = std::time::Duration::from_millis(200);
-            let Ok(listener) = wire::sock::listen(&addr) else {
-                tokio::time::sleep(pause).await;
-                continue;
-            };
-            let sock = socket2::SockRef::from(&listener);
-            let _ = sock.set_tcp_user_timeout(Some(std::time::Duration::from_millis(wire::sock::SILENCE_MS)));
-            let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) else { continue };
-            let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(std::time::Duration::from_secs(30));
-            let _ = server.run(app.clone()).await;
-            tokio::time::sleep(pause).await;
+    let inner = keeper.clone();
+    keeper.shutdown.spawn(async move {
+        while !inner.shutdown.is_closing() {
+            serve(&addr, app.clone(), &inner.shutdown).await;
         }
     });
 }
 
+/// The pause before a socket that can't be had is tried again.
+const LISTEN_RETRY: std::time::Duration = std::time::Duration::from_millis(200);
+/// How long a connection may stay idle.
+const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(30);
+
+/// Serves callers until the process closes, and then finishes what is under way.
+async fn serve(addr: &str, app: std::sync::Arc<poem::Route>, shutdown: &crate::shutdown::Shutdown) {
+    let Ok(listener) = wire::sock::listen(addr) else {
+        tokio::time::sleep(LISTEN_RETRY).await;
+        return;
+    };
+    let sock = socket2::SockRef::from(&listener);
+    let _ = sock.set_tcp_user_timeout(Some(std::time::Duration::from_millis(wire::sock::SILENCE_MS)));
+    let Ok(acceptor) = poem::listener::TcpAcceptor::from_tokio(listener) else { return };
+    let server = poem::Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
+    let _ = server.run_with_graceful_shutdown(app, shutdown.closing(), None).await;
+}
+
 #[cfg(test)]
 #[path = "control_tests.rs"]
 mod tests;
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -24,6 +24,7 @@
     pub pauses: std::sync::Mutex<crate::pause::PauseMonitor>,
     /// The process is about to end.
     pub leaving: std::sync::atomic::AtomicBool,
+    pub shutdown: crate::shutdown::Shutdown,
     pub metrics: crate::metrics::Metrics,
 }
 
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -31,6 +31,7 @@
 mod rollouts;
 mod rules;
 mod runner;
+mod shutdown;
 #[cfg(test)]
 mod simulation;
 mod state;
--- a/keeper/src/runner.rs
+++ b/keeper/src/runner.rs
@@ -83,6 +83,10 @@
 }
 
 async fn look(keeper: &Arc<Keeper>, client: &reqwest::Client, runner: &mut Runner, in_flight: &Shared) {
+    if keeper.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+        // The next holder sends the rest; what is under way here is finished.
+        return;
+    }
     let now = kernel::clock::now();
     let ids = crate::batches::ids(&keeper.committed_state.lock().expect("committed_state"));
     let epoch = if ids.is_empty() { None } else { acting_epoch(keeper, now) };
@@ -111,7 +115,7 @@
     }
     for send in next(&open, in_flight, now) {
         in_flight.lock().expect("in flight").jobs.insert((send.id.clone(), send.job));
-        tokio::spawn(crate::job_run::run(keeper.clone(), client.clone(), in_flight.clone(), send, epoch));
+        keeper.shutdown.spawn(crate::job_run::run(keeper.clone(), client.clone(), in_flight.clone(), send, epoch));
     }
 }
 
--- /dev/null
+++ b/keeper/src/shutdown_tests.rs
@@ -0,0 +1,29 @@
+//! A keeper's end, in virtual time.
+use super::{last_moment, Shutdown};
+use std::time::Duration;
+
+#[tokio::test(start_paused = true)]
+async fn work_under_way_is_finished_first() {
+    let shutdown = Shutdown::default();
+    shutdown.spawn(tokio::time::sleep(Duration::from_millis(1200)));
+    let begun = tokio::time::Instant::now();
+    assert!(shutdown.run(last_moment(8.0)).await);
+    assert_eq!(begun.elapsed().as_millis(), 1200);
+    assert!(shutdown.is_closing());
+}
+
+#[tokio::test(start_paused = true)]
+async fn work_that_does_not_end_does_not_outlast_the_grace() {
+    let shutdown = Shutdown::default();
+    shutdown.spawn(std::future::pending());
+    let begun = tokio::time::Instant::now();
+    assert!(!shutdown.run(last_moment(8.0)).await);
+    assert_eq!(begun.elapsed().as_millis(), 7400);
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_work_it_ends_at_once() {
+    let begun = tokio::time::Instant::now();
+    assert!(Shutdown::default().run(last_moment(8.0)).await);
+    assert_eq!(begun.elapsed().as_millis(), 0);
+}
--- a/kernel/src/entry.rs
+++ b/kernel/src/entry.rs
@@ -16,29 +16,33 @@
     name: &str,
     release: &str,
     flags: EntryFlags,
-    run: impl FnOnce(crate::env::Env) -> F,
+    run: impl FnOnce(crate::env::Env, crate::signal::Signals) -> F,
 ) -> std::process::ExitCode {
     if flags.version {
         println!("{name} {release}");
         return std::process::ExitCode::SUCCESS;
     }
-    let mut env = match crate::env::load(&crate::env::path()) {
-        Ok(env) => env,
-        Err(error) => {
-            eprintln!("{name}: {}", error.current_context());
-            return std::process::ExitCode::from(2);
-        }
-    };
-    env.metrics = flags.metrics.or(env.metrics);
-    if flags.check {
-        println!("settings are good");
-        return std::process::ExitCode::SUCCESS;
-    }
     let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
         eprintln!("{name}: no runtime");
         return std::process::ExitCode::from(3);
     };
-    runtime.block_on(run(env))
+    runtime.block_on(async {
+        // First of all: a signal that comes while the daemon starts must not end it.
+        let signals = crate::signal::watch();
+        let mut env = match crate::env::load(&crate::env::path()) {
+            Ok(env) => env,
+            Err(error) => {
+                eprintln!("{name}: {}", error.current_context());
+                return std::process::ExitCode::from(2);
+            }
+        };
+        env.metrics = flags.metrics.or(env.metrics);
+        if flags.check {
+            println!("settings are good");
+            return std::process::ExitCode::SUCCESS;
+        }
+        run(env, signals).await
+    })
 }
 
 /// A beat that does not hurry after a pause.
--- a/kernel/src/signal.rs
+++ b/kernel/src/signal.rs
@@ -1,36 +1,49 @@
-//! Signals as values: a daemon reads the current word from a watch channel.
+//! Signals as values: a daemon reads the latest from a watch channel.
 
+/// What the process was told last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    Serve,
+pub enum Signal {
+    /// Nothing yet.
+    None,
     /// SIGHUP; the number counts how many came.
     Reload(u32),
+    /// SIGTERM; final.
     Leave,
 }
 
-/// Must be called inside a runtime. Leave is final.
-pub fn watch() -> tokio::sync::watch::Receiver<Word> {
-    let (tell, word) = tokio::sync::watch::channel(Word::Serve);
+/// Where a daemon reads its signals.
+pub type Signals = tokio::sync::watch::Receiver<Signal>;
+
+/// Takes SIGTERM and SIGHUP over from the system, which would end the process on either. To be called inside a runtime,
+/// before anything else is done.
+pub fn watch() -> Signals {
+    let (sender, signals) = tokio::sync::watch::channel(Signal::None);
     let kinds = (tokio::signal::unix::SignalKind::terminate(), tokio::signal::unix::SignalKind::hangup());
-    let (Ok(mut term), Ok(mut hup)) = (tokio::signal::unix::signal(kinds.0), tokio::signal::unix::signal(kinds.1))
+    let (Ok(mut terminate), Ok(mut hang_up)) =
+        (tokio::signal::unix::signal(kinds.0), tokio::signal::unix::signal(kinds.1))
     else {
-        return word;
+        return signals;
     };
     tokio::spawn(async move {
         let mut count = 0;
         loop {
             tokio::select! {
-                _ = term.recv() => {
-                    let _ = tell.send(Word::Leave);
-                    tell.closed().await;
+                _ = terminate.recv() => {
+                    let _ = sender.send(Signal::Leave);
+                    sender.closed().await;
                     return;
                 }
-                _ = hup.recv() => {
+                _ = hang_up.recv() => {
                     count += 1;
-                    let _ = tell.send(Word::Reload(count));
+                    let _ = sender.send(Signal::Reload(count));
                 }
             }
         }
     });
-    word
+    signals
+}
+
+/// Until SIGTERM comes, or nothing can come any more.
+pub async fn until_leave(signals: &mut Signals) {
+    let _ = signals.wait_for(|signal| *signal == Signal::Leave).await;
 }
--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -1,5 +1,7 @@
 //! A request's entry: read, checked, and sent on its way.
 
+use crate::drain::Phase;
+
 /// Reads, checks and carries one request; always gives an answer.
 pub async fn serve(
     state: std::sync::Arc<crate::state::State>,
@@ -8,13 +10,17 @@
     connection: crate::metrics::Connection,
 ) -> http::Response<crate::failure::Body> {
     let mut guard = crate::request_guard::RequestGuard::begin(&state, connection);
-    let leaving = state.leaving();
+    let leaving = state.is_leaving();
     let fail = |failure: crate::failure::Failure, last| (crate::failure::write(failure, last), failure.into());
     if look.both() {
         let (response, outcome) = fail(crate::failure::Failure::Malformed, leaving);
         return guard.follow(response, outcome);
     }
-    let entered = enter(&state, incoming).await;
+    let entered = match guard.phase() {
+        Phase::Serving | Phase::Draining => enter(&state, incoming).await,
+        // Its head came as the router closed: refused early rather than given up late.
+        Phase::Closing => Err(refuse_unread(incoming).await),
+    };
     look.arm();
     let (response, outcome) = match entered {
         Ok(exchange) => {
@@ -24,7 +30,7 @@
                     let outcome = passed_on(&response);
                     (response, outcome)
                 }
-                Err(failure) => fail(failure, state.leaving()),
+                Err(failure) => fail(failure, state.is_leaving()),
             }
         }
         Err(rejection) => fail(rejection.failure, leaving || rejection.ends),
@@ -83,6 +89,12 @@
     Rejection { failure, ends: !read }
 }
 
+/// Refuses a request of which only the head was looked at.
+async fn refuse_unread(incoming: http::Request<hyper::body::Incoming>) -> Rejection {
+    let (parts, body) = incoming.into_parts();
+    reject(crate::failure::Failure::Refused(RETRY_MS), &parts, Some(body)).await
+}
+
 /// What lets a request in: the table of that moment, and the route and tenant that it has for the request.
 struct Admitted {
     table: std::sync::Arc<crate::table::Table>,
@@ -179,9 +191,7 @@
         crate::table::split(&route.targets, dice.roll())
     };
     let request = crate::request::Request::make(parts, body, authorization, u64::from(service), born);
-    let order = std::sync::atomic::Ordering::Relaxed;
-    state.open.fetch_add(1, order);
-    state.held.fetch_add(request.body.len(), order);
+    state.held.fetch_add(request.body.len(), std::sync::atomic::Ordering::Relaxed);
     state.budget.lock().expect("budget").errand(service, born);
     crate::exchange::Exchange {
         closed_zones: crate::plan::closed_zones(state, request.authorization.homes()),
--- /dev/null
+++ b/router/src/drain.rs
@@ -0,0 +1,95 @@
+//! How a router ends without giving anything up that it took.
+//!
+//! It turns unready at once and serves on while the platform may not have noticed (`Draining`). Then it takes nothing new,
+//! finishes what is under way (`Closing`), and ends. The platform may go on sending to a router that is not ready, so the
+//! end of the first part never depends on how much comes.
+//!
+//! Invariant: the phase only goes forward.
+
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// How far a router is on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, prometheus_client::encoding::EncodeLabelValue)]
+pub enum Phase {
+    /// It is not about to end.
+    Serving,
+    /// It is about to end: unready, but it takes requests.
+    Draining,
+    /// It takes nothing new and finishes what it has.
+    Closing,
+}
+
+/// The phases of a router, and the connections of its clients.
+#[derive(Default)]
+pub struct Drain {
+    draining: CancellationToken,
+    closing: CancellationToken,
+    connections: TaskTracker,
+}
+
+impl Drain {
+    /// The phase of now.
+    pub fn phase(&self) -> Phase {
+        match (self.draining.is_cancelled(), self.closing.is_cancelled()) {
+            (_, true) => Phase::Closing,
+            (true, false) => Phase::Draining,
+            (false, false) => Phase::Serving,
+        }
+    }
+
+    /// Until nothing new is taken any more.
+    pub async fn closing(&self) {
+        self.closing.cancelled().await;
+    }
+
+    /// Follows a client's connection to its end.
+    pub async fn follow_connection(&self, connection: impl std::future::Future<Output = ()>) {
+        self.connections.track_future(connection).await;
+    }
+
+    /// Goes through all phases; over once every connection has ended, or the time to finish is.
+    pub async fn run(&self, schedule: &Schedule) {
+        let end = tokio::time::Instant::now() + schedule.finish_by;
+        self.draining.cancel();
+        tokio::time::sleep(schedule.take_for).await;
+        self.closing.cancel();
+        self.connections.close();
+        let _ = tokio::time::timeout_at(end, self.connections.wait()).await;
+    }
+}
+
+/// What a grace is divided into, from the moment at which the process is told to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Schedule {
+    /// For so long requests are taken.
+    pub take_for: std::time::Duration,
+    /// By then what was taken is finished or given up.
+    pub finish_by: std::time::Duration,
+}
+
+/// The platform asks for readiness once a second and takes a router out that misses twice; what it passed on by then
+/// is on its way for a moment more.
+const NOTICED_MS: u64 = 3000;
+/// At most this part of the grace goes to being noticed, so that most is left for what was taken last.
+const TAKE_SHARE: f64 = 0.4;
+/// What is kept for the end of the process itself: a share of the grace, and no more than this.
+const RESERVE_SHARE: f64 = 1.0 / 12.0;
+const MOST_RESERVE_MS: u64 = 600;
+
+impl Schedule {
+    /// The division of a grace in seconds.
+    pub fn of(grace_s: f64) -> Schedule {
+        let grace_ms = grace_s * 1000.0;
+        let take_ms = NOTICED_MS.min((grace_ms * TAKE_SHARE) as u64);
+        let reserve_ms = MOST_RESERVE_MS.min((grace_ms * RESERVE_SHARE) as u64);
+        Schedule {
+            take_for: std::time::Duration::from_millis(take_ms),
+            finish_by: std::time::Duration::from_millis((grace_ms as u64).saturating_sub(reserve_ms)),
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "drain_tests.rs"]
+mod tests;
--- /dev/null
+++ b/router/src/drain_tests.rs
@@ -0,0 +1,72 @@
+//! The phases of a router that ends, in virtual time.
+use super::{Drain, Phase, Schedule};
+use std::sync::Arc;
+use std::time::Duration;
+
+async fn sleep_ms(time_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(time_ms)).await;
+}
+
+/// Runs through the phases of a grace of eight seconds; gives the time that it took.
+fn run(drain: &Arc<Drain>) -> tokio::task::JoinHandle<u128> {
+    let drain = drain.clone();
+    let begun = tokio::time::Instant::now();
+    tokio::spawn(async move {
+        drain.run(&Schedule::of(8.0)).await;
+        begun.elapsed().as_millis()
+    })
+}
+
+fn connect(drain: &Arc<Drain>, time_ms: u64) {
+    let drain = drain.clone();
+    tokio::spawn(async move { drain.follow_connection(sleep_ms(time_ms)).await });
+}
+
+#[test]
+fn a_grace_is_divided_into_being_noticed_finishing_and_a_reserve() {
+    let parts = |grace_s: f64| {
+        let schedule = Schedule::of(grace_s);
+        (schedule.take_for.as_millis(), schedule.finish_by.as_millis())
+    };
+    assert_eq!(parts(8.0), (3000, 7400));
+    assert_eq!(parts(30.0), (3000, 29_400));
+    assert_eq!(parts(3.0), (1200, 2750));
+    assert_eq!(parts(0.0), (0, 0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_connections_it_ends_once_it_was_noticed() {
+    let drain = Arc::new(Drain::default());
+    assert_eq!(drain.phase(), Phase::Serving);
+    let end = run(&drain);
+    sleep_ms(2999).await;
+    assert_eq!(drain.phase(), Phase::Draining);
+    sleep_ms(2).await;
+    assert_eq!((drain.phase(), end.await.expect("ends")), (Phase::Closing, 3000));
+}
+
+#[tokio::test(start_paused = true)]
+async fn it_ends_with_its_last_connection() {
+    let drain = Arc::new(Drain::default());
+    connect(&drain, 4200);
+    let end = run(&drain);
+    sleep_ms(1000).await;
+    connect(&drain, 4000);
+    assert_eq!(end.await.expect("ends"), 5000);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_does_not_end_does_not_outlast_the_grace() {
+    let drain = Arc::new(Drain::default());
+    connect(&drain, 60_000);
+    assert_eq!(run(&drain).await.expect("ends"), 7400);
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_waits_for_the_closing_is_woken_by_it() {
+    let drain = Arc::new(Drain::default());
+    let end = run(&drain);
+    drain.closing().await;
+    assert_eq!(drain.phase(), Phase::Closing);
+    end.await.expect("ends");
+}
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -39,9 +39,7 @@
             self.end_send(at);
         }
         self.release_handle();
-        let order = std::sync::atomic::Ordering::Relaxed;
-        self.state.open.fetch_sub(1, order);
-        self.state.held.fetch_sub(self.request.body.len(), order);
+        self.state.held.fetch_sub(self.request.body.len(), std::sync::atomic::Ordering::Relaxed);
     }
 }
 
--- a/router/src/follow_absorb.rs
+++ b/router/src/follow_absorb.rs
@@ -38,7 +38,7 @@
         closed: news.closed.iter().map(|(zone, (version, _))| (zone.clone(), *version)).chain(rules).collect(),
         sheets,
         busy,
-        door: state.env.bind_addresses.frontend.clone().filter(|_| !state.leaving()).unwrap_or_default(),
+        door: state.env.bind_addresses.frontend.clone().filter(|_| !state.is_leaving()).unwrap_or_default(),
     }
 }
 
--- a/router/src/leaving_tests.rs
+++ b/router/src/leaving_tests.rs
@@ -149,12 +149,12 @@
     let mut stream = process.first_connection().await;
     process.terminate.notify_one();
     // Its route is not known, and no proof comes: it waits while the time for which the router serves on runs out.
-    let served_on = std::time::Duration::from_secs_f64(GRACE_S / 2.0);
+    let served_on = std::time::Duration::from_secs_f64(GRACE_S * 0.4);
     tokio::time::sleep(served_on.saturating_sub(std::time::Duration::from_millis(100))).await;
     let text = post("unknown", "1", "Connection: close\r\n");
     stream.write_all(text.as_bytes()).await.expect("written");
     let mut answer = String::new();
     let read = stream.read_to_string(&mut answer).await;
     assert!(read.is_ok() && status(&answer) == "503", "{read:?} {answer:?}");
-    assert_eq!(process.state.metrics.under_way(crate::metrics::Phase::Leaving, crate::metrics::Stage::Reading), 0);
+    assert_eq!(process.state.metrics.under_way(crate::drain::Phase::Draining, crate::metrics::Stage::Reading), 0);
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod doubt_pace;
 mod doubt_probe;
 mod doubt_word;
+mod drain;
 mod evacuation;
 mod event;
 mod exchange;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -1,5 +1,6 @@
 //! What a router counts. The list with units stands in `docs/metrics.md`; a test holds the two together.
 
+use crate::drain::Phase;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -7,15 +8,6 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-/// How far a router is on its way out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
-pub enum Phase {
-    /// It is not about to end.
-    Serving,
-    /// SIGTERM came.
-    Leaving,
-}
-
 /// How far a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
 pub enum Stage {
@@ -206,9 +198,8 @@
     /// All metrics as text, with the figures that are only read when asked for.
     pub fn render(&self, state: &crate::state::State) -> String {
         let order = std::sync::atomic::Ordering::Relaxed;
-        let is_ready = state.ready.load(order) && !state.leaving();
         let counts = state.record.lock().expect("record").counts;
-        self.ready.set(i64::from(is_ready));
+        self.ready.set(i64::from(state.is_ready()));
         self.config_revision.set(state.table().revision as i64);
         self.body_bytes.set(state.held.load(order) as i64);
         self.engines_known.set(state.park.lock().expect("park").list.len() as i64);
--- a/router/src/metrics_tests.rs
+++ b/router/src/metrics_tests.rs
@@ -1,5 +1,6 @@
 //! What is counted when requests come, and that the page and the code name the same metrics.
-use crate::metrics::{Ended, Outcome, Phase, Stage};
+use crate::drain::Phase;
+use crate::metrics::{Ended, Outcome, Stage};
 use crate::stand_in::{answer, engines, events, Act};
 use crate::stand_in_router::{ask, post, router, Client};
 
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -158,7 +158,7 @@
     *reply.headers_mut() = answer.head.headers.clone();
     let length = crate::request::number(reply.headers(), "content-length").filter(|_| !exchange.is_resumable());
     crate::request::strip(reply.headers_mut());
-    if exchange.state.leaving() {
+    if exchange.state.is_leaving() {
         reply.headers_mut().insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
     }
     let (pipe, feed) = crate::feed::pipe(length);
--- a/router/src/request_guard.rs
+++ b/router/src/request_guard.rs
@@ -1,6 +1,7 @@
 //! One request, counted from the reading of its head until its answer has left or its connection is gone.
 
-use crate::metrics::{Arrival, Connection, Ended, Outcome, Phase, Stage, UnderWay};
+use crate::drain::Phase;
+use crate::metrics::{Arrival, Connection, Ended, Outcome, Stage, UnderWay};
 use std::sync::Arc;
 
 /// Counts a request under way. Invariant: it is counted in one stage at a time, and its end once, on drop: as cut,
@@ -18,13 +19,18 @@
 impl RequestGuard {
     /// A request whose head was just read.
     pub fn begin(state: &Arc<crate::state::State>, connection: Connection) -> RequestGuard {
-        let phase = state.phase();
+        let phase = state.drain.phase();
         state.metrics.requests_received.get_or_create(&Arrival { phase, connection }).inc();
         let stage = Stage::Reading;
         state.metrics.requests_under_way.get_or_create(&UnderWay { phase, stage }).inc();
         RequestGuard { state: state.clone(), phase, stage, outcome: Outcome::Cut, begun: kernel::clock::now() }
     }
 
+    /// The phase in which it came.
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
     /// It goes on to a further stage.
     pub fn enter(&mut self, stage: Stage) {
         let gauges = &self.state.metrics.requests_under_way;
--- a/router/src/server.rs
+++ b/router/src/server.rs
@@ -1,49 +1,68 @@
 //! Where clients and the platform come in.
 
-/// Descriptors: some are reserved, the rest is shared by clients and engines.
-fn room(env: &kernel::env::Env) -> usize {
-    (env.limits.fd_limit.saturating_sub(200) / 2).max(16) as usize
-}
+use crate::drain::Phase;
+use crate::state::State;
+use std::sync::Arc;
 
 /// Connections that ask for readiness at once.
 const READINESS_CONNECTIONS: usize = 64;
+/// Descriptors that are reserved; clients and engines share the rest.
+const RESERVED_DESCRIPTORS: u64 = 200;
+/// Clients' connections are served however few descriptors there are.
+const FEWEST_CONNECTIONS: u64 = 16;
+/// A client that takes nothing for so long is gone.
+const CLIENT_SILENCE_MS: u64 = 10_000;
+/// The smallest buffer for the head of a request, and what a buffer holds beyond it.
+const HEAD_BUFFER_BYTES: usize = 16 * 1024;
+const BODY_BUFFER_BYTES: usize = 64 * 1024;
+/// A kept connection may stay idle for so long at least.
+const SHORTEST_IDLE_MS: u64 = 1000;
+
+fn most_connections(env: &kernel::env::Env) -> usize {
+    (env.limits.fd_limit.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(FEWEST_CONNECTIONS) as usize
+}
 
-pub async fn readiness(state: std::sync::Arc<crate::state::State>) {
+/// Answers the platform's calls for readiness.
+pub async fn readiness(state: Arc<State>) {
     let Some(addr) = state.env.bind_addresses.readiness.clone() else { return };
-    wire::sock::accept_each(&addr, READINESS_CONNECTIONS, |stream| {
-        let state = state.clone();
-        async move {
-            let service = hyper::service::service_fn(move |_: http::Request<hyper::body::Incoming>| {
-                let order = std::sync::atomic::Ordering::Relaxed;
-                let good = state.ready.load(order) && !state.leaving();
-                if !good {
-                    state.metrics.readiness_checks_failed.inc();
-                }
-                async move {
-                    let mut reply = http::Response::new(http_body_util::Empty::<bytes::Bytes>::new());
-                    *reply.status_mut() =
-                        if good { http::StatusCode::OK } else { http::StatusCode::SERVICE_UNAVAILABLE };
-                    Ok::<_, std::convert::Infallible>(reply)
-                }
-            });
-            let io = hyper_util::rt::TokioIo::new(stream);
-            let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
+    wire::sock::accept_each(&addr, READINESS_CONNECTIONS, |stream| answer_readiness(state.clone(), stream)).await;
+}
+
+async fn answer_readiness(state: Arc<State>, stream: tokio::net::TcpStream) {
+    let service = hyper::service::service_fn(move |_: http::Request<hyper::body::Incoming>| {
+        let mut response = http::Response::new(http_body_util::Empty::<bytes::Bytes>::new());
+        if !state.is_ready() {
+            state.metrics.readiness_checks_failed.inc();
+            *response.status_mut() = http::StatusCode::SERVICE_UNAVAILABLE;
         }
-    })
-    .await;
+        async move { Ok::<_, std::convert::Infallible>(response) }
+    });
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let _ = hyper::server::conn::http1::Builder::new().serve_connection(io, service).await;
 }
 
-pub async fn frontend(state: std::sync::Arc<crate::state::State>) {
+/// Serves clients until the router closes; then nobody listens any more.
+pub async fn frontend(state: Arc<State>) {
     let Some(addr) = state.env.bind_addresses.frontend.clone() else { return };
-    let room = room(&state.env);
-    wire::sock::accept_each(&addr, room, |stream| client(state.clone(), stream)).await;
+    let room = most_connections(&state.env);
+    tokio::select! {
+        () = wire::sock::accept_each(&addr, room, |stream| client(state.clone(), stream)) => {}
+        () = state.drain.closing() => {}
+    }
+}
+
+/// Serves one client's connection until it ends.
+pub async fn client(state: Arc<State>, stream: tokio::net::TcpStream) {
+    state.drain.follow_connection(serve_connection(state.clone(), stream)).await;
 }
 
 /// One client's connection, counted while it is open.
 struct OpenConnection(prometheus_client::metrics::gauge::Gauge);
 
 impl OpenConnection {
-    fn count(state: &crate::state::State) -> OpenConnection {
+    fn count(state: &State) -> OpenConnection {
+        let phase = state.drain.phase();
+        state.metrics.connections_accepted.get_or_create(&crate::metrics::InPhase { phase }).inc();
         let gauge = state.metrics.connections_open.clone();
         gauge.inc();
         OpenConnection(gauge)
@@ -56,13 +75,23 @@
     }
 }
 
-/// Serves one client's connection until it ends.
-pub async fn client(state: std::sync::Arc<crate::state::State>, stream: tokio::net::TcpStream) {
-    wire::sock::tune(&stream, 10_000);
-    let phase = state.phase();
-    state.metrics.connections_accepted.get_or_create(&crate::metrics::InPhase { phase }).inc();
+/// What the configuration of now says about clients' connections.
+fn http_settings(table: &crate::table::Table) -> hyper::server::conn::http1::Builder {
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(hyper_util::rt::TokioTimer::new());
+    builder.keep_alive(true).max_buf_size(table.header_bytes.max(HEAD_BUFFER_BYTES) + BODY_BUFFER_BYTES);
+    // Also bounds how long a kept connection may stay idle.
+    let wait_ms = table.idle_ms.max(table.header_ms).max(SHORTEST_IDLE_MS);
+    builder.header_read_timeout(std::time::Duration::from_millis(wait_ms));
+    if table.header_bytes > 0 {
+        builder.max_header_size(table.header_bytes);
+    }
+    builder
+}
+
+async fn serve_connection(state: Arc<State>, stream: tokio::net::TcpStream) {
+    wire::sock::tune(&stream, CLIENT_SILENCE_MS);
     let _open = OpenConnection::count(&state);
-    let table = state.table();
     let look = crate::frames::Look::new();
     let io = hyper_util::rt::TokioIo::new(crate::frames::Stream::new(stream, look.clone()));
     let inner = state.clone();
@@ -72,31 +101,19 @@
         let connection = connection.replace(crate::metrics::Connection::Kept);
         async move { Ok::<_, std::convert::Infallible>(crate::admission::serve(state, request, &look, connection).await) }
     });
-    let mut builder = hyper::server::conn::http1::Builder::new();
-    builder.timer(hyper_util::rt::TokioTimer::new());
-    builder.keep_alive(true).max_buf_size(table.header_bytes.max(16 * 1024) + 64 * 1024);
-    // Also bounds how long a kept connection may stay idle.
-    let wait = table.idle_ms.max(table.header_ms).max(1000);
-    builder.header_read_timeout(std::time::Duration::from_millis(wait));
-    if table.header_bytes > 0 {
-        builder.max_header_size(table.header_bytes);
+    let served = http_settings(&state.table()).serve_connection(io, service);
+    tokio::pin!(served);
+    tokio::select! {
+        _ = served.as_mut() => return,
+        () = state.drain.closing() => served.as_mut().graceful_shutdown(),
     }
-    let conn = builder.serve_connection(io, service);
-    tokio::pin!(conn);
-    let mut beat = tokio::time::interval(std::time::Duration::from_millis(1000));
-    let mut told = 0;
-    loop {
-        tokio::select! {
-            _ = conn.as_mut() => return,
-            _ = beat.tick() => {
-                // Leaving: a connection without a request is ended once the platform has seen it.
-                if state.leaving() {
-                    told += 1;
-                }
-                if told == 3 {
-                    conn.as_mut().graceful_shutdown();
-                }
-            }
-        }
+    // What is under way on it is finished; without that it ends at once.
+    let _ = served.await;
+}
+
+impl State {
+    /// Does the platform get a 200?
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(std::sync::atomic::Ordering::Relaxed) && self.drain.phase() == Phase::Serving
     }
 }
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -28,9 +28,7 @@
     /// Woken when an engine in doubt answered another router.
     pub calm: tokio::sync::Notify,
     pub ready: std::sync::atomic::AtomicBool,
-    pub leaving: std::sync::atomic::AtomicBool,
-    /// Requests between the reading of their head and the end of their answer.
-    pub open: std::sync::atomic::AtomicUsize,
+    pub drain: crate::drain::Drain,
     /// Bytes of request bodies held.
     pub held: std::sync::atomic::AtomicUsize,
     pub metrics: crate::metrics::Metrics,
@@ -79,8 +77,7 @@
             few_at: Default::default(),
             calm: Default::default(),
             ready: Default::default(),
-            leaving: Default::default(),
-            open: Default::default(),
+            drain: Default::default(),
             held: Default::default(),
             metrics: Default::default(),
             env,
@@ -102,15 +99,8 @@
         self.table.lock().expect("table").clone()
     }
 
-    /// How far this process is on its way out.
-    pub fn phase(&self) -> crate::metrics::Phase {
-        match self.leaving() {
-            true => crate::metrics::Phase::Leaving,
-            false => crate::metrics::Phase::Serving,
-        }
-    }
-
-    pub fn leaving(&self) -> bool {
-        self.leaving.load(std::sync::atomic::Ordering::Relaxed)
+    /// Is the process about to end?
+    pub fn is_leaving(&self) -> bool {
+        self.drain.phase() != crate::drain::Phase::Serving
     }
 }
--- a/tidepoint/tests/rollout.rs
+++ b/tidepoint/tests/rollout.rs
@@ -89,13 +89,13 @@
             let data = dir.join(HALLS[hall]);
             std::fs::create_dir_all(&data).expect("a folder");
             let env = env(net, "k", hall, Some(data.to_string_lossy().into_owned()));
-            Daemon::start(move || keeper::boot::run(env))
+            Daemon::start(move || keeper::boot::run(env, kernel::signal::watch()))
         })
         .collect();
     let mut routers: Vec<Daemon> = (0..3)
         .map(|hall| {
             let env = env(net, "e", hall, None);
-            Daemon::start(move || router::boot::run(env))
+            Daemon::start(move || router::boot::run(env, kernel::signal::watch()))
         })
         .collect();
     let control = |at: usize| format!("127.0.{net}.{}:7803", at + 1);
--- a/tidepoint/tests/tenants.rs
+++ b/tidepoint/tests/tenants.rs
@@ -68,10 +68,10 @@
     let _ = std::fs::remove_dir_all(&dir);
     let keeper = env("k", Some(&dir));
     start(move |runtime| {
-        runtime.block_on(keeper::boot::run(keeper));
+        runtime.block_on(async { keeper::boot::run(keeper, kernel::signal::watch()).await });
     });
     start(|runtime| {
-        runtime.block_on(router::boot::run(env("e", None)));
+        runtime.block_on(async { router::boot::run(env("e", None), kernel::signal::watch()).await });
     });
     change("PUT", 0, &config());
     let ready = stand::request("GET", "/ready", "Host: r\r\n", "");
--- a/tidepoint/tests/whole.rs
+++ b/tidepoint/tests/whole.rs
@@ -67,10 +67,10 @@
     let _ = std::fs::remove_dir_all(&dir);
     let keeper_env = env("k", Some(dir.to_string_lossy().into_owned()));
     start(move |runtime| {
-        runtime.block_on(keeper::boot::run(keeper_env));
+        runtime.block_on(async { keeper::boot::run(keeper_env, kernel::signal::watch()).await });
     });
     start(|runtime| {
-        runtime.block_on(router::boot::run(env("e", None)));
+        runtime.block_on(async { router::boot::run(env("e", None), kernel::signal::watch()).await });
     });
 
     configurations();
