A leaving router refuses what it does not expect to finish

Change: each route keeps an estimate of how long all but few of its requests take; while draining a request is refused early if that exceeds the time left. The reserve for the end of the process is halved. Tests: the estimate, the schedule over all graces, and a request refused and one served by a leaving router.

--- a/keeper/src/shutdown.rs
+++ b/keeper/src/shutdown.rs
@@ -35,7 +35,7 @@
 }
 
 /// What of the grace is kept for the end of the process itself.
-const RESERVE_MS: u64 = 600;
+const RESERVE_MS: u64 = 300;
 
 /// When a process that was told to end now must have finished.
 pub fn last_moment(grace_s: f64) -> tokio::time::Instant {
--- a/keeper/src/shutdown_tests.rs
+++ b/keeper/src/shutdown_tests.rs
@@ -18,7 +18,7 @@
     shutdown.spawn(std::future::pending());
     let begun = tokio::time::Instant::now();
     assert!(!shutdown.run(last_moment(8.0)).await);
-    assert_eq!(begun.elapsed().as_millis(), 7400);
+    assert_eq!(begun.elapsed().as_millis(), 7700);
 }
 
 #[tokio::test(start_paused = true)]
--- a/router/src/drain.rs
+++ b/router/src/drain.rs
@@ -1,7 +1,7 @@
 //! How a router ends without giving anything up that it took.
 //!
-//! It turns unready at once and serves on while the platform may not have noticed (`Draining`). Then it takes nothing new,
-//! finishes what is under way (`Closing`), and ends. The platform may go on sending to a router that is not ready, so the
+//! It turns unready at once and serves on while the platform may not have noticed (`Draining`), but refuses what it does
+//! not expect to finish. Then it takes nothing new, finishes what is under way (`Closing`), and ends. The platform may go on sending to a router that is not ready, so the
 //! end of the first part never depends on how much comes.
 //!
 //! Invariant: the phase only goes forward.
@@ -26,6 +26,8 @@
     draining: CancellationToken,
     closing: CancellationToken,
     connections: TaskTracker,
+    /// When everything must be finished, once that is known.
+    finish_at: std::sync::OnceLock<tokio::time::Instant>,
 }
 
 impl Drain {
@@ -38,6 +40,12 @@
         }
     }
 
+    /// How long what is taken now may take; None: as long as it likes.
+    pub fn left_ms(&self) -> Option<u64> {
+        let end = self.finish_at.get()?;
+        Some(end.saturating_duration_since(tokio::time::Instant::now()).as_millis() as u64)
+    }
+
     /// Until nothing new is taken any more.
     pub async fn closing(&self) {
         self.closing.cancelled().await;
@@ -51,6 +59,7 @@
     /// Goes through all phases; over once every connection has ended, or the time to finish is.
     pub async fn run(&self, schedule: &Schedule) {
         let end = tokio::time::Instant::now() + schedule.finish_by;
+        let _ = self.finish_at.set(end);
         self.draining.cancel();
         tokio::time::sleep(schedule.take_for).await;
         self.closing.cancel();
@@ -74,8 +83,8 @@
 /// At most this part of the grace goes to being noticed, so that most is left for what was taken last.
 const TAKE_SHARE: f64 = 0.4;
 /// What is kept for the end of the process itself: a share of the grace, and no more than this.
-const RESERVE_SHARE: f64 = 1.0 / 12.0;
-const MOST_RESERVE_MS: u64 = 600;
+const RESERVE_SHARE: f64 = 1.0 / 24.0;
+const MOST_RESERVE_MS: u64 = 300;
 
 impl Schedule {
     /// The division of a grace in seconds.
--- a/router/src/drain_tests.rs
+++ b/router/src/drain_tests.rs
@@ -28,12 +28,32 @@
         let schedule = Schedule::of(grace_s);
         (schedule.take_for.as_millis(), schedule.finish_by.as_millis())
     };
-    assert_eq!(parts(8.0), (3000, 7400));
-    assert_eq!(parts(30.0), (3000, 29_400));
-    assert_eq!(parts(3.0), (1200, 2750));
+    assert_eq!(parts(8.0), (3000, 7700));
+    assert_eq!(parts(30.0), (3000, 29_700));
+    assert_eq!(parts(3.0), (1200, 2875));
     assert_eq!(parts(0.0), (0, 0));
 }
 
+#[test]
+fn most_of_the_last_sixth_of_any_grace_is_used() {
+    for tenths in 1..600 {
+        let grace_s = f64::from(tenths) / 10.0;
+        let schedule = Schedule::of(grace_s);
+        assert!(schedule.finish_by.as_secs_f64() >= grace_s * 5.0 / 6.0 - 0.001, "{grace_s} {schedule:?}");
+        assert!(schedule.take_for < schedule.finish_by, "{grace_s} {schedule:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_time_left_is_known_from_the_moment_at_which_it_drains() {
+    let drain = Arc::new(Drain::default());
+    assert_eq!(drain.left_ms(), None);
+    let end = run(&drain);
+    sleep_ms(1000).await;
+    assert_eq!(drain.left_ms(), Some(6700));
+    end.await.expect("ends");
+}
+
 #[tokio::test(start_paused = true)]
 async fn without_connections_it_ends_once_it_was_noticed() {
     let drain = Arc::new(Drain::default());
@@ -59,7 +79,7 @@
 async fn a_connection_that_does_not_end_does_not_outlast_the_grace() {
     let drain = Arc::new(Drain::default());
     connect(&drain, 60_000);
-    assert_eq!(run(&drain).await.expect("ends"), 7400);
+    assert_eq!(run(&drain).await.expect("ends"), 7700);
 }
 
 #[tokio::test(start_paused = true)]
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -39,11 +39,21 @@
             self.end_send(at);
         }
         self.release_handle();
+        if self.arrived {
+            let spent_ms = kernel::clock::now().saturating_sub(self.request.born);
+            self.request.authorization.route().durations.note(spent_ms);
+        }
         self.state.held.fetch_sub(self.request.body.len(), std::sync::atomic::Ordering::Relaxed);
     }
 }
 
 impl Exchange {
+    /// Is it expected to be finished before this process ends, if that is about to end?
+    pub fn fits_before_the_end(&self) -> bool {
+        let expected_ms = self.request.authorization.route().durations.expected_ms();
+        self.state.drain.left_ms().is_none_or(|left_ms| expected_ms < left_ms)
+    }
+
     pub fn remaining_ms(&self) -> u64 {
         self.request.left(kernel::clock::now())
     }
--- a/router/src/leaving_tests.rs
+++ b/router/src/leaving_tests.rs
@@ -158,3 +158,24 @@
     assert!(read.is_ok() && status(&answer) == "503", "{read:?} {answer:?}");
     assert_eq!(process.state.metrics.under_way(crate::drain::Phase::Draining, crate::metrics::Stage::Reading), 0);
 }
+
+#[tokio::test]
+async fn what_takes_longer_than_the_time_left_is_refused_before_any_engine_has_it() {
+    let list = engines("decode", 1, |seen, _| Act::Send(events(seen, 1, 3, true))).await;
+    let process = Process::start(&list, true);
+    drop(process.first_connection().await);
+    let durations = process.state.table().route("stream").expect("there").durations.clone();
+    (0..40).for_each(|_| durations.note(2500));
+    process.terminate.notify_one();
+    while process.state.drain.left_ms().is_none() {
+        tokio::task::yield_now().await;
+    }
+    let long = request(process.address.clone(), "long".into()).await;
+    assert_eq!(status(&long.text), "503", "{}", long.text);
+    assert!(long.text.to_lowercase().contains("retry-after"), "{}", long.text);
+    (0..1000).for_each(|_| durations.note(50));
+    let short = request(process.address.clone(), "short".into()).await;
+    assert_eq!(status(&short.text), "200", "{}", short.text);
+    let seen = crate::stand_in::seen(&list);
+    assert_eq!(seen.iter().map(|one| one.attempt()).collect::<Vec<_>>(), ["short"]);
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -9,6 +9,7 @@
 mod doubt_probe;
 mod doubt_word;
 mod drain;
+mod duration_estimate;
 mod evacuation;
 mod event;
 mod exchange;
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -31,6 +31,10 @@
     if exchange.request.spare.is_some_and(|share| !exchange.view(|view| view.idle(share))) {
         return Err(crate::failure::Failure::Refused(STAND_BACK_MS));
     }
+    if !exchange.fits_before_the_end() {
+        // Refused early rather than given up late.
+        return Err(failure_of(&exchange));
+    }
     if exchange.version_bounds().is_some() && exchange.view(|view| view.open(engines::place::Half::Decode).is_empty()) {
         exchange.report_no_replica();
         return Err(failure_of(&exchange));
--- a/router/src/table.rs
+++ b/router/src/table.rs
@@ -21,6 +21,8 @@
     pub homes: Vec<String>,
     /// Served without a key.
     pub anonymous: bool,
+    /// Of its requests at this router, across changes of the route.
+    pub durations: std::sync::Arc<crate::duration_estimate::DurationEstimate>,
 }
 
 impl Route {
@@ -72,6 +74,7 @@
         targets: targets.collect(),
         homes: item.allowed_regions.clone(),
         anonymous: item.anonymous,
+        durations: Default::default(),
     }
 }
 
@@ -110,8 +113,9 @@
         for item in &change.routes {
             let host: std::sync::Arc<str> = item.hostname.to_ascii_lowercase().into();
             next.names.insert(item.name.as_str().into(), host.clone());
+            let durations = self.route(&item.name).map_or_else(Default::default, |held| held.durations.clone());
             let list = next.hosts.entry(host).or_default();
-            list.push(std::sync::Arc::new(route(item, park)));
+            list.push(std::sync::Arc::new(Route { durations, ..route(item, park) }));
             list.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         for name in &change.lost {
