Limits of tenants: a token bucket in three shards at three keepers, under leases of time

Change: the crate quota (pure) with shards, mint clock, placement and routers' own allowances; Spend and Holders messages (version 5); routers ask before the first send; GET /tenants, tidepoint tenants, metrics, docs/quotas.md.

--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -102,6 +102,7 @@
         taken: Default::default(),
         tallies: Default::default(),
         polls: tokio::sync::Semaphore::new(1),
+        quotas: std::sync::Mutex::new(crate::quota::HeldShards::new(&env.ip)),
         pauses: Default::default(),
         leaving: Default::default(),
         shutdown: Default::default(),
--- a/keeper/src/config_history.rs
+++ b/keeper/src/config_history.rs
@@ -54,6 +54,14 @@
     whole_before_tenants: Option<bytes::Bytes>,
     changes: std::collections::VecDeque<EncodedChange>,
     changes_bytes: usize,
+    /// Limits by tenant.
+    quotas: std::collections::HashMap<String, quota::Quota>,
+}
+
+fn quotas(config: &Checked) -> std::collections::HashMap<String, quota::Quota> {
+    let limit =
+        |tenant: &wire::config::Tenant| quota::Quota { rate_per_s: tenant.rate_per_s, burst: tenant.burst_size };
+    config.config().tenant_table.iter().map(|tenant| (tenant.name.clone(), limit(tenant))).collect()
 }
 
 fn seal(msg: &Msg) -> Option<bytes::Bytes> {
@@ -94,6 +102,16 @@
         self.current.as_ref().map_or(0, |current| current.revision())
     }
 
+    /// Does the configuration in force have tenants?
+    pub fn has_tenants(&self) -> bool {
+        self.current.as_ref().is_some_and(|current| !current.config().tenant_table.is_empty())
+    }
+
+    /// A tenant's limit in the configuration in force; its rate is 0 where it has none.
+    pub fn tenant_quota(&self, name: &str) -> Option<quota::Quota> {
+        self.quotas.get(name).copied()
+    }
+
     /// The configuration in force.
     pub fn current(&self) -> Option<&Arc<Checked>> {
         self.current.as_ref()
@@ -103,6 +121,7 @@
     /// that is not newer changes nothing, and is told.
     pub fn advance(&mut self, config: Arc<Checked>) -> Result<(), NotNewer> {
         let Some(old) = self.current.clone() else {
+            self.quotas = quotas(&config);
             self.current = Some(config);
             return Ok(());
         };
@@ -119,6 +138,7 @@
                 self.changes_bytes = 0;
             }
         }
+        self.quotas = quotas(&config);
         (self.current, self.whole, self.whole_before_tenants) = (Some(config), None, None);
         Ok(())
     }
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -131,6 +131,18 @@
     }
 }
 
+/// What tenants have used of their limits, over all routers.
+struct Tenants(std::sync::Arc<crate::keeper::Keeper>);
+
+impl poem::Endpoint for Tenants {
+    type Output = poem::Response;
+
+    async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
+        let usage = crate::quota::fleet_usage(&self.0).await;
+        Ok(write(Receipt::Text(usage.to_string().into_bytes())))
+    }
+}
+
 impl poem::Endpoint for Config {
     type Output = poem::Response;
 
@@ -177,6 +189,7 @@
             .at(CONFIG_PATH, Config(keeper.clone()))
             .at("/journal", Journal)
             .at("/fleet", Fleet(keeper.clone()))
+            .at("/tenants", Tenants(keeper.clone()))
             .at("/batches", crate::batches::Batches(keeper.clone()))
             .at("/batches/:id", crate::batches::One(keeper.clone()))
             .at("/batches/:id/results", crate::batches::Results(keeper.clone()))
--- a/keeper/src/gossip.rs
+++ b/keeper/src/gossip.rs
@@ -44,6 +44,9 @@
             beat.tick().await;
             tell(&keeper);
             crate::confirm::run(&keeper).await;
+            if crate::quota::beat(&keeper) {
+                keeper.push();
+            }
         }
     });
 }
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: ownerships, voter, committed, taken, roster, sheets, weights, followers, shelf. No lock but an ownership is held over an
+//! Lock order: ownerships, voter, committed, taken, roster, sheets, weights, followers, shelf, quotas. No lock but an ownership is held over an
 //! await.
 
 pub struct Keeper {
@@ -21,6 +21,8 @@
     pub taken: std::sync::Mutex<crate::duty::Taken>,
     pub tallies: std::sync::Mutex<crate::runner::Tallies>,
     pub polls: tokio::sync::Semaphore,
+    /// Shards of tenants' limits. Taken last.
+    pub quotas: std::sync::Mutex<crate::quota::HeldShards>,
     pub pauses: std::sync::Mutex<crate::pause::PauseMonitor>,
     /// The process is about to end.
     pub leaving: std::sync::atomic::AtomicBool,
@@ -110,6 +112,11 @@
         self.committed_state.lock().expect("committed_state").history.revision()
     }
 
+    /// Has the configuration known to be committed any tenants?
+    pub fn has_tenants(&self) -> bool {
+        self.committed_state.lock().expect("committed_state").history.has_tenants()
+    }
+
     pub fn sure(&self, now: u64) -> bool {
         self.committed_state.lock().expect("committed_state").sure.is_some_and(|time| now < time + SURE_MS)
     }
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -25,6 +25,7 @@
 mod outbound;
 mod pause;
 mod platform;
+mod quota;
 mod recovery;
 mod register;
 mod rollout_calls;
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -40,6 +40,14 @@
             let mut desk = keeper.shelf.lock().expect("shelf");
             note.told.iter().take(KEYS).for_each(|told| desk.gauge.note(told, now));
         }
+        wire::msg::Msg::Spend(spend) => {
+            let spent = crate::quota::spend(keeper, &spend);
+            mouth.reply(id, &wire::msg::Msg::Spent(Box::new(spent)));
+        }
+        wire::msg::Msg::Usage(_) => {
+            let usage = crate::quota::usage(keeper);
+            mouth.reply(id, &wire::msg::Msg::Used(Box::new(usage)));
+        }
         wire::msg::Msg::Versions(list) => crate::rules::hear(keeper, *list),
         wire::msg::Msg::Settle(ask) => {
             let reply = keeper.settled(&ask.0, ask.1, now);
--- a/keeper/src/metrics.rs
+++ b/keeper/src/metrics.rs
@@ -44,6 +44,19 @@
     pub result: PollOutcome,
 }
 
+/// What a request for a token of a tenant's limit came to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum QuotaAnswer {
+    Granted,
+    Denied,
+    NotHeld,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct QuotaLabels {
+    pub answer: QuotaAnswer,
+}
+
 /// All metrics of a keeper. Labels have fixed values only, so that their number never grows.
 pub struct Metrics {
     registry: Registry,
@@ -53,6 +66,7 @@
     pub disk_write: Histogram,
     pub platform_polls: Family<PollLabels, Counter>,
     pub duties_taken: Counter,
+    quota_answers: Family<QuotaLabels, Counter>,
     config_revision: Gauge,
     confirmed: Gauge,
     core_version: Gauge,
@@ -77,6 +91,7 @@
             disk_write: telemetry::latency_histogram(),
             platform_polls: Default::default(),
             duties_taken: Default::default(),
+            quota_answers: Default::default(),
             config_revision: Default::default(),
             confirmed: Default::default(),
             core_version: Default::default(),
@@ -105,6 +120,8 @@
         let help = "Time of a write of records and its sync, with tries again";
         registry.register_with_unit("disk_write", help, Unit::Seconds, self.disk_write.clone());
         registry.register("platform_polls", "Polls of the platform's list", self.platform_polls.clone());
+        let help = "Requests for a token of a tenant's limit";
+        registry.register("quota_answers", help, self.quota_answers.clone());
         registry.register("duties_taken", "Duties taken under a new epoch", self.duties_taken.clone());
     }
 
@@ -125,6 +142,16 @@
         registry.register("leaving", "1 once SIGTERM came", self.leaving.clone());
     }
 
+    /// Counts the answer to a request for a token.
+    pub fn note_spent(&self, spent: wire::quota::Spent) {
+        let answer = match spent {
+            wire::quota::Spent::Granted => QuotaAnswer::Granted,
+            wire::quota::Spent::Denied { .. } => QuotaAnswer::Denied,
+            wire::quota::Spent::NotHeld => QuotaAnswer::NotHeld,
+        };
+        self.quota_answers.get_or_create(&QuotaLabels { answer }).inc();
+    }
+
     /// All metrics as text, with the figures that are only read when asked for.
     pub fn render(&self, keeper: &crate::keeper::Keeper) -> String {
         let now = kernel::clock::now();
--- a/keeper/src/metrics_tests.rs
+++ b/keeper/src/metrics_tests.rs
@@ -9,6 +9,7 @@
     // A family without a series is not told.
     OrderTimer::start(&metrics, &Order::ReadConfig).finish(OrderOutcome::Done);
     metrics.platform_polls.get_or_create(&PollLabels { result: PollOutcome::Read }).inc();
+    metrics.note_spent(wire::quota::Spent::Granted);
     let text = telemetry::encode(&metrics.registry);
     assert_eq!(telemetry::names(&text), telemetry::listed(page, "tidepoint_keeper_"));
 }
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -73,6 +73,9 @@
         if follower.reads >= 2 {
             self.send_weights(follower);
         }
+        if follower.reads >= wire::msg::QUOTAS && self.has_tenants() {
+            crate::quota::send_holders(self, follower);
+        }
         news
     }
 
--- /dev/null
+++ b/quota/src/bucket_tests.rs
@@ -0,0 +1,50 @@
+//! One bucket.
+use super::{Quota, TokenBucket};
+
+const QUOTA: Quota = Quota { rate_per_s: 10.0, burst: 5.0 };
+
+fn taken(bucket: &mut TokenBucket, tries: usize) -> usize {
+    (0..tries).filter(|_| bucket.take()).count()
+}
+
+#[test]
+fn it_fills_at_its_rate_up_to_its_burst() {
+    let mut bucket = TokenBucket::empty(1000);
+    bucket.refill(&QUOTA, 1000);
+    assert_eq!(taken(&mut bucket, 10), 0);
+    bucket.refill(&QUOTA, 1250);
+    assert_eq!(taken(&mut bucket, 10), 2);
+    bucket.refill(&QUOTA, 60_000);
+    assert_eq!(taken(&mut bucket, 10), 5);
+}
+
+#[test]
+fn a_lower_limit_takes_what_is_above_it_away() {
+    let mut bucket = TokenBucket::empty(0);
+    bucket.refill(&QUOTA, 1000);
+    bucket.refill(&Quota { rate_per_s: 1.0, burst: 2.0 }, 1000);
+    assert_eq!(taken(&mut bucket, 10), 2);
+}
+
+#[test]
+fn time_that_goes_back_mints_nothing_twice() {
+    let mut bucket = TokenBucket::empty(0);
+    bucket.refill(&QUOTA, 300);
+    bucket.refill(&QUOTA, 100);
+    bucket.refill(&QUOTA, 300);
+    assert_eq!(taken(&mut bucket, 10), 3);
+}
+
+#[test]
+fn the_next_token_is_told() {
+    let mut bucket = TokenBucket::empty(0);
+    bucket.refill(&QUOTA, 50);
+    assert_eq!(bucket.next_token_ms(&QUOTA), 50);
+}
+
+#[test]
+fn no_rate_is_no_limit_and_a_shard_holds_a_token_at_least() {
+    assert_eq!(Quota::new(0.0, 9.0), None);
+    let shard = Quota::new(6.0, 0.0).expect("a limit").shard(3);
+    assert_eq!((shard.rate_per_s, shard.burst), (2.0, 1.0));
+}
--- /dev/null
+++ b/quota/src/mint_clock.rs
@@ -0,0 +1,61 @@
+//! The time during which a keeper may mint tokens.
+
+/// From the begin of a read that confirmed a keeper at a quorum on, it may mint for so long.
+pub const MINT_MS: u64 = 1100;
+/// And it may give tokens that it has for so long. Later nothing is left of them: another may hold the shard.
+pub const LEASE_MS: u64 = 1700;
+/// A keeper that is not known to be confirmed for so long is taken for gone, and its shards are taken over. Longer than a
+/// lease, by what hearing of a confirmation may take.
+pub const TAKE_OVER_MS: u64 = 2400;
+/// A keeper that was not confirmed for longer than a lease mints again only so long after it is: by then those that took its
+/// shards over have heard of it.
+pub const SETTLE_MS: u64 = 1000;
+
+/// A clock that runs only while its keeper may mint. Invariant: it never goes back, and never runs faster than time.
+#[derive(Clone, Debug, Default)]
+pub struct MintClock {
+    reading: u64,
+    /// The steady time up to which it was advanced.
+    advanced_at: u64,
+    /// The begin of the newest read that confirmed the keeper.
+    confirmed_at: Option<u64>,
+    /// Before this steady time it does not run.
+    runs_from: u64,
+}
+
+impl MintClock {
+    /// Notes the newest confirmation and runs up to now. True: the lease had lapsed, and all tokens are void.
+    pub fn advance(&mut self, now: u64, confirmed_at: Option<u64>) -> bool {
+        self.run(now);
+        let Some(confirmed_at) = confirmed_at else { return false };
+        let lapsed = self.confirmed_at.is_none_or(|held| confirmed_at > held + LEASE_MS);
+        if lapsed {
+            self.runs_from = confirmed_at + SETTLE_MS;
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        self.run(now);
+        lapsed
+    }
+
+    fn run(&mut self, now: u64) {
+        let until = self.confirmed_at.map_or(0, |confirmed_at| confirmed_at + MINT_MS).min(now);
+        let from = self.advanced_at.max(self.runs_from);
+        self.reading += until.saturating_sub(from);
+        // What was not confirmed by now is not minted for later.
+        self.advanced_at = self.advanced_at.max(now);
+    }
+
+    /// How long it has run.
+    pub fn reading(&self) -> u64 {
+        self.reading
+    }
+
+    /// May tokens be given?
+    pub fn holds_lease(&self, now: u64) -> bool {
+        self.confirmed_at.is_some_and(|confirmed_at| now < confirmed_at + LEASE_MS) && now >= self.runs_from
+    }
+}
+
+#[cfg(test)]
+#[path = "mint_clock_tests.rs"]
+mod tests;
--- /dev/null
+++ b/quota/src/shards.rs
@@ -0,0 +1,174 @@
+//! The shards that one keeper holds.
+
+use crate::{holders, Holder, MintClock, Quota, TokenBucket};
+use std::collections::{HashMap, VecDeque};
+
+/// What a request for a token comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Spent {
+    /// The request may be sent.
+    Granted,
+    /// This shard is empty for so long at least.
+    Denied {
+        /// Milliseconds until its next token.
+        retry_after_ms: u64,
+    },
+    /// This keeper holds no shard of the tenant, or can't know that it still does.
+    NotHeld,
+}
+
+/// What a shard has given and refused.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Usage {
+    /// The tenant's name.
+    pub tenant: String,
+    /// The whole limit, as it was last told here.
+    pub quota: Quota,
+    /// Tokens given since the shard is held here.
+    pub granted: u64,
+    /// Requests for a token that were refused.
+    pub denied: u64,
+    /// Tokens left in the shard.
+    pub tokens: f64,
+}
+
+struct Shard {
+    bucket: TokenBucket,
+    quota: Quota,
+    granted: u64,
+    denied: u64,
+    used_at: u64,
+}
+
+/// A list of live keepers, and the minting time from which it counts.
+struct Placement {
+    from: u64,
+    live: Vec<Holder>,
+}
+
+/// How many lists of live keepers are remembered: by them it is told since when a shard is held that nobody asked for yet.
+const MOST_PLACEMENTS: usize = 8;
+/// A shard that nobody asks for is forgotten after this; it would be full.
+const FORGET_MS: u64 = 600_000;
+
+/// Invariant: `shards` holds buckets only of tenants whose shard this keeper holds by the newest placement.
+pub struct Shards {
+    me: String,
+    clock: MintClock,
+    placements: VecDeque<Placement>,
+    shards: HashMap<String, Shard>,
+    /// The fault that a bucket which begins empty prevents.
+    #[cfg(test)]
+    pub(crate) begins_full: bool,
+}
+
+impl Shards {
+    /// The shards of a keeper that has just started: it holds none before its first lease.
+    pub fn new(me: &str) -> Shards {
+        Shards {
+            me: me.into(),
+            clock: MintClock::default(),
+            placements: VecDeque::new(),
+            shards: HashMap::new(),
+            #[cfg(test)]
+            begins_full: false,
+        }
+    }
+
+    /// Notes who lives, as this keeper sees it, and when it was last confirmed. To be called often.
+    pub fn beat(&mut self, now: u64, confirmed_at: Option<u64>, mut live: Vec<Holder>) {
+        self.advance(now, confirmed_at);
+        live.sort();
+        if self.placements.back().is_none_or(|newest| newest.live != live) {
+            self.place(live);
+        }
+        self.shards.retain(|_, shard| now < shard.used_at + FORGET_MS);
+    }
+
+    fn advance(&mut self, now: u64, confirmed_at: Option<u64>) {
+        if self.clock.advance(now, confirmed_at) {
+            let minting_now = self.clock.reading();
+            self.shards.values_mut().for_each(|shard| shard.bucket.void(minting_now));
+            // Who lived before says nothing about now.
+            if let Some(newest) = self.placements.pop_back() {
+                self.placements.clear();
+                self.placements.push_back(Placement { from: minting_now, ..newest });
+            }
+        }
+    }
+
+    fn place(&mut self, live: Vec<Holder>) {
+        let me = self.me.clone();
+        let (before, after) = (self.share_count(), share_count(&live));
+        self.shards.retain(|tenant, _| holds(&me, tenant, &live));
+        if after < before {
+            // A share that grows mints no more for the time before.
+            let minting_now = self.clock.reading();
+            self.shards.values_mut().for_each(|shard| shard.bucket.refill(&shard.quota.shard(before), minting_now));
+        }
+        self.placements.push_back(Placement { from: self.clock.reading(), live });
+        while self.placements.len() > MOST_PLACEMENTS {
+            self.placements.pop_front();
+        }
+    }
+
+    fn share_count(&self) -> usize {
+        self.placements.back().map_or(1, |newest| share_count(&newest.live))
+    }
+
+    /// The minting time since which this keeper holds a shard of a tenant. None: it holds none.
+    fn held_since(&self, tenant: &str) -> Option<u64> {
+        let held = self.placements.iter().rev().take_while(|placement| holds(&self.me, tenant, &placement.live));
+        held.last().map(|oldest| oldest.from)
+    }
+
+    /// Takes a token of a tenant, if there is one.
+    pub fn spend(&mut self, tenant: &str, quota: Quota, now: u64, confirmed_at: Option<u64>) -> Spent {
+        self.advance(now, confirmed_at);
+        if !self.clock.holds_lease(now) {
+            return Spent::NotHeld;
+        }
+        let minting_now = self.clock.reading();
+        let share = quota.shard(self.share_count());
+        if !self.shards.contains_key(tenant) {
+            let Some(since) = self.held_since(tenant) else { return Spent::NotHeld };
+            #[cfg(test)]
+            let since = if self.begins_full { 0 } else { since };
+            let shard = Shard { bucket: TokenBucket::empty(since), quota, granted: 0, denied: 0, used_at: now };
+            self.shards.insert(tenant.into(), shard);
+        }
+        let Some(shard) = self.shards.get_mut(tenant) else { return Spent::NotHeld };
+        (shard.quota, shard.used_at) = (quota, now);
+        shard.bucket.refill(&share, minting_now);
+        if shard.bucket.take() {
+            shard.granted += 1;
+            return Spent::Granted;
+        }
+        shard.denied += 1;
+        Spent::Denied { retry_after_ms: shard.bucket.next_token_ms(&share) }
+    }
+
+    /// What the shards held here have given.
+    pub fn usage(&self) -> Vec<Usage> {
+        let told = self.shards.iter().map(|(tenant, shard)| Usage {
+            tenant: tenant.clone(),
+            quota: shard.quota,
+            granted: shard.granted,
+            denied: shard.denied,
+            tokens: shard.bucket.tokens(),
+        });
+        told.collect()
+    }
+}
+
+fn share_count(live: &[Holder]) -> usize {
+    live.len().clamp(1, crate::SHARDS)
+}
+
+fn holds(me: &str, tenant: &str, live: &[Holder]) -> bool {
+    holders(tenant, live).iter().any(|holder| holder.ip == me)
+}
+
+#[cfg(test)]
+#[path = "shards_tests.rs"]
+mod tests;
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -1,6 +1,7 @@
 //! Who is there: leases of keepers and routers, and the order in which duties fall to them. Pure:
 //! time comes in with every call.
 
+pub mod able;
 pub mod duty;
 pub mod platform_access;
 
--- a/router/src/authorization.rs
+++ b/router/src/authorization.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Whose request it is, where it is somebody's.
+    pub fn tenant(&self) -> Option<&crate::tenants::Tenant> {
+        self.tenant.as_deref()
+    }
+
     pub fn route(&self) -> &std::sync::Arc<crate::table::Route> {
         &self.route
     }
--- a/router/src/failure.rs
+++ b/router/src/failure.rs
@@ -13,6 +13,8 @@
     TooLarge,
     /// It has not run and never will; come back after so many milliseconds.
     Refused(u64),
+    /// Its tenant is over its limit; it has not run and never will. Come back after so many milliseconds.
+    OverQuota(u64),
     /// It may have run and its answer is lost.
     Lost,
     /// It may have run and time is up.
@@ -27,6 +29,7 @@
         Failure::NoRoute => 404,
         Failure::Late => 408,
         Failure::TooLarge => 413,
+        Failure::OverQuota(_) => 429,
         Failure::Refused(_) => 503,
         Failure::Lost => 502,
         Failure::TimedOut => 504,
@@ -36,7 +39,7 @@
     )));
     *reply.status_mut() = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
     let head = reply.headers_mut();
-    if let Failure::Refused(wait) = failure {
+    if let Failure::Refused(wait) | Failure::OverQuota(wait) = failure {
         let text = format!("{}.{:03}", wait / 1000, wait % 1000);
         if let Ok(value) = http::HeaderValue::from_str(&text) {
             head.insert(http::header::RETRY_AFTER, value);
--- a/router/src/follow_absorb.rs
+++ b/router/src/follow_absorb.rs
@@ -11,6 +11,7 @@
     match msg {
         wire::msg::Msg::News(news) => absorb(state, *news),
         wire::msg::Msg::Change(body) | wire::msg::Msg::Update(body) => crate::config::change(state, &body),
+        wire::msg::Msg::Holders(list) => state.quota_gate.set_holders(&list),
         wire::msg::Msg::Rule(rule) => crate::fresh::rule(state, &rule),
         wire::msg::Msg::Versions(list) => crate::fresh::versions(state, &list),
         wire::msg::Msg::Doubt(doubt) => crate::doubt::hear(state, &doubt.0),
@@ -29,6 +30,7 @@
     let (rules, weights) = crate::fresh::known_versions(state);
     sheets.extend(weights);
     sheets.push(wire::msg::told());
+    sheets.push(wire::quota::told_holders(state.quota_gate.mark()));
     let news = state.news.lock().expect("news");
     wire::msg::Follow {
         node: state.env.node_name.clone(),
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -30,6 +30,7 @@
 mod metrics;
 mod plan;
 mod pool;
+mod quota_gate;
 mod relay;
 mod request;
 mod request_guard;
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -28,6 +28,8 @@
     EngineFailure,
     /// 503: it has not run and never will.
     Refused,
+    /// 429 of our own.
+    OverQuota,
     /// 404 of our own.
     NoRoute,
     /// 401 of our own.
@@ -95,6 +97,11 @@
     pub phase: Phase,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Quotas {
+    pub decision: crate::quota_gate::Decision,
+}
+
 /// All metrics of a router. Labels have fixed values only, so that their number never grows.
 pub struct Metrics {
     registry: Registry,
@@ -108,6 +115,7 @@
     pub connections_open: Gauge,
     pub engine_sends: Family<Sent, Counter>,
     pub engine_connections: Counter,
+    pub quota_decisions: Family<Quotas, Counter>,
     pub retries_denied: Counter,
     pub readiness_checks_failed: Counter,
     config_revision: Gauge,
@@ -133,6 +141,7 @@
             connections_open: Default::default(),
             engine_sends: Default::default(),
             engine_connections: Default::default(),
+            quota_decisions: Default::default(),
             retries_denied: Default::default(),
             readiness_checks_failed: Default::default(),
             config_revision: Default::default(),
@@ -175,6 +184,8 @@
         registry.register("connections_open", "Clients' connections", self.connections_open.clone());
         registry.register("engine_sends", "Requests sent to engines, by what came of them", self.engine_sends.clone());
         registry.register("engine_connections", "Connections opened to engines", self.engine_connections.clone());
+        let help = "Requests of tenants with a limit";
+        registry.register("quota_decisions", help, self.quota_decisions.clone());
         let denied = self.retries_denied.clone();
         registry.register("retries_denied", "Further sends that the retry budget did not allow", denied);
     }
--- a/router/src/metrics_tests.rs
+++ b/router/src/metrics_tests.rs
@@ -74,6 +74,8 @@
     let state = router(&list);
     // A family without a series is not told.
     ask(&state, "once", "1", "").await;
+    let decision = crate::quota_gate::Decision::Granted;
+    state.metrics.quota_decisions.get_or_create(&crate::metrics::Quotas { decision }).inc();
     let page = include_str!("../../docs/metrics.md");
     assert_eq!(telemetry::names(&state.metrics.render(&state)), telemetry::listed(page, "tidepoint_router_"));
 }
--- /dev/null
+++ b/router/src/quota_gate_tests.rs
@@ -0,0 +1,100 @@
+//! A router and stand-ins for the keepers that hold shards.
+use super::{Decision, QuotaGate};
+use crate::stand_in::{answer, engines, seen, Act};
+use crate::stand_in_router::{ask, configure, router, status, SETTINGS};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use wire::quota::{ShardHolder, Spent};
+
+/// A keeper that answers every request for a token so.
+async fn keeper(ip: &str, port: u16, spent: Option<Spent>) -> Arc<AtomicUsize> {
+    let asked = Arc::new(AtomicUsize::new(0));
+    let count = asked.clone();
+    let listener = wire::sock::listen(&format!("{ip}:{port}")).expect("a free address");
+    let handler: wire::link::Handler = Arc::new(move |mouth, id, message| {
+        if let wire::msg::Msg::Spend(_) = message {
+            count.fetch_add(1, Ordering::Relaxed);
+            if let Some(spent) = spent {
+                mouth.reply(id, &wire::msg::Msg::Spent(Box::new(spent)));
+            }
+        }
+    });
+    tokio::spawn(wire::link::serve(listener, handler));
+    asked
+}
+
+const QUOTA: quota::Quota = quota::Quota { rate_per_s: 10.0, burst: 10.0 };
+const EMPTY: Spent = Spent::Denied { retry_after_ms: 10_000 };
+
+fn gate(port: u16, ips: &[&str]) -> QuotaGate {
+    let settings = SETTINGS.replace("[7300, 7315]", &format!("[{port}, {port}]"));
+    let settings =
+        settings.replace("budget_slack = 0.0", "budget_slack = 0.0, quota_slack = 20.0, quota_overage = 0.1");
+    let gate = QuotaGate::new(&kernel::env::parse(&settings).expect("good settings"));
+    let holder = |ip: &&str| ShardHolder { ip: ip.to_string(), zone: ip.to_string() };
+    gate.set_holders(&ips.iter().map(holder).collect::<Vec<_>>());
+    gate
+}
+
+#[tokio::test]
+async fn a_shard_that_is_empty_sends_to_the_next_and_all_empty_ones_refuse() {
+    let (ips, port) = (["127.0.81.1", "127.0.81.2", "127.0.81.3"], 7381);
+    keeper(ips[0], port, Some(EMPTY)).await;
+    keeper(ips[1], port, Some(Spent::Granted)).await;
+    keeper(ips[2], port, Some(Spent::NotHeld)).await;
+    let gate = gate(port, &ips);
+    for roll in 0..6 {
+        assert_eq!(gate.decide("t", &QUOTA, 9, roll).await, Decision::Granted);
+    }
+    let holder = |ip: &str| ShardHolder { ip: ip.into(), zone: "a".into() };
+    gate.set_holders(&[holder(ips[0]), holder(ips[2])]);
+    assert_eq!(gate.decide("t", &QUOTA, 9, 0).await, Decision::Denied);
+    assert_eq!(gate.decide("t", &QUOTA, 9, 0).await, Decision::Remembered);
+    assert_eq!(gate.decide("other", &QUOTA, 9, 0).await, Decision::Denied, "each tenant by itself");
+}
+
+#[tokio::test]
+async fn a_silent_holder_is_passed_over_for_a_while() {
+    let (ips, port) = (["127.0.82.1", "127.0.82.2"], 7382);
+    let silent = keeper(ips[0], port, None).await;
+    keeper(ips[1], port, Some(Spent::Granted)).await;
+    let gate = gate(port, &ips);
+    for roll in 0..10 {
+        assert_eq!(gate.decide("t", &QUOTA, 9, roll).await, Decision::Granted);
+    }
+    assert_eq!(silent.load(Ordering::Relaxed), 1);
+}
+
+#[tokio::test]
+async fn without_an_answer_a_router_keeps_to_its_own_allowance() {
+    let gate = gate(7383, &["127.0.83.1"]);
+    let mut granted = 0;
+    for roll in 0..100 {
+        match gate.decide("t", &QUOTA, 2, roll).await {
+            Decision::GrantedAlone => granted += 1,
+            decision => assert_eq!(decision, Decision::RefusedAlone),
+        }
+    }
+    // 1.6 times what 0.1 of 60 and 20 besides leave, over two routers.
+    assert!((20..=21).contains(&granted), "{granted}");
+}
+
+const KEYED: &str = "Authorization: Bearer k1\r\n";
+
+#[tokio::test]
+async fn who_is_over_the_limit_gets_429_and_reaches_no_engine() {
+    let (ip, port) = ("127.0.84.1", 7300);
+    let asked = keeper(ip, port, Some(EMPTY)).await;
+    let list = engines("decode", 1, |seen, _| Act::Send(answer(seen, "200 OK", "hello"))).await;
+    let state = router(&list);
+    state.quota_gate.set_holders(&[ShardHolder { ip: ip.into(), zone: "a".into() }]);
+    let tenant = |rate: f64| serde_json::json!({"tenant_table": [{"name": "one", "api_keys": ["k1"], "rate_per_s": rate, "burst_size": 1}]});
+    configure(&state, 2, tenant(5.0));
+    let text = ask(&state, "once", "1", KEYED).await;
+    assert_eq!(status(&text), "429", "{text}");
+    assert!(text.to_lowercase().contains("retry-after: 0.500"), "{text}");
+    assert_eq!((seen(&list).len(), asked.load(Ordering::Relaxed)), (0, 1));
+    configure(&state, 3, tenant(0.0));
+    assert_eq!(status(&ask(&state, "once", "2", KEYED).await), "200", "no rate, no limit");
+    assert_eq!(asked.load(Ordering::Relaxed), 1);
+}
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -43,6 +43,7 @@
     if exchange.view(|view| view.full(share)) {
         return Err(failure_of(&exchange));
     }
+    exchange.spend_quota().await?;
     let split = exchange.is_streaming()
         && !exchange.request.keys.is_empty()
         && exchange.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
--- a/router/src/request_guard.rs
+++ b/router/src/request_guard.rs
@@ -120,6 +120,7 @@
         use crate::failure::Failure;
         match failure {
             Failure::Refused(_) => Outcome::Refused,
+            Failure::OverQuota(_) => Outcome::OverQuota,
             Failure::NoRoute => Outcome::NoRoute,
             Failure::Unauthorized => Outcome::Unauthorized,
             Failure::Malformed | Failure::Late | Failure::TooLarge => Outcome::Rejected,
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -32,6 +32,7 @@
     /// Bytes of request bodies held.
     pub held: std::sync::atomic::AtomicUsize,
     pub metrics: crate::metrics::Metrics,
+    pub quota_gate: crate::quota_gate::QuotaGate,
 }
 
 /// What the keepers told. Invariant: versions never go back.
@@ -80,6 +81,7 @@
             drain: Default::default(),
             held: Default::default(),
             metrics: Default::default(),
+            quota_gate: crate::quota_gate::QuotaGate::new(&env),
             env,
         })
     }
--- a/router/src/tenants.rs
+++ b/router/src/tenants.rs
@@ -18,7 +18,7 @@
     }
 }
 
-/// One tenant, as far as requests are served by it. Its quota (`rate_per_s`, `burst_size`) is not enforced yet.
+/// One tenant, as far as requests are served by it.
 #[derive(Debug)]
 pub struct Tenant {
     pub name: String,
@@ -28,6 +28,8 @@
     pub priority: Option<u32>,
     /// The regions that its requests may go to; empty: all.
     pub homes: Vec<String>,
+    /// What it may send, over all routers.
+    pub quota: Option<quota::Quota>,
     keys: Vec<KeyDigest>,
 }
 
@@ -38,6 +40,7 @@
             header: http::HeaderValue::from_bytes(item.name.as_bytes()).ok(),
             priority: item.priority,
             homes: item.allowed_regions.clone(),
+            quota: quota::Quota::new(item.rate_per_s, item.burst_size),
             keys: item.api_keys.iter().map(|key| KeyDigest::of(key.as_bytes())).collect(),
         }
     }
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -26,6 +26,11 @@
             required --at at: String
         }
 
+        /// Show what tenants have used of their limits, over all routers: the busiest first.
+        cmd tenants {
+            required --at at: String
+        }
+
         /// Submit a batch of jobs from a JSON file.
         cmd submit {
             required --at at: String
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -18,6 +18,7 @@
         flags::TidepointCmd::Check(check) => verify(check.path),
         flags::TidepointCmd::Trace(trace) => trace::run(&trace),
         flags::TidepointCmd::Fleet(fleet) => call::get(&fleet.at, "/fleet"),
+        flags::TidepointCmd::Tenants(tenants) => call::get(&tenants.at, "/tenants"),
         flags::TidepointCmd::Submit(submit) => call::submit(&submit),
         flags::TidepointCmd::Status(one) => call::get(&one.at, &format!("/batches/{}", one.batch)),
         flags::TidepointCmd::Results(one) => call::get(&one.at, &format!("/batches/{}/results", one.batch)),
--- a/wire/src/capability.rs
+++ b/wire/src/capability.rs
@@ -3,7 +3,7 @@
 
 /// The newest version of these messages. Daemons tell it beside the versions of their sheets, as the turn
 /// of the zone without a name, which no sheet has: those that know nothing of it pass it over.
-pub const READS: u64 = 4;
+pub const READS: u64 = 5;
 
 /// Keepers from this version on count joint quorums while the core changes.
 pub const JOINT_QUORUMS: u64 = 3;
@@ -19,6 +19,9 @@
 /// Routers from this version on know tenants and their keys.
 pub const TENANTS: u64 = 4;
 
+/// Daemons from this version on know tenants' limits, and hold or ask for tokens of them.
+pub const QUOTAS: u64 = 5;
+
 /// Not a zone: told beside the versions of zones.
 pub fn hidden(name: &str) -> bool {
     name.is_empty() || name.starts_with('\0')
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod link;
 pub mod msg;
 pub mod order;
+pub mod quota;
 pub mod renewal;
 pub mod rollout;
 pub mod seek;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -229,4 +229,12 @@
     Renewed(Box<crate::renewal::Renewed>),
     /// A configuration with tenants, whole or as a change: the bytes of `crate::change::Change`. Since version 4.
     Update(Box<Vec<u8>>),
+    /// One token of a tenant's limit. Since version 5.
+    Spend(Box<crate::quota::Spend>),
+    Spent(Box<crate::quota::Spent>),
+    /// The keepers that may hold shards of tenants' limits, as a keeper sees them. Since version 5.
+    Holders(Box<Vec<crate::quota::ShardHolder>>),
+    /// What have the shards held there given? Since version 5.
+    Usage(Box<u16>),
+    Used(Box<Vec<crate::quota::ShardUsage>>),
 }
