--- a/quota/src/fleet_tests.rs
+++ b/quota/src/fleet_tests.rs
@@ -20,7 +20,7 @@
 
 /// Tenants that are silent or far over their limits by turns while everything fails; they move between zones meanwhile.
 fn worst(size: &Size, variant: Variant, seed: u64) -> Fleet {
-    let burst_s = if seed % 2 == 0 { 1.0 } else { 5.0 };
+    let burst_s = if seed.is_multiple_of(2) { 1.0 } else { 5.0 };
     let mut fleet = Fleet::new(size, tenants(burst_s, 0.0, size.zones), variant, seed);
     fleet.run(12_000, false);
     for round in 0..6 {
