--- a/keeper/src/simulation/mod.rs
+++ b/keeper/src/simulation/mod.rs
@@ -13,6 +13,7 @@
 mod operator;
 
 mod catch_up_tests;
+mod halves_tests;
 mod isolation_tests;
 mod orders_tests;
 mod replacement_tests;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -79,6 +79,10 @@
 #[path = "reuse_tests.rs"]
 mod reuse_tests;
 
+#[cfg(test)]
+#[path = "kept_tests.rs"]
+mod kept_tests;
+
 #[cfg(test)]
 #[path = "leaving_tests.rs"]
 mod leaving_tests;
--- a/router/src/table_tests.rs
+++ b/router/src/table_tests.rs
@@ -77,3 +77,19 @@
     assert_eq!(count, 90);
     assert!((0..200).all(|roll| super::split(&targets, roll) != 0));
 }
+
+#[test]
+fn each_part_gets_its_share_of_a_few_hundred_requests() {
+    let targets = [(1, 70), (2, 20), (3, 10)];
+    for seed in 0..500 {
+        let mut dice = kernel::clock::Dice::new(seed);
+        let mut counts = [0.0; 4];
+        for _ in 0..200 {
+            counts[super::split(&targets, dice.roll()) as usize] += 1.0;
+        }
+        for (service, weight) in targets {
+            let off = counts[service as usize] / 200.0 - weight as f64 / 100.0;
+            assert!(off.abs() < 0.2, "seed {seed}, part {service}: {off}");
+        }
+    }
+}
