--- a/engines/src/park.rs
+++ b/engines/src/park.rs
@@ -15,10 +15,11 @@
     sheets: crate::sheet::Sheets,
     /// By service: the prompt tokens that a read takes on average, as sent from here.
     reads: std::collections::HashMap<u32, f64>,
-    /// By service and half: what choices sample from. Invariant: made anew with each sheet.
-    subsets: std::collections::HashMap<(u32, crate::place::Half), crate::subset::Subset>,
-    /// By service and half: requests at an engine on average, from the reports that came lately.
-    means: std::collections::HashMap<(u32, bool), f64>,
+    /// By service, half and whether of a version that is brought in: what choices sample from. Invariant: made anew with
+    /// each sheet.
+    subsets: std::collections::HashMap<(u32, crate::place::Half, bool), crate::subset::Subset>,
+    /// The same, by whether a reader: requests at an engine on average, from the reports that came lately.
+    means: std::collections::HashMap<(u32, bool, bool), f64>,
     seat: crate::subset::Seat,
 }
 
@@ -80,6 +81,11 @@
         self.sheets.versions()
     }
 
+    /// How many zones' lists are known.
+    pub fn zones_listed(&self) -> usize {
+        self.sheets.all().filter(|sheet| !wire::msg::hidden(&sheet.zone)).count()
+    }
+
     /// Who samples here. The number of routers counts by steps of a quarter: a subset should last.
     pub fn sit(&mut self, mark: u64, zone: u32, routers: u32) {
         let zones = self.regions.len().max(1) as u32;
@@ -93,10 +99,12 @@
     }
 
     fn sort(&mut self) {
-        let mut lists: std::collections::HashMap<(u32, crate::place::Half), Vec<crate::subset::Named>> =
+        let mut lists: std::collections::HashMap<(u32, crate::place::Half, bool), Vec<crate::subset::Named>> =
             Default::default();
         for (at, stall) in self.list.iter().enumerate().filter(|(_, stall)| stall.up && stall.here) {
-            let mut put = |half| lists.entry((stall.service, half)).or_default().push((at, stall.zone, stall.name));
+            let mut put = |half| {
+                lists.entry((stall.service, half, stall.candidate)).or_default().push((at, stall.zone, stall.name))
+            };
             if stall.prefill {
                 put(crate::place::Half::Prefill);
             }
@@ -108,8 +116,9 @@
         self.subsets = lists.into_iter().map(|(key, list)| (key, crate::subset::Subset::make(seat, &list))).collect();
     }
 
-    pub fn subset(&self, service: u32, half: crate::place::Half) -> Option<&crate::subset::Subset> {
-        self.subsets.get(&(service, half))
+    /// The engines of one half of a service; `candidate`: those of a version that is brought in.
+    pub fn subset(&self, service: u32, half: crate::place::Half, candidate: bool) -> Option<&crate::subset::Subset> {
+        self.subsets.get(&(service, half, candidate))
     }
 
     /// This router's draw for an engine.
@@ -149,7 +158,7 @@
 
     fn average(&mut self, at: usize, load: u32) {
         let stall = &self.list[at];
-        let mean = self.means.entry((stall.service, stall.prefill)).or_insert(f64::from(load));
+        let mean = self.means.entry((stall.service, stall.prefill, stall.candidate)).or_insert(f64::from(load));
         *mean += (f64::from(load) - *mean) * REPORT;
     }
 
@@ -158,7 +167,7 @@
     pub fn pressure(&self, at: usize, now: u64) -> f64 {
         let stall = &self.list[at];
         let own = f64::from(stall.busy);
-        let mean = self.means.get(&(stall.service, stall.prefill)).copied().unwrap_or(0.0);
+        let mean = self.means.get(&(stall.service, stall.prefill, stall.candidate)).copied().unwrap_or(0.0);
         if stall.load_at == 0 {
             return mean + own;
         }
@@ -172,10 +181,13 @@
         if !self.sheets.take(sheet) {
             return Vec::new();
         }
-        let zone = self.zone(&sheet.zone);
+        let candidate_zone = wire::version_rollout::candidate_zone(&sheet.zone);
+        let candidate = candidate_zone.is_some();
+        let zone = self.zone(candidate_zone.unwrap_or(&sheet.zone));
         let mut left = Vec::new();
         let named: std::collections::HashSet<&str> = sheet.list.iter().map(|engine| engine.id.as_str()).collect();
-        for stall in self.list.iter_mut().filter(|stall| stall.zone == zone && stall.here) {
+        let listed = |stall: &&mut Stall| stall.zone == zone && stall.candidate == candidate && stall.here;
+        for stall in self.list.iter_mut().filter(listed) {
             if !named.contains(stall.id.as_str()) {
                 stall.here = false;
                 left.push(stall.id.clone());
@@ -192,6 +204,7 @@
                 left.push(stall.id.clone());
             }
             stall.here = !stall.dead;
+            stall.candidate = candidate;
             stall.up = engine.up;
             stall.addr.clone_from(&engine.addr);
             stall.prefill = engine.phase != "decode";
--- a/engines/src/park_tests.rs
+++ b/engines/src/park_tests.rs
@@ -65,6 +65,7 @@
             ramp: 0.0,
             weights: None,
             confirmed: true,
+            arm: Default::default(),
         };
         view.open(crate::place::Half::Prefill)
     };
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -19,6 +19,24 @@
     pub weights: Option<(u64, u64, u64)>,
     /// The control state known here was confirmed at a majority a moment ago.
     pub confirmed: bool,
+    pub arm: Arm,
+}
+
+/// Which engines of a service are looked at.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Arm {
+    /// Those of the version in place.
+    #[default]
+    Stable,
+    /// Those of the version that is brought in, and of them only as large a share as it has of the requests, in
+    /// thousandths: so each bears the load that it will bear.
+    Candidate(u32),
+}
+
+impl Arm {
+    pub fn is_candidate(self) -> bool {
+        self != Arm::Stable
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -40,6 +58,23 @@
 const MOVE: [f64; 3] = [1.0, 2.0, 10.0];
 
 impl View<'_> {
+    fn subset(&self, half: Half) -> Option<&crate::subset::Subset> {
+        self.park.subset(self.service, half, self.arm.is_candidate())
+    }
+
+    /// Of a version that is brought in, only some engines are used.
+    fn is_chosen(&self, at: usize, half: Half) -> bool {
+        match self.arm {
+            Arm::Stable => true,
+            Arm::Candidate(share) => self.subset(half).is_some_and(|subset| subset.first_share(share).contains(&at)),
+        }
+    }
+
+    /// Has each half that the service has an engine that can be sent to?
+    pub fn is_usable(&self) -> bool {
+        !self.open(Half::Decode).is_empty() && (!self.has(Half::Prefill) || !self.open(Half::Prefill).is_empty())
+    }
+
     fn fits(&self, at: usize, stall: &crate::park::Stall, half: Half) -> bool {
         let part = match half {
             Half::Prefill => stall.prefill,
@@ -47,6 +82,8 @@
         };
         stall.service == self.service
             && part
+            && stall.candidate == self.arm.is_candidate()
+            && self.is_chosen(at, half)
             && stall.up
             && stall.here
             && stall.rest_until <= self.now
@@ -99,7 +136,7 @@
     /// The engines that a choice looks at: this router's subset. Only when nothing in it will do, all are
     /// looked at.
     pub fn open(&self, half: Half) -> Vec<usize> {
-        let Some(subset) = self.park.subset(self.service, half) else { return Vec::new() };
+        let Some(subset) = self.subset(half) else { return Vec::new() };
         let (top, found) = self.best(subset.picks.iter().copied(), half);
         if top > 0 {
             return found;
@@ -136,7 +173,7 @@
 
     /// Does the service have engines of this half at all, reachable or not?
     pub fn has(&self, half: Half) -> bool {
-        self.park.subset(self.service, half).is_some_and(|subset| !subset.all.is_empty())
+        self.subset(half).is_some_and(|subset| !subset.all.is_empty())
     }
 
     /// The reader of a prompt and its cost, in tokens to be read before the answer can begin. `held`
@@ -147,7 +184,7 @@
         let mut open = self.open(half);
         let least = open.iter().filter_map(|at| self.grade(*at, half)).min().unwrap_or(0);
         let good = |at: usize| self.grade(at, half).is_some_and(|grade| grade >= least);
-        let homes = self.park.subset(self.service, half).map_or(Vec::new(), |subset| subset.homes(key, HOMES, good));
+        let homes = self.subset(half).map_or(Vec::new(), |subset| subset.homes(key, HOMES, good));
         let owners = held.iter().map(|(at, _)| *at).filter(|at| good(*at));
         for at in owners.chain(homes.iter().copied()) {
             if !open.contains(&at) {
--- a/engines/src/place_tests.rs
+++ b/engines/src/place_tests.rs
@@ -35,6 +35,7 @@
         ramp: 3.0,
         weights: None,
         confirmed: true,
+        arm: super::Arm::Stable,
     }
 }
 
@@ -151,7 +152,7 @@
     let park = park();
     let (near, far) = (park.find("p-a").expect("known"), park.find("p-b").expect("known"));
     let chosen = |key, held: &[(usize, u32)]| view(&park, &[], &[]).prefill(9000, held, 6000, key).map(|best| best.0);
-    let home = |key| park.subset(0, super::Half::Prefill).expect("one").homes(key, 1, |_| true)[0];
+    let home = |key| park.subset(0, super::Half::Prefill, false).expect("one").homes(key, 1, |_| true)[0];
     let key = (0..).find(|key| home(*key) == near).expect("a key at home near");
     assert_eq!(chosen(key, &[(far, 2500)]), Some(near), "the part that all share is not enough");
     assert_eq!(chosen(key, &[(far, 6000)]), Some(far), "the whole shared prefix is");
--- a/engines/src/sheet.rs
+++ b/engines/src/sheet.rs
@@ -3,6 +3,12 @@
 /// The low bits of a turn that tell pollers apart: enough that no two of a large fleet share them.
 const SEAT_BITS: u32 = 28;
 
+/// Did the poller with this seat make a list of this turn?
+pub fn is_turn_of(turn: u64, seat: u64) -> bool {
+    let mask = (1 << SEAT_BITS) - 1;
+    turn & mask == seat & mask
+}
+
 /// What was known of a zone's list at one moment: taken when a poll begins and compared when it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Known {
@@ -84,7 +90,8 @@
 
     /// Someone holds lists of these turns: routers outlive the keepers that made them.
     pub fn raise(&mut self, told: &[(String, u64, u64)]) {
-        for (zone, turn, _) in told.iter().filter(|item| !wire::msg::hidden(&item.0)) {
+        let is_list = |name: &str| !wire::msg::hidden(name) || wire::version_rollout::candidate_zone(name).is_some();
+        for (zone, turn, _) in told.iter().filter(|item| is_list(&item.0)) {
             let floor = self.floor.entry(zone.clone()).or_default();
             *floor = (*floor).max(*turn);
         }
--- a/engines/src/stall.rs
+++ b/engines/src/stall.rs
@@ -15,6 +15,8 @@
     pub slots: u32,
     pub up: bool,
     pub here: bool,
+    /// Of a version that is brought in: it gets only what its rollout gives it.
+    pub candidate: bool,
     /// Its address belongs to another now, whatever the list says.
     pub dead: bool,
     pub cold_until: u64,
@@ -58,6 +60,7 @@
             slots: 1,
             up: false,
             here: true,
+            candidate: false,
             dead: false,
             cold_until: 0,
             ramp: Default::default(),
--- a/engines/src/subset.rs
+++ b/engines/src/subset.rs
@@ -8,6 +8,8 @@
 pub struct Subset {
     pub all: Vec<usize>,
     pub picks: Vec<usize>,
+    /// All of them in an order that every router finds.
+    by_name: Vec<usize>,
     ring: Vec<(u64, usize)>,
 }
 
@@ -51,7 +53,10 @@
             .flat_map(|(at, _, name)| (0..PLACES).map(|place| (kernel::clock::blend(*name, place), *at)))
             .collect();
         ring.sort_unstable();
-        Subset { all: list.iter().map(|(at, _, _)| *at).collect(), picks: Subset::picks(seat, list), ring }
+        let mut names: Vec<(u64, usize)> = list.iter().map(|(at, _, name)| (*name, *at)).collect();
+        names.sort_unstable();
+        let by_name = names.into_iter().map(|(_, at)| at).collect();
+        Subset { all: list.iter().map(|(at, _, _)| *at).collect(), picks: Subset::picks(seat, list), by_name, ring }
     }
 
     fn picks(seat: Seat, list: &[Named]) -> Vec<usize> {
@@ -67,6 +72,12 @@
         zones.into_iter().flat_map(part).collect()
     }
 
+    /// A share of all engines in thousandths, one at least: the same ones for all routers.
+    pub fn first_share(&self, share: u32) -> &[usize] {
+        let count = (self.by_name.len() as u64 * u64::from(share)).div_ceil(1000).max(1) as usize;
+        &self.by_name[..count.min(self.by_name.len())]
+    }
+
     /// A few picks, another run of them for each roll.
     pub fn draw(&self, roll: u64, most: usize) -> Vec<usize> {
         let count = self.picks.len();
--- a/keeper/src/balance.rs
+++ b/keeper/src/balance.rs
@@ -91,7 +91,7 @@
     let busy = keeper.roster.lock().expect("roster").pressure(now);
     let closed = keeper.committed_state.lock().expect("committed_state").closed.clone();
     let mut services: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
-    for sheet in keeper.sheets.lock().expect("sheets").all() {
+    for sheet in keeper.sheets.lock().expect("sheets").all().filter(|sheet| !wire::msg::hidden(&sheet.zone)) {
         let open = !closed.get(&sheet.zone).is_some_and(|(_, on)| *on);
         for engine in sheet.list.iter().filter(|engine| !engine.phase.is_empty()) {
             let told = f64::from(busy.get(&engine.id).copied().unwrap_or(0));
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -21,6 +21,7 @@
 part!(DUTY, "duty", 5, crate::duty::start);
 part!(BATCHES, "batches", 8, crate::runner::start);
 part!(BALANCE, "balance", 7, crate::balance::start);
+part!(VERSIONS, "versions", 9, crate::versions::start);
 part!(CONTROL, "control", 6, crate::control::start);
 part!(FELLOWS, "peers", 1, peers);
 
@@ -102,6 +103,8 @@
         taken: Default::default(),
         tallies: Default::default(),
         polls: tokio::sync::Semaphore::new(1),
+        trials: Default::default(),
+        first_versions: Default::default(),
         quotas: std::sync::Mutex::new(crate::quota::HeldShards::new(&env.ip)),
         pauses: Default::default(),
         leaving: Default::default(),
--- a/keeper/src/control.rs
+++ b/keeper/src/control.rs
@@ -194,6 +194,7 @@
             .at("/batches/:id", crate::batches::One(keeper.clone()))
             .at("/batches/:id/results", crate::batches::Results(keeper.clone()))
             .at("/rollouts", crate::rollout_calls::Rollouts(keeper.clone()))
+            .at("/rollouts/:service", crate::version_calls::Rollout(keeper.clone()))
             .at("/rollouts/:service/:model", crate::rollout_calls::Rule(keeper.clone()))
             .at("/rollouts/:service/:model/latest", crate::rollout_calls::Latest(keeper.clone(), false))
             .at("/rollouts/:service/:model/rollback", crate::rollout_calls::Latest(keeper.clone(), true))
--- a/keeper/src/event.rs
+++ b/keeper/src/event.rs
@@ -15,6 +15,7 @@
 pub const FRESH: Event = Event { code: 122, text: "empty disk, never a voter: may be added" };
 pub const LIST: Event = Event { code: 130, text: "engine list changed" };
 pub const LEAVE: Event = Event { code: 140, text: "leaving" };
+pub const VERSION_STEP: Event = Event { code: 180, text: "step of a version rollout" };
 pub const GONE: Event = Event { code: 141, text: "left" };
 pub const DUTY: Event = Event { code: 150, text: "duty taken" };
 pub const ORDER: Event = Event { code: 151, text: "engine ordered to change its part" };
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -21,6 +21,10 @@
     pub taken: std::sync::Mutex<crate::duty::Taken>,
     pub tallies: std::sync::Mutex<crate::runner::Tallies>,
     pub polls: tokio::sync::Semaphore,
+    /// Trials of new versions. Taken without another.
+    pub trials: std::sync::Mutex<crate::versions::Trials>,
+    /// The version of each service that was there before any rollout. Taken last.
+    pub first_versions: std::sync::Mutex<crate::version_lists::FirstVersions>,
     /// Shards of tenants' limits. Taken last.
     pub quotas: std::sync::Mutex<crate::quota::HeldShards>,
     pub pauses: std::sync::Mutex<crate::pause::PauseMonitor>,
@@ -47,6 +51,8 @@
     pub closed: std::collections::BTreeMap<String, (u64, bool)>,
     /// Limits on stale weights, removed ones too: their versions must not start anew.
     pub rules: std::collections::BTreeMap<String, wire::msg::Rule>,
+    /// The newest rollout of each service.
+    pub rollouts: std::collections::BTreeMap<String, wire::version_rollout::VersionRollout>,
     /// By key: epoch, holder, and whether it has waited.
     pub duties: std::collections::BTreeMap<String, (u64, String, bool)>,
 }
--- a/keeper/src/lib.rs
+++ b/keeper/src/lib.rs
@@ -36,3 +36,6 @@
 #[cfg(test)]
 mod simulation;
 mod state;
+mod version_calls;
+mod version_lists;
+mod versions;
--- a/keeper/src/listing.rs
+++ b/keeper/src/listing.rs
@@ -15,6 +15,9 @@
     address: String,
     #[serde(default)]
     zone: String,
+    /// Of its software.
+    #[serde(default)]
+    revision: String,
     #[serde(default)]
     slot_count: u32,
     #[serde(default)]
@@ -39,7 +42,7 @@
 
 /// One whole reading of a zone's list.
 pub struct Listing {
-    pub engines: Vec<wire::msg::Engine>,
+    pub engines: Vec<crate::version_lists::ListedEngine>,
     pub weights: Weights,
     pub pages: usize,
     /// What was known of this list before the first page was asked for.
@@ -62,8 +65,9 @@
         self.pages += 1;
     }
 }
-fn engine(item: Item) -> wire::msg::Engine {
-    wire::msg::Engine {
+
+fn engine(item: Item) -> crate::version_lists::ListedEngine {
+    let engine = wire::msg::Engine {
         id: item.instance_id,
         service: item.service,
         addr: item.address,
@@ -73,5 +77,6 @@
         slots: item.slot_count,
         up: item.oper_state == "up",
         cold_ms: item.ramp_left_ms.clamp(0.0, 1e9).ceil() as u32,
-    }
+    };
+    crate::version_lists::ListedEngine { engine, version: item.revision }
 }
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -44,6 +44,7 @@
             let spent = crate::quota::spend(keeper, &spend);
             mouth.reply(id, &wire::msg::Msg::Spent(Box::new(spent)));
         }
+        wire::msg::Msg::Samples(samples) => crate::versions::take_samples(keeper, *samples),
         wire::msg::Msg::Usage(_) => {
             let usage = crate::quota::usage(keeper);
             mouth.reply(id, &wire::msg::Msg::Used(Box::new(usage)));
--- a/keeper/src/news.rs
+++ b/keeper/src/news.rs
@@ -94,6 +94,9 @@
             news.config = Some((revision, text));
             follower.config = revision;
         }
+        if follower.reads >= wire::msg::VERSION_ROLLOUTS {
+            crate::versions::send(&committed_state, follower);
+        }
         follower.behind |= !committed_state.history.can_be_told(follower.reads);
         for (zone, (version, on)) in &committed_state.closed {
             let has = follower.closed.entry(zone.clone()).or_default();
@@ -116,6 +119,9 @@
 
     fn add_engine_lists(&self, news: &mut wire::msg::News, follower: &mut crate::followers::Follower) {
         for sheet in self.sheets.lock().expect("sheets").all() {
+            if wire::msg::hidden(&sheet.zone) && follower.reads < wire::msg::VERSION_ROLLOUTS {
+                continue;
+            }
             let has = follower.sheets.entry(sheet.zone.clone()).or_default();
             if (sheet.turn, sheet.count) > *has {
                 *has = (sheet.turn, sheet.count);
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -121,21 +121,44 @@
 /// Sends out what a poll read, unless a list that another poller made became known meanwhile.
 /// `versions`: whether weight versions are wanted, and whether to send them even if unchanged.
 fn take(keeper: &crate::keeper::Keeper, zone: &str, turn: &mut u64, listing: Listing, versions: Option<bool>) {
-    let sheet = {
+    let parted = crate::version_lists::part(keeper, listing.engines);
+    let (sheet, candidates) = {
         let mut sheets = keeper.sheets.lock().expect("sheets");
         if sheets.known(zone) != listing.known {
             return;
         }
-        sheets.poll(zone, turn, keeper.seat, listing.engines, listing.known)
+        let sheet = sheets.poll(zone, turn, keeper.seat, parted.stable, listing.known);
+        (sheet, candidate_sheet(keeper, &mut sheets, zone, parted.candidates))
     };
     if let Some(again) = versions {
         crate::rules::seen(keeper, zone, listing.weights, again);
     }
-    if let Some(sheet) = sheet {
+    // First those of the version in place: an engine that is both for a moment is no more left out.
+    for sheet in sheet.into_iter().chain(candidates) {
         publish(keeper, sheet);
     }
 }
 
+/// The list of a zone's engines of versions that are brought in, if there are any or were.
+fn candidate_sheet(
+    keeper: &crate::keeper::Keeper,
+    sheets: &mut engines::sheet::Sheets,
+    zone: &str,
+    list: Vec<wire::msg::Engine>,
+) -> Option<wire::msg::Sheet> {
+    let name = wire::version_rollout::candidates_of(zone);
+    let held = sheets.all().find(|sheet| sheet.zone == name);
+    if list.is_empty() && held.is_none_or(|held| held.list.is_empty()) {
+        return None;
+    }
+    let mut turn = held.map_or(0, |held| held.turn);
+    let known = sheets.known(&name);
+    if turn != 0 && !engines::sheet::is_turn_of(turn, keeper.seat) {
+        turn = 0;
+    }
+    sheets.poll(&name, &mut turn, keeper.seat, list, known)
+}
+
 async fn poll(
     keeper: &crate::keeper::Keeper,
     client: &reqwest::Client,
--- a/keeper/src/rollout_calls.rs
+++ b/keeper/src/rollout_calls.rs
@@ -99,7 +99,14 @@
 impl poem::Endpoint for Rollouts {
     type Output = poem::Response;
 
-    async fn call(&self, _: poem::Request) -> poem::Result<poem::Response> {
+    async fn call(&self, mut req: poem::Request) -> poem::Result<poem::Response> {
+        if req.method() == poem::http::Method::POST {
+            let receipt = match text(&mut req).await {
+                Ok(text) => crate::version_calls::start(&self.0, &text).await,
+                Err(receipt) => receipt,
+            };
+            return Ok(crate::control::write(receipt));
+        }
         let committed_state = self.0.committed_state.lock().expect("committed_state");
         let live = committed_state.rules.values().filter(|rule| !rule.removed);
         let list: Vec<serde_json::Value> = live
--- a/keeper/src/state.rs
+++ b/keeper/src/state.rs
@@ -168,6 +168,10 @@
             let rule = wire::msg::Rule::read_bytes(body).ok_or(Unreadable::Body)?;
             self.rules.insert(key.into(), rule);
         }
+        if let Some(service) = key.strip_prefix(wire::version_rollout::KEY).filter(|_| !body.is_empty()) {
+            let rollout = wire::version_rollout::VersionRollout::read_bytes(body).ok_or(Unreadable::Body)?;
+            self.rollouts.insert(service.into(), rollout);
+        }
         if key.starts_with(DUTY) {
             let duty = Duty::open(body).ok_or(Unreadable::Body)?;
             self.duties.insert(key.into(), (duty.epoch, duty.holder, duty.clear));
--- /dev/null
+++ b/keeper/src/versions.rs
@@ -0,0 +1,202 @@
+//! Trials of new versions: routers' samples are pooled at every keeper, and the first that is confirmed judges. It needs no
+//! epoch: each step is a change on top of the very record that it was judged on.
+
+use crate::keeper::{CommittedState, Keeper};
+use crate::register::Verdict;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use versions::{Arm, Batch, Finding, Judge, Schedule, Step};
+use wire::version_rollout::{RolloutState, RouteSamples, Samples, VersionRollout};
+
+/// How often samples are passed on and judged.
+const BEAT_MS: u64 = 200;
+/// How long one step may take.
+const CHANGE_MS: u64 = 900;
+
+/// What is known here of one rollout.
+struct Trial {
+    order: u64,
+    judge: Judge,
+    /// The newest record, and when it became known.
+    number: u64,
+    since: u64,
+}
+
+/// All trials, and samples that other keepers have not heard yet.
+#[derive(Default)]
+pub struct Trials {
+    trials: BTreeMap<String, Trial>,
+    untold: Vec<Samples>,
+}
+
+impl Trials {
+    fn trial(&mut self, rollout: &VersionRollout, now: u64) -> &mut Trial {
+        let fresh = || Trial { order: rollout.order, judge: Judge::new(now), number: rollout.number, since: now };
+        let trial = self.trials.entry(rollout.service.clone()).or_insert_with(fresh);
+        if trial.order != rollout.order {
+            *trial = fresh();
+        }
+        if trial.number != rollout.number {
+            (trial.number, trial.since) = (rollout.number, now);
+        }
+        trial
+    }
+}
+
+/// Sends a follower the rollouts that it lacks.
+pub fn send(committed_state: &CommittedState, follower: &mut crate::followers::Follower) {
+    for rollout in committed_state.rollouts.values() {
+        let key = VersionRollout::key(&rollout.service);
+        let has = follower.closed.entry(wire::msg::hide(&key)).or_default();
+        if rollout.number <= *has {
+            continue;
+        }
+        match follower.mouth.cast(&wire::msg::Msg::VersionRollout(Box::new(rollout.clone()))) {
+            true => *has = rollout.number,
+            false => follower.behind = true,
+        }
+    }
+}
+
+/// Takes samples from a router or from another keeper.
+pub fn take_samples(keeper: &Keeper, samples: Samples) {
+    let rollout = keeper.committed_state.lock().expect("committed_state").rollouts.get(&samples.service).cloned();
+    let Some(rollout) = rollout.filter(|rollout| rollout.order == samples.order) else { return };
+    let now = kernel::clock::now();
+    let mut trials = keeper.trials.lock().expect("trials");
+    let trial = trials.trial(&rollout, now);
+    for one in &samples.list {
+        let arm = if one.is_candidate { Arm::Candidate } else { Arm::Stable };
+        trial.judge.note(&one.route, arm, &batch(one), now);
+    }
+    if !samples.is_relayed {
+        trials.untold.push(Samples { is_relayed: true, ..samples });
+    }
+}
+
+fn batch(samples: &RouteSamples) -> Batch {
+    Batch { good: samples.good, failed: samples.failed, paces: samples.paces.clone() }
+}
+
+/// Passes samples on and judges, for as long as the process runs.
+pub fn start(keeper: &Arc<Keeper>) {
+    let keeper = keeper.clone();
+    tokio::spawn(async move {
+        let mut beat = kernel::entry::beat(BEAT_MS);
+        loop {
+            beat.tick().await;
+            tell(&keeper);
+            for rollout in active(&keeper) {
+                look(&keeper, &rollout).await;
+            }
+        }
+    });
+}
+
+fn active(keeper: &Keeper) -> Vec<VersionRollout> {
+    let committed_state = keeper.committed_state.lock().expect("committed_state");
+    let active = committed_state.rollouts.values().filter(|rollout| rollout.state == RolloutState::Active);
+    active.cloned().collect()
+}
+
+/// Tells the other keepers what this one's routers saw.
+fn tell(keeper: &Keeper) {
+    let untold = std::mem::take(&mut keeper.trials.lock().expect("trials").untold);
+    if untold.is_empty() {
+        return;
+    }
+    let merged = merge(untold);
+    for ip in keeper.known() {
+        for samples in &merged {
+            keeper.peer(&ip).cast(wire::msg::Msg::Samples(Box::new(samples.clone())));
+        }
+    }
+}
+
+/// One message for each rollout.
+fn merge(list: Vec<Samples>) -> Vec<Samples> {
+    let mut merged: BTreeMap<(String, u64), BTreeMap<(String, bool), RouteSamples>> = BTreeMap::new();
+    for samples in list {
+        let routes = merged.entry((samples.service, samples.order)).or_default();
+        for one in samples.list {
+            match routes.get_mut(&(one.route.clone(), one.is_candidate)) {
+                Some(held) => {
+                    held.good += one.good;
+                    held.failed += one.failed;
+                    held.paces.extend(one.paces);
+                }
+                None => drop(routes.insert((one.route.clone(), one.is_candidate), one)),
+            }
+        }
+    }
+    let whole = |((service, order), routes): ((String, u64), BTreeMap<_, RouteSamples>)| Samples {
+        service,
+        order,
+        list: routes.into_values().collect(),
+        is_relayed: true,
+    };
+    merged.into_iter().map(whole).collect()
+}
+
+/// Looks at one rollout, and takes the step that is due if this keeper is the one to do so.
+async fn look(keeper: &Arc<Keeper>, rollout: &VersionRollout) {
+    let now = kernel::clock::now();
+    let (finding, since) = {
+        let mut trials = keeper.trials.lock().expect("trials");
+        let trial = trials.trial(rollout, now);
+        (trial.judge.finding(), trial.since)
+    };
+    if !judges(keeper, &rollout.service, now) {
+        return;
+    }
+    let for_ms = now - since;
+    let elapsed_ms = rollout.elapsed_ms + for_ms;
+    let schedule = Schedule { duration_ms: rollout.duration_ms };
+    let step = schedule.step(rollout.share, for_ms, elapsed_ms, finding);
+    let Some(next) = after(rollout, step, elapsed_ms, finding) else { return };
+    if commit(keeper, rollout, &next).await {
+        kernel::say!(crate::event::VERSION_STEP, "service" => next.service.clone(), "version" => next.target.clone(),
+            "state" => next.state.word(), "share" => next.share, "elapsed_ms" => elapsed_ms, "reason" => next.reason.clone());
+    }
+}
+
+/// Is this keeper the one that judges a service's rollout?
+fn judges(keeper: &Keeper, service: &str, now: u64) -> bool {
+    if !keeper.sure(now) || keeper.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+        return false;
+    }
+    let roster = keeper.roster.lock().expect("roster");
+    roster.first_sure(&VersionRollout::key(service), now).as_deref() == Some(keeper.me())
+}
+
+/// The record after a step. None: nothing changes.
+fn after(rollout: &VersionRollout, step: Step, elapsed_ms: u64, finding: Finding) -> Option<VersionRollout> {
+    let next = VersionRollout { number: rollout.number + 1, elapsed_ms, ..rollout.clone() };
+    match step {
+        Step::Stay => None,
+        Step::Share(share) => Some(VersionRollout { share, ..next }),
+        Step::Complete => Some(VersionRollout { state: RolloutState::Complete, ..next }),
+        Step::Revert => {
+            let mut reverted = next.reverted.clone();
+            reverted.push(next.target.clone());
+            let reason = match finding {
+                Finding::Fails => "it fails more often than the version in place",
+                Finding::Slow => "it is slower than the version in place",
+                Finding::Good | Finding::Unsure => "not enough was seen of it in time",
+            };
+            Some(VersionRollout { state: RolloutState::Reverted, share: 0, reverted, reason: reason.into(), ..next })
+        }
+    }
+}
+
+async fn commit(keeper: &Arc<Keeper>, rollout: &VersionRollout, next: &VersionRollout) -> bool {
+    let judge = |body: &[u8]| match VersionRollout::read_bytes(body) {
+        Some(held) if held.number == rollout.number => Verdict::Write(next.write_bytes(), true),
+        _ => Verdict::Answer(false),
+    };
+    keeper.change(&VersionRollout::key(&rollout.service), CHANGE_MS, judge).await.unwrap_or(false)
+}
+
+#[cfg(test)]
+#[path = "versions_tests.rs"]
+mod tests;
--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -213,6 +213,7 @@
         tried: Vec::new(),
         in_flight: Vec::new(),
         kv_handle: None,
+        arm: Default::default(),
     }
 }
 
--- a/router/src/boot.rs
+++ b/router/src/boot.rs
@@ -20,6 +20,7 @@
 
 part!(READY, "readiness", 1, |state| drop(tokio::spawn(crate::server::readiness(state.clone()))));
 part!(FOLLOW, "news", 2, |state| drop(tokio::spawn(crate::follow::run(state.clone()))));
+part!(SAMPLES, "samples", 4, |state| drop(tokio::spawn(crate::version_rollouts::send_samples(state.clone()))));
 part!(DOOR, "frontend", 3, |state| drop(tokio::spawn(crate::server::frontend(state.clone()))));
 
 /// Runs a router until it is told to end and has finished what it took.
--- a/router/src/event.rs
+++ b/router/src/event.rs
@@ -9,6 +9,7 @@
 pub const FIRST: Event = Event { code: 213, text: "first request under a configuration" };
 pub const RULE: Event = Event { code: 214, text: "limit on stale weights in force" };
 pub const FEW: Event = Event { code: 215, text: "no replica inside the limit on stale weights" };
+pub const VERSION: Event = Event { code: 216, text: "version rollout in force" };
 pub const HOME: Event = Event { code: 220, text: "following another keeper" };
 pub const CATALOG: Event = Event { code: 221, text: "catalog changed hands" };
 pub const STRIKE: Event = Event { code: 230, text: "engine gave no answer" };
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -31,6 +31,8 @@
     /// Engines at which it is under way, and the prompt tokens that each has yet to read.
     pub in_flight: Vec<(usize, u64)>,
     pub kv_handle: Option<crate::kv_handle::Handle>,
+    /// The version that serves it, for all of its sends.
+    pub arm: engines::place::Arm,
 }
 
 impl Drop for Exchange {
@@ -119,6 +121,7 @@
             ramp: ramp * self.state.env.bounds.ramp_overage,
             weights,
             confirmed,
+            arm: self.arm,
         })
     }
 
--- a/router/src/follow_absorb.rs
+++ b/router/src/follow_absorb.rs
@@ -12,6 +12,7 @@
         wire::msg::Msg::News(news) => absorb(state, *news),
         wire::msg::Msg::Change(body) | wire::msg::Msg::Update(body) => crate::config::change(state, &body),
         wire::msg::Msg::Holders(list) => state.quota_gate.set_holders(&list),
+        wire::msg::Msg::VersionRollout(rollout) => crate::version_rollouts::take(state, *rollout),
         wire::msg::Msg::Rule(rule) => crate::fresh::rule(state, &rule),
         wire::msg::Msg::Versions(list) => crate::fresh::versions(state, &list),
         wire::msg::Msg::Doubt(doubt) => crate::doubt::hear(state, &doubt.0),
@@ -29,6 +30,7 @@
     };
     let (rules, weights) = crate::fresh::known_versions(state);
     sheets.extend(weights);
+    let rollouts = crate::version_rollouts::told(state);
     sheets.push(wire::msg::told());
     sheets.push(wire::quota::told_holders(state.quota_gate.mark()));
     let news = state.news.lock().expect("news");
@@ -37,7 +39,13 @@
         zone: state.env.zone.clone(),
         life: state.life,
         config: news.config,
-        closed: news.closed.iter().map(|(zone, (version, _))| (zone.clone(), *version)).chain(rules).collect(),
+        closed: news
+            .closed
+            .iter()
+            .map(|(zone, (version, _))| (zone.clone(), *version))
+            .chain(rules)
+            .chain(rollouts)
+            .collect(),
         sheets,
         busy,
         door: state.env.bind_addresses.frontend.clone().filter(|_| !state.is_leaving()).unwrap_or_default(),
@@ -50,7 +58,7 @@
     if state.ready.load(order) {
         return true;
     }
-    let known = state.park.lock().expect("park").versions().len();
+    let known = state.park.lock().expect("park").zones_listed();
     let held = state.news.lock().expect("news").config > 0 && known >= state.env.zones.len();
     if !held || !state.currency.is_proved(kernel::clock::now()) {
         return false;
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -41,6 +41,7 @@
 mod table;
 mod tenants;
 mod verdict;
+mod version_rollouts;
 
 #[cfg(test)]
 mod following_single_home;
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -65,7 +65,7 @@
     let park = state.park.lock().expect("park");
     let mut names = Vec::with_capacity(2 * DRAWN + 2);
     for half in [engines::place::Half::Prefill, engines::place::Half::Decode] {
-        let Some(subset) = park.subset(service, half) else { continue };
+        let Some(subset) = park.subset(service, half, false) else { continue };
         if half == engines::place::Half::Prefill {
             names.extend(subset.homes(rank(request), 2, |at| park.list[at].up && park.list[at].here));
         }
--- a/router/src/relay.rs
+++ b/router/src/relay.rs
@@ -1,5 +1,6 @@
 //! Passing an engine's answer on as it comes, and going on at another engine where that is allowed.
 use crate::feed::Pipe;
+use crate::version_rollouts::Seen;
 
 /// When a refused client may come back: soon, and later the more is waiting.
 fn retry_after_ms(exchange: &crate::exchange::Exchange) -> u64 {
@@ -31,6 +32,7 @@
     if exchange.request.spare.is_some_and(|share| !exchange.view(|view| view.idle(share))) {
         return Err(crate::failure::Failure::Refused(STAND_BACK_MS));
     }
+    exchange.choose_version();
     if !exchange.fits_before_the_end() {
         // Refused early rather than given up late.
         return Err(failure_of(&exchange));
@@ -47,8 +49,20 @@
     let split = exchange.is_streaming()
         && !exchange.request.keys.is_empty()
         && exchange.view(|view| view.has(engines::place::Half::Prefill) && view.has(engines::place::Half::Decode));
-    let (at, answer) = if split { crate::halves::carry(&mut exchange).await? } else { plain(&mut exchange).await? };
+    let carried = if split { crate::halves::carry(&mut exchange).await } else { plain(&mut exchange).await };
+    let (at, answer) = match carried {
+        Ok(carried) => carried,
+        Err(failure) => {
+            if exchange.may_have_run {
+                exchange.note_seen(Seen::Failed);
+            }
+            return Err(failure);
+        }
+    };
     if !answer.head.status.is_success() {
+        if answer.head.status.is_server_error() {
+            exchange.note_seen(Seen::Failed);
+        }
         return Ok(pass(exchange, at, answer));
     }
     if exchange.version_bounds().is_some() {
@@ -175,6 +189,7 @@
 
 async fn run(exchange: &mut crate::exchange::Exchange, mut at: usize, mut answer: crate::send::Answer, pipe: &Pipe) {
     let mut split = crate::stream::Splitter::default();
+    let is_success = answer.head.status.is_success();
     loop {
         let end = pump(exchange, at, &mut answer, &mut split, pipe).await;
         exchange.end_send(at);
@@ -182,11 +197,14 @@
             End::Left => return,
             End::Whole => {
                 pipe.end().await;
+                if is_success {
+                    exchange.note_seen(Seen::Good { pace_us: split.pace_us() });
+                }
                 let to = exchange.endpoint(at);
                 crate::send::give_back(&exchange.state, &to, &answer.head.headers, answer.connection).await;
                 return;
             }
-            End::Broken => {}
+            End::Broken => exchange.note_seen(Seen::Failed),
         }
         split.cut();
         let Some((next, more)) = exchange.resume(at, &split).await else { return };
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -33,6 +33,10 @@
     pub held: std::sync::atomic::AtomicUsize,
     pub metrics: crate::metrics::Metrics,
     pub quota_gate: crate::quota_gate::QuotaGate,
+    /// Rollouts of versions. Taken last, never together with another.
+    pub rollouts: std::sync::Mutex<crate::version_rollouts::Rollouts>,
+    /// Samples of a rollout wait to be sent.
+    pub samples_wanted: tokio::sync::Notify,
 }
 
 /// What the keepers told. Invariant: versions never go back.
@@ -82,6 +86,8 @@
             held: Default::default(),
             metrics: Default::default(),
             quota_gate: crate::quota_gate::QuotaGate::new(&env),
+            rollouts: Default::default(),
+            samples_wanted: Default::default(),
             env,
         })
     }
--- a/router/src/stream.rs
+++ b/router/src/stream.rs
@@ -8,6 +8,11 @@
     pub last: Option<String>,
     pub events: u64,
     torn: bool,
+    /// When the first events were given out, and how many they were.
+    first_at: Option<u64>,
+    first_events: u64,
+    /// When the last event was given out, and how many came after the first ones.
+    last_at: (u64, u64),
 }
 
 /// Larger than any event; a body without joints is passed on rather than held.
@@ -29,6 +34,13 @@
         out
     }
 
+    /// The mean time between events in microseconds, where there were several.
+    pub fn pace_us(&self) -> Option<u64> {
+        let (last_at, before) = self.last_at;
+        let span_ms = last_at.checked_sub(self.first_at?)?;
+        (before > 0).then(|| span_ms * 1000 / before)
+    }
+
     fn note(&mut self, out: &[u8]) {
         for line in out.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
@@ -40,6 +52,19 @@
                 self.last = Some(text.trim().to_string());
             }
         }
+        self.note_time(kernel::clock::now());
+    }
+
+    fn note_time(&mut self, now: u64) {
+        if self.events == 0 {
+            return;
+        }
+        if self.first_at.is_none() {
+            // Events that came together with the first one tell nothing of the pace.
+            self.first_at = Some(now);
+            self.first_events = self.events;
+        }
+        self.last_at = (now, self.events - self.first_events);
     }
 
     /// Can another engine go on behind what was given out? Not where that does not end at an event with an id.
--- /dev/null
+++ b/versions/src/judge.rs
@@ -0,0 +1,205 @@
+//! What pooled samples say of a new version, beside the old one at the same time on the same routes.
+//!
+//! Failures: for each route a one-sided CUSUM (Page's test) of the log likelihood ratio between the failure rate of the old
+//! version, with an allowance, and one that is clearly worse. It finds a version that is bad from its start as soon as a
+//! sequential test would, and one that turns bad later as soon, since what was good before does not count against it.
+//! Pace: the median time between the events of an answer, against the old version's in the same span.
+
+use std::collections::BTreeMap;
+
+/// Which version served a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Arm {
+    /// The one that is in place.
+    Stable,
+    /// The one that is brought in.
+    Candidate,
+}
+
+/// The times between events, in microseconds.
+pub type PaceHistogram = hdrhistogram::Histogram<u64>;
+
+/// Samples of one route and version that came together.
+#[derive(Clone, Debug, Default)]
+pub struct Batch {
+    /// Requests that ended as they should.
+    pub good: u64,
+    /// Requests whose engine failed them.
+    pub failed: u64,
+    /// Mean times between the events of an answer, in microseconds, and how many answers had them.
+    pub paces: Vec<(u64, u64)>,
+}
+
+/// What was found.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Finding {
+    /// Nothing speaks against it, and enough was seen to say so.
+    Good,
+    /// Not enough was seen, or something begins to speak against it.
+    Unsure,
+    /// It fails more often than the old one.
+    Fails,
+    /// It is slower than the old one.
+    Slow,
+}
+
+/// Where the likelihood ratio decides: a false alarm in about so many requests that one would be expected only in many
+/// rollouts.
+const ALARM: f64 = 9.2;
+/// Under this nothing begins to speak against it.
+const CALM: f64 = 3.0;
+/// What a version may fail more often than the old one without being called bad, and what is clearly worse.
+const ALLOWED_EXCESS: f64 = 0.02;
+const CLEAR_EXCESS: f64 = 0.2;
+/// The old version's failures are taken for at least and at most this share.
+const LEAST_RATE: f64 = 0.005;
+const MOST_RATE: f64 = 0.5;
+/// Samples of the old version before its own rate is believed: until then it is mixed with the least one.
+const PRIOR_SAMPLES: f64 = 20.0;
+/// Good samples of all routes that are enough to go on.
+const ENOUGH: u64 = 30;
+/// Times slower than the old one that is called slow, and answers of each that are enough to say so.
+const SLOWER: f64 = 2.5;
+const ENOUGH_PACES: u64 = 8;
+/// Old samples of the pace are forgotten in two steps of this.
+const PACE_SPAN_MS: u64 = 1500;
+const LONGEST_PACE_US: u64 = 60_000_000;
+
+/// One route's evidence.
+#[derive(Default)]
+struct Route {
+    stable_good: f64,
+    stable_failed: f64,
+    cusum: f64,
+}
+
+impl Route {
+    /// The share of requests that the old version fails.
+    fn stable_rate(&self) -> f64 {
+        let seen = self.stable_good + self.stable_failed + PRIOR_SAMPLES;
+        ((self.stable_failed + PRIOR_SAMPLES * LEAST_RATE) / seen).clamp(LEAST_RATE, MOST_RATE)
+    }
+
+    fn note_candidate(&mut self, good: u64, failed: u64) {
+        let allowed = self.stable_rate() + ALLOWED_EXCESS;
+        let clear = allowed + CLEAR_EXCESS;
+        let for_failure = (clear / allowed).ln();
+        let for_good = ((1.0 - clear) / (1.0 - allowed)).ln();
+        // The order inside a batch is not known: what speaks for it comes first, so that it cannot hide what comes last.
+        self.cusum = (self.cusum + good as f64 * for_good).max(0.0);
+        self.cusum += failed as f64 * for_failure;
+    }
+}
+
+/// The pace of one version, over the last one to two spans.
+struct Pace {
+    current: PaceHistogram,
+    previous: PaceHistogram,
+}
+
+fn empty() -> PaceHistogram {
+    PaceHistogram::new_with_max(LONGEST_PACE_US, 2).unwrap_or_else(|_| unreachable!("constant bounds are valid"))
+}
+
+impl Pace {
+    fn new() -> Pace {
+        Pace { current: empty(), previous: empty() }
+    }
+
+    fn turn(&mut self) {
+        self.previous = std::mem::replace(&mut self.current, empty());
+    }
+
+    fn count(&self) -> u64 {
+        self.current.len() + self.previous.len()
+    }
+
+    fn median(&self) -> f64 {
+        let mut all = self.previous.clone();
+        let _ = all.add(&self.current);
+        all.value_at_quantile(0.5) as f64
+    }
+}
+
+/// All evidence of one rollout.
+pub struct Judge {
+    routes: BTreeMap<String, Route>,
+    stable_pace: Pace,
+    candidate_pace: Pace,
+    turned_at: u64,
+    candidate_good: u64,
+    candidate_failed: u64,
+}
+
+impl Judge {
+    /// One that has seen nothing.
+    pub fn new(now: u64) -> Judge {
+        Judge {
+            routes: BTreeMap::new(),
+            stable_pace: Pace::new(),
+            candidate_pace: Pace::new(),
+            turned_at: now,
+            candidate_good: 0,
+            candidate_failed: 0,
+        }
+    }
+
+    /// Takes samples in.
+    pub fn note(&mut self, route: &str, arm: Arm, batch: &Batch, now: u64) {
+        if now >= self.turned_at + PACE_SPAN_MS {
+            self.stable_pace.turn();
+            self.candidate_pace.turn();
+            self.turned_at = now;
+        }
+        let pace = match arm {
+            Arm::Stable => &mut self.stable_pace,
+            Arm::Candidate => &mut self.candidate_pace,
+        };
+        for (pace_us, count) in &batch.paces {
+            let _ = pace.current.record_n((*pace_us).clamp(1, LONGEST_PACE_US), *count);
+        }
+        let evidence = self.routes.entry(route.into()).or_default();
+        match arm {
+            Arm::Stable => {
+                evidence.stable_good += batch.good as f64;
+                evidence.stable_failed += batch.failed as f64;
+            }
+            Arm::Candidate => {
+                evidence.note_candidate(batch.good, batch.failed);
+                self.candidate_good += batch.good;
+                self.candidate_failed += batch.failed;
+            }
+        }
+    }
+
+    /// Requests that the new version served, good and failed.
+    pub fn candidate_seen(&self) -> (u64, u64) {
+        (self.candidate_good, self.candidate_failed)
+    }
+
+    /// What the samples say by now.
+    pub fn finding(&self) -> Finding {
+        let worst = self.routes.values().map(|route| route.cusum).fold(0.0, f64::max);
+        if worst >= ALARM {
+            return Finding::Fails;
+        }
+        if self.is_slow() {
+            return Finding::Slow;
+        }
+        match worst < CALM && self.candidate_good >= ENOUGH {
+            true => Finding::Good,
+            false => Finding::Unsure,
+        }
+    }
+
+    fn is_slow(&self) -> bool {
+        let (stable, candidate) = (&self.stable_pace, &self.candidate_pace);
+        stable.count() >= ENOUGH_PACES
+            && candidate.count() >= ENOUGH_PACES
+            && candidate.median() > SLOWER * stable.median()
+    }
+}
+
+#[cfg(test)]
+#[path = "judge_tests.rs"]
+mod tests;
--- /dev/null
+++ b/versions/src/judge_tests.rs
@@ -0,0 +1,124 @@
+//! Seeded experiments: good and bad versions, judged from batches as routers send them.
+use super::{Arm, Batch, Finding, Judge};
+
+const BATCH_MS: u64 = 250;
+
+/// A small generator of even numbers in 0..1.
+struct Chance(u64);
+
+impl Chance {
+    fn next(&mut self) -> f64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// What each version does to requests of two routes.
+#[derive(Clone, Copy)]
+struct World {
+    stable_fails: f64,
+    /// By route.
+    candidate_fails: [f64; 2],
+    bad_from_ms: u64,
+    slower: f64,
+    candidate_per_s: f64,
+}
+
+const GOOD: World =
+    World { stable_fails: 0.005, candidate_fails: [0.005; 2], bad_from_ms: 0, slower: 1.0, candidate_per_s: 25.0 };
+
+/// The finding after a time, when the first alarm came, and how many requests the new version had by then.
+fn play(world: &World, seed: u64, length_ms: u64) -> (Finding, Option<u64>, u64) {
+    let mut chance = Chance(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) + 1);
+    let mut judge = Judge::new(0);
+    let mut now = 0;
+    while now < length_ms {
+        now += BATCH_MS;
+        for (number, route) in ["long", "short"].into_iter().enumerate() {
+            for (arm, per_s) in [(Arm::Stable, world.candidate_per_s * 10.0), (Arm::Candidate, world.candidate_per_s)] {
+                let is_bad = arm == Arm::Candidate && now > world.bad_from_ms;
+                let fails = if is_bad { world.candidate_fails[number] } else { world.stable_fails };
+                let mut batch = Batch::default();
+                let expected = per_s / 2.0 * BATCH_MS as f64 / 1000.0;
+                let count = expected.floor() as u64 + u64::from(chance.next() < expected.fract());
+                for _ in 0..count {
+                    match chance.next() < fails {
+                        true => batch.failed += 1,
+                        false => batch.good += 1,
+                    }
+                    let slower = if is_bad { world.slower } else { 1.0 };
+                    batch.paces.push(((8000.0 * slower * (0.5 + chance.next())) as u64, 1));
+                }
+                judge.note(route, arm, &batch, now);
+            }
+        }
+        if matches!(judge.finding(), Finding::Fails | Finding::Slow) {
+            let seen = judge.candidate_seen();
+            return (judge.finding(), Some(now), seen.0 + seen.1);
+        }
+    }
+    let seen = judge.candidate_seen();
+    (judge.finding(), None, seen.0 + seen.1)
+}
+
+fn alarms(world: &World, length_ms: u64, seeds: u64) -> Vec<u64> {
+    (0..seeds).filter_map(|seed| play(world, seed, length_ms).1).collect()
+}
+
+#[test]
+fn a_good_version_is_seldom_called_bad_and_is_found_good() {
+    for stable_fails in [0.0, 0.01, 0.05, 0.2] {
+        let world = World { stable_fails, candidate_fails: [stable_fails; 2], ..GOOD };
+        let alarms = alarms(&world, 15_000, 400).len();
+        assert!(alarms <= 8, "{alarms} of 400 at {stable_fails}");
+    }
+    let good = (0..200).filter(|seed| play(&GOOD, *seed, 8000).0 == Finding::Good).count();
+    assert!(good >= 190, "{good} of 200");
+}
+
+#[test]
+fn a_version_that_fails_is_found_within_two_seconds() {
+    for share in [0.3, 0.5] {
+        let world = World { candidate_fails: [share; 2], ..GOOD };
+        let found = alarms(&world, 15_000, 300);
+        assert_eq!(found.len(), 300);
+        assert!(found.iter().filter(|at| **at > 3000).count() <= 6, "{share}: {:?}", found.iter().max());
+    }
+}
+
+#[test]
+fn a_version_that_turns_bad_late_is_found_as_soon() {
+    let world = World { candidate_fails: [0.4; 2], bad_from_ms: 4000, ..GOOD };
+    let found = alarms(&world, 15_000, 300);
+    assert_eq!(found.len(), 300);
+    assert!(found.iter().filter(|at| **at > 7000).count() <= 3, "{:?}", found.iter().max());
+    assert!(found.iter().filter(|at| **at < 4000).count() <= 3);
+}
+
+#[test]
+fn a_version_that_is_bad_on_one_route_is_found() {
+    let world = World { candidate_fails: [0.4, 0.005], ..GOOD };
+    let found = alarms(&world, 15_000, 300);
+    assert_eq!(found.len(), 300);
+    assert!(found.iter().filter(|at| **at > 4000).count() <= 6, "{:?}", found.iter().max());
+}
+
+#[test]
+fn a_version_that_is_several_times_slower_is_found() {
+    let world = World { slower: 4.0, ..GOOD };
+    let found = alarms(&world, 15_000, 100);
+    assert_eq!(found.len(), 100);
+    assert!(found.iter().all(|at| *at <= 3000));
+}
+
+#[test]
+fn a_time_in_which_all_versions_fail_more_often_is_not_blamed_on_the_new_one() {
+    let world = World { stable_fails: 0.3, candidate_fails: [0.3; 2], ..GOOD };
+    let alarms = alarms(&world, 8000, 200).len();
+    assert!(alarms <= 10, "{alarms} of 200");
+}
+
+#[test]
+fn without_samples_nothing_is_known() {
+    assert_eq!(Judge::new(0).finding(), Finding::Unsure);
+}
--- /dev/null
+++ b/versions/src/lib.rs
@@ -0,0 +1,9 @@
+//! Judging a new version of a service from samples that many routers pool, and the schedule of bringing it in. Pure: time
+//! comes in with every call. `docs/version-rollouts.md` weighs this against other ways.
+#![warn(missing_docs)]
+
+mod judge;
+mod schedule;
+
+pub use judge::{Arm, Batch, Finding, Judge, PaceHistogram};
+pub use schedule::{Schedule, Step, CANARY_SHARE, WHOLE_SHARE};
--- /dev/null
+++ b/versions/src/schedule.rs
@@ -0,0 +1,77 @@
+//! When a new version gets how much of a service's requests.
+
+use crate::Finding;
+
+/// Thousandths of the requests that an unproved version gets. Below a tenth, by what chance and late news add.
+pub const CANARY_SHARE: u32 = 70;
+/// On the way to all: the readers of the new version must first read the prompts that all share.
+const HALFWAY_SHARE: u32 = 400;
+/// All requests.
+pub const WHOLE_SHARE: u32 = 1000;
+
+/// A version that turns bad late must have done so while it is a canary: this part of the time is given to it.
+const CANARY_PART: f64 = 0.52;
+/// How long the halfway share lasts.
+const HALFWAY_MS: u64 = 1000;
+/// All requests have moved for so long, and so long before the term it is declared complete.
+const FEWEST_WHOLE_MS: u64 = 2500;
+const MARGIN_MS: u64 = 1200;
+
+/// What is to be done now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing.
+    Stay,
+    /// The new version gets this share, in thousandths.
+    Share(u32),
+    /// All has moved: the old version ends.
+    Complete,
+    /// Back to the old version, for good.
+    Revert,
+}
+
+/// The schedule of one rollout.
+#[derive(Clone, Copy, Debug)]
+pub struct Schedule {
+    /// By then it must be complete or reverted.
+    pub duration_ms: u64,
+}
+
+impl Schedule {
+    /// When the canary ends.
+    pub fn canary_ms(&self) -> u64 {
+        let usual = (self.duration_ms as f64 * CANARY_PART) as u64;
+        usual.min(self.last_start_ms().saturating_sub(HALFWAY_MS / 2))
+    }
+
+    /// When a version that is not known to be good is given up.
+    fn last_start_ms(&self) -> u64 {
+        self.duration_ms.saturating_sub(MARGIN_MS + FEWEST_WHOLE_MS + HALFWAY_MS)
+    }
+
+    /// `share`: what it has now, and for how long; `elapsed_ms`: since the order.
+    pub fn step(&self, share: u32, share_for_ms: u64, elapsed_ms: u64, finding: Finding) -> Step {
+        if matches!(finding, Finding::Fails | Finding::Slow) {
+            return Step::Revert;
+        }
+        if share >= WHOLE_SHARE {
+            let is_time = elapsed_ms + MARGIN_MS >= self.duration_ms && share_for_ms >= FEWEST_WHOLE_MS;
+            return if is_time { Step::Complete } else { Step::Stay };
+        }
+        if share > CANARY_SHARE {
+            return if share_for_ms >= HALFWAY_MS { Step::Share(WHOLE_SHARE) } else { Step::Stay };
+        }
+        if elapsed_ms < self.canary_ms() {
+            return if share == 0 { Step::Share(CANARY_SHARE) } else { Step::Stay };
+        }
+        match finding {
+            Finding::Good => Step::Share(HALFWAY_SHARE),
+            _ if elapsed_ms >= self.last_start_ms() => Step::Revert,
+            _ => Step::Stay,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "schedule_tests.rs"]
+mod tests;
--- a/wire/src/capability.rs
+++ b/wire/src/capability.rs
@@ -22,6 +22,9 @@
 /// Daemons from this version on know tenants' limits, and hold or ask for tokens of them.
 pub const QUOTAS: u64 = 5;
 
+/// Daemons from this version on know rollouts of versions of services.
+pub const VERSION_ROLLOUTS: u64 = 5;
+
 /// Not a zone: told beside the versions of zones.
 pub fn hidden(name: &str) -> bool {
     name.is_empty() || name.starts_with('\0')
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod rollout;
 pub mod seek;
 pub mod sock;
+pub mod version_rollout;
 pub mod word;
--- a/wire/src/msg.rs
+++ b/wire/src/msg.rs
@@ -237,4 +237,8 @@
     /// What have the shards held there given? Since version 5.
     Usage(Box<u16>),
     Used(Box<Vec<crate::quota::ShardUsage>>),
+    /// A rollout of a service, newer than what the router told. Since version 5.
+    VersionRollout(Box<crate::version_rollout::VersionRollout>),
+    /// What routers saw of a rollout. Since version 5.
+    Samples(Box<crate::version_rollout::Samples>),
 }
--- /dev/null
+++ b/wire/src/version_rollout_tests.rs
@@ -0,0 +1,49 @@
+//! Which versions may be sent to, at each state.
+use super::{candidate_zone, candidates_of, RolloutState, VersionRollout};
+
+fn rollout(state: RolloutState) -> VersionRollout {
+    VersionRollout {
+        service: "s".into(),
+        number: 1,
+        order: 1,
+        target: "v2".into(),
+        duration_ms: 12_000,
+        state,
+        share: 0,
+        elapsed_ms: 0,
+        stable: None,
+        reverted: Vec::new(),
+        reason: String::new(),
+    }
+}
+
+#[test]
+fn the_old_version_is_stable_until_the_new_one_is_complete() {
+    for (state, stable, candidate) in [
+        (RolloutState::Active, [true, false], true),
+        (RolloutState::Complete, [false, true], false),
+        (RolloutState::Reverted, [true, false], false),
+    ] {
+        let rollout = rollout(state);
+        assert_eq!([rollout.is_stable("v1"), rollout.is_stable("v2")], stable, "{state:?}");
+        assert_eq!(rollout.is_candidate("v2"), candidate, "{state:?}");
+        assert!(!rollout.is_candidate("v1"));
+    }
+}
+
+#[test]
+fn a_version_that_was_reverted_or_replaced_stays_out() {
+    let reverted = VersionRollout { reverted: vec!["v2".into()], target: "v3".into(), ..rollout(RolloutState::Active) };
+    assert!(reverted.is_stable("v1") && !reverted.is_stable("v2") && !reverted.is_stable("v3"));
+    let replaced = VersionRollout { stable: Some("v2".into()), target: "v3".into(), ..rollout(RolloutState::Active) };
+    assert!(!replaced.is_stable("v1") && replaced.is_stable("v2") && !replaced.is_stable("v3"));
+}
+
+#[test]
+fn records_come_back_as_they_were_and_candidates_have_names_of_their_own() {
+    let one = rollout(RolloutState::Active);
+    assert_eq!(VersionRollout::read_bytes(&one.write_bytes()), Some(one));
+    assert_eq!(candidate_zone(&candidates_of("hall-a")), Some("hall-a"));
+    assert_eq!(candidate_zone("hall-a"), None);
+    assert!(crate::msg::hidden(&candidates_of("hall-a")));
+}
