--- a/tidepoint/src/call.rs
+++ b/tidepoint/src/call.rs
@@ -36,3 +36,16 @@
     println!("{}", send(|client| client.delete(format!("http://{at}/batches/{batch}")))?);
     Ok(())
 }
+
+pub fn version(command: &crate::flags::VersionCmd) -> Result<(), String> {
+    match command {
+        crate::flags::VersionCmd::State(state) => get(&state.at, &format!("/rollouts/{}", state.service)),
+        crate::flags::VersionCmd::Start(start) => {
+            let body = serde_json::json!({"service": start.service, "target_version": start.version,
+                "duration_s": start.duration_s});
+            let url = format!("http://{}/rollouts", start.at);
+            println!("{}", send(|client| client.post(url).body(body.to_string()))?);
+            Ok(())
+        }
+    }
+}
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -102,6 +102,23 @@
             }
         }
 
+        /// Bringing in a new version of a service.
+        cmd version {
+            /// Start it: engines of the new version run beside the old ones.
+            cmd start {
+                required --at at: String
+                required --service service: String
+                required --version version: String
+                /// By then it is to be complete or reverted.
+                required --duration-s duration_s: f64
+            }
+            /// Show where it stands.
+            cmd state {
+                required --at at: String
+                required --service service: String
+            }
+        }
+
         /// Play an off-peak run in the simulation: halls leave, the owner crashes and freezes.
         cmd rehearse {
             optional --jobs jobs: usize
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -24,6 +24,7 @@
         flags::TidepointCmd::Results(one) => call::get(&one.at, &format!("/batches/{}/results", one.batch)),
         flags::TidepointCmd::Cancel(one) => call::cancel(&one.at, &one.batch),
         flags::TidepointCmd::Rollout(rollout) => rollout::run(&rollout.subcommand),
+        flags::TidepointCmd::Version(version) => call::version(&version.subcommand),
         flags::TidepointCmd::Rehearse(plan) => rehearse::run(&plan),
     };
     match done {
