--- a/catalog/src/lib.rs
+++ b/catalog/src/lib.rs
@@ -1,8 +1,8 @@
 //! Which engines hold which prompt memory. Keys are hashes chained over the parts of a prompt in
 //! their order, so that a key stands for a whole prefix.
 pub mod gauge;
+pub mod prefix_index;
 pub mod record;
-pub mod shelf;
 
 /// A part of a prompt: its id and its tokens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/catalog/src/shelf.rs
+++ b/catalog/src/prefix_index.rs
@@ -8,7 +8,7 @@
 
 /// Invariants: names are mapped to dense indices in `names`; a key has each engine once; at most
 /// `room` keys are held, those unheard for longest give way; nothing older than `stale_ms` is told.
-pub struct Shelf {
+pub struct PrefixIndex {
     names: Vec<String>,
     index: std::collections::HashMap<String, u32>,
     keys: std::collections::HashMap<u64, Vec<Owner>>,
@@ -20,9 +20,9 @@
 /// How many owners of one key are kept: more than can be of use to a choice.
 const OWNERS: usize = 8;
 
-impl Shelf {
+impl PrefixIndex {
     pub fn new(room: usize, stale_ms: u64) -> Self {
-        Shelf {
+        PrefixIndex {
             names: Vec::new(),
             index: Default::default(),
             keys: Default::default(),
@@ -95,22 +95,22 @@
 mod tests {
     #[test]
     fn owners_go_stale_and_dropped_engines_are_not_told() {
-        let mut shelf = super::Shelf::new(10, 30_000);
-        shelf.register(1, "i-1", 0);
-        shelf.register(1, "i-2", 10_000);
-        assert_eq!(shelf.find(1, 20_000), ["i-1", "i-2"]);
-        assert_eq!(shelf.find(1, 30_000), ["i-2"]);
-        shelf.drop_engine("i-2");
-        assert!(shelf.find(1, 20_000).iter().all(|name| name == "i-1"));
+        let mut prefix_index = super::PrefixIndex::new(10, 30_000);
+        prefix_index.register(1, "i-1", 0);
+        prefix_index.register(1, "i-2", 10_000);
+        assert_eq!(prefix_index.find(1, 20_000), ["i-1", "i-2"]);
+        assert_eq!(prefix_index.find(1, 30_000), ["i-2"]);
+        prefix_index.drop_engine("i-2");
+        assert!(prefix_index.find(1, 20_000).iter().all(|name| name == "i-1"));
     }
 
     #[test]
     fn room_is_bounded() {
-        let mut shelf = super::Shelf::new(2, 1000);
+        let mut prefix_index = super::PrefixIndex::new(2, 1000);
         for key in 0..5 {
-            shelf.register(key, "i-1", 0);
+            prefix_index.register(key, "i-1", 0);
         }
-        assert_eq!(shelf.len(), 2);
-        assert!(shelf.find(4, 0).len() == 1 && shelf.find(0, 0).is_empty());
+        assert_eq!(prefix_index.len(), 2);
+        assert!(prefix_index.find(4, 0).len() == 1 && prefix_index.find(0, 0).is_empty());
     }
 }
--- a/engines/src/stall.rs
+++ b/engines/src/engine_state.rs
@@ -3,7 +3,7 @@
 /// Invariants: an index is never given to another `id`; `busy` counts sends whose outcome is open;
 /// nothing is sent to one that is not `up` and `here`.
 #[derive(Clone, Debug)]
-pub struct Stall {
+pub struct EngineState {
     pub id: String,
     /// The hash of its id.
     pub name: u64,
@@ -47,9 +47,9 @@
     pub weights: Vec<(u64, u64)>,
 }
 
-impl Stall {
-    pub fn new(engine: &wire::msg::Engine, service: u32, zone: u32) -> Stall {
-        Stall {
+impl EngineState {
+    pub fn new(engine: &wire::msg::Engine, service: u32, zone: u32) -> EngineState {
+        EngineState {
             id: engine.id.clone(),
             name: kernel::clock::hash(engine.id.as_bytes()),
             service,
--- a/engines/src/park.rs
+++ b/engines/src/engine_table.rs
@@ -1,10 +1,10 @@
 //! The engines a router knows, by dense index, with what sending to them has shown.
 
-pub use crate::stall::Stall;
+pub use crate::engine_state::EngineState;
 
 #[derive(Default)]
-pub struct Park {
-    pub list: Vec<Stall>,
+pub struct EngineTable {
+    pub list: Vec<EngineState>,
     index: std::collections::HashMap<String, usize>,
     /// By the hash of the id.
     names: std::collections::HashMap<u64, usize>,
@@ -33,7 +33,7 @@
     *map.entry(name.to_string()).or_insert(next)
 }
 
-impl Park {
+impl EngineTable {
     pub fn service(&mut self, name: &str) -> u32 {
         dense(&mut self.services, name)
     }
@@ -101,14 +101,14 @@
     fn sort(&mut self) {
         let mut lists: std::collections::HashMap<(u32, crate::place::Half, bool), Vec<crate::subset::Named>> =
             Default::default();
-        for (at, stall) in self.list.iter().enumerate().filter(|(_, stall)| stall.up && stall.here) {
+        for (at, engine) in self.list.iter().enumerate().filter(|(_, engine)| engine.up && engine.here) {
             let mut put = |half| {
-                lists.entry((stall.service, half, stall.candidate)).or_default().push((at, stall.zone, stall.name))
+                lists.entry((engine.service, half, engine.candidate)).or_default().push((at, engine.zone, engine.name))
             };
-            if stall.prefill {
+            if engine.prefill {
                 put(crate::place::Half::Prefill);
             }
-            if stall.decode {
+            if engine.decode {
                 put(crate::place::Half::Decode);
             }
         }
@@ -128,11 +128,11 @@
 
     /// An engine told what runs and waits there.
     pub fn report(&mut self, at: usize, text: &str, now: u64) {
-        let stall = &mut self.list[at];
-        if !stall.report(text, now) {
+        let engine = &mut self.list[at];
+        if !engine.report(text, now) {
             return;
         }
-        let load = stall.load.0 + stall.load.1;
+        let load = engine.load.0 + engine.load.1;
         self.average(at, load);
     }
 
@@ -149,31 +149,31 @@
     pub fn hear(&mut self, told: &wire::msg::Pressure, now: u64) {
         let Some(at) = self.names.get(&told.name).copied() else { return };
         let time = now.saturating_sub(u64::from(told.age_ms));
-        let stall = &mut self.list[at];
-        if time > stall.load_at {
-            stall.hear(told.load, time);
+        let engine = &mut self.list[at];
+        if time > engine.load_at {
+            engine.hear(told.load, time);
             self.average(at, told.load);
         }
     }
 
     fn average(&mut self, at: usize, load: u32) {
-        let stall = &self.list[at];
-        let mean = self.means.entry((stall.service, stall.prefill, stall.candidate)).or_insert(f64::from(load));
+        let engine = &self.list[at];
+        let mean = self.means.entry((engine.service, engine.prefill, engine.candidate)).or_insert(f64::from(load));
         *mean += (f64::from(load) - *mean) * REPORT;
     }
 
     /// Requests at an engine, as far as can be known here: what it last told, fading into what engines of
     /// its half tell on average, and the own sends since.
     pub fn pressure(&self, at: usize, now: u64) -> f64 {
-        let stall = &self.list[at];
-        let own = f64::from(stall.busy);
-        let mean = self.means.get(&(stall.service, stall.prefill, stall.candidate)).copied().unwrap_or(0.0);
-        if stall.load_at == 0 {
+        let engine = &self.list[at];
+        let own = f64::from(engine.busy);
+        let mean = self.means.get(&(engine.service, engine.prefill, engine.candidate)).copied().unwrap_or(0.0);
+        if engine.load_at == 0 {
             return mean + own;
         }
-        let worth = (-(now.saturating_sub(stall.load_at) as f64) / HALF_LIFE_MS).exp2();
-        let told = f64::from(stall.load.0 + stall.load.1);
-        (told * worth + mean * (1.0 - worth) + own - f64::from(stall.load_busy) * worth).max(own)
+        let worth = (-(now.saturating_sub(engine.load_at) as f64) / HALF_LIFE_MS).exp2();
+        let told = f64::from(engine.load.0 + engine.load.1);
+        (told * worth + mean * (1.0 - worth) + own - f64::from(engine.load_busy) * worth).max(own)
     }
 
     /// Takes a sheet; gives the ids of engines that just left or began to drain.
@@ -186,32 +186,32 @@
         let zone = self.zone(candidate_zone.unwrap_or(&sheet.zone));
         let mut left = Vec::new();
         let named: std::collections::HashSet<&str> = sheet.list.iter().map(|engine| engine.id.as_str()).collect();
-        let listed = |stall: &&mut Stall| stall.zone == zone && stall.candidate == candidate && stall.here;
-        for stall in self.list.iter_mut().filter(listed) {
-            if !named.contains(stall.id.as_str()) {
-                stall.here = false;
-                left.push(stall.id.clone());
+        let listed = |engine: &&mut EngineState| engine.zone == zone && engine.candidate == candidate && engine.here;
+        for engine in self.list.iter_mut().filter(listed) {
+            if !named.contains(engine.id.as_str()) {
+                engine.here = false;
+                left.push(engine.id.clone());
             }
         }
-        for engine in &sheet.list {
-            let service = self.service(&engine.service);
-            let at = match self.index.get(&engine.id) {
+        for told in &sheet.list {
+            let service = self.service(&told.service);
+            let at = match self.index.get(&told.id) {
                 Some(at) => *at,
-                None => self.add(engine, service, zone),
+                None => self.add(told, service, zone),
             };
-            let stall = &mut self.list[at];
-            if stall.up && !engine.up {
-                left.push(stall.id.clone());
+            let engine = &mut self.list[at];
+            if engine.up && !told.up {
+                left.push(engine.id.clone());
             }
-            stall.here = !stall.dead;
-            stall.candidate = candidate;
-            stall.up = engine.up;
-            stall.addr.clone_from(&engine.addr);
-            stall.prefill = engine.phase != "decode";
-            stall.decode = engine.phase != "prefill";
-            stall.slots = engine.slots.max(1);
-            if engine.cold_ms > 0 {
-                stall.cold_until = stall.cold_until.max(now + u64::from(engine.cold_ms));
+            engine.here = !engine.dead;
+            engine.candidate = candidate;
+            engine.up = told.up;
+            engine.addr.clone_from(&told.addr);
+            engine.prefill = told.phase != "decode";
+            engine.decode = told.phase != "prefill";
+            engine.slots = told.slots.max(1);
+            if told.cold_ms > 0 {
+                engine.cold_until = engine.cold_until.max(now + u64::from(told.cold_ms));
             }
         }
         self.sort();
@@ -227,7 +227,7 @@
 
     fn add(&mut self, engine: &wire::msg::Engine, service: u32, zone: u32) -> usize {
         let at = self.list.len();
-        self.list.push(Stall::new(engine, service, zone));
+        self.list.push(EngineState::new(engine, service, zone));
         self.names.insert(self.list[at].name, at);
         self.index.insert(engine.id.clone(), at);
         at
@@ -235,5 +235,5 @@
 }
 
 #[cfg(test)]
-#[path = "park_tests.rs"]
+#[path = "engine_table_tests.rs"]
 mod tests;
--- a/engines/src/lib.rs
+++ b/engines/src/lib.rs
@@ -2,9 +2,9 @@
 //! daemon's slices of the shared bounds.
 pub mod balance;
 pub mod budget;
+pub mod engine_state;
+pub mod engine_table;
 pub mod floor;
-pub mod park;
 pub mod place;
 pub mod sheet;
-pub mod stall;
 pub mod subset;
--- a/engines/src/place.rs
+++ b/engines/src/place.rs
@@ -1,8 +1,8 @@
-//! Choosing engines: pure functions over the park. Lower cost wins; ties go by rendezvous.
+//! Choosing engines: pure functions over the engine_table. Lower cost wins; ties go by rendezvous.
 
 /// What a choice looks at.
 pub struct View<'a> {
-    pub park: &'a crate::park::Park,
+    pub engine_table: &'a crate::engine_table::EngineTable,
     pub now: u64,
     pub service: u32,
     /// The router's own zone.
@@ -59,7 +59,7 @@
 
 impl View<'_> {
     fn subset(&self, half: Half) -> Option<&crate::subset::Subset> {
-        self.park.subset(self.service, half, self.arm.is_candidate())
+        self.engine_table.subset(self.service, half, self.arm.is_candidate())
     }
 
     /// Of a version that is brought in, only some engines are used.
@@ -75,46 +75,46 @@
         !self.open(Half::Decode).is_empty() && (!self.has(Half::Prefill) || !self.open(Half::Prefill).is_empty())
     }
 
-    fn fits(&self, at: usize, stall: &crate::park::Stall, half: Half) -> bool {
+    fn fits(&self, at: usize, engine: &crate::engine_table::EngineState, half: Half) -> bool {
         let part = match half {
-            Half::Prefill => stall.prefill,
-            Half::Decode => stall.decode,
+            Half::Prefill => engine.prefill,
+            Half::Decode => engine.decode,
         };
-        stall.service == self.service
+        engine.service == self.service
             && part
-            && stall.candidate == self.arm.is_candidate()
+            && engine.candidate == self.arm.is_candidate()
             && self.is_chosen(at, half)
-            && stall.up
-            && stall.here
-            && stall.rest_until <= self.now
-            && !self.shut.contains(&stall.zone)
+            && engine.up
+            && engine.here
+            && engine.rest_until <= self.now
+            && !self.shut.contains(&engine.zone)
             && !self.tried.contains(&at)
             && self.weights.is_none_or(|(model, from, to)| {
-                stall.weight(model).is_some_and(|version| (from..=to).contains(&version))
+                engine.weight(model).is_some_and(|version| (from..=to).contains(&version))
             })
     }
 
-    fn ramped(&self, stall: &crate::park::Stall) -> bool {
+    fn ramped(&self, engine: &crate::engine_table::EngineState) -> bool {
         if self.ramp <= 0.0 {
             return true;
         }
-        if stall.cold_until <= self.now {
-            return self.confirmed || stall.ramp.allows_unconfirmed(self.ramp, self.seats, self.now);
+        if engine.cold_until <= self.now {
+            return self.confirmed || engine.ramp.allows_unconfirmed(self.ramp, self.seats, self.now);
         }
-        stall.ramp.clone().allows(self.ramp, self.seats, self.park.ticket(stall.name), self.now)
+        engine.ramp.clone().allows(self.ramp, self.seats, self.engine_table.ticket(engine.name), self.now)
     }
 
     /// How good an engine is to be sent to now. None: not at all; then one in doubt, one that was full a
     /// moment ago, one without a flaw.
     fn grade(&self, at: usize, half: Half) -> Option<u8> {
-        let stall = self.park.list.get(at)?;
-        if !self.fits(at, stall, half) || !self.ramped(stall) {
+        let engine = self.engine_table.list.get(at)?;
+        if !self.fits(at, engine, half) || !self.ramped(engine) {
             return None;
         }
-        if stall.shy_until > self.now {
+        if engine.shy_until > self.now {
             return Some(0);
         }
-        Some(1 + u8::from(stall.full_until <= self.now))
+        Some(1 + u8::from(engine.full_until <= self.now))
     }
 
     /// The best of a list, all of one grade.
@@ -147,16 +147,16 @@
     /// Is there room beside interactive work: makers under a share of their slots, and readers, where
     /// there are any, with next to nothing to read?
     pub fn idle(&self, share: f64) -> bool {
-        let calm = |half: Half, bound: &dyn Fn(&crate::park::Stall) -> f64| {
+        let calm = |half: Half, bound: &dyn Fn(&crate::engine_table::EngineState) -> f64| {
             let open = self.open(half);
             let fits = |at: &usize| {
-                let stall = &self.park.list[*at];
-                stall.cold_until <= self.now && self.park.pressure(*at, self.now) < bound(stall)
+                let engine = &self.engine_table.list[*at];
+                engine.cold_until <= self.now && self.engine_table.pressure(*at, self.now) < bound(engine)
             };
             open.is_empty() || open.iter().filter(|at| fits(at)).count() * 2 > open.len()
         };
         !self.open(Half::Decode).is_empty()
-            && calm(Half::Decode, &|stall| share * f64::from(stall.slots))
+            && calm(Half::Decode, &|engine| share * f64::from(engine.slots))
             && (!self.has(Half::Prefill) || calm(Half::Prefill, &|_| 1.0 + share))
     }
 
@@ -165,8 +165,8 @@
     pub fn full(&self, share: f64) -> bool {
         let open = self.open(Half::Decode);
         let over = |at: &usize| {
-            let stall = &self.park.list[*at];
-            self.park.pressure(*at, self.now) >= share * f64::from(stall.slots)
+            let engine = &self.engine_table.list[*at];
+            self.engine_table.pressure(*at, self.now) >= share * f64::from(engine.slots)
         };
         !open.is_empty() && open.iter().all(over)
     }
@@ -194,34 +194,34 @@
         // Owners of a shorter prefix don't count: it is at many engines, and all would turn to these.
         let nobody = !held.iter().any(|(at, have)| *have >= shared && open.contains(at));
         let first = homes.first().copied();
-        let mean = self.park.mean_read(self.service);
+        let mean = self.engine_table.mean_read(self.service);
         let cost = |at: usize| {
-            let stall = &self.park.list[at];
+            let engine = &self.engine_table.list[at];
             let have = if nobody && Some(at) == first { shared.max(owned(held, at)) } else { owned(held, at) };
             let read = f64::from(tokens.saturating_sub(have));
-            let queue = self.park.pressure(at, self.now) * mean * QUEUE;
-            read + queue + self.reach(stall, tokens)
+            let queue = self.engine_table.pressure(at, self.now) * mean * QUEUE;
+            read + queue + self.reach(engine, tokens)
         };
-        cheapest(&open, cost, |at| rank(key, self.park.list[at].name))
+        cheapest(&open, cost, |at| rank(key, self.engine_table.list[at].name))
     }
 
     /// The maker of tokens: near the memory, not crowded. `from` is the engine that read the prompt.
     pub fn decode(&self, tokens: u32, held: &[(usize, u32)], from: Option<usize>, key: u64) -> Option<usize> {
         let open = self.open(Half::Decode);
-        let home = from.map_or(self.zone, |at| self.park.list[at].zone);
+        let home = from.map_or(self.zone, |at| self.engine_table.list[at].zone);
         let cost = |at: usize| {
-            let stall = &self.park.list[at];
+            let engine = &self.engine_table.list[at];
             let lack = f64::from(tokens.saturating_sub(owned(held, at))) / 65536.0;
-            let crowd = self.park.pressure(at, self.now) / f64::from(stall.slots);
-            let body = self.reach(stall, tokens) / 65536.0;
-            crowd + lack * MOVE[self.park.distance(stall.zone, home)] + body
+            let crowd = self.engine_table.pressure(at, self.now) / f64::from(engine.slots);
+            let body = self.reach(engine, tokens) / 65536.0;
+            crowd + lack * MOVE[self.engine_table.distance(engine.zone, home)] + body
         };
-        cheapest(&open, cost, |at| rank(key, self.park.list[at].name)).map(|(at, _)| at)
+        cheapest(&open, cost, |at| rank(key, self.engine_table.list[at].name)).map(|(at, _)| at)
     }
 
     /// What it costs to send a prompt there from here, in tokens.
-    fn reach(&self, stall: &crate::park::Stall, tokens: u32) -> f64 {
-        let step = self.park.distance(stall.zone, self.zone);
+    fn reach(&self, engine: &crate::engine_table::EngineState, tokens: u32) -> f64 {
+        let step = self.engine_table.distance(engine.zone, self.zone);
         FAR[step] * f64::from(tokens) + JOURNEY[step]
     }
 
@@ -229,13 +229,13 @@
     pub fn alone(&self, tokens: u32, held: &[(usize, u32)], key: u64) -> Option<(usize, f64)> {
         let open = self.open(Half::Decode);
         let cost = |at: usize| {
-            let stall = &self.park.list[at];
+            let engine = &self.engine_table.list[at];
             let read = f64::from(tokens.saturating_sub(owned(held, at)));
-            let others = stall.tokens as f64;
-            let crowd = 1.0 + self.park.pressure(at, self.now) / f64::from(stall.slots);
-            (read + others) * SLOWER * crowd + self.reach(stall, tokens)
+            let others = engine.tokens as f64;
+            let crowd = 1.0 + self.engine_table.pressure(at, self.now) / f64::from(engine.slots);
+            (read + others) * SLOWER * crowd + self.reach(engine, tokens)
         };
-        cheapest(&open, cost, |at| rank(key, self.park.list[at].name))
+        cheapest(&open, cost, |at| rank(key, self.engine_table.list[at].name))
     }
 }
 
--- a/keeper/src/boot.rs
+++ b/keeper/src/boot.rs
@@ -80,7 +80,7 @@
     let metrics = crate::metrics::Metrics::default();
     let disk = crate::disk::Disk::start(store, mirror, metrics.disk_write.clone());
     disk.write(first);
-    let shelf = catalog::shelf::Shelf::new(200_000, 30_000);
+    let prefix_index = catalog::prefix_index::PrefixIndex::new(200_000, 30_000);
     let keeper = std::sync::Arc::new(crate::keeper::Keeper {
         life,
         seat: ledger::seat(&env.ip, life),
@@ -91,8 +91,8 @@
         sheets: Default::default(),
         weights: Default::default(),
         followers: Default::default(),
-        shelf: std::sync::Mutex::new(crate::keeper::Desk {
-            shelf,
+        catalog: std::sync::Mutex::new(crate::keeper::Catalog {
+            prefix_index,
             gauge: Default::default(),
             epoch: 0,
             last: 0,
--- a/keeper/src/duty.rs
+++ b/keeper/src/duty.rs
@@ -100,13 +100,13 @@
 /// The catalog answers only under the epoch held; a new epoch starts with an empty one.
 fn open_catalog(keeper: &Keeper) {
     let epoch = held(keeper, CATALOG, kernel::clock::now()).map_or(0, |tenure| tenure.epoch);
-    let mut desk = keeper.shelf.lock().expect("shelf");
-    if desk.epoch != epoch && epoch > desk.last {
-        desk.shelf.clear();
-        desk.gauge.clear();
-        desk.last = epoch;
+    let mut catalog = keeper.catalog.lock().expect("catalog");
+    if catalog.epoch != epoch && epoch > catalog.last {
+        catalog.prefix_index.clear();
+        catalog.gauge.clear();
+        catalog.last = epoch;
     }
-    desk.epoch = epoch;
+    catalog.epoch = epoch;
 }
 
 async fn tend(keeper: &Arc<Keeper>, key: &str, sure_ms: u64) {
--- a/keeper/src/keeper.rs
+++ b/keeper/src/keeper.rs
@@ -1,6 +1,6 @@
 //! The one state of the process. It is passed by reference; nothing else is global.
 //!
-//! Lock order: ownerships, voter, committed, taken, roster, sheets, weights, followers, shelf, quotas. No lock but an ownership is held over an
+//! Lock order: ownerships, voter, committed, taken, roster, sheets, weights, followers, catalog, quotas. No lock but an ownership is held over an
 //! await.
 
 pub struct Keeper {
@@ -15,7 +15,7 @@
     /// Weight versions by zone, kept only while there are rules.
     pub weights: std::sync::Mutex<std::collections::BTreeMap<String, wire::msg::Versions>>,
     pub followers: std::sync::Mutex<crate::followers::Followers>,
-    pub shelf: std::sync::Mutex<Desk>,
+    pub catalog: std::sync::Mutex<Catalog>,
     pub ownerships: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<crate::register::OwnershipLock>>>,
     pub calls: std::sync::Mutex<std::collections::HashMap<String, std::sync::Arc<wire::link::Caller>>>,
     pub taken: std::sync::Mutex<crate::duty::Taken>,
@@ -59,8 +59,8 @@
 
 /// The catalog as held here. Invariant: it answers only under `epoch`, and only while this keeper
 /// holds the duty.
-pub struct Desk {
-    pub shelf: catalog::shelf::Shelf,
+pub struct Catalog {
+    pub prefix_index: catalog::prefix_index::PrefixIndex,
     pub gauge: catalog::gauge::Gauge,
     pub epoch: u64,
     /// The last epoch under which it answered.
--- a/keeper/src/message.rs
+++ b/keeper/src/message.rs
@@ -37,8 +37,8 @@
         }
         wire::msg::Msg::Note(note) => {
             register(keeper, note.epoch, &note.list, now);
-            let mut desk = keeper.shelf.lock().expect("shelf");
-            note.told.iter().take(KEYS).for_each(|told| desk.gauge.note(told, now));
+            let mut catalog = keeper.catalog.lock().expect("catalog");
+            note.told.iter().take(KEYS).for_each(|told| catalog.gauge.note(told, now));
         }
         wire::msg::Msg::Spend(spend) => {
             let spent = crate::quota::spend(keeper, &spend);
@@ -56,9 +56,9 @@
         }
         wire::msg::Msg::Register(list) => register(keeper, list.0, &list.1, now),
         wire::msg::Msg::Flush(flush) => {
-            let mut desk = keeper.shelf.lock().expect("shelf");
-            let drops = if desk.epoch == flush.0 { std::mem::take(&mut desk.drops) } else { flush.1 };
-            mouth.reply(id, &wire::msg::Msg::Flushed(Box::new((desk.epoch, drops))));
+            let mut catalog = keeper.catalog.lock().expect("catalog");
+            let drops = if catalog.epoch == flush.0 { std::mem::take(&mut catalog.drops) } else { flush.1 };
+            mouth.reply(id, &wire::msg::Msg::Flushed(Box::new((catalog.epoch, drops))));
         }
         _ => {
             mouth.reply(id, &wire::msg::Msg::No(Box::new(1)));
@@ -70,35 +70,35 @@
 const KEYS: usize = 256;
 
 fn seek_out(keeper: &crate::keeper::Keeper, seek: &wire::msg::Seek, now: u64) -> wire::msg::Msg {
-    let desk = keeper.shelf.lock().expect("shelf");
+    let catalog = keeper.catalog.lock().expect("catalog");
     let (mut owners, mut list) = (Vec::new(), Vec::new());
-    if desk.epoch == seek.epoch && seek.epoch != 0 {
-        owners = seek.keys.iter().take(KEYS).map(|key| desk.shelf.find(*key, now)).collect::<Vec<_>>();
+    if catalog.epoch == seek.epoch && seek.epoch != 0 {
+        owners = seek.keys.iter().take(KEYS).map(|key| catalog.prefix_index.find(*key, now)).collect::<Vec<_>>();
         let mut names: Vec<u64> = owners.iter().flatten().map(|id| kernel::clock::hash(id.as_bytes())).collect();
         names.extend(seek.sample.iter().take(KEYS));
         names.sort_unstable();
         names.dedup();
-        list = desk.gauge.tell(names.into_iter(), now);
+        list = catalog.gauge.tell(names.into_iter(), now);
     }
-    wire::msg::Msg::Sought(Box::new(wire::msg::Sought { epoch: desk.epoch, owners, list }))
+    wire::msg::Msg::Sought(Box::new(wire::msg::Sought { epoch: catalog.epoch, owners, list }))
 }
 
 fn find(keeper: &crate::keeper::Keeper, epoch: u64, keys: &[u64], now: u64) -> wire::msg::Msg {
-    let desk = keeper.shelf.lock().expect("shelf");
-    if desk.epoch != epoch || epoch == 0 {
-        return wire::msg::Msg::Found(Box::new((desk.epoch, Vec::new())));
+    let catalog = keeper.catalog.lock().expect("catalog");
+    if catalog.epoch != epoch || epoch == 0 {
+        return wire::msg::Msg::Found(Box::new((catalog.epoch, Vec::new())));
     }
-    let list = keys.iter().take(KEYS).map(|key| desk.shelf.find(*key, now)).collect();
+    let list = keys.iter().take(KEYS).map(|key| catalog.prefix_index.find(*key, now)).collect();
     wire::msg::Msg::Found(Box::new((epoch, list)))
 }
 
 fn register(keeper: &crate::keeper::Keeper, epoch: u64, list: &[wire::msg::Record], now: u64) {
-    let mut desk = keeper.shelf.lock().expect("shelf");
-    if desk.epoch != epoch || epoch == 0 {
-        desk.drops += list.len() as u32;
+    let mut catalog = keeper.catalog.lock().expect("catalog");
+    if catalog.epoch != epoch || epoch == 0 {
+        catalog.drops += list.len() as u32;
         return;
     }
     for record in list {
-        desk.shelf.register(record.key, &record.engine, now);
+        catalog.prefix_index.register(record.key, &record.engine, now);
     }
 }
--- a/keeper/src/platform.rs
+++ b/keeper/src/platform.rs
@@ -236,9 +236,9 @@
 
 /// Draining engines leave the catalog's answers at once.
 pub fn prune(keeper: &crate::keeper::Keeper, sheet: &wire::msg::Sheet) {
-    let mut desk = keeper.shelf.lock().expect("shelf");
+    let mut catalog = keeper.catalog.lock().expect("catalog");
     for engine in sheet.list.iter().filter(|engine| !engine.up) {
-        desk.shelf.drop_engine(&engine.id);
+        catalog.prefix_index.drop_engine(&engine.id);
     }
 }
 
--- a/keeper/src/version_lists.rs
+++ b/keeper/src/version_lists.rs
@@ -11,6 +11,9 @@
     pub version: String,
 }
 
+/// The part of the rules by which a new version waits for an order.
+const ROLLOUT_CONTRACT: &str = "rollout";
+
 /// The version of each service that was there before any rollout of it.
 #[derive(Default)]
 pub struct FirstVersions(BTreeMap<String, String>);
@@ -25,20 +28,22 @@
 /// Parts a zone's list by the rollouts that are known.
 pub fn part(keeper: &crate::keeper::Keeper, list: Vec<ListedEngine>) -> Parted {
     let rollouts = keeper.committed_state.lock().expect("committed_state").rollouts.clone();
+    // Where versions are not brought in by order, engines may be replaced by others of any version.
+    let by_order = keeper.env.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
     let mut first = keeper.first_versions.lock().expect("first versions");
-    first.part(&rollouts, list)
+    first.part(&rollouts, list, by_order)
 }
 
 impl FirstVersions {
-    fn part(&mut self, rollouts: &BTreeMap<String, VersionRollout>, list: Vec<ListedEngine>) -> Parted {
+    /// `by_order`: a version that nobody has ordered gets nothing.
+    fn part(&mut self, rollouts: &BTreeMap<String, VersionRollout>, list: Vec<ListedEngine>, by_order: bool) -> Parted {
         self.learn(&list);
         let mut parted = Parted::default();
         for listed in list {
             let service = &listed.engine.service;
             let (is_stable, is_candidate) = match rollouts.get(service) {
                 Some(rollout) => (rollout.is_stable(&listed.version), rollout.is_candidate(&listed.version)),
-                // A version that nobody has ordered yet gets nothing.
-                None => (self.0.get(service).is_none_or(|first| *first == listed.version), false),
+                None => (!by_order || self.0.get(service).is_none_or(|first| *first == listed.version), false),
             };
             if is_stable {
                 parted.stable.push(listed.engine);
--- a/keeper/src/version_lists_tests.rs
+++ b/keeper/src/version_lists_tests.rs
@@ -51,15 +51,15 @@
 #[test]
 fn a_version_that_nobody_ordered_gets_nothing() {
     let mut first = FirstVersions::default();
-    assert_eq!(ids(&first.part(&BTreeMap::new(), vec![listed("old-1", "v1", 0)])), [vec!["old-1"], vec![]]);
-    assert_eq!(ids(&first.part(&BTreeMap::new(), both())), [vec!["old-1"], vec![]]);
-    let started_late = FirstVersions::default().part(&BTreeMap::new(), both());
+    assert_eq!(ids(&first.part(&BTreeMap::new(), vec![listed("old-1", "v1", 0)], true)), [vec!["old-1"], vec![]]);
+    assert_eq!(ids(&first.part(&BTreeMap::new(), both(), true)), [vec!["old-1"], vec![]]);
+    let started_late = FirstVersions::default().part(&BTreeMap::new(), both(), true);
     assert_eq!(ids(&started_late), [vec!["old-1"], vec![]], "the warm ones were there before");
 }
 
 #[test]
 fn a_rollout_says_what_is_in_place_and_what_is_brought_in() {
-    let part = |state| FirstVersions::default().part(&rollouts(state), both());
+    let part = |state| FirstVersions::default().part(&rollouts(state), both(), true);
     let new = vec!["new-1", "new-2", "new-3"];
     assert_eq!(ids(&part(RolloutState::Active)), [vec!["old-1"], new.clone()]);
     assert_eq!(ids(&part(RolloutState::Complete)), [new, vec![]]);
@@ -69,6 +69,12 @@
 #[test]
 fn a_service_whose_engines_were_all_replaced_without_an_order_is_served() {
     let mut first = FirstVersions::default();
-    first.part(&BTreeMap::new(), vec![listed("old-1", "v1", 0)]);
-    assert_eq!(ids(&first.part(&BTreeMap::new(), vec![listed("new-1", "v2", 0)])), [vec!["new-1"], vec![]]);
+    first.part(&BTreeMap::new(), vec![listed("old-1", "v1", 0)], true);
+    assert_eq!(ids(&first.part(&BTreeMap::new(), vec![listed("new-1", "v2", 0)], true)), [vec!["new-1"], vec![]]);
+}
+
+#[test]
+fn where_versions_need_no_order_all_are_served() {
+    let parted = FirstVersions::default().part(&BTreeMap::new(), both(), false);
+    assert_eq!(ids(&parted), [vec!["new-1", "old-1", "new-2", "new-3"], vec![]]);
 }
--- a/kernel/src/env.rs
+++ b/kernel/src/env.rs
@@ -16,6 +16,9 @@
     pub seed_peers: Vec<String>,
     #[serde(default)]
     pub bootstrap: bool,
+    /// The parts of the rules that are in force.
+    #[serde(default)]
+    pub contracts: Vec<String>,
     #[serde(default)]
     pub quorum_member: bool,
     pub data_dir: Option<String>,
--- a/router/src/authorization_tests.rs
+++ b/router/src/authorization_tests.rs
@@ -66,7 +66,7 @@
         "route_table": routes.iter().map(route).collect::<Vec<_>>(), "tenant_table": tenants});
     let config = wire::config::read(&text.to_string()).expect("good");
     let change = wire::change::Change::whole(&config);
-    crate::table::Table::default().turn(&change, &mut engines::park::Park::default()).expect("newer")
+    crate::table::Table::default().turn(&change, &mut engines::engine_table::EngineTable::default()).expect("newer")
 }
 
 fn tenants() -> serde_json::Value {
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -23,7 +23,7 @@
 
 fn turn(state: &crate::state::State, change: &wire::change::Change) {
     let old = state.table();
-    let Some(table) = old.turn(change, &mut state.park.lock().expect("park")) else { return };
+    let Some(table) = old.turn(change, &mut state.engine_table.lock().expect("engine_table")) else { return };
     *state.table.lock().expect("table") = std::sync::Arc::new(table);
     state.news.lock().expect("news").config = change.to;
     state.currency.table_changed();
--- a/router/src/doubt.rs
+++ b/router/src/doubt.rs
@@ -33,17 +33,17 @@
 /// Word of an engine from a keeper.
 pub fn hear(state: &std::sync::Arc<crate::state::State>, name: &str) {
     let word = Word::read(name);
-    let Some(at) = state.park.lock().expect("park").find(word.engine()) else { return };
+    let Some(at) = state.engine_table.lock().expect("engine_table").find(word.engine()) else { return };
     match word {
         Word::Answered(_) => {
-            state.park.lock().expect("park").list[at].calm = true;
+            state.engine_table.lock().expect("engine_table").list[at].calm = true;
             state.calm.notify_waiters();
         }
         Word::Dark(_) => {
             let now = kernel::clock::now();
             {
-                let mut park = state.park.lock().expect("park");
-                let engine = &mut park.list[at];
+                let mut engine_table = state.engine_table.lock().expect("engine_table");
+                let engine = &mut engine_table.list[at];
                 // Nothing new is sent there; answers under way are no worse for what others saw.
                 engine.shy_until = engine.shy_until.max(now + SHY_MS);
             }
@@ -62,7 +62,7 @@
     let end = tokio::time::Instant::now() + std::time::Duration::from_millis(wait_ms);
     loop {
         let woken = state.calm.notified();
-        if std::mem::take(&mut state.park.lock().expect("park").list[at].calm) {
+        if std::mem::take(&mut state.engine_table.lock().expect("engine_table").list[at].calm) {
             return true;
         }
         if tokio::time::timeout_at(end, woken).await.is_err() {
@@ -77,8 +77,8 @@
     loop {
         let woken = state.calm.notified();
         {
-            let mut park = state.park.lock().expect("park");
-            let engine = &mut park.list[at];
+            let mut engine_table = state.engine_table.lock().expect("engine_table");
+            let engine = &mut engine_table.list[at];
             if std::mem::take(&mut engine.calm) {
                 return true;
             }
@@ -101,7 +101,7 @@
 
 /// A request got no sign of life from an engine: it is asked until it answers or is gone.
 pub fn raise(state: &std::sync::Arc<crate::state::State>, at: usize) {
-    if let Some(engine) = state.park.lock().expect("park").list.get_mut(at) {
+    if let Some(engine) = state.engine_table.lock().expect("engine_table").list.get_mut(at) {
         engine.silent = true;
     }
     state.calm.notify_waiters();
@@ -111,8 +111,8 @@
 /// One asker an engine at a time.
 fn start(state: &std::sync::Arc<crate::state::State>, at: usize, cause: Cause) {
     {
-        let mut park = state.park.lock().expect("park");
-        let Some(engine) = park.list.get_mut(at).filter(|engine| engine.here && !engine.asked) else { return };
+        let mut engine_table = state.engine_table.lock().expect("engine_table");
+        let Some(engine) = engine_table.list.get_mut(at).filter(|engine| engine.here && !engine.asked) else { return };
         engine.asked = true;
         engine.calm = false;
         engine.silent = false;
@@ -140,14 +140,14 @@
     let (mut unanswered, mut woken) = (0u32, false);
     loop {
         let (addr, id) = {
-            let park = state.park.lock().expect("park");
-            (park.list[at].addr.clone(), park.list[at].id.clone())
+            let engine_table = state.engine_table.lock().expect("engine_table");
+            (engine_table.list[at].addr.clone(), engine_table.list[at].id.clone())
         };
         let answer = probe(&addr).await;
         let known = match judge(&state, at, &id, answer, begun) {
             Found::Ended => {
                 // Whoever was told need not tell.
-                let is_here = state.park.lock().expect("park").list[at].here;
+                let is_here = state.engine_table.lock().expect("engine_table").list[at].here;
                 if is_here && !woken && (unanswered > 0 || cause == Cause::Told) {
                     tell(&state, Word::Answered(&id));
                 }
@@ -169,8 +169,8 @@
 /// Takes the answer of an engine, or its silence, for what it says.
 fn judge(state: &crate::state::State, at: usize, id: &str, answer: Option<Option<String>>, begun: u64) -> Found {
     let now = kernel::clock::now();
-    let mut park = state.park.lock().expect("park");
-    let engine = &mut park.list[at];
+    let mut engine_table = state.engine_table.lock().expect("engine_table");
+    let engine = &mut engine_table.list[at];
     let known = engine.shy_until > now;
     match answer {
         Some(name) if name.as_ref().is_none_or(|name| name == id) => answered(state, engine, now, begun),
@@ -186,7 +186,7 @@
     Found::Silent { known }
 }
 
-fn answered(state: &crate::state::State, engine: &mut engines::park::Stall, now: u64, begun: u64) {
+fn answered(state: &crate::state::State, engine: &mut engines::engine_table::EngineState, now: u64, begun: u64) {
     engine.good(now);
     if now > begun + DARK_MS {
         // It may have been started anew meanwhile.
@@ -196,13 +196,13 @@
 
 /// Another router got an answer, and this one has no reason of its own to doubt it.
 fn trust(state: &crate::state::State, at: usize, begun: u64) {
-    let mut park = state.park.lock().expect("park");
-    let engine = &mut park.list[at];
+    let mut engine_table = state.engine_table.lock().expect("engine_table");
+    let engine = &mut engine_table.list[at];
     engine.asked = false;
     answered(state, engine, kernel::clock::now(), begun);
 }
 
-fn answer_ends(engine: &engines::park::Stall, now: u64) -> bool {
+fn answer_ends(engine: &engines::engine_table::EngineState, now: u64) -> bool {
     !engine.here || engine.shy_until <= now
 }
 
--- a/router/src/doubt_tests.rs
+++ b/router/src/doubt_tests.rs
@@ -13,11 +13,11 @@
 
 /// Is the engine left alone?
 fn is_left_alone(state: &crate::state::State) -> bool {
-    state.park.lock().expect("park").list[0].shy_until > kernel::clock::now()
+    state.engine_table.lock().expect("engine_table").list[0].shy_until > kernel::clock::now()
 }
 
 fn is_asked(state: &crate::state::State) -> bool {
-    state.park.lock().expect("park").list[0].asked
+    state.engine_table.lock().expect("engine_table").list[0].asked
 }
 
 /// Until the asker has ended.
@@ -80,5 +80,9 @@
     let list = fleet().await;
     let state = router(&list);
     super::hear(&state, &Word::Dark(&id(&list)).write());
-    assert_eq!(state.park.lock().expect("park").list[0].struck_at, 0, "only own questions end an answer");
+    assert_eq!(
+        state.engine_table.lock().expect("engine_table").list[0].struck_at,
+        0,
+        "only own questions end an answer"
+    );
 }
--- a/router/src/evacuation.rs
+++ b/router/src/evacuation.rs
@@ -10,19 +10,19 @@
 
 /// Evacuations begun or withdrawn: zone, version, whether it is on. Older ones than what is held change nothing.
 pub fn absorb(state: &crate::state::State, list: &[(String, u64, bool)]) {
-    let mut park = state.park.lock().expect("park");
+    let mut engine_table = state.engine_table.lock().expect("engine_table");
     let mut held = state.news.lock().expect("news");
     for (zone, version, on) in list {
         if held.closed.get(zone).is_some_and(|(known, _)| known >= version) {
             continue;
         }
-        let dense = park.zone(zone);
+        let dense = engine_table.zone(zone);
         held.closed.insert(zone.clone(), (*version, *on));
         held.shut.retain(|shut| *shut != dense);
         if *on {
             held.shut.push(dense);
         } else {
-            park.presume_zone_cold(dense, kernel::clock::now() + presumed_cold_ms(state));
+            engine_table.presume_zone_cold(dense, kernel::clock::now() + presumed_cold_ms(state));
         }
         kernel::say!(crate::event::CLOSED, "zone" => zone.clone(), "version" => *version, "on" => *on);
     }
--- a/router/src/evacuation_tests.rs
+++ b/router/src/evacuation_tests.rs
@@ -6,7 +6,7 @@
 }
 
 fn cold_until(state: &crate::state::State, at: usize) -> u64 {
-    state.park.lock().expect("park").list[at].cold_until
+    state.engine_table.lock().expect("engine_table").list[at].cold_until
 }
 
 #[tokio::test]
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -83,8 +83,8 @@
     }
 
     pub fn endpoint(&self, at: usize) -> crate::pool::Endpoint {
-        let park = self.state.park.lock().expect("park");
-        crate::pool::Endpoint { addr: park.list[at].addr.clone(), engine: park.list[at].id.clone() }
+        let engine_table = self.state.engine_table.lock().expect("engine_table");
+        crate::pool::Endpoint { addr: engine_table.list[at].addr.clone(), engine: engine_table.list[at].id.clone() }
     }
 
     /// May one more send be made that the operator counts? The first arrival draws on no budget.
@@ -109,9 +109,9 @@
         let routers = self.state.router_count();
         let weights = self.version_bounds();
         let confirmed = self.state.floors.lock().expect("floors").is_confirmed(kernel::clock::now());
-        let park = self.state.park.lock().expect("park");
+        let engine_table = self.state.engine_table.lock().expect("engine_table");
         look(&engines::place::View {
-            park: &park,
+            engine_table: &engine_table,
             now: kernel::clock::now(),
             service: self.service,
             zone: self.state.zone,
@@ -135,15 +135,15 @@
     pub fn prompt_read(&mut self, at: usize) {
         let Some((_, tokens)) = self.in_flight.iter_mut().find(|(engine, _)| *engine == at) else { return };
         let tokens = std::mem::take(tokens);
-        let mut park = self.state.park.lock().expect("park");
-        park.list[at].tokens = park.list[at].tokens.saturating_sub(tokens);
+        let mut engine_table = self.state.engine_table.lock().expect("engine_table");
+        engine_table.list[at].tokens = engine_table.list[at].tokens.saturating_sub(tokens);
     }
 
     pub fn end_send(&mut self, at: usize) {
         let Some(place) = self.in_flight.iter().position(|(engine, _)| *engine == at) else { return };
         let (at, tokens) = self.in_flight.swap_remove(place);
-        let mut park = self.state.park.lock().expect("park");
-        let engine = &mut park.list[at];
+        let mut engine_table = self.state.engine_table.lock().expect("engine_table");
+        let engine = &mut engine_table.list[at];
         engine.busy = engine.busy.saturating_sub(1);
         engine.tokens = engine.tokens.saturating_sub(tokens);
     }
@@ -164,8 +164,8 @@
         extra.guard = weights.is_some().then(|| self.route.clone());
         let to = self.endpoint(at);
         {
-            let mut park = self.state.park.lock().expect("park");
-            let engine = &mut park.list[at];
+            let mut engine_table = self.state.engine_table.lock().expect("engine_table");
+            let engine = &mut engine_table.list[at];
             extra.expect = weights.and_then(|(model, _, _)| engine.weight(model));
             engine.busy += 1;
             engine.tokens += tokens;
@@ -218,8 +218,8 @@
     pub fn found_dark(&self, at: usize, since: u64) -> bool {
         let now = kernel::clock::now();
         let (seen, struck) = {
-            let park = self.state.park.lock().expect("park");
-            (park.list[at].good_at.max(since), park.list[at].struck_at)
+            let engine_table = self.state.engine_table.lock().expect("engine_table");
+            (engine_table.list[at].good_at.max(since), engine_table.list[at].struck_at)
         };
         if struck > seen {
             return true;
@@ -233,8 +233,8 @@
     /// Notes what an outcome shows about the engine.
     fn record_outcome(&self, at: usize, outcome: &crate::send::Outcome) {
         let now = kernel::clock::now();
-        let mut park = self.state.park.lock().expect("park");
-        let engine = &mut park.list[at];
+        let mut engine_table = self.state.engine_table.lock().expect("engine_table");
+        let engine = &mut engine_table.list[at];
         match outcome {
             crate::send::Outcome::Answer(answer) => {
                 engine.good(now);
@@ -242,7 +242,7 @@
                     engine.weigh(self.request.model_key, Some(version));
                 }
                 if let Some(load) = answer.head.headers.get(wire::word::LOAD).and_then(|value| value.to_str().ok()) {
-                    park.report(at, load, now);
+                    engine_table.report(at, load, now);
                 }
             }
             crate::send::Outcome::OtherEngine => engine.over(),
@@ -257,7 +257,7 @@
             crate::send::Outcome::Unsent(crate::pool::SendError::Behind | crate::pool::SendError::Unauthorized) => {}
             crate::send::Outcome::Unsent(crate::pool::SendError::Full) => engine.full_until = now + 20,
             _ => {
-                drop(park);
+                drop(engine_table);
                 crate::doubt::raise(&self.state, at);
             }
         }
--- a/router/src/exchange_tests.rs
+++ b/router/src/exchange_tests.rs
@@ -205,7 +205,7 @@
         let state = state.get().expect("set");
         let now = kernel::clock::now() + 1;
         if before == 0 {
-            state.park.lock().expect("park").list.iter_mut().for_each(|engine| engine.strike(now, 0));
+            state.engine_table.lock().expect("engine_table").list.iter_mut().for_each(|engine| engine.strike(now, 0));
             return Act::Silence;
         }
         Act::Send(answer(seen, "200 OK", "second"))
--- a/router/src/follow_absorb.rs
+++ b/router/src/follow_absorb.rs
@@ -23,10 +23,13 @@
 /// What this router holds. Its requests under way are told to its home alone, where they are added up.
 pub fn standing(state: &crate::state::State, at_home: bool) -> wire::msg::Follow {
     let (mut sheets, busy): (Vec<_>, Vec<_>) = {
-        let park = state.park.lock().expect("park");
-        let busy =
-            park.list.iter().filter(|engine| at_home && engine.busy > 0).map(|engine| (engine.id.clone(), engine.busy));
-        (park.versions(), busy.collect())
+        let engine_table = state.engine_table.lock().expect("engine_table");
+        let busy = engine_table
+            .list
+            .iter()
+            .filter(|engine| at_home && engine.busy > 0)
+            .map(|engine| (engine.id.clone(), engine.busy));
+        (engine_table.versions(), busy.collect())
     };
     let (rules, weights) = crate::fresh::known_versions(state);
     sheets.extend(weights);
@@ -58,7 +61,7 @@
     if state.ready.load(order) {
         return true;
     }
-    let known = state.park.lock().expect("park").zones_listed();
+    let known = state.engine_table.lock().expect("engine_table").zones_listed();
     let held = state.news.lock().expect("news").config > 0 && known >= state.env.zones.len();
     if !held || !state.currency.is_proved(kernel::clock::now()) {
         return false;
@@ -76,11 +79,11 @@
     }
     let mut left = Vec::new();
     {
-        let mut park = state.park.lock().expect("park");
+        let mut engine_table = state.engine_table.lock().expect("engine_table");
         for sheet in &news.sheets {
-            left.extend(park.take(sheet, now));
+            left.extend(engine_table.take(sheet, now));
         }
-        park.rest(&news.resting, now + REST_MS);
+        engine_table.rest(&news.resting, now + REST_MS);
     }
     if !left.is_empty() {
         let mut record = state.record.lock().expect("record");
@@ -98,7 +101,7 @@
         }
     }
     let seats = state.router_count();
-    state.park.lock().expect("park").sit(state.mark(), state.zone, seats);
+    state.engine_table.lock().expect("engine_table").sit(state.mark(), state.zone, seats);
     if state.lookup.hold(news.catalog.0, &news.catalog.1, state.env.peer_port()) {
         kernel::say!(crate::event::CATALOG, "epoch" => news.catalog.0, "holder" => news.catalog.1.clone());
         tokio::spawn(crate::config::again(state.clone()));
--- a/router/src/fresh.rs
+++ b/router/src/fresh.rs
@@ -36,7 +36,7 @@
     /// What an engine was seen to have.
     pub fn record_version(&self, at: usize, version: Option<u64>) {
         if let Some(version) = version {
-            self.state.park.lock().expect("park").list[at].weigh(self.request.model_key, Some(version));
+            self.state.engine_table.lock().expect("engine_table").list[at].weigh(self.request.model_key, Some(version));
         }
     }
 
@@ -52,7 +52,7 @@
 
 /// A rule from a keeper; binds at once where it is tighter.
 pub fn rule(state: &crate::state::State, rule: &wire::msg::Rule) {
-    let service = state.park.lock().expect("park").service(&rule.service);
+    let service = state.engine_table.lock().expect("engine_table").service(&rule.service);
     let now = kernel::clock::now();
     if state.floors.lock().expect("floors").take(rule, service, now) {
         kernel::say!(crate::event::RULE, "service" => rule.service.clone(), "model" => rule.model.clone(),
@@ -70,7 +70,7 @@
         }
         *version = (list.turn, list.count);
     }
-    state.park.lock().expect("park").weigh(&list.list);
+    state.engine_table.lock().expect("engine_table").weigh(&list.list);
 }
 
 /// A name and its version.
--- a/router/src/halves.rs
+++ b/router/src/halves.rs
@@ -20,7 +20,7 @@
     for _ in 0..3 {
         let plan = exchange.view(|view| crate::plan::read(view, &exchange.request, &held));
         let crate::plan::Plan::Read { at, reads } = plan else { return Err(()) };
-        exchange.state.park.lock().expect("park").note_read(exchange.service, reads);
+        exchange.state.engine_table.lock().expect("engine_table").note_read(exchange.service, reads);
         let extra = crate::send::Extra { stage: true, urgency: Some(rush(exchange, reads)), ..Default::default() };
         match exchange.send(at, extra, reads, true).await {
             crate::send::Outcome::Answer(answer) => return taken(exchange, at, *answer).await,
@@ -94,8 +94,8 @@
 fn register(exchange: &crate::exchange::Exchange, at: usize) -> u32 {
     let now = kernel::clock::now();
     let (id, told) = {
-        let park = exchange.state.park.lock().expect("park");
-        (park.list[at].id.clone(), park.list[at].told(now))
+        let engine_table = exchange.state.engine_table.lock().expect("engine_table");
+        (engine_table.list[at].id.clone(), engine_table.list[at].told(now))
     };
     let mut list = Vec::with_capacity(exchange.request.keys.len());
     {
@@ -201,8 +201,8 @@
 }
 
 fn is_full(exchange: &crate::exchange::Exchange, at: usize) -> bool {
-    let park = exchange.state.park.lock().expect("park");
-    park.pressure(at, kernel::clock::now()) >= f64::from(park.list[at].slots)
+    let engine_table = exchange.state.engine_table.lock().expect("engine_table");
+    engine_table.pressure(at, kernel::clock::now()) >= f64::from(engine_table.list[at].slots)
 }
 
 /// The memory can't be had: its engine is suppressed for these keys, not for the request.
--- a/router/src/kv_handle.rs
+++ b/router/src/kv_handle.rs
@@ -25,8 +25,8 @@
     pub fn take_handle(&mut self) -> Option<Handle> {
         let now = kernel::clock::now();
         let good = self.kv_handle.as_ref().is_some_and(|handle| {
-            let park = self.state.park.lock().expect("park");
-            let engine = &park.list[handle.at];
+            let engine_table = self.state.engine_table.lock().expect("engine_table");
+            let engine = &engine_table.list[handle.at];
             now < handle.until && engine.here && !self.closed_zones.contains(&engine.zone)
         });
         if !good {
--- a/router/src/plan.rs
+++ b/router/src/plan.rs
@@ -37,8 +37,8 @@
         let sample = sample(state, request, service);
         let found = state.lookup.query(missing, sample).await;
         if let Some(found) = &found {
-            let (now, mut park) = (kernel::clock::now(), state.park.lock().expect("park"));
-            found.list.iter().for_each(|told| park.hear(told, now));
+            let (now, mut engine_table) = (kernel::clock::now(), state.engine_table.lock().expect("engine_table"));
+            found.list.iter().for_each(|told| engine_table.hear(told, now));
         }
         let found = found.map(|found| found.owners);
         let mut record = state.record.lock().expect("record");
@@ -62,16 +62,16 @@
 /// this router's subset.
 fn sample(state: &crate::state::State, request: &crate::request::Request, service: u32) -> Vec<u64> {
     let roll = state.dice.lock().expect("dice").roll();
-    let park = state.park.lock().expect("park");
+    let engine_table = state.engine_table.lock().expect("engine_table");
     let mut names = Vec::with_capacity(2 * DRAWN + 2);
     for half in [engines::place::Half::Prefill, engines::place::Half::Decode] {
-        let Some(subset) = park.subset(service, half, false) else { continue };
+        let Some(subset) = engine_table.subset(service, half, false) else { continue };
         if half == engines::place::Half::Prefill {
-            names.extend(subset.homes(rank(request), 2, |at| park.list[at].up && park.list[at].here));
+            names.extend(subset.homes(rank(request), 2, |at| engine_table.list[at].up && engine_table.list[at].here));
         }
         names.extend(subset.draw(roll, DRAWN));
     }
-    names.into_iter().map(|at| park.list[at].name).collect()
+    names.into_iter().map(|at| engine_table.list[at].name).collect()
 }
 
 /// How many of a half are drawn for each request.
@@ -81,13 +81,13 @@
 fn held(state: &crate::state::State, request: &crate::request::Request) -> PrefixOwners {
     let now = kernel::clock::now();
     let depths = catalog::depths(&request.parts);
-    let park = state.park.lock().expect("park");
+    let engine_table = state.engine_table.lock().expect("engine_table");
     let mut record = state.record.lock().expect("record");
     let mut list: PrefixOwners = Vec::new();
     let mut stale = 0;
     for (key, depth) in request.keys.iter().zip(depths).rev() {
         for name in record.owners(*key, now) {
-            let usable = park.find(name).filter(|at| park.list[*at].up && park.list[*at].here);
+            let usable = engine_table.find(name).filter(|at| engine_table.list[*at].up && engine_table.list[*at].here);
             match usable {
                 Some(at) if list.iter().any(|(owner, _)| *owner == at) => {}
                 Some(at) => list.push((at, depth)),
@@ -113,10 +113,10 @@
     if homes.iter().all(|homes| homes.is_empty()) {
         return list;
     }
-    let mut park = state.park.lock().expect("park");
+    let mut engine_table = state.engine_table.lock().expect("engine_table");
     for (zone, region) in &state.env.zones {
         if outside(region) {
-            list.push(park.zone(zone));
+            list.push(engine_table.zone(zone));
         }
     }
     list
--- a/router/src/stand_in_router.rs
+++ b/router/src/stand_in_router.rs
@@ -65,7 +65,7 @@
 pub fn list(state: &crate::state::State, count: u64, engines: &[Engine]) {
     let list = engines.iter().map(Engine::entry).collect();
     let sheet = wire::msg::Sheet { zone: "a".into(), turn: 1, count, list };
-    state.park.lock().expect("park").take(&sheet, kernel::clock::now());
+    state.engine_table.lock().expect("engine_table").take(&sheet, kernel::clock::now());
 }
 
 /// A client's connection to a router.
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -1,6 +1,6 @@
 //! The one state of the process, passed by reference.
 //!
-//! Lock order: table, park, record, budget, news, pools. No lock is held over an await.
+//! Lock order: table, engine_table, record, budget, news, pools. No lock is held over an await.
 
 pub struct State {
     pub env: kernel::env::Env,
@@ -8,7 +8,7 @@
     /// The own zone, by its dense index.
     pub zone: u32,
     pub table: std::sync::Mutex<std::sync::Arc<crate::table::Table>>,
-    pub park: std::sync::Mutex<engines::park::Park>,
+    pub engine_table: std::sync::Mutex<engines::engine_table::EngineTable>,
     pub record: std::sync::Mutex<catalog::record::Record>,
     pub budget: std::sync::Mutex<engines::budget::Budget>,
     pub pools: crate::pool::Pools,
@@ -58,17 +58,17 @@
     /// The state of a process that has just started: it knows its settings and nothing else.
     pub fn new(env: kernel::env::Env) -> std::sync::Arc<State> {
         let life = kernel::clock::life();
-        let mut park = engines::park::Park::default();
-        let own_zone = park.zone(&env.zone);
+        let mut engine_table = engines::engine_table::EngineTable::default();
+        let own_zone = engine_table.zone(&env.zone);
         for (zone, region) in &env.zones {
-            park.region(zone, region);
+            engine_table.region(zone, region);
         }
         let window_ms = (env.bounds.budget_window_s * 1000.0) as u64;
         std::sync::Arc::new(State {
             life,
             zone: own_zone,
             table: Default::default(),
-            park: std::sync::Mutex::new(park),
+            engine_table: std::sync::Mutex::new(engine_table),
             record: std::sync::Mutex::new(catalog::record::Record::new(RECORD, STALE_MS)),
             budget: std::sync::Mutex::new(engines::budget::Budget::new(env.bounds.retry_budget, window_ms)),
             pools: Default::default(),
--- a/router/src/table.rs
+++ b/router/src/table.rs
@@ -55,13 +55,13 @@
     pub idle_ms: u64,
 }
 
-fn route(item: &wire::config::Route, park: &mut engines::park::Park) -> Route {
+fn route(item: &wire::config::Route, engine_table: &mut engines::engine_table::EngineTable) -> Route {
     let kind = match item.route_type.as_str() {
         "idempotent" => Kind::Idempotent,
         "streaming" => Kind::Streaming,
         _ => Kind::NonIdempotent,
     };
-    let targets = wire::config::targets(item).into_iter().map(|(name, weight)| (park.service(name), weight));
+    let targets = wire::config::targets(item).into_iter().map(|(name, weight)| (engine_table.service(name), weight));
     Route {
         name: item.name.clone(),
         prefix: item.path_prefix.clone(),
@@ -89,7 +89,11 @@
 
 impl Table {
     /// The table after a change. None: it is no newer, or counts on top of another revision than this.
-    pub fn turn(&self, change: &wire::change::Change, park: &mut engines::park::Park) -> Option<Table> {
+    pub fn turn(
+        &self,
+        change: &wire::change::Change,
+        engine_table: &mut engines::engine_table::EngineTable,
+    ) -> Option<Table> {
         if change.to <= self.revision || (change.from != 0 && change.from != self.revision) {
             return None;
         }
@@ -115,14 +119,14 @@
             next.names.insert(item.name.as_str().into(), host.clone());
             let durations = self.route(&item.name).map_or_else(Default::default, |held| held.durations.clone());
             let list = next.hosts.entry(host).or_default();
-            list.push(std::sync::Arc::new(Route { durations, ..route(item, park) }));
+            list.push(std::sync::Arc::new(Route { durations, ..route(item, engine_table) }));
             list.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         for name in &change.lost {
-            next.services.remove(&park.service(name));
+            next.services.remove(&engine_table.service(name));
         }
         for item in &change.services {
-            next.services.insert(park.service(&item.name), service(item));
+            next.services.insert(engine_table.service(&item.name), service(item));
         }
         Some(next)
     }
--- a/router/src/table_tests.rs
+++ b/router/src/table_tests.rs
@@ -10,28 +10,28 @@
 
 const FIRST: [(&str, &str, &str); 3] = [("1", "/", "s"), ("2", "/x/y/", "t"), ("3", "/x/", "u")];
 
-fn made(park: &mut engines::park::Park) -> super::Table {
+fn made(engine_table: &mut engines::engine_table::EngineTable) -> super::Table {
     let whole = wire::change::Change::whole(&config(1, &FIRST));
-    super::Table::default().turn(&whole, park).expect("newer")
+    super::Table::default().turn(&whole, engine_table).expect("newer")
 }
 
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
-    let mut park = engines::park::Park::default();
-    let table = made(&mut park);
+    let mut engine_table = engines::engine_table::EngineTable::default();
+    let table = made(&mut engine_table);
     let service = |host: &str, path: &str| table.find(host, path).map(|route| route.targets[0].0);
-    assert_eq!(service("a.example", "/x/y/z"), Some(park.service("t")));
-    assert_eq!(service("a.example:80", "/x/z"), Some(park.service("u")));
-    assert_eq!(service("a.example", "/x"), Some(park.service("s")));
+    assert_eq!(service("a.example", "/x/y/z"), Some(engine_table.service("t")));
+    assert_eq!(service("a.example:80", "/x/z"), Some(engine_table.service("u")));
+    assert_eq!(service("a.example", "/x"), Some(engine_table.service("s")));
     assert_eq!(service("b.example", "/x/"), None);
 }
 
 #[test]
 fn a_chain_of_changes_gives_the_table_that_the_whole_gives() {
-    let mut park = engines::park::Park::default();
+    let mut engine_table = engines::engine_table::EngineTable::default();
     let mut dice = kernel::clock::Dice::new(7);
     let names: Vec<String> = (0..12).map(|at| format!("r{at}")).collect();
-    let (mut held, mut table) = (config(1, &FIRST), made(&mut park));
+    let (mut held, mut table) = (config(1, &FIRST), made(&mut engine_table));
     for revision in 2..200 {
         let mut routes = Vec::new();
         let prefixes = ["/", "/a/", "/a/b/", "/c/", "/d/", "/e/", "/f/", "/g/", "/h/", "/i/", "/j/", "/k/"];
@@ -44,8 +44,9 @@
             routes.push((name.as_str(), prefixes[(at + turn) % 12], service));
         }
         let next = config(revision, &routes);
-        table = table.turn(&wire::change::Change::between(&held, &next), &mut park).expect("in order");
-        let whole = super::Table::default().turn(&wire::change::Change::whole(&next), &mut park).expect("whole");
+        table = table.turn(&wire::change::Change::between(&held, &next), &mut engine_table).expect("in order");
+        let whole =
+            super::Table::default().turn(&wire::change::Change::whole(&next), &mut engine_table).expect("whole");
         for prefix in prefixes {
             let path = format!("{prefix}x");
             let seen = |table: &super::Table| {
@@ -59,15 +60,15 @@
 
 #[test]
 fn a_gap_and_an_older_one_change_nothing() {
-    let mut park = engines::park::Park::default();
-    let table = made(&mut park);
+    let mut engine_table = engines::engine_table::EngineTable::default();
+    let table = made(&mut engine_table);
     let (three, four) = (config(3, &FIRST[..2]), config(4, &FIRST[..1]));
     let gap = wire::change::Change::between(&three, &four);
-    assert!(table.turn(&gap, &mut park).is_none(), "on top of 3, but 1 is held");
-    let later = table.turn(&wire::change::Change::whole(&four), &mut park).expect("whole");
+    assert!(table.turn(&gap, &mut engine_table).is_none(), "on top of 3, but 1 is held");
+    let later = table.turn(&wire::change::Change::whole(&four), &mut engine_table).expect("whole");
     let back = wire::change::Change::whole(&three);
-    assert!(later.turn(&back, &mut park).is_none(), "it never goes back");
-    assert!(later.turn(&gap, &mut park).is_none(), "the same again");
+    assert!(later.turn(&back, &mut engine_table).is_none(), "it never goes back");
+    assert!(later.turn(&gap, &mut engine_table).is_none(), "the same again");
 }
 
 #[test]
--- a/router/src/version_rollouts.rs
+++ b/router/src/version_rollouts.rs
@@ -86,7 +86,7 @@
 
 /// A record from a keeper.
 pub fn take(state: &crate::state::State, rollout: VersionRollout) {
-    let service = state.park.lock().expect("park").service(&rollout.service);
+    let service = state.engine_table.lock().expect("engine_table").service(&rollout.service);
     let (name, target, share, word) =
         (rollout.service.clone(), rollout.target.clone(), rollout.share, rollout.state.word());
     if state.rollouts.lock().expect("rollouts").take(service, rollout) {
--- a/router/src/version_rollouts_tests.rs
+++ b/router/src/version_rollouts_tests.rs
@@ -70,7 +70,7 @@
     let list = new.iter().enumerate();
     let list = list.map(|(at, engine)| wire::msg::Engine { id: format!("new-{at}"), ..engine.entry() }).collect();
     let sheet = wire::msg::Sheet { zone: candidates_of("a"), turn: 1, count: 1, list };
-    state.park.lock().expect("park").take(&sheet, kernel::clock::now());
+    state.engine_table.lock().expect("engine_table").take(&sheet, kernel::clock::now());
     assert!(ask(&state, "once", "a", "").await.ends_with("old"), "without a rollout");
     super::take(&state, rollout(1, RolloutState::Active, 1000));
     assert!(ask(&state, "once", "b", "").await.ends_with("old"), "without a lease");
