--- a/router/src/kept_tests.rs
+++ b/router/src/kept_tests.rs
@@ -1,5 +1,5 @@
 //! Connections that a client keeps: whatever becomes of a request at its engine, it is answered, and the next one is served.
-use crate::stand_in::{answer, engines, events, seen, Act};
+use crate::stand_in::{answer, engines, head_and_rest, seen, Act};
 use crate::stand_in_router::{configure, post, router, status, Client};
 
 #[tokio::test]
@@ -30,9 +30,8 @@
     let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
     let later = go_on.clone();
     let list = engines("decode", 1, move |seen, _| {
-        let whole = events(seen, 1, 3, true);
-        let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
-        Act::SendAndLater(head.into(), later.clone(), rest.into())
+        let (head, rest) = head_and_rest(seen);
+        Act::SendAndLater(head, later.clone(), rest)
     })
     .await;
     let state = router(&list);
--- a/router/src/leaving_tests.rs
+++ b/router/src/leaving_tests.rs
@@ -1,5 +1,5 @@
 //! A router that ends while clients go on sending to it, as they do where fewer than half of a zone's routers are ready.
-use crate::stand_in::{answer, engines, events, Act, Engine};
+use crate::stand_in::{answer, engines, events, head_and_rest, Act, Engine};
 use crate::stand_in_router::{post, status, unproved_router_of, SETTINGS};
 use std::sync::Arc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -108,9 +108,8 @@
         }
     });
     engines("decode", 3, move |seen, _| {
-        let whole = events(seen, 1, 3, true);
-        let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
-        Act::SendAndLater(head.into(), beat.clone(), rest.into())
+        let (head, rest) = head_and_rest(seen);
+        Act::SendAndLater(head, beat.clone(), rest)
     })
     .await
 }
--- a/router/src/metrics_tests.rs
+++ b/router/src/metrics_tests.rs
@@ -1,7 +1,7 @@
 //! What is counted when requests come, and that the page and the code name the same metrics.
 use crate::drain::Phase;
 use crate::metrics::{Ended, Outcome, Stage};
-use crate::stand_in::{answer, engines, events, Act};
+use crate::stand_in::{answer, engines, events, head_and_rest, Act};
 use crate::stand_in_router::{ask, post, router, Client};
 
 fn ended(state: &crate::state::State, outcome: Outcome) -> u64 {
@@ -48,9 +48,8 @@
     let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
     let later = go_on.clone();
     let list = engines("decode", 1, move |seen, _| {
-        let whole = events(seen, 1, 3, true);
-        let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
-        Act::SendAndLater(head.into(), later.clone(), rest.into())
+        let (head, rest) = head_and_rest(seen);
+        Act::SendAndLater(head, later.clone(), rest)
     })
     .await;
     let state = router(&list);
--- a/router/src/stand_in_answers.rs
+++ b/router/src/stand_in_answers.rs
@@ -37,6 +37,13 @@
     text
 }
 
+/// The head of a whole stream of two events, and what follows it.
+pub fn head_and_rest(seen: &Seen) -> (String, String) {
+    let whole = events(seen, 1, 3, true);
+    let (head, rest) = whole.split_at(whole.find("\r\n\r\n").expect("a head") + 4);
+    (head.into(), rest.into())
+}
+
 /// The header lines of a request whose prompt can be read by one engine and answered by another.
 pub const PROMPT: &str = "Model: m\r\nToken-Count: 150,10\r\nPrompt-Prefix: ab:100,cd:50\r\n";
 
