--- a/router/src/kept_tests.rs
+++ b/router/src/kept_tests.rs
@@ -1,5 +1,5 @@
 //! Connections that a client keeps: whatever becomes of a request at its engine, it is answered, and the next one is served.
-use crate::stand_in::{answer, engines, head_and_rest, seen, Act};
+use crate::stand_in::{answer, engines, seen, waiting_engine, Act};
 use crate::stand_in_router::{configure, post, router, status, Client};
 
 #[tokio::test]
@@ -27,13 +27,7 @@
 
 #[tokio::test]
 async fn a_change_of_the_limits_ends_no_answer_on_a_kept_connection() {
-    let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
-    let later = go_on.clone();
-    let list = engines("decode", 1, move |seen, _| {
-        let (head, rest) = head_and_rest(seen);
-        Act::SendAndLater(head, later.clone(), rest)
-    })
-    .await;
+    let (list, go_on) = waiting_engine().await;
     let state = router(&list);
     let mut client = Client::connect(&state).await;
     client.write(&post("stream", "1", "")).await;
--- a/router/src/metrics_tests.rs
+++ b/router/src/metrics_tests.rs
@@ -1,7 +1,7 @@
 //! What is counted when requests come, and that the page and the code name the same metrics.
 use crate::drain::Phase;
 use crate::metrics::{Ended, Outcome, Stage};
-use crate::stand_in::{answer, engines, events, head_and_rest, Act};
+use crate::stand_in::{answer, engines, events, waiting_engine, Act};
 use crate::stand_in_router::{ask, post, router, Client};
 
 fn ended(state: &crate::state::State, outcome: Outcome) -> u64 {
@@ -45,13 +45,7 @@
 
 #[tokio::test]
 async fn a_request_is_under_way_from_its_head_to_the_end_of_its_answer() {
-    let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
-    let later = go_on.clone();
-    let list = engines("decode", 1, move |seen, _| {
-        let (head, rest) = head_and_rest(seen);
-        Act::SendAndLater(head, later.clone(), rest)
-    })
-    .await;
+    let (list, go_on) = waiting_engine().await;
     let state = router(&list);
     let mut client = Client::connect(&state).await;
     let request = post("stream", "1", "");
--- a/router/src/stand_in.rs
+++ b/router/src/stand_in.rs
@@ -61,6 +61,17 @@
     list
 }
 
+/// An engine that answers with the head of a stream, and sends the rest once the test says so.
+pub async fn waiting_engine() -> (Vec<Engine>, std::sync::Arc<tokio::sync::Notify>) {
+    let go_on = std::sync::Arc::new(tokio::sync::Notify::new());
+    let later = go_on.clone();
+    let list = engines("decode", 1, move |seen, _| {
+        let (head, rest) = head_and_rest(seen);
+        Act::SendAndLater(head, later.clone(), rest)
+    });
+    (list.await, go_on)
+}
+
 /// All requests that a list of engines saw.
 pub fn seen(engines: &[Engine]) -> Vec<Seen> {
     engines.iter().flat_map(Engine::seen).collect()
