protocol: metrics of messages by kind and direction, queues of connections bounded in bytes

Cause: memory of a controller grew to 175 MB at 300 machines, since 512 messages of any size could wait for each peer; bytes between daemons were not known by kind. Change: frames are encoded once when queued, long ones are bounded by 1 MiB a connection (one may be longer); messages, bytes and drops are metrics in both programs.

--- a/controller/src/metrics.rs
+++ b/controller/src/metrics.rs
@@ -12,6 +12,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use protocol::operator_request::{OperatorRequest, OperatorResponse};
 use protocol::quota::TokenResponse;
+use protocol::traffic;
 
 use crate::batches::records;
 use crate::controller::Controller;
@@ -140,6 +141,7 @@
         };
         metrics.register_work();
         metrics.register_state();
+        traffic::register(&mut metrics.registry);
         metrics
     }
 }
--- a/protocol/src/frame.rs
+++ b/protocol/src/frame.rs
@@ -9,7 +9,7 @@
 use rkyv::rancor;
 use rkyv::util::AlignedVec;
 
-use crate::message::Message;
+use crate::message::{ArchivedMessage, Message, MessageKind};
 
 /// The oldest version of the framing that is read.
 pub const OLDEST_VERSION: u16 = 1;
@@ -143,6 +143,15 @@
     rkyv::from_bytes::<Message, rancor::Error>(&aligned).map_err(|_| FrameError::InvalidBody)
 }
 
+/// Returns the kind of the message in a frame that was encoded here or decoded without an error. `None`: the frame holds no
+/// message.
+///
+/// An archived message stands at the end of the body and begins with the number of its variant.
+pub fn message_kind(frame: &[u8]) -> Option<MessageKind> {
+    let at = frame.len().checked_sub(size_of::<ArchivedMessage>()).filter(|at| *at >= HEADER_BYTES)?;
+    MessageKind::from_repr(frame[at])
+}
+
 #[cfg(test)]
 #[path = "frame_tests.rs"]
 mod tests;
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod renewal;
 pub mod socket;
 mod staleness_limit;
+pub mod traffic;
 mod version_entry;
 pub mod version_rollout;
 
--- a/protocol/src/link/frame_io.rs
+++ b/protocol/src/link/frame_io.rs
@@ -9,6 +9,7 @@
 use crate::frame::{self, Header, HEADER_BYTES};
 use crate::message::Message;
 use crate::socket::IO_TIMEOUT_MS;
+use crate::traffic::{self, Direction};
 
 /// How long one frame may take to be written.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(IO_TIMEOUT_MS);
@@ -17,17 +18,20 @@
 
 /// Writes one frame. Returns `None` if the connection failed or took too long: it is of no more use.
 pub(super) async fn write_frame(write: &mut OwnedWriteHalf, frame: &[u8]) -> Option<()> {
-    time::timeout(WRITE_TIMEOUT, write.write_all(frame)).await.ok()?.ok()
+    time::timeout(WRITE_TIMEOUT, write.write_all(frame)).await.ok()?.ok()?;
+    traffic::record(Direction::Sent, frame);
+    Some(())
 }
 
 /// Reads one frame, however long it is until one begins. Returns `None` if the connection ended, if a body took too
 /// long, or if what came is no valid frame: the connection is of no more use.
 pub(super) async fn read_frame(read: &mut OwnedReadHalf) -> Option<(Header, Message)> {
-    let mut header = [0; HEADER_BYTES];
-    read.read_exact(&mut header).await.ok()?;
-    let header = frame::decode_header(&header).ok()?;
-    let mut body = vec![0; header.len];
-    time::timeout(BODY_TIMEOUT, read.read_exact(&mut body)).await.ok()?.ok()?;
-    let message = frame::decode_body(&body).ok()?;
+    let mut encoded_header = [0; HEADER_BYTES];
+    read.read_exact(&mut encoded_header).await.ok()?;
+    let header = frame::decode_header(&encoded_header).ok()?;
+    let mut frame = vec![0; HEADER_BYTES + header.len];
+    time::timeout(BODY_TIMEOUT, read.read_exact(&mut frame[HEADER_BYTES..])).await.ok()?.ok()?;
+    let message = frame::decode_body(&frame[HEADER_BYTES..]).ok()?;
+    traffic::record(Direction::Received, &frame);
     Some((header, message))
 }
--- a/protocol/src/link/peer_client.rs
+++ b/protocol/src/link/peer_client.rs
@@ -1,49 +1,56 @@
 //! The side of a connection that asks.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::{self, Receiver};
 use tokio::sync::oneshot;
 use tokio::time;
 
+use super::bulk_budget::BulkBudget;
 use super::frame_io::{read_frame, write_frame};
 use super::pending_responses::{PendingResponses, ResponseSender};
 use super::QUEUE_CAPACITY;
 use crate::frame::{self, Kind};
 use crate::message::Message;
 use crate::socket::{self, IO_TIMEOUT_MS};
+use crate::traffic;
 
 /// How long a connection may take to be established.
 const CONNECT_TIMEOUT_MS: u64 = 500;
 /// The pause after a first failure to connect; it doubles with each further one up to the longest.
 const FIRST_RETRY_MS: u64 = 50;
 const LONGEST_RETRY_MS: u64 = 150;
-/// The id of the first frame on a connection.
-const FIRST_FRAME_ID: u64 = 1;
+/// The id of a client's first request.
+const FIRST_REQUEST_ID: u64 = 1;
 
 /// A client of one peer: one connection, dialled when there is something to send and again when it broke.
 pub struct PeerClient {
     addr: String,
     outbound: mpsc::Sender<Outbound>,
+    budget: Arc<BulkBudget>,
+    next_id: AtomicU64,
 }
 
-/// A message on its way out.
+/// A frame on its way out.
 struct Outbound {
-    kind: Kind,
-    message: Message,
-    /// Where the response to a request goes.
-    response: Option<ResponseSender>,
+    frame: Bytes,
+    /// The id of a request, and where its response goes.
+    response: Option<(u64, ResponseSender)>,
 }
 
 impl PeerClient {
     /// Starts the client's task. Notifications that the peer sends on the connection go to `notifications`.
     pub fn start(addr: String, notifications: Option<mpsc::Sender<Message>>) -> Self {
-        let (outbound, queue) = mpsc::channel(QUEUE_CAPACITY);
+        let (outbound, receiver) = mpsc::channel(QUEUE_CAPACITY);
+        let budget = Arc::<BulkBudget>::default();
+        let queue = OutboundQueue { receiver, budget: budget.clone() };
         tokio::spawn(run(addr.clone(), queue, notifications));
-        PeerClient { addr, outbound }
+        PeerClient { addr, outbound, budget, next_id: AtomicU64::new(FIRST_REQUEST_ID) }
     }
 
     /// Returns the peer's address.
@@ -55,30 +62,78 @@
     /// whatever cause: the peer may have acted on the request, and one that was not yet sent will not be sent any more.
     pub async fn call(&self, message: Message, wait_ms: u64) -> Option<Message> {
         let (sender, response) = oneshot::channel();
-        let request = Outbound { kind: Kind::Request, message, response: Some(sender) };
-        self.outbound.try_send(request).ok()?;
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let frame = frame::encode(Kind::Request, id, &message).ok()?;
+        let request = Outbound { frame: frame.into(), response: Some((id, sender)) };
+        if !self.enqueue(request) {
+            return None;
+        }
         time::timeout(Duration::from_millis(wait_ms), response).await.ok()?.ok()
     }
 
     /// Sends a message without a response. Returns false if it was dropped before it was sent.
     pub fn notify(&self, message: Message) -> bool {
-        self.outbound.try_send(Outbound { kind: Kind::Notification, message, response: None }).is_ok()
+        frame::encode(Kind::Notification, 0, &message).is_ok_and(|frame| self.notify_frame(frame.into()))
+    }
+
+    /// Sends a notification that is the same for many peers: encoded once and never copied. Returns false if it was dropped
+    /// before it was sent.
+    pub fn notify_frame(&self, frame: Bytes) -> bool {
+        self.enqueue(Outbound { frame, response: None })
+    }
+
+    fn enqueue(&self, outbound: Outbound) -> bool {
+        let len = outbound.frame.len();
+        if !self.budget.try_admit(len) {
+            traffic::record_dropped();
+            return false;
+        }
+        let queued = self.outbound.try_send(outbound).is_ok();
+        if !queued {
+            self.budget.release(len);
+            traffic::record_dropped();
+        }
+        queued
+    }
+}
+
+/// The frames that wait for the connection.
+struct OutboundQueue {
+    receiver: Receiver<Outbound>,
+    budget: Arc<BulkBudget>,
+}
+
+impl OutboundQueue {
+    /// Waits for the next frame. `None`: the client was dropped.
+    ///
+    /// Cancel safe: a frame is returned or stays queued.
+    async fn next(&mut self) -> Option<Outbound> {
+        let outbound = self.receiver.recv().await?;
+        self.budget.release(outbound.frame.len());
+        Some(outbound)
+    }
+
+    /// Drops all frames that wait.
+    fn clear(&mut self) {
+        while let Ok(outbound) = self.receiver.try_recv() {
+            self.budget.release(outbound.frame.len());
+        }
     }
 }
 
 /// Keeps the connection up while there is something to send. Ends when the client is dropped.
-async fn run(addr: String, mut queue: Receiver<Outbound>, notifications: Option<mpsc::Sender<Message>>) {
+async fn run(addr: String, mut queue: OutboundQueue, notifications: Option<mpsc::Sender<Message>>) {
     let mut first: Option<Outbound> = None;
     let mut retry_ms = FIRST_RETRY_MS;
     loop {
         if first.is_none() {
-            let Some(outbound) = queue.recv().await else { return };
+            let Some(outbound) = queue.next().await else { return };
             first = Some(outbound);
         }
         let Ok(stream) = socket::connect(&addr, CONNECT_TIMEOUT_MS, IO_TIMEOUT_MS).await else {
             // Callers learn at once that the peer can't be reached, and may turn to another.
             first = None;
-            while queue.try_recv().is_ok() {}
+            queue.clear();
             time::sleep(Duration::from_millis(retry_ms)).await;
             retry_ms = (retry_ms * 2).min(LONGEST_RETRY_MS);
             continue;
@@ -101,7 +156,7 @@
 async fn serve_queue(
     stream: TcpStream,
     first: Option<Outbound>,
-    queue: &mut Receiver<Outbound>,
+    queue: &mut OutboundQueue,
     notifications: &Option<mpsc::Sender<Message>>,
 ) -> Ended {
     let (read, write) = stream.into_split();
@@ -137,11 +192,10 @@
 async fn send(
     mut write: OwnedWriteHalf,
     mut first: Option<Outbound>,
-    queue: &mut Receiver<Outbound>,
+    queue: &mut OutboundQueue,
     pending: &PendingResponses,
     mut closed: oneshot::Receiver<()>,
 ) -> Ended {
-    let mut next_id = FIRST_FRAME_ID;
     loop {
         let outbound = match first.take() {
             Some(outbound) => outbound,
@@ -149,22 +203,20 @@
             None => tokio::select! {
                 biased;
                 _ = &mut closed => return Ended::ConnectionBroke,
-                outbound = queue.recv() => match outbound {
+                outbound = queue.next() => match outbound {
                     Some(outbound) => outbound,
                     None => return Ended::ClientDropped,
                 },
             },
         };
-        if outbound.response.as_ref().is_some_and(oneshot::Sender::is_closed) {
+        if outbound.response.as_ref().is_some_and(|(_, sender)| sender.is_closed()) {
             // Its caller has given up, and may have turned to another peer.
             continue;
         }
-        let Ok(frame) = frame::encode(outbound.kind, next_id, &outbound.message) else { continue };
-        if let Some(response) = outbound.response {
-            pending.insert(next_id, response);
+        if let Some((id, sender)) = outbound.response {
+            pending.insert(id, sender);
         }
-        next_id += 1;
-        if write_frame(&mut write, &frame).await.is_none() {
+        if write_frame(&mut write, &outbound.frame).await.is_none() {
             return Ended::ConnectionBroke;
         }
     }
--- a/protocol/src/link/server.rs
+++ b/protocol/src/link/server.rs
@@ -9,11 +9,13 @@
 use tokio::sync::mpsc::{self, Receiver};
 use tokio::time;
 
+use super::bulk_budget::BulkBudget;
 use super::frame_io::{read_frame, write_frame};
 use super::QUEUE_CAPACITY;
 use crate::frame::{self, Kind};
 use crate::message::Message;
 use crate::socket::{self, IO_TIMEOUT_MS};
+use crate::traffic;
 
 /// The pause after a connection could not be accepted: most often the process is short of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
@@ -22,12 +24,13 @@
 #[derive(Clone)]
 pub struct Responder {
     frames: mpsc::Sender<Bytes>,
+    budget: Arc<BulkBudget>,
 }
 
 impl Responder {
     /// Returns a responder whose frames come out at the other end of `frames`.
     pub fn new(frames: mpsc::Sender<Bytes>) -> Responder {
-        Responder { frames }
+        Responder { frames, budget: Arc::default() }
     }
 
     /// Sends a notification. Returns false if it was dropped: the other side does not read, or is gone.
@@ -47,7 +50,17 @@
 
     /// Sends a frame that is the same for many peers: encoded once and never copied. Returns false if it was dropped.
     pub fn notify_frame(&self, frame: Bytes) -> bool {
-        self.frames.try_send(frame).is_ok()
+        let len = frame.len();
+        if !self.budget.try_admit(len) {
+            traffic::record_dropped();
+            return false;
+        }
+        let sent = self.frames.try_send(frame).is_ok();
+        if !sent {
+            self.budget.release(len);
+            traffic::record_dropped();
+        }
+        sent
     }
 
     /// Returns whether the connection has ended.
@@ -76,15 +89,16 @@
     let (mut read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
     let responder = Responder::new(frames);
-    let writer = tokio::spawn(write_frames(write, queue));
+    let writer = tokio::spawn(write_frames(write, queue, responder.budget.clone()));
     while let Some((header, message)) = read_frame(&mut read).await {
         handler(responder.clone(), header.id, message);
     }
     writer.abort();
 }
 
-async fn write_frames(mut write: OwnedWriteHalf, mut queue: Receiver<Bytes>) {
+async fn write_frames(mut write: OwnedWriteHalf, mut queue: Receiver<Bytes>, budget: Arc<BulkBudget>) {
     while let Some(frame) = queue.recv().await {
+        budget.release(frame.len());
         if write_frame(&mut write, &frame).await.is_none() {
             return;
         }
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -7,6 +7,9 @@
 mod gossip;
 mod subscription;
 
+use prometheus_client::encoding::EncodeLabelValue;
+use strum::{EnumDiscriminants, EnumIter, FromRepr};
+
 use crate::operator_request::{CommittedDelta, OperatorRequest, OperatorResponse};
 use crate::quota::{ShardOwner, ShardUsage, TokenRequest, TokenResponse};
 use crate::renewal::SubscriptionRenewed;
@@ -27,7 +30,13 @@
 pub use subscription::{StateUpdate, SubscriptionRenewal};
 
 /// A message between daemons. Invariant: variants keep their order; later versions add theirs at the end.
-#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, rkyv::Archive, rkyv::Serialize, rkyv::Deserialize, EnumDiscriminants)]
+#[strum_discriminants(
+    name(MessageKind),
+    doc = "The kind of a [`Message`]. Names are label values of metrics.",
+    repr(u8),
+    derive(Hash, EncodeLabelValue, EnumIter, FromRepr)
+)]
 pub enum Message {
     /// A proposer asks an acceptor.
     ConsensusRequest(Box<ConsensusRequest>),
--- a/protocol/src/stored_by_5_tests.rs
+++ b/protocol/src/stored_by_5_tests.rs
@@ -497,7 +497,7 @@
 }
 
 /// Every message of version 5.
-fn messages() -> Vec<Message> {
+pub(crate) fn messages() -> Vec<Message> {
     [votes(), told_messages(), catalog_messages(), order_messages(), rollout_and_limit_messages()].concat()
 }
 
--- /dev/null
+++ b/protocol/src/traffic_tests.rs
@@ -0,0 +1,39 @@
+//! Frames are counted under the kind of their message.
+
+use prometheus_client::encoding::text;
+use prometheus_client::registry::Registry;
+use strum::IntoEnumIterator;
+
+use super::{record, register, Direction};
+use crate::frame::{self, Kind};
+use crate::message::{Message, MessageKind};
+use crate::stored_by_5_tests;
+
+#[test]
+fn the_kind_of_each_message_is_found_in_its_frame() {
+    let messages = stored_by_5_tests::messages();
+    for message in &messages {
+        let frame = frame::encode(Kind::Notification, 0, message).expect("it fits into a frame");
+        assert_eq!(frame::message_kind(&frame), Some(MessageKind::from(message)));
+    }
+    let sampled: Vec<MessageKind> = messages.iter().map(MessageKind::from).collect();
+    let missing: Vec<MessageKind> = MessageKind::iter().filter(|kind| !sampled.contains(kind)).collect();
+    assert!(missing.is_empty(), "no sample of {missing:?}");
+    assert_eq!(frame::message_kind(&[0; frame::HEADER_BYTES]), None);
+}
+
+#[test]
+fn bytes_are_counted_by_kind_and_direction() {
+    let message = Message::UsageRequest(Box::new(7));
+    let frame = frame::encode(Kind::Request, 1, &message).expect("it fits into a frame");
+    record(Direction::Sent, &frame);
+    record(Direction::Sent, &frame);
+    let mut registry = Registry::with_prefix("test");
+    register(&mut registry);
+    let mut output = String::new();
+    text::encode(&mut output, &registry).expect("encoded");
+    let labels = "{message=\"UsageRequest\",direction=\"Sent\"}";
+    assert!(output.contains(&format!("test_messages_total{labels} 2\n")), "{output}");
+    let bytes = 2 * frame.len();
+    assert!(output.contains(&format!("test_message_bytes_total{labels} {bytes}\n")), "{output}");
+}
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -11,6 +11,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use protocol::traffic;
 
 use crate::frontend::drain::DrainPhase;
 use crate::limits::quota_gate::Decision;
@@ -198,6 +199,7 @@
         metrics.register_requests();
         metrics.register_connections();
         metrics.register_state();
+        traffic::register(&mut metrics.registry);
         metrics
     }
 }
