--- a/controller/src/api/operator_requests.rs
+++ b/controller/src/api/operator_requests.rs
@@ -96,7 +96,7 @@
     let home = home(controller, &key(request))?;
     let protocol_version = controller.peers.protocol_version(&home);
     let message = Message::OperatorRequest(Box::new(relayed_form(controller, request, protocol_version)));
-    match controller.peers.client(&home).call(message, RELAY_TIMEOUT_MS).await {
+    match controller.peers.consensus_client(&home).call(message, RELAY_TIMEOUT_MS).await {
         Some(Message::OperatorResponse(response)) if *response != OperatorResponse::OutcomeUnknown => Some(*response),
         _ => None,
     }
--- a/controller/src/balancing.rs
+++ b/controller/src/balancing.rs
@@ -1,13 +1,17 @@
 //! The balance of prefill and decode engines: orders to engines, from the one owner of the role.
 
+pub mod usage_reports;
+
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::{clock, startup};
-use load_balancing::{plan_phase_change, EngineObservation, PhaseChange};
+use load_balancing::{
+    plan_phase_change_among, EngineObservation, PhaseChange, PhaseKey, PhaseLoad, ServiceLoad, TotalUsage, UsageSample,
+};
 use protocol::headers::TARGET_INSTANCE;
-use protocol::message::{self, Engine};
+use protocol::message::Engine;
 use reqwest::Client;
 use tokio::time;
 
@@ -43,20 +47,30 @@
 
 #[derive(Default)]
 struct LoadHistory {
-    /// Smoothed requests in flight, by engine.
+    /// Smoothed requests in flight at engines of the sample, by id.
     in_flight: HashMap<String, f64>,
+    /// Smoothed requests in flight, by service and phase.
+    totals: HashMap<PhaseKey, f64>,
     /// By service.
     planned_changes: HashMap<String, PlannedChange>,
     /// Until when no further change of a service is made.
     cooldown_until: HashMap<String, u64>,
 }
 
-/// An engine and its load.
+/// An engine that may be ordered to change, and its load.
 struct Candidate {
     engine: Engine,
     observation: EngineObservation,
 }
 
+/// What is known of a service: the load of all of its engines, and those of the sample one by one.
+#[derive(Default)]
+struct ServiceObservation {
+    load: ServiceLoad,
+    engine_count: usize,
+    candidates: Vec<Candidate>,
+}
+
 /// An order to one engine to change its phase.
 struct PhaseOrder {
     engine: Engine,
@@ -91,40 +105,69 @@
     if !roles::declare_predecessor_expired(controller, BALANCE, epoch).await {
         return;
     }
-    for (service, list) in candidates(controller, history, now) {
-        let Some(change) = history.decide(&service, &list, now) else { continue };
+    for (service, observed) in observe_services(controller, history, now) {
+        let Some(change) = history.decide(&service, &observed, now) else { continue };
         let switch_ms = switch_ms(controller, &service);
         history.cooldown_until.insert(service, now + DRAIN_MS + switch_ms + LIST_DELAY_MS);
         for at in change.engines {
-            let order = PhaseOrder { engine: list[at].engine.clone(), prefill: change.prefill, switch_ms };
+            let order =
+                PhaseOrder { engine: observed.candidates[at].engine.clone(), prefill: change.prefill, switch_ms };
             tokio::spawn(execute(controller.clone(), client.clone(), order));
         }
         return;
     }
 }
 
-/// Returns all engines with a phase, by service.
-fn candidates(controller: &Controller, history: &mut LoadHistory, now: u64) -> BTreeMap<String, Vec<Candidate>> {
-    let in_flight = controller.peers.read(|view| view.total_in_flight(now));
+/// Returns what is known of each service that has engines with a phase.
+fn observe_services(
+    controller: &Controller,
+    history: &mut LoadHistory,
+    now: u64,
+) -> BTreeMap<String, ServiceObservation> {
+    let usage = usage_reports::total_usage(controller, now);
     let evacuations = controller.committed.evacuations();
-    let mut services: BTreeMap<String, Vec<Candidate>> = BTreeMap::new();
+    let mut services: BTreeMap<String, ServiceObservation> = BTreeMap::new();
     controller.engines.read(|lists| {
-        for list in lists.iter().filter(|list| !message::is_hidden_key(&list.zone)) {
-            let is_open = !evacuations.get(&list.zone).is_some_and(|evacuation| evacuation.evacuated);
-            for engine in list.engines.iter().filter(|engine| !engine.phase.is_empty()) {
-                let reported = f64::from(in_flight.get(&engine.id).copied().unwrap_or(0));
-                let candidate =
-                    Candidate { engine: engine.clone(), observation: history.observe(engine, reported, is_open) };
-                services.entry(engine.service.clone()).or_default().push(candidate);
+        let engines = usage_reports::engines_with_phase(&evacuations, lists.iter());
+        let sample = UsageSample::of(engines.iter().map(|(engine, _)| *engine));
+        for (engine, eligible) in engines {
+            let observed = services.entry(engine.service.clone()).or_default();
+            observed.add(engine, eligible);
+            if sample.contains(engine) {
+                let observation = history.observe(engine, usage.sampled(&engine.id), eligible);
+                observed.candidates.push(Candidate { engine: engine.clone(), observation });
             }
         }
     });
+    for (service, observed) in &mut services {
+        history.add_totals(service, observed, &usage);
+    }
     services
 }
 
+impl ServiceObservation {
+    /// Counts an engine.
+    fn add(&mut self, engine: &Engine, eligible: bool) {
+        self.engine_count += 1;
+        if eligible {
+            let phase = self.phase_mut(engine.phase == "prefill");
+            phase.count += 1.0;
+            phase.slots += f64::from(engine.slots);
+        }
+    }
+
+    fn phase_mut(&mut self, prefill: bool) -> &mut PhaseLoad {
+        match prefill {
+            true => &mut self.load.prefill,
+            false => &mut self.load.decode,
+        }
+    }
+}
+
 impl LoadHistory {
     /// Smooths the load of an engine and says how it stands.
-    fn observe(&mut self, engine: &Engine, reported: f64, is_open: bool) -> EngineObservation {
+    fn observe(&mut self, engine: &Engine, reported: u32, eligible: bool) -> EngineObservation {
+        let reported = f64::from(reported);
         let mean = self.in_flight.entry(engine.id.clone()).or_insert(reported);
         *mean += (reported - *mean) * 0.5;
         EngineObservation {
@@ -132,14 +175,26 @@
             prefill: engine.phase == "prefill",
             slots: engine.slots,
             in_flight: mean.round() as u32,
-            eligible: engine.up && is_open,
+            eligible,
+        }
+    }
+
+    /// Smooths the load of both phases of a service and adds it to what is known of the service.
+    fn add_totals(&mut self, service: &str, observed: &mut ServiceObservation, usage: &TotalUsage) {
+        for prefill in [true, false] {
+            let key = PhaseKey { service: service.into(), prefill };
+            let reported = f64::from(usage.total(&key));
+            let mean = self.totals.entry(key).or_insert(reported);
+            *mean += (reported - *mean) * 0.5;
+            observed.phase_mut(prefill).in_flight = *mean;
         }
     }
 
     /// Returns the engines to order and their new part, once the same change was planned often enough in a row.
-    fn decide(&mut self, service: &str, list: &[Candidate], now: u64) -> Option<PhaseChange> {
-        let observations: Vec<EngineObservation> = list.iter().map(|candidate| candidate.observation.clone()).collect();
-        let Some(change) = plan_phase_change(&observations) else {
+    fn decide(&mut self, service: &str, observed: &ServiceObservation, now: u64) -> Option<PhaseChange> {
+        let observations: Vec<EngineObservation> =
+            observed.candidates.iter().map(|candidate| candidate.observation.clone()).collect();
+        let Some(change) = plan_phase_change_among(&observations, observed.load, observed.engine_count) else {
             self.planned_changes.remove(service);
             return None;
         };
--- a/controller/src/balancing_tests.rs
+++ b/controller/src/balancing_tests.rs
@@ -1,9 +1,10 @@
-use load_balancing::{EngineObservation, PhaseChange};
+use load_balancing::{EngineObservation, PhaseChange, ServiceLoad};
 use membership::singleton_role::{self, RoleTenure};
 use protocol::message::Engine;
 
 use super::{
-    Candidate, LoadHistory, CONNECT_TIMEOUT_MS, DECODE_CONFIRMATIONS, PREFILL_CONFIRMATIONS, UNACKNOWLEDGED_TIMEOUT_MS,
+    Candidate, LoadHistory, ServiceObservation, CONNECT_TIMEOUT_MS, DECODE_CONFIRMATIONS, PREFILL_CONFIRMATIONS,
+    UNACKNOWLEDGED_TIMEOUT_MS,
 };
 use crate::controller::CONFIRMATION_TTL_MS;
 
@@ -38,10 +39,17 @@
     Candidate { engine, observation }
 }
 
+/// A service whose engines are all in the sample.
+fn service<const N: usize>(candidates: [Candidate; N]) -> ServiceObservation {
+    let observations: Vec<EngineObservation> =
+        candidates.iter().map(|candidate| candidate.observation.clone()).collect();
+    ServiceObservation { load: ServiceLoad::of(&observations), engine_count: N, candidates: candidates.into() }
+}
+
 #[test]
 fn a_judgement_must_stand_and_an_order_is_followed_by_a_calm_time() {
-    let loaded = [candidate("p", true, 9), candidate("d", false, 0), candidate("e", false, 0)];
-    let idle = [candidate("p", true, 0), candidate("q", true, 0), candidate("d", false, 9)];
+    let loaded = service([candidate("p", true, 9), candidate("d", false, 0), candidate("e", false, 0)]);
+    let idle = service([candidate("p", true, 0), candidate("q", true, 0), candidate("d", false, 9)]);
     let mut history = LoadHistory::default();
     let one = |at: usize, prefill: bool| Some(PhaseChange { engines: vec![at], prefill });
     for _ in 1..PREFILL_CONFIRMATIONS {
--- a/controller/src/config/execution.rs
+++ b/controller/src/config/execution.rs
@@ -130,7 +130,7 @@
     for peer in controller.known_peers() {
         let protocol_version = controller.peers.protocol_version(&peer);
         let takes_delta = protocol_version >= RELAYED_ORDERS && can_apply(protocol_version);
-        controller.peers.client(&peer).notify(if takes_delta { delta.clone() } else { full.clone() });
+        controller.peers.consensus_client(&peer).notify(if takes_delta { delta.clone() } else { full.clone() });
     }
 }
 
--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -8,12 +8,16 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use consensus::{Decision, MEMBERSHIP_KEY};
 use kernel::settings::Settings;
 use kernel::{clock, log_event};
 use protocol::config::ConfigDocument;
+use protocol::frame::{self, Kind};
+use protocol::link::PeerClient;
 use protocol::message::{Entry, Message};
 
+use crate::balancing::usage_reports::UsageReports;
 use crate::batches::runner::ElapsedTimes;
 use crate::config::body::BodyFormat;
 use crate::config::execution;
@@ -52,6 +56,8 @@
     pub engines: EngineDirectory,
     /// The routers that renew their leases here.
     pub subscribers: Subscribers,
+    /// Loads of engines, as the other controllers report them.
+    pub usage_reports: UsageReports,
     /// The prefix catalog.
     pub catalog: PrefixCatalog,
     /// The singleton roles acquired here.
@@ -100,8 +106,14 @@
 
     /// Sends a message without a response to all controllers that are known.
     pub fn notify_peers(&self, message: &Message) {
+        self.notify_each(message, |ip| self.peers.client(ip));
+    }
+
+    /// Sends a message, encoded once, to all controllers that are known.
+    fn notify_each(&self, message: &Message, client: impl Fn(&str) -> Arc<PeerClient>) {
+        let Ok(frame) = frame::encode(Kind::Notification, 0, message).map(Bytes::from) else { return };
         for ip in self.known_peers() {
-            self.peers.client(&ip).notify(message.clone());
+            client(&ip).notify_frame(frame.clone());
         }
     }
 
@@ -110,7 +122,8 @@
     pub fn learn(&self, key: &str, entry: &Entry, announce: bool) {
         let is_new = self.learn_entry(key, entry, None);
         if is_new && announce {
-            self.notify_peers(&Message::Committed(Box::new((key.into(), entry.clone()))));
+            let committed = Message::Committed(Box::new((key.into(), entry.clone())));
+            self.notify_each(&committed, |ip| self.peers.consensus_client(ip));
         }
     }
 
--- a/controller/src/delivery/subscribers.rs
+++ b/controller/src/delivery/subscribers.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::mem;
 
+use kernel::hashing;
 use parking_lot::Mutex;
 use protocol::link::Responder;
 use protocol::message::Message;
@@ -16,6 +17,10 @@
     pub responder: Responder,
     /// The router's zone.
     pub zone: String,
+    /// Tells this run of the router from others.
+    pub incarnation: u64,
+    /// The list of controllers that it was sent last.
+    pub sent_controllers: Option<SentControllers>,
     /// The revision of the configuration that it has.
     pub config_revision: u64,
     /// A message for it was dropped: nothing more is pushed before it renews and reports what it has.
@@ -32,7 +37,30 @@
     pub list_versions: BTreeMap<String, (u64, u64)>,
 }
 
+/// A list of controllers that a subscriber was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SentControllers {
+    /// Tells this list from others.
+    pub digest: u64,
+    /// When it was sent, in ms of the steady clock.
+    pub at: u64,
+}
+
+/// An unchanged list of controllers is sent again after this time: what was handed to a connection may be lost with it.
+const CONTROLLERS_RESENT_AFTER_MS: u64 = 4000;
+
 impl Subscriber {
+    /// Returns whether the subscriber is to be sent this list of controllers, and notes that it is.
+    pub fn needs_controllers(&mut self, controllers: &[String], now: u64) -> bool {
+        let digest = hashing::hash(controllers.join(" ").as_bytes());
+        let is_recent = |sent: SentControllers| sent.digest == digest && now < sent.at + CONTROLLERS_RESENT_AFTER_MS;
+        if self.sent_controllers.is_some_and(is_recent) {
+            return false;
+        }
+        self.sent_controllers = Some(SentControllers { digest, at: now });
+        true
+    }
+
     /// Sends a message and returns whether it was handed to the connection. One that is dropped leaves the subscriber behind.
     pub fn send(&mut self, message: &Message) -> bool {
         let sent = self.responder.notify(message);
@@ -70,6 +98,13 @@
 pub struct Subscribers(Mutex<SubscriberTable>);
 
 impl Subscribers {
+    /// Returns the list of controllers that this run of a router was sent last.
+    pub fn sent_controllers(&self, node: &str, incarnation: u64) -> Option<SentControllers> {
+        let table = self.0.lock();
+        let subscriber = table.list.get(node).filter(|subscriber| subscriber.incarnation == incarnation)?;
+        subscriber.sent_controllers
+    }
+
     /// Keeps what was just sent to a router and until when it holds its lease.
     pub fn insert(&self, node: String, subscriber: Subscriber) {
         self.0.lock().list.insert(node, subscriber);
--- a/controller/src/delivery/subscribers_tests.rs
+++ b/controller/src/delivery/subscribers_tests.rs
@@ -4,12 +4,14 @@
 use protocol::message::Message;
 use tokio::sync::mpsc;
 
-use super::{Subscriber, SubscriberTable};
+use super::{Subscriber, SubscriberTable, Subscribers};
 
 fn subscriber(responder: Responder, lease_expires_at: u64) -> Subscriber {
     Subscriber {
         responder,
         zone: "a".into(),
+        incarnation: 1,
+        sent_controllers: None,
         config_revision: 0,
         is_behind: false,
         confirmed_limits: Default::default(),
@@ -50,3 +52,28 @@
     assert_eq!(table.list.len(), 1, "it is still connected");
     assert_eq!(table.confirmations("rule", 1, 5000), (0, 0));
 }
+
+#[test]
+fn an_unchanged_list_of_controllers_is_sent_again_after_a_while_only() {
+    let (out, _queue) = mpsc::channel(1);
+    let mut subscriber = subscriber(Responder::new(out), 1600);
+    let (one, two) = (["10.0.0.1".to_string()], ["10.0.0.1".to_string(), "10.0.0.2".to_string()]);
+    assert!(subscriber.needs_controllers(&one, 0));
+    assert!(!subscriber.needs_controllers(&one, 3999));
+    assert!(subscriber.needs_controllers(&one, 4000), "the first may have been lost with its connection");
+    assert!(subscriber.needs_controllers(&two, 4001));
+    assert!(!subscriber.needs_controllers(&two, 4002));
+}
+
+#[test]
+fn another_run_of_a_router_has_been_sent_no_controllers() {
+    let (out, _queue) = mpsc::channel(1);
+    let mut first = subscriber(Responder::new(out), 1600);
+    assert!(first.needs_controllers(&["10.0.0.1".to_string()], 7));
+    let sent = first.sent_controllers;
+    let subscribers = Subscribers::default();
+    subscribers.insert("router-1".into(), first);
+    assert_eq!(subscribers.sent_controllers("router-1", 1), sent);
+    assert_eq!(subscribers.sent_controllers("router-1", 2), None);
+    assert_eq!(subscribers.sent_controllers("router-2", 1), None);
+}
--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -4,7 +4,10 @@
 
 use kernel::clock;
 use protocol::link::Responder;
-use protocol::message::{self, EvacuationState, Message, StateUpdate, SubscriptionRenewal, QUOTAS, VERSION_ROLLOUTS};
+use protocol::message::{
+    self, EvacuationState, ListVersion, Message, StateUpdate, SubscriptionRenewal, ENDPOINT_UPDATES, QUOTAS,
+    VERSION_ROLLOUTS,
+};
 use serde_json::Value;
 
 use crate::controller::{Controller, ROUTER_LEASE_MS};
@@ -32,6 +35,8 @@
             lease_expires_at,
             responder,
             zone: renewal.zone,
+            incarnation: renewal.incarnation,
+            sent_controllers: self.subscribers.sent_controllers(&renewal.node, renewal.incarnation),
             config_revision: renewal.config_revision,
             is_behind: false,
             protocol_version: message::protocol_version_of(&renewal.list_versions),
@@ -42,13 +47,16 @@
                 .map(|entry| (entry.name, (entry.term, entry.sequence)))
                 .collect(),
         };
-        let mut update = self.missing_state(&renewal.node, &mut subscriber, now);
+        let mut update = self.missing_state(&mut subscriber, now);
+        self.add_controllers(&mut update, &renewal.node, &mut subscriber, now);
         // A lease on bound work is renewed only for one that has confirmed every limit known here.
         // One of the first version holds none: it serves on, and no limit binds while it is there.
         update.confirmed &= subscriber.protocol_version < STALENESS_LIMITS || self.has_confirmed_limits(&subscriber);
         // Whoever is told that it is current must have been sent all.
         update.confirmed &= !subscriber.is_behind;
-        subscriber.responder.reply(id, &Message::StateUpdate(Box::new(update)));
+        if !subscriber.responder.reply(id, &Message::StateUpdate(Box::new(update))) {
+            subscriber.sent_controllers = None;
+        }
         self.subscribers.insert(renewal.node, subscriber);
     }
 
@@ -68,8 +76,8 @@
         let mut list = self.subscribers.take_all();
         let reachable =
             list.iter_mut().filter(|(_, subscriber)| !subscriber.is_behind && !subscriber.responder.is_closed());
-        for (node, subscriber) in reachable {
-            let update = self.missing_state(node, subscriber, now);
+        for (_, subscriber) in reachable {
+            let update = self.missing_state(subscriber, now);
             if update.config.is_some() || !update.evacuations.is_empty() || !update.endpoint_lists.is_empty() {
                 subscriber.send(&Message::StateUpdate(Box::new(update)));
             }
@@ -78,11 +86,14 @@
     }
 
     /// Returns what a subscriber lacks. What has a message of its own is sent at once, the rest goes into the update.
-    fn missing_state(&self, node: &str, subscriber: &mut Subscriber, now: u64) -> StateUpdate {
+    fn missing_state(&self, subscriber: &mut Subscriber, now: u64) -> StateUpdate {
         let mut update = StateUpdate { confirmed: self.committed.is_confirmed(now), ..Default::default() };
         self.committed.update(|state| add_control_state(state, &mut update, subscriber));
-        self.add_membership(&mut update, node, subscriber, now);
-        self.add_engine_lists(&mut update, subscriber);
+        self.add_membership(&mut update, now);
+        match subscriber.protocol_version >= ENDPOINT_UPDATES {
+            true => self.send_list_updates(subscriber, now),
+            false => self.add_engine_lists(&mut update, subscriber),
+        }
         if subscriber.protocol_version >= STALENESS_LIMITS {
             self.send_weights(subscriber);
         }
@@ -92,15 +103,40 @@
         update
     }
 
-    fn add_membership(&self, update: &mut StateUpdate, node: &str, subscriber: &Subscriber, now: u64) {
+    fn add_membership(&self, update: &mut StateUpdate, now: u64) {
         self.peers.update(|view| {
             update.router_count = view.router_count(now, update.confirmed);
             update.reassigning = view.reassigning(now);
-            // An order of its own for each router, so that the controllers of a zone share the routers.
-            update.peers = view.preference_order(&subscriber.zone, node);
         });
     }
 
+    /// Adds the controllers, unless the router was sent the same list a moment ago: it keeps the one that it has. Each router
+    /// has an order of its own, so that the controllers of a zone share the routers.
+    fn add_controllers(&self, update: &mut StateUpdate, node: &str, subscriber: &mut Subscriber, now: u64) {
+        let controllers = self.peers.read(|view| view.preference_order(&subscriber.zone, node));
+        if subscriber.needs_controllers(&controllers, now) {
+            update.peers = controllers;
+        }
+    }
+
+    /// Sends what a subscriber lacks of the endpoint lists: changes where it has a recent version, else whole lists.
+    fn send_list_updates(&self, subscriber: &mut Subscriber, now: u64) {
+        self.engines.for_each_history(now, |zone, history| {
+            let has = subscriber.list_versions.entry(zone.into()).or_default();
+            let known = (*has != (0, 0)).then_some(ListVersion { term: has.0, sequence: has.1 });
+            let frames = history.frames_since(known, now);
+            if frames.is_empty() {
+                return;
+            }
+            let ListVersion { term, sequence } = history.version();
+            match frames.into_iter().all(|frame| subscriber.responder.notify_frame(frame)) {
+                true => *has = (term, sequence),
+                false => subscriber.is_behind = true,
+            }
+        });
+    }
+
+    /// Adds the whole lists that a subscriber of an earlier version lacks.
     fn add_engine_lists(&self, update: &mut StateUpdate, subscriber: &mut Subscriber) {
         self.engines.read(|lists| {
             for list in lists.iter() {
--- a/controller/src/discovery/engine_directory.rs
+++ b/controller/src/discovery/engine_directory.rs
@@ -2,19 +2,26 @@
 
 use std::collections::BTreeMap;
 
+use bytes::Bytes;
 use load_balancing::{EndpointLists, ObservedVersion};
 use parking_lot::Mutex;
-use protocol::message::{EndpointList, WeightVersions};
+use protocol::message::{ChangedEngines, EndpointList, EndpointUpdate, ListVersion, WeightVersions};
 use protocol::version_rollout::VersionRollout;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
+use crate::discovery::list_history::ListHistory;
+use crate::discovery::list_repairs::ListRepairs;
 use crate::discovery::version_lists::{FirstVersions, ListedEngine, PartitionedEngines};
 
 /// All engines of the fleet as this controller knows them.
 ///
-/// Lock order: endpoint lists, weight versions. The first versions are locked without another.
+/// Lock order: endpoint lists, histories, weight versions. The first versions and the repairs are locked without another.
 pub struct EngineDirectory {
     endpoint_lists: Mutex<EndpointLists>,
+    /// By zone: the latest changes of its list. They follow the lists whenever they are read.
+    histories: Mutex<BTreeMap<String, ListHistory>>,
+    /// Whose lists are behind.
+    repairs: Mutex<ListRepairs>,
     /// By zone, kept only while there are limits on stale weights.
     weight_versions: Mutex<BTreeMap<String, WeightVersions>>,
     /// The version of each service that was there before any rollout.
@@ -27,6 +34,8 @@
     fn default() -> EngineDirectory {
         EngineDirectory {
             endpoint_lists: Mutex::default(),
+            histories: Mutex::default(),
+            repairs: Mutex::default(),
             weight_versions: Mutex::default(),
             first_versions: Mutex::default(),
             poll_permit: Semaphore::new(1),
@@ -50,6 +59,55 @@
         self.endpoint_lists.lock().update(list)
     }
 
+    /// Takes over a peer's update of an endpoint list. `None`: it does not apply to the list known.
+    pub fn apply(&self, update: &EndpointUpdate) -> Option<ChangedEngines> {
+        self.endpoint_lists.lock().apply(update)
+    }
+
+    /// Calls `visit` with the history of each zone's list, as of now.
+    pub fn for_each_history(&self, now: u64, mut visit: impl FnMut(&str, &mut ListHistory)) {
+        let endpoint_lists = self.endpoint_lists.lock();
+        let mut histories = self.histories.lock();
+        for zone in endpoint_lists.iter().map(|list| &list.zone) {
+            let Some(list) = endpoint_lists.list(zone) else { continue };
+            let history = histories.entry(zone.clone()).or_insert_with(|| ListHistory::new(list.clone(), now));
+            history.follow(list, now);
+            visit(zone, history);
+        }
+    }
+
+    /// Returns what brings one that has the version `known` of a zone's list up to date.
+    pub fn frames_since(&self, zone: &str, known: Option<ListVersion>, now: u64) -> Vec<Bytes> {
+        let mut frames = Vec::new();
+        self.for_each_history(now, |name, history| {
+            if name == zone {
+                frames = history.frames_since(known, now);
+            }
+        });
+        frames
+    }
+
+    /// Returns the latest change of a zone's list, or the whole list where no change is known.
+    pub fn latest_frame(&self, zone: &str, now: u64) -> Option<Bytes> {
+        let mut frame = None;
+        self.for_each_history(now, |name, history| {
+            if name == zone {
+                frame = history.latest_frame(now);
+            }
+        });
+        frame
+    }
+
+    /// Notes whether a peer's heartbeat showed it behind, and returns whether this controller is to send what it lacks.
+    pub fn is_to_repair(&self, own: &str, peer: &str, is_behind: bool, live: &[String]) -> bool {
+        let mut repairs = self.repairs.lock();
+        if !is_behind {
+            repairs.record_current(peer);
+            return false;
+        }
+        repairs.record_behind(own, peer, live)
+    }
+
     /// Returns which list of a zone is known, to be compared after a poll.
     pub fn known_list(&self, zone: &str) -> ObservedVersion {
         self.endpoint_lists.lock().observed_version(zone)
--- /dev/null
+++ b/controller/src/discovery/list_history_tests.rs
@@ -0,0 +1,100 @@
+//! What those that are behind get of a zone's list.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use load_balancing::EndpointLists;
+use protocol::frame::{self, HEADER_BYTES};
+use protocol::message::{EndpointList, EndpointUpdate, Engine, ListVersion, Message};
+
+use super::{ListHistory, MAX_CHANGES};
+
+fn engine(number: usize, up: bool, cold_ms: u32) -> Engine {
+    Engine {
+        id: format!("i-{number:08x}"),
+        service: "s".into(),
+        addr: format!("10.1.{}.{}:80", number / 256, number % 256),
+        zone: "a".into(),
+        phase: "decode".into(),
+        model: "m".into(),
+        slots: 16,
+        up,
+        cold_ms,
+    }
+}
+
+/// The list of a zone of 300 engines of which those up to the sequence are draining.
+fn list(sequence: u64) -> Arc<EndpointList> {
+    let engines = (0..300).map(|number| engine(number, number as u64 > sequence, 0)).collect();
+    Arc::new(EndpointList { zone: "a".into(), term: 5, sequence, engines })
+}
+
+fn version(sequence: u64) -> Option<ListVersion> {
+    Some(ListVersion { term: 5, sequence })
+}
+
+fn read(frame: &Bytes) -> EndpointUpdate {
+    match frame::decode_body(&frame[HEADER_BYTES..]).expect("a message") {
+        Message::EndpointUpdate(update) => *update,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A history that saw the versions from 1 to `last`.
+fn history(last: u64) -> ListHistory {
+    let mut history = ListHistory::new(list(1), 0);
+    (2..=last).for_each(|sequence| history.follow(&list(sequence), 0));
+    history
+}
+
+#[test]
+fn each_version_leads_to_the_list_in_force_by_changes_or_by_the_whole() {
+    let last = MAX_CHANGES as u64 + 8;
+    let mut history = history(last);
+    for known in 0..=last {
+        let mut receiver = EndpointLists::default();
+        if known > 0 {
+            receiver.update(&list(known));
+        }
+        let frames = history.frames_since((known > 0).then(|| version(known)).flatten(), 0);
+        let updates: Vec<EndpointUpdate> = frames.iter().map(read).collect();
+        let are_changes = updates.iter().all(|update| update.base.is_some());
+        assert!(known >= 8 || !are_changes, "version {known}: the oldest changes are forgotten");
+        assert!(known < last - 8 || are_changes, "version {known}: few changes are shorter than the list");
+        for update in &updates {
+            assert!(receiver.apply(update).is_some(), "version {known}");
+        }
+        let mut engines = receiver.list("a").expect("a list").engines.clone();
+        engines.sort_by(|left, right| left.id.cmp(&right.id));
+        assert_eq!(engines, list(last).engines, "version {known}");
+    }
+}
+
+#[test]
+fn the_whole_list_is_sent_where_the_changes_are_longer() {
+    let mut history = ListHistory::new(list(1), 0);
+    let all_drain = |sequence| {
+        let engines = (0..300).map(|number| engine(number, sequence % 2 == 0, 0)).collect();
+        Arc::new(EndpointList { zone: "a".into(), term: 5, sequence, engines })
+    };
+    (2..6).for_each(|sequence| history.follow(&all_drain(sequence), 0));
+    let frames = history.frames_since(version(1), 0);
+    assert_eq!(frames.len(), 1);
+    assert_eq!(read(&frames[0]).base, None);
+    assert_eq!(history.frames_since(version(4), 0).len(), 1);
+    assert!(history.frames_since(version(5), 0).is_empty());
+    assert!(history.frames_since(version(9), 0).is_empty(), "whoever has a newer list needs nothing");
+}
+
+#[test]
+fn a_whole_list_says_what_is_left_of_slow_starts_now() {
+    let cold = EndpointList { zone: "a".into(), term: 5, sequence: 1, engines: vec![engine(1, true, 3000)] };
+    let mut history = ListHistory::new(Arc::new(cold), 10_000);
+    let mut cold_ms = |now| {
+        let update = read(&history.frames_since(None, now)[0]);
+        update.unpack().expect("readable").changed[0].cold_ms
+    };
+    assert_eq!(cold_ms(10_000), 3000);
+    assert_eq!(cold_ms(12_500), 500);
+    assert_eq!(cold_ms(60_000), 1, "the list in force still says that it is cold");
+}
--- a/controller/src/discovery/poller.rs
+++ b/controller/src/discovery/poller.rs
@@ -7,7 +7,7 @@
 use kernel::settings::Settings;
 use load_balancing::{is_term_of, EndpointLists};
 use membership::PeerReport;
-use protocol::message::{EndpointList, Engine, Gossip, HiddenKey, Message, VersionEntry};
+use protocol::message::{EndpointList, Engine, Gossip, HiddenKey, Message, VersionEntry, ENDPOINT_UPDATES};
 use protocol::version_rollout;
 use reqwest::{Client, StatusCode};
 use tokio::time;
@@ -236,10 +236,25 @@
         "up" => list.engines.iter().filter(|engine| engine.up).count(), "all" => list.engines.len(),
         "prefill" => list.engines.iter().filter(|engine| engine.up && engine.phase == "prefill").count());
     controller.catalog.remove_draining(&list);
-    controller.notify_peers(&Message::EndpointList(Box::new(list)));
+    announce(controller, list);
     controller.push_updates();
 }
 
+/// Sends the other controllers a list that was just published: what changed where they read that, else the whole list. One
+/// that lacks the version before gets it after its next heartbeat.
+fn announce(controller: &Controller, list: EndpointList) {
+    let change = controller.engines.latest_frame(&list.zone, clock::now());
+    let whole = Message::EndpointList(Box::new(list));
+    for ip in controller.known_peers() {
+        let reads_updates = controller.peers.protocol_version(&ip) >= ENDPOINT_UPDATES;
+        let client = controller.peers.client(&ip);
+        match change.as_ref().filter(|_| reads_updates) {
+            Some(change) => client.notify_frame(change.clone()),
+            None => client.notify(whole.clone()),
+        };
+    }
+}
+
 #[cfg(test)]
 #[path = "poller_tests.rs"]
 mod tests;
--- a/controller/src/peers/directory.rs
+++ b/controller/src/peers/directory.rs
@@ -15,13 +15,20 @@
     port: u16,
     view: Mutex<MembershipView>,
     clients: Mutex<HashMap<String, Arc<PeerClient>>>,
+    consensus_clients: Mutex<HashMap<String, Arc<PeerClient>>>,
     pause_monitor: Mutex<PauseMonitor>,
 }
 
 impl Peers {
     /// Returns the peers of a controller that has not heard of anyone. `port` is where all of them listen for peers.
     pub fn new(port: u16, view: MembershipView) -> Peers {
-        Peers { port, view: Mutex::new(view), clients: Mutex::default(), pause_monitor: Mutex::default() }
+        Peers {
+            port,
+            view: Mutex::new(view),
+            clients: Mutex::default(),
+            consensus_clients: Mutex::default(),
+            pause_monitor: Mutex::default(),
+        }
     }
 
     /// Returns what `read` makes of the membership view of one moment.
@@ -34,11 +41,21 @@
         update(&mut self.view.lock())
     }
 
-    /// Returns the connection to a controller, dialled at the first use.
+    /// Returns the connection to a controller for heartbeats, lists of engines and whatever else has no hurry.
     pub fn client(&self, ip: &str) -> Arc<PeerClient> {
-        let mut clients = self.clients.lock();
-        let address = format!("{ip}:{}", self.port);
-        clients.entry(ip.into()).or_insert_with(|| Arc::new(PeerClient::start(address, None))).clone()
+        self.client_among(&self.clients, ip)
+    }
+
+    /// Returns the connection to a controller for consensus, operators' requests and committed entries: a queue of its own, so
+    /// that nothing that an operator waits for stands behind a list of engines.
+    pub fn consensus_client(&self, ip: &str) -> Arc<PeerClient> {
+        self.client_among(&self.consensus_clients, ip)
+    }
+
+    /// Returns the connection to a controller, dialled at the first use.
+    fn client_among(&self, clients: &Mutex<HashMap<String, Arc<PeerClient>>>, ip: &str) -> Arc<PeerClient> {
+        let start = || Arc::new(PeerClient::start(format!("{ip}:{}", self.port), None));
+        clients.lock().entry(ip.into()).or_insert_with(start).clone()
     }
 
     /// Returns the addresses of all controllers in the view, whether they live or not.
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -75,6 +75,13 @@
                 controller.push_updates();
             }
         }
+        Message::EndpointUpdate(update) => {
+            if let Some(engines) = controller.engines.apply(&update) {
+                controller.catalog.remove_leaving(&engines);
+                controller.push_updates();
+            }
+        }
+        Message::EngineUsage(usage) => controller.usage_reports.record(*usage, now),
         Message::CommittedDelta(delta) => execution::apply_delta(controller, &delta),
         Message::Committed(committed) => controller.learn(&committed.0, &committed.1, false),
         Message::SuspectEngine(suspicion) => controller.suspect_engine(&suspicion.0, suspicion.1),
--- a/controller/src/peers/gossip.rs
+++ b/controller/src/peers/gossip.rs
@@ -4,10 +4,13 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use kernel::{clock, startup};
 use membership::{MembershipView, Peer};
-use protocol::message::{self, Gossip, Message};
+use protocol::frame::{self, Kind};
+use protocol::message::{self, Gossip, Message, ENDPOINT_UPDATES, ENGINE_USAGE};
 
+use crate::balancing::usage_reports;
 use crate::controller::{Controller, HEARTBEAT_INTERVAL_MS, LIVENESS_TIMEOUT_MS};
 use crate::discovery::poller;
 use crate::quota_shards;
@@ -31,12 +34,30 @@
             }
         }
     });
-    let newer = controller.engines.update(|lists| {
+    repair_lists(controller, gossip, now);
+}
+
+/// Sends a peer the endpoint lists that its heartbeat shows it to lack, if that falls to this controller.
+fn repair_lists(controller: &Controller, gossip: &Gossip, now: u64) {
+    let outdated = controller.engines.update(|lists| {
         lists.observe_terms(&gossip.observed_list_versions);
-        lists.newer_than(&gossip.list_versions)
+        lists.outdated_zones(&gossip.list_versions)
     });
-    for list in newer {
-        controller.peers.client(&gossip.ip).notify(Message::EndpointList(Box::new(list)));
+    let live = controller.peers.live_ips(now);
+    if !controller.engines.is_to_repair(controller.own_ip(), &gossip.ip, !outdated.is_empty(), &live) {
+        return;
+    }
+    let peer = controller.peers.client(&gossip.ip);
+    if message::protocol_version_of(&gossip.list_versions) < ENDPOINT_UPDATES {
+        for list in controller.engines.read(|lists| lists.newer_than(&gossip.list_versions)) {
+            peer.notify(Message::EndpointList(Box::new(list)));
+        }
+        return;
+    }
+    for (zone, known) in outdated {
+        for frame in controller.engines.frames_since(&zone, known, now) {
+            peer.notify_frame(frame);
+        }
     }
 }
 
@@ -79,16 +100,29 @@
     let gossip = heartbeat(controller, &own, now);
     let balancer = controller.committed.role_owner(BALANCE);
     let batch_owner = controller.committed.role_owner(BATCH);
+    let encoded = frame::encode(Kind::Notification, 0, &Message::Gossip(Box::new(gossip.clone())));
+    let Ok(frame) = encoded.map(Bytes::from) else { return };
     for ip in controller.known_peers() {
-        let mut gossip = gossip.clone();
-        // What grows with engines or routers goes to the one controller that reads it.
-        if balancer.as_ref() == Some(&ip) {
-            gossip.in_flight.clone_from(&own.in_flight);
+        let client = controller.peers.client(&ip);
+        // What grows with routers goes to the one controller that reads it, and nothing that is sent grows with engines.
+        let is_balancer = balancer.as_ref() == Some(&ip);
+        let is_batch_owner = batch_owner.as_ref() == Some(&ip);
+        let reads_usage = controller.peers.protocol_version(&ip) >= ENGINE_USAGE;
+        if is_balancer && reads_usage {
+            client.notify(Message::EngineUsage(Box::new(usage_reports::own_usage(controller, &own.in_flight))));
         }
-        if batch_owner.as_ref() == Some(&ip) {
-            gossip.frontend_addresses.clone_from(&own.frontend_addresses);
+        if is_batch_owner || (is_balancer && !reads_usage) {
+            let mut gossip = gossip.clone();
+            if is_balancer && !reads_usage {
+                gossip.in_flight.clone_from(&own.in_flight);
+            }
+            if is_batch_owner {
+                gossip.frontend_addresses.clone_from(&own.frontend_addresses);
+            }
+            client.notify(Message::Gossip(Box::new(gossip)));
+        } else {
+            client.notify_frame(frame.clone());
         }
-        controller.peers.client(&ip).notify(Message::Gossip(Box::new(gossip)));
     }
 }
 
--- a/controller/src/prefix_catalog.rs
+++ b/controller/src/prefix_catalog.rs
@@ -6,7 +6,7 @@
 use catalog::PrefixIndex;
 use kernel::hashing;
 use parking_lot::Mutex;
-use protocol::message::{EndpointList, EngineLoad, PrefixLookup, PrefixLookupResponse, Record};
+use protocol::message::{ChangedEngines, EndpointList, EngineLoad, PrefixLookup, PrefixLookupResponse, Record};
 
 /// How many keys, engines or loads of one message are read.
 const MAX_ITEMS: usize = 256;
@@ -114,6 +114,17 @@
     }
 }
 
+impl PrefixCatalog {
+    /// Forgets the engines of an update that drain or are gone, so that they leave the answers at once.
+    pub fn remove_leaving(&self, engines: &ChangedEngines) {
+        let draining = engines.changed.iter().filter(|engine| !engine.up).map(|engine| &engine.id);
+        let mut catalog = self.0.lock();
+        for id in draining.chain(&engines.removed) {
+            catalog.prefix_index.remove_engine(id);
+        }
+    }
+}
+
 impl CatalogState {
     fn answers(&self, epoch: u64) -> bool {
         self.epoch == epoch && epoch != 0
--- a/controller/src/replication/registers.rs
+++ b/controller/src/replication/registers.rs
@@ -66,7 +66,7 @@
                 });
                 continue;
             }
-            let peer = self.peers.client(ip);
+            let peer = self.peers.consensus_client(ip);
             tokio::spawn(async move {
                 let msg = Message::ConsensusRequest(Box::new(request));
                 let Some(Message::ConsensusResponse(response)) = peer.call(msg, ROUND_TIMEOUT_MS).await else { return };
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -135,6 +135,7 @@
         peers: Peers::new(settings.peer_port(), view),
         engines: Default::default(),
         subscribers: Default::default(),
+        usage_reports: Default::default(),
         catalog: Default::default(),
         acquired_roles: Default::default(),
         elapsed_times: Default::default(),
--- a/load_balancing/src/endpoint_lists.rs
+++ b/load_balancing/src/endpoint_lists.rs
@@ -5,8 +5,9 @@
 //! list, however late it arrives (`docs/singleton-roles.md`, "Endpoint lists").
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
-use protocol::message::{self, EndpointList, Engine, VersionEntry};
+use protocol::message::{self, ChangedEngines, EndpointList, EndpointUpdate, Engine, ListVersion, VersionEntry};
 use protocol::version_rollout;
 
 /// The low bits of a term that hold its poller's replica id: enough that no two pollers of a large fleet share them.
@@ -34,7 +35,7 @@
 /// The newest list of each zone. Invariant: the version (term, sequence) of a zone's list never goes back.
 #[derive(Default)]
 pub struct EndpointLists {
-    lists: BTreeMap<String, EndpointList>,
+    lists: BTreeMap<String, Arc<EndpointList>>,
     /// By zone: the highest term that others are known to hold. The next own poll goes above it.
     observed_terms: BTreeMap<String, u64>,
 }
@@ -46,10 +47,30 @@
         if current >= Some((list.term, list.sequence)) {
             return false;
         }
-        self.lists.insert(list.zone.clone(), list.clone());
+        self.lists.insert(list.zone.clone(), Arc::new(list.clone()));
         true
     }
 
+    /// Takes over an update that applies to the list held, and returns the engines in it. `None`: it is not newer, it changes
+    /// another version than the one held, or it can't be read; nothing has changed then.
+    pub fn apply(&mut self, update: &EndpointUpdate) -> Option<ChangedEngines> {
+        let held = self.lists.get(&update.zone);
+        if !update.applies_to(held.map(|list| list.version())) {
+            return None;
+        }
+        let engines = update.unpack()?;
+        let base = held.filter(|_| update.base.is_some()).map_or(&[][..], |list| &list.engines);
+        let ListVersion { term, sequence } = update.version;
+        let list = EndpointList { zone: update.zone.clone(), term, sequence, engines: engines.apply(base) };
+        self.lists.insert(update.zone.clone(), Arc::new(list));
+        Some(engines)
+    }
+
+    /// Returns the list of a zone.
+    pub fn list(&self, zone: &str) -> Option<&Arc<EndpointList>> {
+        self.lists.get(zone)
+    }
+
     /// Returns what is known of a zone's list, to be asked before the first call of a poll.
     pub fn observed_version(&self, zone: &str) -> ObservedVersion {
         let version = self.lists.get(zone).map(|current| (current.term, current.sequence));
@@ -84,13 +105,24 @@
         }
         let sequence = own.map_or(1, |current| current.sequence + 1);
         let list = EndpointList { zone: zone.into(), term: *term, sequence, engines };
-        self.lists.insert(zone.into(), list.clone());
+        self.lists.insert(zone.into(), Arc::new(list.clone()));
         Some(list)
     }
 
     /// Returns all lists, by the names of their zones.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointList> {
-        self.lists.values()
+        self.lists.values().map(Arc::as_ref)
+    }
+
+    /// Returns the zones whose lists are newer than the versions a peer reported, and the version that the peer has.
+    pub fn outdated_zones(&self, reported: &[VersionEntry]) -> Vec<(String, Option<ListVersion>)> {
+        let held_by_peer = |zone: &str| {
+            let entry = reported.iter().find(|entry| entry.name == zone)?;
+            Some(ListVersion { term: entry.term, sequence: entry.sequence })
+        };
+        let versions = self.lists.values().map(|list| (list, held_by_peer(&list.zone)));
+        let outdated = versions.filter(|(list, held)| Some(list.version()) > *held);
+        outdated.map(|(list, held)| (list.zone.clone(), held)).collect()
     }
 
     /// Returns the lists that are newer than the versions a peer reported.
@@ -100,7 +132,7 @@
         self.lists
             .values()
             .filter(|current| Some((current.term, current.sequence)) > version(&current.zone))
-            .cloned()
+            .map(|current| EndpointList::clone(current))
             .collect()
     }
 
@@ -126,8 +158,7 @@
 
 /// Returns whether two lists are the same but for what is left of slow starts, which runs down by itself.
 fn is_same_list(left: &[Engine], right: &[Engine]) -> bool {
-    let without_time = |engine: &Engine| Engine { cold_ms: u32::from(engine.cold_ms > 0), ..engine.clone() };
-    left.len() == right.len() && left.iter().zip(right).all(|(one, two)| without_time(one) == without_time(two))
+    left.len() == right.len() && left.iter().zip(right).all(|(one, two)| one.is_same(two))
 }
 
 #[cfg(test)]
--- a/load_balancing/src/engine_table.rs
+++ b/load_balancing/src/engine_table.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use kernel::hashing;
-use protocol::message::{self, EndpointList, Engine, EngineLoad, EngineWeights, VersionEntry};
+use protocol::message::{self, EndpointList, EndpointUpdate, Engine, EngineLoad, EngineWeights, VersionEntry};
 use protocol::version_rollout;
 
 use crate::endpoint_lists::EndpointLists;
@@ -105,23 +105,63 @@
         if !self.lists.update(list) {
             return Vec::new();
         }
-        let candidate_zone = version_rollout::candidate_zone(&list.zone);
-        let is_candidate = candidate_zone.is_some();
-        let zone = self.zone_index(candidate_zone.unwrap_or(&list.zone));
-        let mut left = self.unlist_missing(list, zone, is_candidate);
-        for listed in &list.engines {
+        let (zone, is_candidate) = self.zone_of_list(&list.zone);
+        let mut left = self.unlist_missing(&list.engines, zone, is_candidate);
+        left.extend(self.apply_listings(&list.engines, zone, is_candidate, now));
+        self.rebuild_subsets();
+        left
+    }
+
+    /// Takes over an update that applies to the list held. Returns the ids of engines that just left or began to drain; none
+    /// where the update does not apply.
+    pub fn apply_update(&mut self, update: &EndpointUpdate, now: u64) -> Vec<String> {
+        let Some(engines) = self.lists.apply(update) else { return Vec::new() };
+        let (zone, is_candidate) = self.zone_of_list(&update.zone);
+        let mut left = match update.base {
+            Some(_) => self.unlist(&engines.removed, is_candidate),
+            None => self.unlist_missing(&engines.changed, zone, is_candidate),
+        };
+        left.extend(self.apply_listings(&engines.changed, zone, is_candidate, now));
+        self.rebuild_subsets();
+        left
+    }
+
+    /// Returns the index of the zone of a list, and whether the list is that of its candidates.
+    fn zone_of_list(&mut self, name: &str) -> (u32, bool) {
+        let candidate_zone = version_rollout::candidate_zone(name);
+        (self.zone_index(candidate_zone.unwrap_or(name)), candidate_zone.is_some())
+    }
+
+    /// Takes over what a list says of engines. Returns the ids of those that began to drain.
+    fn apply_listings(&mut self, engines: &[Engine], zone: u32, is_candidate: bool, now: u64) -> Vec<String> {
+        let mut draining = Vec::new();
+        for listed in engines {
             let at = self.find_or_insert(listed, zone);
             if self.engines[at].apply_listing(listed, is_candidate, now) {
-                left.push(self.engines[at].id.clone());
+                draining.push(self.engines[at].id.clone());
+            }
+        }
+        draining
+    }
+
+    /// Marks engines that a list does not name any more. Returns the ids of those that it named. An engine that moved to the
+    /// other list of its zone stays.
+    fn unlist(&mut self, ids: &[String], is_candidate: bool) -> Vec<String> {
+        let mut left = Vec::new();
+        for id in ids {
+            let Some(at) = self.find(id) else { continue };
+            let engine = &mut self.engines[at];
+            if engine.listed && engine.candidate == is_candidate {
+                engine.listed = false;
+                left.push(engine.id.clone());
             }
         }
-        self.rebuild_subsets();
         left
     }
 
     /// Marks the engines of a zone that its list does not name any more. Returns their ids.
-    fn unlist_missing(&mut self, list: &EndpointList, zone: u32, is_candidate: bool) -> Vec<String> {
-        let named: HashSet<&str> = list.engines.iter().map(|engine| engine.id.as_str()).collect();
+    fn unlist_missing(&mut self, engines: &[Engine], zone: u32, is_candidate: bool) -> Vec<String> {
+        let named: HashSet<&str> = engines.iter().map(|engine| engine.id.as_str()).collect();
         let is_missing = |engine: &&mut EngineState| {
             engine.zone == zone
                 && engine.candidate == is_candidate
--- a/load_balancing/src/lib.rs
+++ b/load_balancing/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`SelectionContext`] selects the engine for prefill, for decode, or for both.
 //! - [`RetryBudget`] and [`SlowStart`] are this router's slices of bounds that all routers share.
 //! - [`StalenessBounds`] says which weight versions a request may run on.
+//! - [`summarize_usage`] sums up requests in flight for the controller that decides on phases.
 //! - [`plan_phase_change`] decides, for a controller, which engines change between prefill and decode.
 //!
 //! Everything is synchronous and pure: times come in with each call, in milliseconds of the caller's clock.
@@ -14,6 +15,7 @@
 mod endpoint_lists;
 mod engine_state;
 mod engine_table;
+mod engine_usage;
 mod phase;
 mod phase_balance;
 mod retry_budget;
@@ -29,8 +31,11 @@
 pub use endpoint_lists::{is_term_of, EndpointLists, ObservedVersion};
 pub use engine_state::{EngineState, ReportedLoad};
 pub use engine_table::EngineTable;
+pub use engine_usage::{summarize_usage, PhaseKey, TotalUsage, UsageSample};
 pub use phase::Phase;
-pub use phase_balance::{plan_phase_change, EngineObservation, PhaseChange};
+pub use phase_balance::{
+    plan_phase_change, plan_phase_change_among, EngineObservation, PhaseChange, PhaseLoad, ServiceLoad,
+};
 pub use retry_budget::RetryBudget;
 pub use selection::{Arm, CachedPrefix, SelectedEngine, SelectionContext, WeightVersionRange};
 pub use slow_start::SlowStart;
--- a/load_balancing/src/phase_balance.rs
+++ b/load_balancing/src/phase_balance.rs
@@ -41,16 +41,19 @@
 }
 
 /// The eligible engines of one phase, and their load.
-#[derive(Clone, Copy)]
-struct PhaseLoad {
-    count: f64,
-    in_flight: f64,
-    slots: f64,
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PhaseLoad {
+    /// How many engines there are.
+    pub count: f64,
+    /// Requests in flight at all of them.
+    pub in_flight: f64,
+    /// Requests that all of them decode at once.
+    pub slots: f64,
 }
 
 impl PhaseLoad {
     fn of(observations: &[EngineObservation], prefill: bool) -> PhaseLoad {
-        let mut load = PhaseLoad { count: 0.0, in_flight: 0.0, slots: 0.0 };
+        let mut load = PhaseLoad::default();
         for engine in observations.iter().filter(|engine| engine.eligible && engine.prefill == prefill) {
             load.count += 1.0;
             load.in_flight += f64::from(engine.in_flight);
@@ -71,13 +74,20 @@
 }
 
 /// Both phases of a service.
-#[derive(Clone, Copy)]
-struct ServiceLoad {
-    prefill: PhaseLoad,
-    decode: PhaseLoad,
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceLoad {
+    /// The engines that do prefill.
+    pub prefill: PhaseLoad,
+    /// The engines that decode.
+    pub decode: PhaseLoad,
 }
 
 impl ServiceLoad {
+    /// Returns the load of a service whose engines are all observed.
+    pub fn of(observations: &[EngineObservation]) -> ServiceLoad {
+        ServiceLoad { prefill: PhaseLoad::of(observations, true), decode: PhaseLoad::of(observations, false) }
+    }
+
     /// Returns the phase that one more engine should change to: prefill (true) or decode. `None`: leave all as they are.
     fn wanted_phase(&self) -> Option<bool> {
         let (prefill, decode) = (&self.prefill, &self.decode);
@@ -119,13 +129,21 @@
     eligible
 }
 
-/// Returns the engines of a service that are to change their phase, as many as are wanted one after the other. `None`:
-/// leave all as they are.
+/// Returns the engines of a service that are to change their phase, where all of its engines are observed. `None`: leave all
+/// as they are.
 pub fn plan_phase_change(observations: &[EngineObservation]) -> Option<PhaseChange> {
-    let mut load =
-        ServiceLoad { prefill: PhaseLoad::of(observations, true), decode: PhaseLoad::of(observations, false) };
+    plan_phase_change_among(observations, ServiceLoad::of(observations), observations.len())
+}
+
+/// Returns the engines among those observed that are to change their phase, as many as are wanted one after the other.
+/// `load`: that of all eligible engines of the service, `engine_count`: how many it has. `None`: leave all as they are.
+pub fn plan_phase_change_among(
+    observations: &[EngineObservation],
+    mut load: ServiceLoad,
+    engine_count: usize,
+) -> Option<PhaseChange> {
     let prefill = load.wanted_phase()?;
-    let limit = (observations.len() / ENGINES_PER_CHANGE).max(1);
+    let limit = (engine_count / ENGINES_PER_CHANGE).max(1);
     let mut engines = Vec::new();
     for at in least_loaded_first(observations, !prefill).into_iter().take(limit) {
         if load.wanted_phase() != Some(prefill) {
--- a/protocol/src/config_update.rs
+++ b/protocol/src/config_update.rs
@@ -7,9 +7,9 @@
 use std::collections::{HashMap, HashSet};
 
 use rkyv::rancor;
-use rkyv::util::AlignedVec;
 use rkyv::{Archive, Deserialize, Serialize};
 
+use crate::compression;
 use crate::config::{Config, Limits, Route, Service, Tenant};
 
 pub mod legacy_format;
@@ -17,8 +17,6 @@
 /// How an encoding in this format begins. One in the legacy format begins with its uncompressed length, which is never
 /// so large.
 const FORMAT: [u8; 4] = [b't', b'd', 2, 0xff];
-/// The longest uncompressed form that is read, in bytes: the longest configuration comes to a third of it.
-const MAX_UNCOMPRESSED_BYTES: usize = 64 * 1024 * 1024;
 
 /// What leads from one revision to another. Invariants: `from` is 0 for a whole configuration; otherwise the update
 /// applies only to the revision `from`. The controller that made it checked the result.
@@ -87,7 +85,7 @@
     /// Decodes an update in either format. Returns `None` if the bytes are cut short, or no update.
     pub fn decode(encoded: &[u8]) -> Option<ConfigUpdate> {
         let Some(compressed) = encoded.strip_prefix(&FORMAT[..]) else { return legacy_format::decode(encoded) };
-        rkyv::from_bytes::<ConfigUpdate, rancor::Error>(&decompress(compressed)?).ok()
+        rkyv::from_bytes::<ConfigUpdate, rancor::Error>(&compression::decompress(compressed)?).ok()
     }
 
     /// Encodes the update, compressed: after a loss of power everywhere all routers of a controller ask for the whole
@@ -98,23 +96,10 @@
     /// Never for an update that fits into memory.
     pub fn encode(&self) -> Vec<u8> {
         let body = rkyv::to_bytes::<rancor::Error>(self).expect("an update can always be encoded");
-        [&FORMAT[..], &lz4_flex::compress_prepend_size(&body)].concat()
+        [&FORMAT[..], &compression::compress(&body)].concat()
     }
 }
 
-/// Decompresses into memory that is aligned for archived values. Returns `None` if the bytes are not compressed, or too
-/// long.
-fn decompress(compressed: &[u8]) -> Option<AlignedVec<16>> {
-    let size = u32::from_le_bytes(*compressed.first_chunk::<4>()?) as usize;
-    if size > MAX_UNCOMPRESSED_BYTES {
-        return None;
-    }
-    let body = lz4_flex::decompress_size_prepended(compressed).ok()?;
-    let mut aligned = AlignedVec::<16>::with_capacity(body.len());
-    aligned.extend_from_slice(&body);
-    Some(aligned)
-}
-
 /// Returns the items that were added or replaced, and the names of those that were removed.
 fn difference<T: Clone + PartialEq>(old: &[T], new: &[T], name: impl Fn(&T) -> &str) -> (Vec<T>, Vec<String>) {
     let before: HashMap<&str, &T> = old.iter().map(|item| (name(item), item)).collect();
--- a/protocol/src/config_update/legacy_format.rs
+++ b/protocol/src/config_update/legacy_format.rs
@@ -5,7 +5,7 @@
 use rkyv::rancor;
 use rkyv::{Archive, Deserialize, Serialize};
 
-use super::decompress;
+use crate::compression;
 use crate::config;
 
 /// As `config::Route`, without `anonymous`.
@@ -86,7 +86,9 @@
 
 /// Decodes an update. Returns `None` if the bytes are cut short, or no update.
 pub fn decode(compressed: &[u8]) -> Option<super::ConfigUpdate> {
-    rkyv::from_bytes::<ConfigUpdate, rancor::Error>(&decompress(compressed)?).ok().map(super::ConfigUpdate::from)
+    rkyv::from_bytes::<ConfigUpdate, rancor::Error>(&compression::decompress(compressed)?)
+        .ok()
+        .map(super::ConfigUpdate::from)
 }
 
 /// Encodes an update between configurations that [`can_encode`] admits.
@@ -96,7 +98,7 @@
 /// Never for an update that fits into memory.
 pub fn encode(update: &super::ConfigUpdate) -> Vec<u8> {
     let body = rkyv::to_bytes::<rancor::Error>(&ConfigUpdate::from(update)).expect("an update can always be encoded");
-    lz4_flex::compress_prepend_size(&body)
+    compression::compress(&body)
 }
 
 impl From<&super::ConfigUpdate> for ConfigUpdate {
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -10,6 +10,7 @@
 #![deny(missing_docs)]
 
 mod capability;
+mod compression;
 pub mod config;
 pub mod config_update;
 pub mod frame;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -4,6 +4,8 @@
 mod catalog;
 mod consensus;
 mod endpoint_list;
+mod endpoint_update;
+mod engine_usage;
 mod gossip;
 mod subscription;
 
@@ -26,6 +28,8 @@
     ProposalNumber, RegisterState,
 };
 pub use endpoint_list::{EndpointList, Engine};
+pub use endpoint_update::{ChangedEngines, EndpointUpdate, ListVersion};
+pub use engine_usage::{EngineUsage, PhaseUsage, SampledUsage};
 pub use gossip::Gossip;
 pub use subscription::{StateUpdate, SubscriptionRenewal};
 
@@ -108,4 +112,8 @@
     VersionRollout(Box<VersionRollout>),
     /// What routers saw of a rollout. Since version 5.
     Samples(Box<Samples>),
+    /// A zone's endpoint list, whole or as what changed. Since version 6.
+    EndpointUpdate(Box<EndpointUpdate>),
+    /// How loaded engines are, for the controller that balances phases. Since version 6.
+    EngineUsage(Box<EngineUsage>),
 }
--- /dev/null
+++ b/protocol/src/message/endpoint_update.rs
@@ -0,0 +1,118 @@
+//! A zone's endpoint list on its way: whole, or as what changed since an earlier version.
+//!
+//! A zone of a large fleet has a thousand engines, and during a release some of them change with each poll of the platform.
+//! Sent whole each time, the lists were most of what controllers and routers exchanged.
+
+use std::collections::{HashMap, HashSet};
+
+use rkyv::{rancor, Archive, Deserialize, Serialize};
+
+use super::{EndpointList, Engine};
+use crate::compression;
+
+/// The version of an endpoint list. A later one is greater, whichever poller made it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Archive, Serialize, Deserialize)]
+pub struct ListVersion {
+    /// Rises whenever another poller takes the zone over.
+    pub term: u64,
+    /// Counts the changes that this poller saw.
+    pub sequence: u64,
+}
+
+/// What leads from one version of a zone's endpoint list to a later one. Since version 6.
+///
+/// Invariant: two lists of one version name the same engines in the same state, so an update leads to the same list wherever
+/// its base is held.
+#[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
+pub struct EndpointUpdate {
+    /// The zone, or a hidden key for the candidates of a zone.
+    pub zone: String,
+    /// The version that it applies to. `None`: to any, since it is whole.
+    pub base: Option<ListVersion>,
+    /// The version that it leads to.
+    pub version: ListVersion,
+    /// The engines that were added or have changed, all of them where it is whole: archived and compressed.
+    packed_engines: Vec<u8>,
+    /// The ids of engines that are gone.
+    pub removed: Vec<String>,
+}
+
+/// An update whose engines are read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ChangedEngines {
+    /// The engines that were added or have changed, all of them where the update is whole.
+    pub changed: Vec<Engine>,
+    /// The ids of engines that are gone.
+    pub removed: Vec<String>,
+}
+
+impl EndpointList {
+    /// Returns the version of the list.
+    pub fn version(&self) -> ListVersion {
+        ListVersion { term: self.term, sequence: self.sequence }
+    }
+}
+
+impl EndpointUpdate {
+    /// Returns a list as an update that applies to any version.
+    pub fn whole(list: &EndpointList) -> EndpointUpdate {
+        EndpointUpdate::new(list, None, &list.engines, Vec::new())
+    }
+
+    /// Returns what leads from one list of a zone to another. What is left of a slow start is no change as long as something
+    /// is: it runs down by itself.
+    pub fn between(old: &EndpointList, new: &EndpointList) -> EndpointUpdate {
+        let before: HashMap<&str, &Engine> = old.engines.iter().map(|engine| (engine.id.as_str(), engine)).collect();
+        let is_changed = |engine: &&Engine| !before.get(engine.id.as_str()).is_some_and(|old| engine.is_same(old));
+        let changed: Vec<Engine> = new.engines.iter().filter(is_changed).cloned().collect();
+        let listed: HashSet<&str> = new.engines.iter().map(|engine| engine.id.as_str()).collect();
+        let removed = old.engines.iter().filter(|engine| !listed.contains(engine.id.as_str()));
+        let removed = removed.map(|engine| engine.id.clone()).collect();
+        EndpointUpdate::new(new, Some(old.version()), &changed, removed)
+    }
+
+    fn new(list: &EndpointList, base: Option<ListVersion>, engines: &[Engine], removed: Vec<String>) -> EndpointUpdate {
+        // An archive of plain structs in memory can't fail; were it to, the receiver would find no engines to read and ask anew.
+        let archived = rkyv::to_bytes::<rancor::Error>(&engines.to_vec()).unwrap_or_default();
+        let packed_engines = compression::compress(&archived);
+        EndpointUpdate { zone: list.zone.clone(), base, version: list.version(), packed_engines, removed }
+    }
+
+    /// Reads the engines. Returns `None` where they can't be read.
+    pub fn unpack(&self) -> Option<ChangedEngines> {
+        let archived = compression::decompress(&self.packed_engines)?;
+        let changed = rkyv::from_bytes::<Vec<Engine>, rancor::Error>(&archived).ok()?;
+        Some(ChangedEngines { changed, removed: self.removed.clone() })
+    }
+
+    /// Returns whether it applies to a list of this version, or to none where the zone has no list yet.
+    pub fn applies_to(&self, held: Option<ListVersion>) -> bool {
+        match self.base {
+            None => held.is_none_or(|held| held < self.version),
+            Some(base) => held == Some(base) && base < self.version,
+        }
+    }
+}
+
+impl ChangedEngines {
+    /// Returns the engines after the update, those that stay in their order. `held` is empty for a whole update.
+    pub fn apply(&self, held: &[Engine]) -> Vec<Engine> {
+        let replaced: HashSet<&str> =
+            self.changed.iter().map(|engine| &engine.id).chain(&self.removed).map(String::as_str).collect();
+        let kept = held.iter().filter(|engine| !replaced.contains(engine.id.as_str()));
+        kept.chain(&self.changed).cloned().collect()
+    }
+}
+
+impl Engine {
+    /// Returns whether two views of one engine are the same but for what is left of its slow start, which runs down by
+    /// itself.
+    pub fn is_same(&self, other: &Engine) -> bool {
+        let without_time = |engine: &Engine| Engine { cold_ms: u32::from(engine.cold_ms > 0), ..engine.clone() };
+        without_time(self) == without_time(other)
+    }
+}
+
+#[cfg(test)]
+#[path = "endpoint_update_tests.rs"]
+mod tests;
--- a/router/src/subscription/apply_update.rs
+++ b/router/src/subscription/apply_update.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use kernel::clock;
-use protocol::message::{self, Message, StateUpdate, SubscriptionRenewal};
+use protocol::message::{self, EndpointUpdate, Message, StateUpdate, SubscriptionRenewal};
 use protocol::quota::shard_owners_entry;
 
 use crate::config::{activation, evacuation, version_bounds};
@@ -23,6 +23,7 @@
 pub fn apply_message(state: &Arc<State>, msg: Message) {
     match msg {
         Message::StateUpdate(update) => apply_state_update(state, *update),
+        Message::EndpointUpdate(update) => apply_endpoint_update(state, &update),
         Message::ConfigUpdate(body) | Message::TenantConfigUpdate(body) => {
             activation::apply_encoded_update(state, &body)
         }
@@ -119,10 +120,23 @@
         }
         engine_table.mark_reassigning(&update.reassigning, now + REASSIGNING_VALID_MS);
     }
-    if !removed_engines.is_empty() {
-        let mut owner_cache = state.owner_cache();
-        removed_engines.iter().for_each(|engine| owner_cache.remove_engine(engine));
+    forget_owners(state, &removed_engines);
+}
+
+/// Applies an update of an endpoint list. One that does not follow the version held changes nothing: the next renewal reports
+/// that version, and the controller sends what leads on from it.
+fn apply_endpoint_update(state: &State, update: &EndpointUpdate) {
+    let removed_engines = state.engines().apply_update(update, clock::now());
+    forget_owners(state, &removed_engines);
+}
+
+/// Forgets the prefixes of engines that left or began to drain.
+fn forget_owners(state: &State, removed_engines: &[String]) {
+    if removed_engines.is_empty() {
+        return;
     }
+    let mut owner_cache = state.owner_cache();
+    removed_engines.iter().for_each(|engine| owner_cache.remove_engine(engine));
 }
 
 /// Applies the known controllers and the number of routers, both unless empty, and updates this router's share of
