load_balancing: home engines by multi-probe consistent hashing, a ring no larger than the list

Cause: with 3,000 engines each change of a list sorted a ring of 192,000 points, in a router of 0.12 cores, and kept 3 MB of it. Change: one point an engine, 21 probes a key (Appleton and O'Reilly). Homes move once where routers of both versions serve.

--- a/load_balancing/src/selection/candidates.rs
+++ b/load_balancing/src/selection/candidates.rs
@@ -95,7 +95,9 @@
     fn is_in_candidate_share(&self, at: usize, phase: Phase) -> bool {
         match self.arm {
             Arm::Stable => true,
-            Arm::Candidate(share) => self.subset(phase).is_some_and(|subset| subset.leading_share(share).contains(&at)),
+            Arm::Candidate(share) => {
+                self.subset(phase).is_some_and(|subset| subset.leading_share(share).any(|engine| engine == at))
+            }
         }
     }
 
--- a/load_balancing/src/subset.rs
+++ b/load_balancing/src/subset.rs
@@ -1,6 +1,9 @@
 //! What a router samples from: a subset of its own of the engines of one phase, and a consistent-hash ring on which all
 //! routers find the same home engines of a prefix.
 //!
+//! Each engine has one point on the ring, and a key probes it at several places ("Multi-probe consistent hashing", Appleton
+//! and O'Reilly, 2015): shares are as even as with many virtual nodes, and the ring is no larger than the list.
+//!
 //! Both are built anew only when the list changes, so that a selection costs the same however many engines there are.
 //! Routers and engines are matched by rendezvous hashing: one engine more or less moves only its own place
 //! (`docs/design.md`, "Decisions from samples").
@@ -16,11 +19,11 @@
 /// How many routers of its zone an engine should be sampled by, on average: by chance none is then left out (e^-12 is six
 /// in a million).
 const ROUTERS_PER_ENGINE: f64 = 12.0;
-/// The points of each engine on the ring: its share of the prefixes then stays near the average.
-const VIRTUAL_NODES: u64 = 64;
-/// How many points of the ring are looked at for the homes of a prefix. An engine comes again and again on the way round,
-/// so the walk is bounded and not the whole ring.
-const MAX_RING_STEPS: usize = 512;
+/// At how many places a key probes the ring: the busiest engine's share of the prefixes then stays within a tenth of the
+/// average.
+const PROBES: u64 = 21;
+/// How many engines that can't be used are passed over at each probe.
+const MAX_PASSED_OVER: usize = 64;
 
 /// An engine as a subset sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,15 +49,14 @@
 /// The engines of one phase, by their indices in the table.
 ///
 /// Invariants: `sampled` is a part of `engines`, the same as long as the list and the fleet stay the same; `ring` is
-/// sorted.
+/// sorted, and holds each engine once at the hash of its id.
 #[derive(Clone, Debug, Default)]
 pub struct Subset {
     /// All engines listed up for this phase.
     pub engines: Vec<usize>,
     /// Those that this router samples.
     pub sampled: Vec<usize>,
-    /// All of them in an order that every router finds.
-    by_id_hash: Vec<usize>,
+    /// All of them, in an order that every router finds.
     ring: Vec<HashedEngine>,
 }
 
@@ -72,26 +74,15 @@
 
 impl Subset {
     pub(crate) fn build(params: SubsetParams, members: &[SubsetMember]) -> Subset {
-        let mut by_id_hash: Vec<HashedEngine> = members.iter().map(|member| (member.id_hash, member.engine)).collect();
-        by_id_hash.sort_unstable();
+        let mut ring: Vec<HashedEngine> = members.iter().map(|member| (member.id_hash, member.engine)).collect();
+        ring.sort_unstable();
         Subset {
             engines: members.iter().map(|member| member.engine).collect(),
             sampled: Subset::sample(params, members),
-            by_id_hash: by_id_hash.into_iter().map(|(_, engine)| engine).collect(),
-            ring: Subset::build_ring(members),
+            ring,
         }
     }
 
-    fn build_ring(members: &[SubsetMember]) -> Vec<HashedEngine> {
-        let points = |member: &SubsetMember| {
-            let (engine, id_hash) = (member.engine, member.id_hash);
-            (0..VIRTUAL_NODES).map(move |node| (hashing::combine(id_hash, node), engine))
-        };
-        let mut ring: Vec<HashedEngine> = members.iter().flat_map(points).collect();
-        ring.sort_unstable();
-        ring
-    }
-
     fn sample(params: SubsetParams, members: &[SubsetMember]) -> Vec<usize> {
         let mut zones: BTreeMap<u32, Vec<HashedEngine>> = BTreeMap::new();
         for member in members {
@@ -107,9 +98,9 @@
     }
 
     /// Returns a share of all engines in thousandths, one at least: the same ones at all routers.
-    pub(crate) fn leading_share(&self, share: u32) -> &[usize] {
-        let count = (self.by_id_hash.len() as u64 * u64::from(share)).div_ceil(1000).max(1) as usize;
-        &self.by_id_hash[..count.min(self.by_id_hash.len())]
+    pub(crate) fn leading_share(&self, share: u32) -> impl Iterator<Item = usize> + '_ {
+        let count = (self.ring.len() as u64 * u64::from(share)).div_ceil(1000).max(1) as usize;
+        self.ring.iter().take(count).map(|(_, engine)| *engine)
     }
 
     /// Returns at most `limit` sampled engines that follow one another, from a random `offset` on.
@@ -119,20 +110,30 @@
         (0..limit.min(count)).map(|step| self.sampled[(from + step) % count]).collect()
     }
 
-    /// Returns the first `limit` usable engines on the ring from a key on: the same at all routers that see the same list.
+    /// Returns the `limit` usable engines that are nearest to the key's probes on the ring, the nearest first: the same at all
+    /// routers that see the same list.
     pub fn home_engines(&self, key: u64, limit: usize, is_usable: impl Fn(usize) -> bool) -> Vec<usize> {
-        let from = self.ring.partition_point(|(point, _)| *point < key);
-        let (before, after) = self.ring.split_at(from);
-        let mut found: Vec<usize> = Vec::with_capacity(limit);
-        for (_, engine) in after.iter().chain(before).take(MAX_RING_STEPS) {
-            if !found.contains(engine) && is_usable(*engine) {
-                found.push(*engine);
-                if found.len() == limit {
-                    break;
-                }
+        let mut found: Vec<(u64, usize)> = Vec::with_capacity(PROBES as usize * limit);
+        for probe in (0..PROBES).map(|number| hashing::combine(key, number)) {
+            let behind = self.ring_from(probe).take(MAX_PASSED_OVER);
+            let usable = behind.filter(|(_, engine)| is_usable(*engine)).take(limit);
+            found.extend(usable.map(|(point, engine)| (point.wrapping_sub(probe), engine)));
+        }
+        found.sort_unstable();
+        let mut homes: Vec<usize> = Vec::with_capacity(limit);
+        for (_, engine) in found {
+            if homes.len() < limit && !homes.contains(&engine) {
+                homes.push(engine);
             }
         }
-        found
+        homes
+    }
+
+    /// Returns all engines once, from the first one behind a place on the ring on.
+    fn ring_from(&self, place: u64) -> impl Iterator<Item = HashedEngine> + '_ {
+        let from = self.ring.partition_point(|(point, _)| *point < place);
+        let (before, after) = self.ring.split_at(from);
+        after.iter().chain(before).copied()
     }
 }
 
