Heartbeats hold the addresses of controllers after a change and each eighth time

Change: addresses go out eight times after a change, then with each eighth heartbeat. Tests of controller pass.

--- a/controller/src/peers/directory.rs
+++ b/controller/src/peers/directory.rs
@@ -8,6 +8,7 @@
 use parking_lot::Mutex;
 use protocol::link::PeerClient;
 
+use crate::peers::address_announcements::AddressAnnouncements;
 use crate::peers::pause::PauseMonitor;
 
 /// What this controller knows of its peers. Every method is one moment under one lock.
@@ -17,6 +18,7 @@
     clients: Mutex<HashMap<String, Arc<PeerClient>>>,
     consensus_clients: Mutex<HashMap<String, Arc<PeerClient>>>,
     pause_monitor: Mutex<PauseMonitor>,
+    announcements: Mutex<AddressAnnouncements>,
 }
 
 impl Peers {
@@ -28,6 +30,7 @@
             clients: Mutex::default(),
             consensus_clients: Mutex::default(),
             pause_monitor: Mutex::default(),
+            announcements: Mutex::default(),
         }
     }
 
@@ -80,6 +83,11 @@
         view.first_confirmed(name, now).as_deref() == Some(view.own_ip.as_str())
     }
 
+    /// Returns whether the next heartbeat is to hold these addresses of controllers. To be called once for each heartbeat.
+    pub fn are_addresses_due(&self, addresses: &[String]) -> bool {
+        self.announcements.lock().is_due(addresses)
+    }
+
     /// Marks the first tick after a pause of the process. To be called several times a second.
     pub fn record_tick(&self) {
         self.pause_monitor.lock().record_tick(clock::now());
--- a/controller/src/peers/gossip.rs
+++ b/controller/src/peers/gossip.rs
@@ -165,7 +165,7 @@
         incarnation: controller.incarnation,
         eligible: is_eligible(controller),
         membership: controller.replica.membership(),
-        peers: own.live_peers.clone(),
+        peers: if controller.peers.are_addresses_due(&own.live_peers) { own.live_peers.clone() } else { Vec::new() },
         router_count: own.router_count,
         in_flight: Vec::new(),
         reassigning: own.reassigning.clone(),
