--- a/controller/src/peers/address_announcements.rs
+++ b/controller/src/peers/address_announcements.rs
@@ -24,7 +24,7 @@
         if digest != self.digest {
             *self = AddressAnnouncements { digest, unchanged: 0 };
         }
-        let is_due = self.unchanged < REPEATED || self.unchanged % INTERVAL == 0;
+        let is_due = self.unchanged < REPEATED || self.unchanged.is_multiple_of(INTERVAL);
         self.unchanged = self.unchanged.wrapping_add(1);
         is_due
     }
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -31,4 +31,6 @@
 #[cfg(test)]
 mod stored_by_5_tests;
 #[cfg(test)]
+mod stored_by_6_tests;
+#[cfg(test)]
 mod testing;
--- a/protocol/src/link_tests.rs
+++ b/protocol/src/link_tests.rs
@@ -1,9 +1,12 @@
-use std::sync::Arc;
+use std::sync::{mpsc, Arc};
+use std::time::Duration;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task;
 
+use super::bulk_budget::MAX_BULK_BYTES;
 use super::frame_io::read_frame;
 use super::{serve, Handler, PeerClient};
 use crate::frame::{self, Kind, HEADER_BYTES, NEWEST_VERSION};
@@ -124,3 +127,32 @@
     assert_eq!(read_frame(&mut read).await.expect("the large one").1, large);
     assert_eq!(read_frame(&mut read).await.expect("the next").1, query(2));
 }
+
+/// A peer that reads nothing, or slowly: what waits for it is bounded in bytes, and short messages still pass.
+#[tokio::test]
+async fn what_waits_for_a_slow_peer_is_bounded_in_bytes() {
+    const LONG: usize = 64 * 1024;
+    const SENT: usize = 400;
+    let listener = socket::listen("127.0.0.1:0").expect("a port");
+    let addr = listener.local_addr().expect("its address").to_string();
+    let (report, accepted) = mpsc::channel();
+    let handler: Handler = Arc::new(move |responder, _, _| {
+        // Nothing is written before this handler returns.
+        let long = (0..SENT).filter(|_| responder.notify_frame(vec![0; LONG].into())).count();
+        let short = (0..10).filter(|_| responder.notify(&query(1))).count();
+        let _ = report.send((long, short));
+    });
+    tokio::spawn(serve(listener, handler));
+    let client = PeerClient::start(addr, None);
+    assert!(client.notify(query(0)));
+    let wait = task::spawn_blocking(move || accepted.recv_timeout(Duration::from_secs(10)));
+    let (long, short) = wait.await.expect("a thread").expect("the handler ran");
+    assert_eq!(long, MAX_BULK_BYTES / LONG, "of {SENT} long messages");
+    assert_eq!(short, 10);
+
+    let (unread, _listener) = pair().await;
+    let large = || Message::OwnerQuery(Box::new((0, vec![7; LONG / 8])));
+    let queued = (0..SENT).filter(|_| unread.notify(large())).count();
+    assert!((1..=MAX_BULK_BYTES / LONG).contains(&queued), "{queued} of {SENT} long messages wait for one connection");
+    assert!(unread.notify(query(1)), "a short one still passes");
+}
