--- a/catalog/src/owner_map.rs
+++ b/catalog/src/owner_map.rs
@@ -1,7 +1,7 @@
 //! A bounded map from prefix keys to the engines that own them, which the index of a controller and the cache of a router
 //! share.
 
-use std::collections::{HashMap, VecDeque};
+use lru::LruCache;
 
 /// An engine that holds the KV cache of a prefix.
 pub(crate) struct Owner<E> {
@@ -10,18 +10,18 @@
     pub(crate) registered_at: u64,
 }
 
-/// Invariants: a key has each engine once and at most `max_owners` engines; `insertion_order` holds each key once; at most
-/// `capacity` keys are held, and the one that was inserted first is evicted.
+/// Invariants: a key has each engine once and at most `max_owners` engines; at most `capacity` keys are held, and the one that
+/// was registered the longest ago is evicted.
 pub(crate) struct OwnerMap<E> {
-    owners: HashMap<u64, Vec<Owner<E>>>,
-    insertion_order: VecDeque<u64>,
+    /// Unbounded in itself, since a bounded one takes the memory of all its keys at once.
+    owners: LruCache<u64, Vec<Owner<E>>>,
     capacity: usize,
     max_owners: usize,
 }
 
 impl<E> OwnerMap<E> {
     pub(crate) fn new(capacity: usize, max_owners: usize) -> OwnerMap<E> {
-        OwnerMap { owners: HashMap::new(), insertion_order: VecDeque::new(), capacity, max_owners }
+        OwnerMap { owners: LruCache::unbounded(), capacity, max_owners }
     }
 
     /// Adds an owner of a key, or renews its time. A key with too many owners loses the one registered the longest ago.
@@ -29,8 +29,7 @@
     where
         E: PartialEq<Q> + From<Q>,
     {
-        self.reserve(key);
-        let owners = self.owners.entry(key).or_default();
+        let owners = self.owners.get_or_insert_mut(key, Vec::new);
         match owners.iter_mut().find(|owner| owner.engine == engine) {
             Some(owner) => owner.registered_at = now,
             None => owners.push(Owner { engine: engine.into(), registered_at: now }),
@@ -39,30 +38,19 @@
             let oldest = (0..owners.len()).min_by_key(|at| owners[*at].registered_at).unwrap_or(0);
             owners.swap_remove(oldest);
         }
-    }
-
-    /// Makes room for a key that is not held yet.
-    fn reserve(&mut self, key: u64) {
-        if self.owners.contains_key(&key) {
-            return;
-        }
-        self.insertion_order.push_back(key);
-        if self.insertion_order.len() <= self.capacity {
-            return;
-        }
-        if let Some(evicted) = self.insertion_order.pop_front() {
-            self.owners.remove(&evicted);
+        if self.owners.len() > self.capacity {
+            self.owners.pop_lru();
         }
     }
 
     /// Returns the owners of a key, in the order in which they were added.
     pub(crate) fn owners(&self, key: u64) -> &[Owner<E>] {
-        self.owners.get(&key).map_or(&[], Vec::as_slice)
+        self.owners.peek(&key).map_or(&[], Vec::as_slice)
     }
 
-    /// Returns the keys in the order in which they were inserted.
+    /// Returns the keys, the one that was registered last first.
     pub(crate) fn keys(&self) -> impl Iterator<Item = u64> + '_ {
-        self.insertion_order.iter().copied()
+        self.owners.iter().map(|(key, _)| *key)
     }
 
     /// Removes an engine from every key. The keys stay.
@@ -70,14 +58,13 @@
     where
         E: PartialEq<Q>,
     {
-        for owners in self.owners.values_mut() {
+        for (_, owners) in &mut self.owners {
             owners.retain(|owner| owner.engine != engine);
         }
     }
 
     pub(crate) fn clear(&mut self) {
         self.owners.clear();
-        self.insertion_order.clear();
     }
 
     pub(crate) fn len(&self) -> usize {
--- a/catalog/src/prefix_index_tests.rs
+++ b/catalog/src/prefix_index_tests.rs
@@ -18,3 +18,14 @@
     assert_eq!(prefix_index.len(), 2);
     assert!(prefix_index.owners(4, 0).len() == 1 && prefix_index.owners(0, 0).is_empty());
 }
+
+#[test]
+fn a_key_that_is_registered_again_outlives_one_that_is_not() {
+    let mut prefix_index = super::PrefixIndex::new(2, 1000);
+    for key in [1, 2, 1, 3] {
+        prefix_index.register(key, "i-1", 0);
+    }
+    assert_eq!(prefix_index.owners(1, 0), ["i-1"]);
+    assert!(prefix_index.owners(2, 0).is_empty(), "registered the longest ago");
+    assert_eq!(prefix_index.owners(3, 0), ["i-1"]);
+}
--- a/consensus/src/membership_codec.rs
+++ b/consensus/src/membership_codec.rs
@@ -12,6 +12,10 @@
 }
 
 /// Returns the body under which a membership membership is committed.
+///
+/// # Panics
+///
+/// Never for a membership that fits into memory. Empty bytes would be committed as a core without members.
 pub fn encode_membership(membership: &CoreMembership) -> Vec<u8> {
-    rkyv::to_bytes::<rancor::Error>(membership).map(|body| body.to_vec()).unwrap_or_default()
+    rkyv::to_bytes::<rancor::Error>(membership).expect("a membership can always be archived").to_vec()
 }
--- a/controller/src/replication/replica.rs
+++ b/controller/src/replication/replica.rs
@@ -44,11 +44,13 @@
 
     /// Takes over a committed membership if it is newer than the one known.
     pub fn adopt_membership(&self, membership: &CoreMembership) {
-        let record = self.acceptor.lock().adopt_membership(membership);
-        let Some(record) = record else { return };
+        let mut acceptor = self.acceptor.lock();
+        let Some(record) = acceptor.adopt_membership(membership) else { return };
+        // Still under the lock: no response under the new membership reaches the disk before the membership does.
+        self.disk.write(vec![record]);
+        drop(acceptor);
         log_event!(CORE_CHANGED, "version" => membership.version, "settled" => membership.stable,
             "members" => membership.members.iter().map(|member| member.ip.as_str()).collect::<Vec<_>>().join(","));
-        self.disk.write(vec![record]);
     }
 
     /// Returns the acceptors that one without memory has to read.
--- a/kernel/src/archive.rs
+++ b/kernel/src/archive.rs
@@ -15,9 +15,13 @@
                 rkyv::from_bytes::<$type, rkyv::rancor::Error>(&aligned).ok()
             }
 
-            /// Writes the archived form; empty if the value can't be archived.
+            /// Writes the archived form.
+            ///
+            /// # Panics
+            ///
+            /// Never for a value that fits into memory. Empty bytes would be committed as a value that is absent.
             pub fn to_bytes(&self) -> Vec<u8> {
-                rkyv::to_bytes::<rkyv::rancor::Error>(self).map(|bytes| bytes.to_vec()).unwrap_or_default()
+                rkyv::to_bytes::<rkyv::rancor::Error>(self).expect("a value can always be archived").to_vec()
             }
         }
     };
--- a/load_balancing/src/engine_state.rs
+++ b/load_balancing/src/engine_state.rs
@@ -29,7 +29,7 @@
 
     /// Returns the number of requests at the engine.
     pub fn total(self) -> u32 {
-        self.running + self.waiting
+        self.running.saturating_add(self.waiting)
     }
 }
 
--- a/load_balancing/src/engine_table_tests.rs
+++ b/load_balancing/src/engine_table_tests.rs
@@ -83,3 +83,9 @@
     engine_table.update(&list(2, &[("i-1", true, 0), ("i-22", true, 0)]), 6000);
     assert_eq!(candidates(&engine_table, 6000), [0], "an id whose address went to another never comes back");
 }
+
+#[test]
+fn a_load_too_large_to_add_up_is_the_largest() {
+    let load = crate::ReportedLoad { running: u32::MAX, waiting: 1 };
+    assert_eq!(load.total(), u32::MAX);
+}
--- a/protocol/src/message/endpoint_update.rs
+++ b/protocol/src/message/endpoint_update.rs
@@ -72,8 +72,7 @@
     }
 
     fn new(list: &EndpointList, base: Option<ListVersion>, engines: &[Engine], removed: Vec<String>) -> EndpointUpdate {
-        // An archive of plain structs in memory can't fail; were it to, the receiver would find no engines to read and ask anew.
-        let archived = rkyv::to_bytes::<rancor::Error>(&engines.to_vec()).unwrap_or_default();
+        let archived = rkyv::to_bytes::<rancor::Error>(&engines.to_vec()).expect("engines can always be archived");
         let packed_engines = compression::compress(&archived);
         EndpointUpdate { zone: list.zone.clone(), base, version: list.version(), packed_engines, removed }
     }
