--- a/load_balancing/src/engine_table_tests.rs
+++ b/load_balancing/src/engine_table_tests.rs
@@ -86,6 +86,6 @@
 
 #[test]
 fn a_load_too_large_to_add_up_is_the_largest() {
-    let load = crate::ReportedLoad { running: u32::MAX, waiting: 1 };
+    let load = ReportedLoad { running: u32::MAX, waiting: 1 };
     assert_eq!(load.total(), u32::MAX);
 }
