--- a/controller/src/balancing/usage_reports.rs
+++ b/controller/src/balancing/usage_reports.rs
@@ -70,3 +70,7 @@
     controller.usage_reports.add_current(&mut total, now);
     total
 }
+
+#[cfg(test)]
+#[path = "usage_reports_tests.rs"]
+mod tests;
--- a/load_balancing/src/engine_table_tests.rs
+++ b/load_balancing/src/engine_table_tests.rs
@@ -1,4 +1,5 @@
-use protocol::message::{EndpointList, Engine};
+use protocol::message::{EndpointList, EndpointUpdate, Engine};
+use protocol::version_rollout;
 
 use super::EngineTable;
 use crate::engine_state::ReportedLoad;
@@ -89,3 +90,78 @@
     let load = ReportedLoad { running: u32::MAX, waiting: 1 };
     assert_eq!(load.total(), u32::MAX);
 }
+
+fn listed(id: &str, up: bool) -> Engine {
+    Engine {
+        id: id.into(),
+        service: "s".into(),
+        addr: format!("{id}:80"),
+        zone: "a".into(),
+        phase: "decode".into(),
+        model: String::new(),
+        slots: 8,
+        up,
+        cold_ms: 0,
+    }
+}
+
+fn list_of(sequence: u64, engines: Vec<Engine>) -> EndpointList {
+    EndpointList { zone: "a".into(), term: 9, sequence, engines }
+}
+
+/// The ids of the engines that requests may be sent to, and the version of the list.
+fn usable(engine_table: &EngineTable) -> (Vec<&str>, u64) {
+    let usable = engine_table.engines.iter().filter(|engine| engine.up && engine.listed);
+    let versions = engine_table.list_versions();
+    (usable.map(|engine| engine.id.as_str()).collect(), versions.first().map_or(0, |version| version.sequence))
+}
+
+#[test]
+fn a_change_of_a_list_leads_to_the_same_engines_as_the_whole_list() {
+    let old = list_of(1, vec![listed("i-1", true), listed("i-2", true), listed("i-3", true)]);
+    let new = list_of(2, vec![listed("i-1", true), listed("i-2", false), listed("i-4", true)]);
+    let (mut whole, mut changed) = (EngineTable::default(), EngineTable::default());
+    for engine_table in [&mut whole, &mut changed] {
+        engine_table.update(&old, 0);
+    }
+    let mut left_by_whole = whole.update(&new, 10);
+    let mut left_by_change = changed.apply_update(&EndpointUpdate::between(&old, &new), 10);
+    left_by_whole.sort();
+    left_by_change.sort();
+    assert_eq!(left_by_whole, ["i-2", "i-3"], "one drains, one is gone");
+    assert_eq!(left_by_change, left_by_whole);
+    assert_eq!(usable(&changed), usable(&whole));
+    assert_eq!(usable(&changed), (vec!["i-1", "i-4"], 2));
+}
+
+#[test]
+fn a_change_on_another_version_is_ignored_until_the_gap_is_filled() {
+    let lists: Vec<EndpointList> =
+        (1..=3).map(|sequence| list_of(sequence, vec![listed(&format!("i-{sequence}"), true)])).collect();
+    let mut engine_table = EngineTable::default();
+    engine_table.update(&lists[0], 0);
+    let last = EndpointUpdate::between(&lists[1], &lists[2]);
+    assert!(engine_table.apply_update(&last, 0).is_empty());
+    assert_eq!(usable(&engine_table), (vec!["i-1"], 1), "the version held is reported as it is");
+    engine_table.apply_update(&EndpointUpdate::between(&lists[0], &lists[1]), 0);
+    engine_table.apply_update(&last, 0);
+    assert_eq!(usable(&engine_table), (vec!["i-3"], 3));
+    engine_table.apply_update(&EndpointUpdate::whole(&lists[1]), 0);
+    assert_eq!(usable(&engine_table), (vec!["i-3"], 3), "an older list never comes back");
+}
+
+/// A version that is complete: its engines move from the candidates' list of their zone to the one of the version in place.
+#[test]
+fn an_engine_that_moves_between_the_lists_of_its_zone_stays_usable() {
+    let candidates = version_rollout::candidates_of("a");
+    let of_candidates = |sequence, engines| EndpointList { zone: candidates.clone(), ..list_of(sequence, engines) };
+    let (before, after) = (of_candidates(1, vec![listed("i-2", true)]), of_candidates(2, Vec::new()));
+    let mut engine_table = EngineTable::default();
+    engine_table.update(&list_of(1, vec![listed("i-1", true)]), 0);
+    engine_table.update(&before, 0);
+    let moved = list_of(2, vec![listed("i-1", true), listed("i-2", true)]);
+    engine_table.apply_update(&EndpointUpdate::between(&list_of(1, vec![listed("i-1", true)]), &moved), 10);
+    assert!(engine_table.apply_update(&EndpointUpdate::between(&before, &after), 10).is_empty(), "it has not left");
+    assert_eq!(usable(&engine_table).0, ["i-1", "i-2"]);
+    assert!(engine_table.engines.iter().all(|engine| !engine.candidate));
+}
