--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -109,6 +109,16 @@
         self.notify_each(message, |ip| self.peers.client(ip));
     }
 
+    /// Sends `current` to all controllers that read messages of a version, and `legacy` to the others that are known.
+    pub fn notify_peers_since(&self, version: u64, current: &Message, legacy: &Message) {
+        let encode = |message| frame::encode(Kind::Notification, 0, message).map(Bytes::from);
+        let (Ok(current), Ok(legacy)) = (encode(current), encode(legacy)) else { return };
+        for ip in self.known_peers() {
+            let frame = if self.peers.protocol_version(&ip) >= version { &current } else { &legacy };
+            self.peers.client(&ip).notify_frame(frame.clone());
+        }
+    }
+
     /// Sends a message, encoded once, to all controllers that are known.
     fn notify_each(&self, message: &Message, client: impl Fn(&str) -> Arc<PeerClient>) {
         let Ok(frame) = frame::encode(Kind::Notification, 0, message).map(Bytes::from) else { return };
--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -48,6 +48,7 @@
                 .collect(),
         };
         let mut update = self.missing_state(&mut subscriber, now);
+        version_rollouts::request_samples(self, &subscriber);
         self.add_controllers(&mut update, &renewal.node, &mut subscriber, now);
         // A lease on bound work is renewed only for one that has confirmed every limit known here.
         // One of the first version holds none: it serves on, and no limit binds while it is there.
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -6,6 +6,7 @@
 use protocol::link::Responder;
 use protocol::message::Message;
 use protocol::operator_request::OperatorRequest;
+use protocol::version_samples::EngineSamples;
 
 use crate::api::operator_requests;
 use crate::config::execution;
@@ -90,7 +91,8 @@
             controller.catalog.record_loads(&registration.loads, now);
         }
         Message::RegisterOwners(list) => controller.catalog.register(list.0, &list.1, now),
-        Message::Samples(samples) => record_samples(controller, *samples),
+        Message::Samples(samples) => record_samples(controller, EngineSamples::from_legacy(&samples)),
+        Message::EngineSamples(samples) => record_samples(controller, *samples),
         Message::WeightVersions(list) => limit_confirmations::accept_weight_versions(controller, *list),
         _ => return false,
     }
--- a/controller/src/rollout/version_rollouts.rs
+++ b/controller/src/rollout/version_rollouts.rs
@@ -10,9 +10,13 @@
 
 use kernel::{clock, startup};
 use parking_lot::Mutex;
-use protocol::message::{HiddenKey, Message};
-use protocol::version_rollout::{RolloutState, RouteSamples, Samples, VersionRollout};
-use versions::{CanaryAnalysis, RolloutSchedule, RolloutStep, SampleBatch, Variant, Verdict};
+use protocol::message::{HiddenKey, Message, ENGINE_SAMPLES};
+use protocol::version_rollout::{RolloutState, VersionRollout};
+use protocol::version_samples::{EngineSamples, SampleCounts, SampleKey, SampleRequest, SampledInterval};
+use tokio::sync::Notify;
+use versions::{
+    CanaryAnalysis, EventInterval, LoadClass, RolloutSchedule, RolloutStep, SampleBatch, SampleOrigin, Variant, Verdict,
+};
 
 use crate::controller::Controller;
 use crate::delivery::subscribers::Subscriber;
@@ -21,7 +25,9 @@
 use crate::replication::registers::Decision;
 
 /// How often samples are passed on and rollouts looked at.
-const POLL_INTERVAL_MS: u64 = 200;
+const POLL_INTERVAL_MS: u64 = 100;
+/// Most event intervals of one origin that are passed on together.
+const MAX_INTERVALS_PER_SAMPLE: usize = 64;
 /// How long one step may take.
 const STEP_TIMEOUT_MS: u64 = 900;
 
@@ -29,38 +35,75 @@
 struct RolloutAnalysis {
     order: u64,
     canary: CanaryAnalysis,
+    /// The steady time at which the rollout began, as far as can be told here: a record says how long before it was written.
+    /// Negative where that was before this process began.
+    started_at: i64,
     /// The number of the newest record.
     record_number: u64,
     /// When the newest record became known.
     record_since: u64,
 }
 
+impl RolloutAnalysis {
+    fn new(rollout: &VersionRollout, now: u64) -> RolloutAnalysis {
+        RolloutAnalysis {
+            order: rollout.order,
+            canary: CanaryAnalysis::new(),
+            started_at: start_time(now, rollout.elapsed_ms),
+            record_number: rollout.number,
+            record_since: now,
+        }
+    }
+
+    /// Takes note of the newest record. Each record took some time to get here, so the earliest start that one of them tells is
+    /// the nearest to the truth.
+    fn note_record(&mut self, rollout: &VersionRollout, now: u64) {
+        if self.record_number == rollout.number {
+            return;
+        }
+        (self.record_number, self.record_since) = (rollout.number, now);
+        self.note_elapsed(rollout.elapsed_ms, now);
+    }
+
+    /// Takes note of how long the rollout has been under way, as someone told it now.
+    fn note_elapsed(&mut self, elapsed_ms: u64, now: u64) {
+        self.started_at = self.started_at.min(start_time(now, elapsed_ms));
+    }
+
+    /// Returns how long the rollout has been under way.
+    fn elapsed_ms(&self, now: u64) -> u64 {
+        u64::try_from(now as i64 - self.started_at).unwrap_or(0)
+    }
+}
+
+/// Returns the steady time `elapsed_ms` before `now`.
+fn start_time(now: u64, elapsed_ms: u64) -> i64 {
+    now as i64 - i64::try_from(elapsed_ms).unwrap_or(i64::MAX)
+}
+
 /// The analyses of all rollouts, and samples that were not yet passed on to the other controllers.
 #[derive(Default)]
-pub struct RolloutAnalyses(Mutex<AnalysisTable>);
+pub struct RolloutAnalyses {
+    table: Mutex<AnalysisTable>,
+    /// Woken when samples show that a version is bad.
+    found_bad: Notify,
+}
 
 #[derive(Default)]
 struct AnalysisTable {
     by_service: BTreeMap<String, RolloutAnalysis>,
-    unsent: Vec<Samples>,
+    unsent: Vec<EngineSamples>,
 }
 
 impl AnalysisTable {
     /// Returns the analysis of a rollout; a new one where there is none of this order.
     fn of(&mut self, rollout: &VersionRollout, now: u64) -> &mut RolloutAnalysis {
-        let new = || RolloutAnalysis {
-            order: rollout.order,
-            canary: CanaryAnalysis::new(now),
-            record_number: rollout.number,
-            record_since: now,
-        };
+        let new = || RolloutAnalysis::new(rollout, now);
         let analysis = self.by_service.entry(rollout.service.clone()).or_insert_with(new);
         if analysis.order != rollout.order {
             *analysis = new();
         }
-        if analysis.record_number != rollout.number {
-            (analysis.record_number, analysis.record_since) = (rollout.number, now);
-        }
+        analysis.note_record(rollout, now);
         analysis
     }
 }
@@ -80,24 +123,60 @@
     }
 }
 
+/// Asks a subscriber for samples by engine and load while a rollout is active.
+pub fn request_samples(controller: &Controller, subscriber: &Subscriber) {
+    if subscriber.protocol_version < ENGINE_SAMPLES || active(controller).is_empty() {
+        return;
+    }
+    let request = SampleRequest { controller: controller.settings.ip.clone() };
+    subscriber.responder.notify(&Message::SampleRequest(Box::new(request)));
+}
+
 /// Records samples from a router or from another controller. Those from a router are passed on later.
-pub fn record_samples(controller: &Controller, samples: Samples) {
+pub fn record_samples(controller: &Controller, samples: EngineSamples) {
     let rollout = controller.committed.version_rollout(&samples.service);
     let Some(rollout) = rollout.filter(|rollout| rollout.order == samples.order) else { return };
     let now = clock::now();
-    let mut analyses = controller.rollout_analyses.0.lock();
-    let analysis = analyses.of(&rollout, now);
-    for route in &samples.list {
-        let variant = if route.is_candidate { Variant::Candidate } else { Variant::Stable };
-        analysis.canary.record(&route.route, variant, &sample_batch(route), now);
+    let mut table = controller.rollout_analyses.table.lock();
+    let analysis = table.of(&rollout, now);
+    analysis.note_elapsed(samples.elapsed_ms, now);
+    let canary = &mut analysis.canary;
+    // The stable version first: the candidate is compared with it.
+    for (key, counts) in samples.list.iter().filter(|(key, _)| !key.is_candidate) {
+        canary.record(&origin_of(key), &batch_of(counts), now);
+    }
+    for (key, counts) in samples.list.iter().filter(|(key, _)| key.is_candidate) {
+        canary.record(&origin_of(key), &batch_of(counts), now);
+    }
+    if canary.verdict().is_bad() {
+        controller.rollout_analyses.found_bad.notify_one();
     }
     if !samples.is_relayed {
-        analyses.unsent.push(Samples { is_relayed: true, ..samples });
+        table.unsent.push(EngineSamples { is_relayed: true, ..samples });
+    }
+}
+
+fn origin_of(key: &SampleKey) -> SampleOrigin<'_> {
+    SampleOrigin {
+        route: &key.route,
+        variant: if key.is_candidate { Variant::Candidate } else { Variant::Stable },
+        engine: key.engine_hash,
+        zone: &key.zone,
+        load: if key.is_loaded { LoadClass::Loaded } else { LoadClass::Calm },
+    }
+}
+
+fn batch_of(counts: &SampleCounts) -> SampleBatch {
+    SampleBatch {
+        succeeded: counts.succeeded.into(),
+        failed: counts.failed.into(),
+        lost: counts.lost.into(),
+        event_intervals: counts.intervals.iter().map(event_interval).collect(),
     }
 }
 
-fn sample_batch(samples: &RouteSamples) -> SampleBatch {
-    SampleBatch { succeeded: samples.good, failed: samples.failed, event_intervals: samples.paces.clone() }
+fn event_interval(sampled: &SampledInterval) -> EventInterval {
+    EventInterval { running: sampled.running, interval_us: sampled.interval_us.into(), is_cold: sampled.is_cold }
 }
 
 /// Passes samples on and takes the steps of rollouts, for as long as the process runs.
@@ -106,8 +185,10 @@
     tokio::spawn(async move {
         let mut interval = startup::interval(POLL_INTERVAL_MS);
         loop {
-            interval.tick().await;
-            send_samples(&controller);
+            tokio::select! {
+                _ = interval.tick() => send_samples(&controller),
+                () = controller.rollout_analyses.found_bad.notified() => {}
+            }
             for rollout in active(&controller) {
                 advance(&controller, &rollout).await;
             }
@@ -122,57 +203,57 @@
 
 /// Sends the other controllers what this one's routers reported.
 fn send_samples(controller: &Controller) {
-    let unsent = mem::take(&mut controller.rollout_analyses.0.lock().unsent);
+    let unsent = mem::take(&mut controller.rollout_analyses.table.lock().unsent);
     for samples in merge(unsent) {
-        controller.notify_peers(&Message::Samples(Box::new(samples)));
+        let legacy = Message::Samples(Box::new(samples.to_legacy()));
+        let current = Message::EngineSamples(Box::new(samples));
+        controller.notify_peers_since(ENGINE_SAMPLES, &current, &legacy);
     }
 }
 
+/// The samples of one rollout that several routers reported.
+#[derive(Default)]
+struct MergedSamples {
+    elapsed_ms: u64,
+    origins: BTreeMap<SampleKey, SampleCounts>,
+}
+
 /// Merges samples into one message for each rollout.
-fn merge(list: Vec<Samples>) -> Vec<Samples> {
-    let mut merged: BTreeMap<(String, u64), BTreeMap<(String, bool), RouteSamples>> = BTreeMap::new();
+fn merge(list: Vec<EngineSamples>) -> Vec<EngineSamples> {
+    let mut merged: BTreeMap<(String, u64), MergedSamples> = BTreeMap::new();
     for samples in list {
-        let routes = merged.entry((samples.service, samples.order)).or_default();
-        for route in samples.list {
-            add_route(routes, route);
+        let sum = merged.entry((samples.service, samples.order)).or_default();
+        sum.elapsed_ms = sum.elapsed_ms.max(samples.elapsed_ms);
+        for (key, counts) in samples.list {
+            sum.origins.entry(key).or_default().add(counts, MAX_INTERVALS_PER_SAMPLE);
         }
     }
-    let message = |((service, order), routes): ((String, u64), BTreeMap<_, RouteSamples>)| Samples {
+    let message = |((service, order), sum): ((String, u64), MergedSamples)| EngineSamples {
         service,
         order,
-        list: routes.into_values().collect(),
+        elapsed_ms: sum.elapsed_ms,
+        list: sum.origins.into_iter().collect(),
         is_relayed: true,
     };
     merged.into_iter().map(message).collect()
 }
 
-fn add_route(routes: &mut BTreeMap<(String, bool), RouteSamples>, samples: RouteSamples) {
-    match routes.get_mut(&(samples.route.clone(), samples.is_candidate)) {
-        Some(sum) => {
-            sum.good += samples.good;
-            sum.failed += samples.failed;
-            sum.paces.extend(samples.paces);
-        }
-        None => drop(routes.insert((samples.route.clone(), samples.is_candidate), samples)),
-    }
-}
-
 /// Looks at one rollout, and takes the step that is due if this controller is the one to do so.
 async fn advance(controller: &Arc<Controller>, rollout: &VersionRollout) {
     let now = clock::now();
-    let (verdict, record_since) = {
-        let mut analyses = controller.rollout_analyses.0.lock();
-        let analysis = analyses.of(rollout, now);
-        (analysis.canary.verdict(), analysis.record_since)
+    let (verdict, worst_route, elapsed_ms, share_for_ms) = {
+        let mut table = controller.rollout_analyses.table.lock();
+        let analysis = table.of(rollout, now);
+        let worst_route = analysis.canary.worst_route().unwrap_or_default().to_string();
+        (analysis.canary.verdict(), worst_route, analysis.elapsed_ms(now), now - analysis.record_since)
     };
     if !is_responsible(controller, &rollout.service, now) {
         return;
     }
-    let share_for_ms = now - record_since;
-    let elapsed_ms = rollout.elapsed_ms + share_for_ms;
-    let schedule = RolloutSchedule { duration_ms: rollout.duration_ms };
+    let exposure_share = controller.settings.bounds.exposure_share;
+    let schedule = RolloutSchedule { duration_ms: rollout.duration_ms, exposure_share };
     let step = schedule.next_step(rollout.share, share_for_ms, elapsed_ms, verdict);
-    let Some(next) = after_step(rollout, step, elapsed_ms, verdict) else { return };
+    let Some(next) = after_step(rollout, step, elapsed_ms, &rollback_reason(verdict, &worst_route)) else { return };
     if commit(controller, rollout, &next).await {
         kernel::log_event!(VERSION_STEP, "service" => next.service.clone(), "version" => next.target.clone(),
             "state" => next.state.as_str(), "share" => next.share, "elapsed_ms" => elapsed_ms, "reason" => next.reason.clone());
@@ -192,7 +273,7 @@
     rollout: &VersionRollout,
     step: RolloutStep,
     elapsed_ms: u64,
-    verdict: Verdict,
+    rollback_reason: &str,
 ) -> Option<VersionRollout> {
     let next = VersionRollout { number: rollout.number + 1, elapsed_ms, ..rollout.clone() };
     match step {
@@ -202,17 +283,20 @@
         RolloutStep::RollBack => {
             let mut reverted = next.reverted.clone();
             reverted.push(next.target.clone());
-            let reason = rollback_reason(verdict).into();
+            let reason = rollback_reason.into();
             Some(VersionRollout { state: RolloutState::Reverted, share: 0, reverted, reason, ..next })
         }
     }
 }
 
-fn rollback_reason(verdict: Verdict) -> &'static str {
+fn rollback_reason(verdict: Verdict, worst_route: &str) -> String {
     match verdict {
-        Verdict::Failing => "it fails more often than the version in place",
-        Verdict::Slow => "it is slower than the version in place",
-        Verdict::Healthy | Verdict::Inconclusive => "not enough was seen of it in time",
+        Verdict::Failing => format!("it fails more often than the version in place on route {worst_route}"),
+        Verdict::FailingUnderLoad => {
+            format!("it fails more often than the version in place on route {worst_route} at engines under load")
+        }
+        Verdict::Slow => format!("it is slower than the version in place on route {worst_route}"),
+        Verdict::Healthy | Verdict::Inconclusive => "not enough was seen of it in time".into(),
     }
 }
 
--- a/kernel/src/settings/mod.rs
+++ b/kernel/src/settings/mod.rs
@@ -132,6 +132,8 @@
     pub budget_window_s: f64,
     /// How many further sends there may be beyond `retry_budget`, over all routers.
     pub budget_slack: f64,
+    /// The share of a service's requests that a faulty version under rollout may get.
+    pub exposure_share: f64,
     /// The window over which a tenant's requests are counted, in seconds.
     pub quota_window_s: f64,
     /// By which part a tenant's limit may be exceeded in a window.
@@ -166,6 +168,7 @@
             retry_budget: 0.2,
             budget_window_s: 10.0,
             budget_slack: 0.0,
+            exposure_share: 0.1,
             quota_window_s: 5.0,
             quota_overage: 0.0,
             quota_slack: 0.0,
--- a/load_balancing/src/engine_table.rs
+++ b/load_balancing/src/engine_table.rs
@@ -75,6 +75,11 @@
         self.topology.zone_index(name)
     }
 
+    /// Returns the name of a zone.
+    pub fn zone_name(&self, zone: u32) -> Option<&str> {
+        self.topology.zone_name(zone)
+    }
+
     /// Sets the region of a zone.
     pub fn set_region(&mut self, zone: &str, region: &str) {
         self.topology.set_region(zone, region);
@@ -293,6 +298,14 @@
         *mean += (f64::from(load) - *mean) * REPORT_WEIGHT;
     }
 
+    /// Returns the requests at all decode engines of the stable version of an engine's service, as far as can be known here.
+    pub(crate) fn stable_decode_load(&self, engine: &EngineState) -> f64 {
+        let reported = self.mean_loads.get(&MeanLoadKey { is_candidate: false, ..MeanLoadKey::of(engine) });
+        let count = self.subset(engine.service, Phase::Decode, false).map_or(0, |subset| subset.engines.len());
+        // What an engine reports with a response counts the request that it answers: a random engine has one fewer on average.
+        (reported.copied().unwrap_or(0.0) - 1.0).max(0.0) * count as f64
+    }
+
     /// Returns the requests at an engine as far as can be known here: what it last reported, fading into the average of
     /// the engines of its phase, and this router's own sends since. Never below the own requests in flight.
     pub fn estimated_load(&self, at: usize, now: u64) -> f64 {
--- a/load_balancing/src/selection.rs
+++ b/load_balancing/src/selection.rs
@@ -6,6 +6,7 @@
 mod candidates;
 mod choice;
 mod cost;
+mod packing;
 
 use crate::engine_table::EngineTable;
 
@@ -78,9 +79,32 @@
     /// The version in place.
     #[default]
     Stable,
-    /// The version that is being rolled out, and of its engines only as large a share as it has of the requests, in
-    /// thousandths: so each bears the load that it will bear.
-    Candidate(u32),
+    /// The version that is being rolled out.
+    Candidate(CandidatePlacement),
+}
+
+/// Which engines of a version that is being rolled out get the requests that it gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CandidatePlacement {
+    /// All of them.
+    Spread,
+    /// As large a share of the decode engines as of the requests, so that each bears what an engine of the version in place
+    /// bears. The same ones at all routers, and others in each turn.
+    Rotating {
+        /// The candidate's share of the requests, in thousandths.
+        share: u32,
+        /// Drawn at random for each request: which of the engines it goes to.
+        draw: u32,
+        /// Counts the turns.
+        turn: u32,
+    },
+    /// Few decode engines, the same ones at all routers, so that each gets as many requests as it bears.
+    Packed {
+        /// The candidate's share of the requests, in thousandths.
+        share: u32,
+        /// Drawn at random for each request: which of the few engines it goes to.
+        draw: u32,
+    },
 }
 
 impl Arm {
--- a/load_balancing/src/selection/candidates.rs
+++ b/load_balancing/src/selection/candidates.rs
@@ -1,6 +1,6 @@
 //! The engines that a selection looks at.
 
-use super::{Arm, SelectionContext};
+use super::SelectionContext;
 use crate::engine_state::EngineState;
 use crate::phase::Phase;
 use crate::subset::Subset;
@@ -35,6 +35,9 @@
     /// Returns the indices of the engines that a selection looks at: the best rated of this router's subset. Only when
     /// that has none but suspected ones are all engines looked at.
     pub fn candidates(&self, phase: Phase) -> Vec<usize> {
+        if let Some(engine) = self.placed_engine(phase) {
+            return vec![engine];
+        }
         let Some(subset) = self.subset(phase) else { return Vec::new() };
         let (best, found) = self.best_rated(&subset.sampled, phase);
         if best > Some(Rating::Suspected) {
@@ -82,7 +85,6 @@
         engine.service == self.service
             && serves_phase
             && engine.candidate == self.arm.is_candidate()
-            && self.is_in_candidate_share(at, phase)
             && engine.up
             && engine.listed
             && engine.reassigning_until <= self.now
@@ -91,16 +93,6 @@
             && self.has_allowed_weights(engine)
     }
 
-    /// Of a version that is being rolled out, only some engines are used.
-    fn is_in_candidate_share(&self, at: usize, phase: Phase) -> bool {
-        match self.arm {
-            Arm::Stable => true,
-            Arm::Candidate(share) => {
-                self.subset(phase).is_some_and(|subset| subset.leading_share(share).any(|engine| engine == at))
-            }
-        }
-    }
-
     fn has_allowed_weights(&self, engine: &EngineState) -> bool {
         let Some(range) = self.weight_versions else { return true };
         engine.weight_version(range.model).is_some_and(|version| range.contains(version))
--- a/load_balancing/src/subset.rs
+++ b/load_balancing/src/subset.rs
@@ -97,10 +97,9 @@
         zones.into_iter().flat_map(sample_zone).collect()
     }
 
-    /// Returns a share of all engines in thousandths, one at least: the same ones at all routers.
-    pub(crate) fn leading_share(&self, share: u32) -> impl Iterator<Item = usize> + '_ {
-        let count = (self.ring.len() as u64 * u64::from(share)).div_ceil(1000).max(1) as usize;
-        self.ring.iter().take(count).map(|(_, engine)| *engine)
+    /// Returns all engines, in an order that every router finds.
+    pub(crate) fn ordered(&self) -> impl Iterator<Item = usize> + '_ {
+        self.ring.iter().map(|(_, engine)| *engine)
     }
 
     /// Returns at most `limit` sampled engines that follow one another, from a random `offset` on.
--- a/load_balancing/src/topology.rs
+++ b/load_balancing/src/topology.rs
@@ -20,6 +20,11 @@
         let next = self.0.len() as u32;
         *self.0.entry(name.to_string()).or_insert(next)
     }
+
+    /// Returns the name with an index.
+    fn name_of(&self, index: u32) -> Option<&str> {
+        self.0.iter().find(|(_, known)| **known == index).map(|(name, _)| name.as_str())
+    }
 }
 
 /// The zones that are known, and their regions.
@@ -35,6 +40,10 @@
         self.zones.index_of(name)
     }
 
+    pub(crate) fn zone_name(&self, zone: u32) -> Option<&str> {
+        self.zones.name_of(zone)
+    }
+
     pub(crate) fn set_region(&mut self, zone: &str, region: &str) {
         let zone = self.zone_index(zone);
         self.regions.insert(zone, region.into());
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -27,10 +27,13 @@
 pub mod traffic;
 mod version_entry;
 pub mod version_rollout;
+pub mod version_samples;
 
 #[cfg(test)]
 mod stored_by_5_tests;
 #[cfg(test)]
 mod stored_by_6_tests;
 #[cfg(test)]
+mod stored_by_7_tests;
+#[cfg(test)]
 mod testing;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -16,6 +16,7 @@
 use crate::quota::{ShardOwner, ShardUsage, TokenRequest, TokenResponse};
 use crate::renewal::SubscriptionRenewed;
 use crate::version_rollout::{Samples, VersionRollout};
+use crate::version_samples::{EngineSamples, SampleRequest};
 
 pub use crate::capability::*;
 pub use crate::hidden_key::HiddenKey;
@@ -116,4 +117,8 @@
     EndpointUpdate(Box<EndpointUpdate>),
     /// How loaded engines are, for the controller that balances phases. Since version 6.
     EngineUsage(Box<EngineUsage>),
+    /// Asks a router for samples of a rollout by engine and load. Since version 7.
+    SampleRequest(Box<SampleRequest>),
+    /// What routers saw of a rollout, by engine and load. Since version 7.
+    EngineSamples(Box<EngineSamples>),
 }
--- /dev/null
+++ b/protocol/src/stored_by_7_tests.rs
@@ -0,0 +1,61 @@
+//! The messages that version 7 added, as they stand on the wire: later versions must read them as they were meant.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use crate::frame::{self, Kind, HEADER_BYTES};
+use crate::message::Message;
+use crate::version_samples::{EngineSamples, SampleCounts, SampleKey, SampleRequest, SampledInterval};
+
+fn fixture() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/messages-7.bin")
+}
+
+/// Every message that version 7 added.
+pub(crate) fn messages() -> Vec<Message> {
+    let key = SampleKey {
+        route: "r-1".into(),
+        is_candidate: true,
+        engine_hash: u64::MAX,
+        zone: "zone-a".into(),
+        is_loaded: true,
+    };
+    let intervals = vec![SampledInterval { running: 12, interval_us: 52_000, is_cold: true }];
+    let counts = SampleCounts { succeeded: 3, failed: 1, lost: 2, intervals };
+    let samples = EngineSamples {
+        service: "chat".into(),
+        order: 4,
+        elapsed_ms: 2500,
+        list: vec![(key, counts)],
+        is_relayed: true,
+    };
+    vec![
+        Message::SampleRequest(Box::new(SampleRequest { controller: "10.0.0.1".into() })),
+        Message::EngineSamples(Box::new(samples)),
+    ]
+}
+
+fn frames() -> Vec<u8> {
+    let encode = |message: &Message| frame::encode(Kind::Notification, 0, message).expect("sealed");
+    messages().iter().map(encode).collect::<Vec<_>>().concat()
+}
+
+#[test]
+#[ignore = "writes the fixture of version 7"]
+fn write_fixture() {
+    fs::write(fixture(), frames()).expect("written");
+}
+
+#[test]
+fn messages_of_version_7_are_read_and_written_to_the_byte() {
+    let bytes = fs::read(fixture()).expect("the fixture");
+    assert_eq!(frames(), bytes);
+    let mut rest = bytes.as_slice();
+    for expected in messages() {
+        let (head, body) = rest.split_first_chunk::<HEADER_BYTES>().expect("a head");
+        let (body, behind) = body.split_at(frame::decode_header(head).expect("a head").len);
+        assert_eq!(frame::decode_body(body).expect("a body"), expected);
+        rest = behind;
+    }
+    assert!(rest.is_empty(), "{} bytes behind the last frame", rest.len());
+}
--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -272,6 +272,7 @@
         in_flight: Vec::new(),
         kv_handle: None,
         variant: Default::default(),
+        served_by: Default::default(),
     }
 }
 
--- a/router/src/proxy/engine_send.rs
+++ b/router/src/proxy/engine_send.rs
@@ -59,6 +59,7 @@
         options.time_budget_ms = self.request.remaining_ms(now).max(1);
         let outcome = self.await_outcome(engine_index, &endpoint, &options, may_move).await;
         self.record_outcome(engine_index, &outcome);
+        self.note_served_by(engine_index);
         self.count_outcome(&outcome, options.is_prefill);
         if !matches!(outcome, SendOutcome::Response(_)) {
             self.end_send(engine_index);
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -13,6 +13,7 @@
 use crate::frontend::request::Request;
 use crate::kv::kv_handle::KvHandle;
 use crate::proxy::plan::PrefixOwners;
+use crate::rollout::ServedBy;
 use crate::state::State;
 use crate::upstream::connection_pool::Endpoint;
 
@@ -81,6 +82,8 @@
     pub kv_handle: Option<KvHandle>,
     /// Which variant of a rollout serves it, in all of its sends.
     pub variant: Arm,
+    /// The engine that was sent to last, as it stood when it responded.
+    pub served_by: ServedBy,
 }
 
 impl Drop for Exchange {
--- a/router/src/proxy/forward.rs
+++ b/router/src/proxy/forward.rs
@@ -107,7 +107,7 @@
         false => execute_combined(exchange).await,
     };
     if executed.is_err() && exchange.may_have_run {
-        exchange.record_version_outcome(VersionOutcome::Failed);
+        exchange.record_version_outcome(VersionOutcome::Lost);
     }
     executed
 }
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -77,7 +77,7 @@
                 engine_response::return_connection(&exchange.state, &endpoint, &head.headers, connection).await;
                 return;
             }
-            BodyEnd::Broken => exchange.record_version_outcome(VersionOutcome::Failed),
+            BodyEnd::Broken => exchange.record_version_outcome(VersionOutcome::Lost),
         }
         splitter.discard_partial_event();
         let Some((next, next_response)) = exchange.resume(engine_index, &splitter).await else { return };
--- a/router/src/rollout_tests.rs
+++ b/router/src/rollout_tests.rs
@@ -1,11 +1,14 @@
 //! Which version serves requests, and the samples that are reported of them.
 
 use kernel::clock;
-use load_balancing::Arm;
+use load_balancing::{Arm, CandidatePlacement};
 use protocol::message::{EndpointList, Engine};
 use protocol::version_rollout::{candidates_of, RolloutState, VersionRollout};
+use protocol::version_samples::{SampleKey, SampledInterval};
 
-use super::{apply, Rollouts, VersionOutcome};
+use super::{
+    apply, apply_sample_request, Rollouts, ServedBy, VersionOutcome, CANARY_SAMPLING_INTERVAL, SAMPLING_INTERVAL,
+};
 use crate::testing::engine::{answer, engines, events, Act};
 use crate::testing::router::{ask, router};
 
@@ -25,41 +28,100 @@
     }
 }
 
+fn served_by(running: u32) -> ServedBy {
+    ServedBy { running, slots: 64, ..ServedBy::default() }
+}
+
 fn share_of(rollouts: &Rollouts, holds_lease: bool) -> usize {
-    (0..1000).filter(|random| rollouts.select_variant(0, *random, holds_lease).is_candidate()).count()
+    (0..1000).filter(|random| rollouts.select_variant(0, *random, holds_lease, 1000).is_candidate()).count()
 }
 
 #[test]
 fn a_new_version_gets_its_share_under_a_lease_and_nothing_without() {
     let mut rollouts = Rollouts::default();
     assert_eq!(share_of(&rollouts, true), 0);
-    rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70));
+    rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70), 1000);
     assert_eq!([share_of(&rollouts, true), share_of(&rollouts, false)], [70, 0]);
-    rollouts.insert_if_newer(0, rollout(2, RolloutState::Active, 1000));
+    rollouts.insert_if_newer(0, rollout(2, RolloutState::Active, 1000), 1000);
     assert_eq!([share_of(&rollouts, true), share_of(&rollouts, false)], [1000, 0]);
-    assert!(!rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70)), "older");
-    rollouts.insert_if_newer(0, rollout(3, RolloutState::Reverted, 0));
+    assert!(!rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70), 1000), "older");
+    rollouts.insert_if_newer(0, rollout(3, RolloutState::Reverted, 0), 1000);
     assert_eq!(share_of(&rollouts, true), 0);
     let mut complete = Rollouts::default();
-    complete.insert_if_newer(0, rollout(3, RolloutState::Complete, 1000));
+    complete.insert_if_newer(0, rollout(3, RolloutState::Complete, 1000), 1000);
     assert_eq!(share_of(&complete, false), 1000, "also where it is cut off: the old version is no more");
 }
 
 #[test]
-fn samples_are_kept_by_route_and_version_while_a_rollout_is_active() {
+fn a_larger_share_that_is_not_all_is_packed_on_few_engines() {
+    let mut rollouts = Rollouts::default();
+    for (number, share, is_packed) in [(1, 40, false), (2, 300, true), (3, 1000, false)] {
+        rollouts.insert_if_newer(0, rollout(number, RolloutState::Active, share), 1000);
+        let arms = (0..1000_u64).map(|random| rollouts.select_variant(0, (random << 32) + random, true, 6000));
+        let candidates: Vec<Arm> = arms.filter(|arm| arm.is_candidate()).collect();
+        let packed = |arm: &&Arm| matches!(arm, Arm::Candidate(CandidatePlacement::Packed { share: 300, .. }));
+        let rotating =
+            |arm: &&Arm| matches!(arm, Arm::Candidate(CandidatePlacement::Rotating { share: 40, turn: 2, .. }));
+        assert_eq!(candidates.iter().filter(rotating).count(), if number == 1 { 40 } else { 0 });
+        assert_eq!(candidates.len(), share as usize);
+        assert_eq!(candidates.iter().filter(packed).count(), if is_packed { candidates.len() } else { 0 });
+    }
+}
+
+#[test]
+fn samples_are_kept_by_origin_while_a_rollout_is_active() {
+    let key = |is_candidate| SampleKey {
+        route: "r".into(),
+        is_candidate,
+        engine_hash: 0,
+        zone: "a".into(),
+        is_loaded: false,
+    };
+    let mut rollouts = Rollouts::default();
+    assert!(!rollouts.record(0, key(false), &served_by(1), VersionOutcome::Failed));
+    rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70), 1000);
+    assert_eq!(rollouts.sampling_interval(), CANARY_SAMPLING_INTERVAL);
+    rollouts.record(0, key(false), &served_by(5), VersionOutcome::Success { event_interval_us: Some(7000) });
+    rollouts.record(0, key(true), &served_by(1), VersionOutcome::Failed);
+    rollouts.record(0, key(true), &served_by(1), VersionOutcome::Lost);
+    rollouts.record(0, key(true), &served_by(1), VersionOutcome::Success { event_interval_us: None });
+    let samples = rollouts.drain_samples(clock::now());
+    let counts: Vec<_> =
+        samples[0].list.iter().map(|(key, one)| (key.is_candidate, one.succeeded, one.failed, one.lost)).collect();
+    assert_eq!(counts, [(false, 1, 0, 0), (true, 1, 1, 1)]);
+    assert_eq!(samples[0].list[0].1.intervals, [SampledInterval { running: 5, interval_us: 7000, is_cold: false }]);
+    assert!(rollouts.drain_samples(clock::now()).is_empty());
+    rollouts.insert_if_newer(0, rollout(2, RolloutState::Active, 300), 1000);
+    assert_eq!(rollouts.sampling_interval(), SAMPLING_INTERVAL);
+    rollouts.insert_if_newer(0, rollout(3, RolloutState::Complete, 1000), 1000);
+    assert!(!rollouts.record(0, key(false), &served_by(1), VersionOutcome::Failed));
+}
+
+#[test]
+fn a_router_tells_for_how_long_a_rollout_has_been_under_way() {
     let mut rollouts = Rollouts::default();
-    assert!(!rollouts.record(0, "r", Arm::Stable, VersionOutcome::Failed));
-    rollouts.insert_if_newer(0, rollout(1, RolloutState::Active, 70));
-    rollouts.record(0, "r", Arm::Stable, VersionOutcome::Success { event_interval_us: Some(7000) });
-    rollouts.record(0, "r", Arm::Candidate(70), VersionOutcome::Failed);
-    rollouts.record(0, "r", Arm::Candidate(70), VersionOutcome::Success { event_interval_us: None });
-    let samples = rollouts.drain_samples();
-    let counts: Vec<_> = samples[0].list.iter().map(|one| (one.is_candidate, one.good, one.failed)).collect();
-    assert_eq!(counts, [(false, 1, 0), (true, 1, 1)]);
-    assert_eq!(samples[0].list[0].paces, [(7000, 1)]);
-    assert!(rollouts.drain_samples().is_empty());
-    rollouts.insert_if_newer(0, rollout(2, RolloutState::Complete, 1000));
-    assert!(!rollouts.record(0, "r", Arm::Stable, VersionOutcome::Failed));
+    let key = SampleKey { route: "r".into(), is_candidate: true, engine_hash: 1, zone: "a".into(), is_loaded: false };
+    let late = |number, elapsed_ms| VersionRollout { elapsed_ms, ..rollout(number, RolloutState::Active, 70) };
+    rollouts.insert_if_newer(0, late(1, 0), 1000);
+    rollouts.insert_if_newer(0, late(2, 3000), 4200);
+    rollouts.record(0, key.clone(), &served_by(1), VersionOutcome::Failed);
+    assert_eq!(rollouts.drain_samples(6000)[0].elapsed_ms, 5000, "since the first record");
+    rollouts.insert_if_newer(0, VersionRollout { order: 2, ..late(3, 0) }, 7000);
+    rollouts.record(0, key.clone(), &served_by(1), VersionOutcome::Failed);
+    assert_eq!(rollouts.drain_samples(7500)[0].elapsed_ms, 500, "another order");
+    rollouts.insert_if_newer(0, VersionRollout { order: 3, ..late(4, 9000) }, 8000);
+    rollouts.record(0, key, &served_by(1), VersionOutcome::Failed);
+    assert_eq!(rollouts.drain_samples(8100)[0].elapsed_ms, 9100, "it began before this process");
+}
+
+#[tokio::test]
+async fn only_a_controller_that_asked_gets_samples_by_engine() {
+    let state = router(&[]);
+    let is_read = |ip: &str, now| state.rollouts().is_read_by(ip, now);
+    assert!(!is_read("10.0.0.1", clock::now()));
+    apply_sample_request(&state, "10.0.0.1".into());
+    assert!(is_read("10.0.0.1", clock::now()) && !is_read("10.0.0.2", clock::now()));
+    assert!(!is_read("10.0.0.1", clock::now() + 5001), "it may be an older one by now");
 }
 
 #[tokio::test]
@@ -81,10 +143,16 @@
     state.staleness_bounds().renew_lease(clock::now());
     assert!(ask(&state, "stream", "c", "").await.contains("token-3"));
     ask(&state, "once", "f", "").await;
-    let samples = state.rollouts().drain_samples();
-    let counts: Vec<_> =
-        samples[0].list.iter().map(|one| (one.route.as_str(), one.is_candidate, one.good, one.failed)).collect();
-    assert_eq!(counts, [("once", false, 1, 0), ("once", true, 0, 1), ("stream", true, 1, 0)]);
+    let samples = state.rollouts().drain_samples(clock::now());
+    let mut counts: Vec<_> = samples[0]
+        .list
+        .iter()
+        .map(|(key, one)| (key.route.as_str(), key.is_candidate, one.succeeded, one.failed, key.zone.as_str()))
+        .collect();
+    counts.sort_unstable();
+    assert_eq!(counts, [("once", false, 1, 0, "a"), ("once", true, 0, 1, "a"), ("stream", true, 1, 0, "a")]);
+    let engine_of = |(key, _): &(SampleKey, _)| key.engine_hash != 0;
+    assert!(samples[0].list.iter().all(|origin| engine_of(origin) == origin.0.is_candidate));
     apply(&state, rollout(2, RolloutState::Reverted, 0));
     assert!(ask(&state, "once", "d", "").await.ends_with("old"), "reverted");
 }
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -1,13 +1,15 @@
 //! What pooled samples show of a candidate, compared with the stable version at the same time on the same routes.
 //!
-//! Failures are compared route by route, since a candidate may be faulty on one route only. Speed is compared over all routes:
-//! the median time between the events of a response, against the stable version's in the same span.
+//! Failures are compared route by route and by class of load, since a candidate may be faulty on one route only, or only under
+//! load. Speed is compared route by route: the time between the events of a response, against the stable version's at the same
+//! load.
 
 use std::collections::BTreeMap;
 
+use crate::cusum::{ALARM_THRESHOLD, SUSPICION_THRESHOLD};
 use crate::failure_evidence::FailureEvidence;
-use crate::recent_intervals::RecentIntervals;
-use crate::{SampleBatch, Variant};
+use crate::speed_evidence::SpeedEvidence;
+use crate::{LoadClass, SampleBatch, SampleOrigin, Variant};
 
 /// What the samples show.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -18,93 +20,132 @@
     Inconclusive,
     /// The candidate fails more often than the stable version.
     Failing,
+    /// The candidate fails more often than the stable version at engines that are loaded.
+    FailingUnderLoad,
     /// The candidate is slower than the stable version.
     Slow,
 }
 
-/// CUSUM at which a candidate counts as failing: high enough that a false alarm is expected once in many rollouts.
-const ALARM_THRESHOLD: f64 = 9.2;
-/// CUSUM from which on a candidate no longer counts as healthy.
-const SUSPICION_THRESHOLD: f64 = 3.0;
+impl Verdict {
+    /// Returns whether the candidate must not serve any longer.
+    pub fn is_bad(self) -> bool {
+        matches!(self, Verdict::Failing | Verdict::FailingUnderLoad | Verdict::Slow)
+    }
+}
+
 /// Successful requests of the candidate, over all routes, before it counts as healthy.
-const MIN_SUCCESSES: u64 = 30;
-/// Ratio of median intervals above which the candidate counts as slow.
-const SLOW_FACTOR: f64 = 2.5;
-/// Responses of each version before their intervals are compared.
-const MIN_INTERVAL_SAMPLES: u64 = 8;
-/// Length of a span of intervals. The last one to two spans are compared.
-const INTERVAL_SPAN_MS: u64 = 1500;
+const MIN_SUCCESSES: u64 = 20;
+/// Responses of the candidate that were compared in speed, over all routes, before it counts as healthy.
+const MIN_COMPARED_SPEEDS: u64 = 8;
+/// Failures of one engine that is not loaded, from which on its failures under load are taken for its own.
+const MIN_CALM_FAILURES: u64 = 2;
+
+/// The evidence of one route.
+struct RouteEvidence {
+    calm: FailureEvidence,
+    loaded: FailureEvidence,
+    speed: SpeedEvidence,
+}
 
 /// All evidence of one rollout.
+#[derive(Default)]
 pub struct CanaryAnalysis {
-    routes: BTreeMap<String, FailureEvidence>,
-    stable_intervals: RecentIntervals,
-    candidate_intervals: RecentIntervals,
-    /// Steady time at which the current span of intervals began, in milliseconds.
-    rotated_at: u64,
-    candidate_succeeded: u64,
+    routes: BTreeMap<String, RouteEvidence>,
+    /// By engine of the candidate: failures while it was not loaded.
+    calm_failures: BTreeMap<u64, u64>,
+    succeeded: u64,
 }
 
 impl CanaryAnalysis {
-    /// Returns an analysis without samples. `now` is a steady time in milliseconds.
-    pub fn new(now: u64) -> CanaryAnalysis {
-        CanaryAnalysis {
-            routes: BTreeMap::new(),
-            stable_intervals: RecentIntervals::new(),
-            candidate_intervals: RecentIntervals::new(),
-            rotated_at: now,
-            candidate_succeeded: 0,
-        }
+    /// Returns an analysis without samples.
+    pub fn new() -> CanaryAnalysis {
+        CanaryAnalysis::default()
     }
 
-    /// Adds samples of one route. `now` is a steady time in milliseconds.
-    pub fn record(&mut self, route: &str, variant: Variant, batch: &SampleBatch, now: u64) {
-        self.rotate_intervals(now);
-        let intervals = match variant {
-            Variant::Stable => &mut self.stable_intervals,
-            Variant::Candidate => &mut self.candidate_intervals,
-        };
-        for (interval_us, count) in &batch.event_intervals {
-            intervals.record(*interval_us, *count);
+    /// Adds samples of one origin. `now` is a steady time in milliseconds.
+    pub fn record(&mut self, origin: &SampleOrigin, batch: &SampleBatch, now: u64) {
+        if !self.routes.contains_key(origin.route) {
+            self.routes.insert(origin.route.into(), RouteEvidence::new());
         }
-        let evidence = self.routes.entry(route.into()).or_default();
-        match variant {
-            Variant::Stable => evidence.record_stable(batch),
-            Variant::Candidate => {
-                evidence.record_candidate(batch);
-                self.candidate_succeeded += batch.succeeded;
-            }
+        let Some(route) = self.routes.get_mut(origin.route) else { return };
+        if origin.variant == Variant::Stable {
+            route.record_stable(origin.load, batch, now);
+            return;
         }
-    }
-
-    fn rotate_intervals(&mut self, now: u64) {
-        if now >= self.rotated_at + INTERVAL_SPAN_MS {
-            self.stable_intervals.rotate();
-            self.candidate_intervals.rotate();
-            self.rotated_at = now;
+        self.succeeded += batch.succeeded;
+        let calm_failures = self.calm_failures.entry(origin.engine).or_default();
+        if origin.load == LoadClass::Calm {
+            *calm_failures += batch.failed + batch.lost;
+        } else if *calm_failures >= MIN_CALM_FAILURES {
+            return;
         }
+        route.record_candidate(origin, batch, now);
     }
 
     /// Returns what the samples show so far.
     pub fn verdict(&self) -> Verdict {
-        let max_cusum = self.routes.values().map(FailureEvidence::cusum).fold(0.0, f64::max);
-        if max_cusum >= ALARM_THRESHOLD {
+        let max_of = |cusum: fn(&RouteEvidence) -> f64| self.routes.values().map(cusum).fold(0.0, f64::max);
+        let calm = max_of(|route| route.calm.cusum());
+        let loaded = max_of(|route| route.loaded.cusum());
+        let slow = max_of(|route| route.speed.cusum());
+        if calm >= ALARM_THRESHOLD {
             return Verdict::Failing;
         }
-        if self.is_slow() {
+        if loaded >= ALARM_THRESHOLD {
+            return Verdict::FailingUnderLoad;
+        }
+        if slow >= ALARM_THRESHOLD {
             return Verdict::Slow;
         }
-        match max_cusum < SUSPICION_THRESHOLD && self.candidate_succeeded >= MIN_SUCCESSES {
+        let is_suspected = calm.max(loaded).max(slow) >= SUSPICION_THRESHOLD;
+        match !is_suspected && self.succeeded >= MIN_SUCCESSES && self.has_compared_speeds() {
             true => Verdict::Healthy,
             false => Verdict::Inconclusive,
         }
     }
 
-    fn is_slow(&self) -> bool {
-        let (stable, candidate) = (&self.stable_intervals, &self.candidate_intervals);
-        stable.count() >= MIN_INTERVAL_SAMPLES
-            && candidate.count() >= MIN_INTERVAL_SAMPLES
-            && candidate.median() > SLOW_FACTOR * stable.median()
+    /// Returns whether enough responses were compared in speed, where they can be.
+    fn has_compared_speeds(&self) -> bool {
+        let compared: u64 = self.routes.values().map(|route| route.speed.compared()).sum();
+        let is_measurable = self.routes.values().any(|route| route.speed.is_measurable());
+        !is_measurable || compared >= MIN_COMPARED_SPEEDS
+    }
+
+    /// Returns the route that has the most evidence against the candidate.
+    pub fn worst_route(&self) -> Option<&str> {
+        let worst = self.routes.iter().max_by(|(_, one), (_, two)| one.cusum().total_cmp(&two.cusum()));
+        worst.map(|(route, _)| route.as_str())
+    }
+}
+
+impl RouteEvidence {
+    fn new() -> RouteEvidence {
+        RouteEvidence { calm: FailureEvidence::new(), loaded: FailureEvidence::new(), speed: SpeedEvidence::new() }
+    }
+
+    fn record_stable(&mut self, load: LoadClass, batch: &SampleBatch, now: u64) {
+        match load {
+            LoadClass::Calm => self.calm.record_stable(batch, now),
+            LoadClass::Loaded => self.loaded.record_stable(batch, now),
+        }
+        self.speed.record_stable(&batch.event_intervals, now);
+    }
+
+    /// The stable version's engines are seldom loaded: its rate is the higher one of both classes.
+    fn record_candidate(&mut self, origin: &SampleOrigin, batch: &SampleBatch, now: u64) {
+        let calm_rate = self.calm.stable_rate(now);
+        match origin.load {
+            LoadClass::Calm => self.calm.record_candidate(origin, batch, calm_rate),
+            LoadClass::Loaded => {
+                let base_rate = self.loaded.stable_rate(now).max(calm_rate);
+                self.loaded.record_candidate(origin, batch, base_rate);
+            }
+        }
+        self.speed.record_candidate(origin, &batch.event_intervals, now);
+    }
+
+    fn cusum(&self) -> f64 {
+        self.calm.cusum().max(self.loaded.cusum()).max(self.speed.cusum())
     }
 }
 
--- a/versions/src/canary_analysis_tests.rs
+++ b/versions/src/canary_analysis_tests.rs
@@ -1,9 +1,15 @@
 //! Seeded experiments: healthy and faulty versions, analysed from batches as routers report them.
 
 use super::{CanaryAnalysis, Verdict};
-use crate::{SampleBatch, Variant};
+use crate::{EventInterval, LoadClass, SampleBatch, SampleOrigin, Variant};
 
 const BATCH_MS: u64 = 250;
+const ROUTES: [&str; 2] = ["long", "short"];
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Engines of each version.
+const ENGINES: u64 = 24;
+/// Requests that an engine of the stable version runs, about.
+const STABLE_RUNNING: f64 = 6.0;
 
 /// A small generator of uniform numbers in 0..1.
 struct UniformRng(u64);
@@ -24,6 +30,16 @@
     faulty_from_ms: u64,
     slowdown: f64,
     candidate_per_s: f64,
+    /// Half the width of the noise of the times between events, as a share of them.
+    noise: f64,
+    /// The share of the engines of both versions that fail four tenths of their requests.
+    grey_share: f64,
+    /// When one zone loses the requests of its engines of both versions for 1.5 s.
+    zone_lost_at: Option<u64>,
+    /// Whether all engines have started a moment ago.
+    is_cold: bool,
+    /// Whether a third of all requests fail at both versions from 4 s to 7 s.
+    has_bad_time: bool,
 }
 
 const HEALTHY: Scenario = Scenario {
@@ -32,37 +48,92 @@
     faulty_from_ms: 0,
     slowdown: 1.0,
     candidate_per_s: 25.0,
+    noise: 0.5,
+    grey_share: 0.0,
+    zone_lost_at: None,
+    is_cold: false,
+    has_bad_time: false,
 };
 
+impl Scenario {
+    fn failure_rate(&self, variant: Variant, route: usize, now: u64) -> f64 {
+        let is_faulty = variant == Variant::Candidate && now > self.faulty_from_ms;
+        let rate = if is_faulty { self.candidate_failure_rates[route] } else { self.stable_failure_rate };
+        if self.has_bad_time && (4000..7000).contains(&now) {
+            rate.max(0.33)
+        } else {
+            rate
+        }
+    }
+
+    fn is_lost(&self, zone: usize, now: u64) -> bool {
+        zone == 0 && self.zone_lost_at.is_some_and(|at| (at..at + 1500).contains(&now))
+    }
+
+    fn is_grey(&self, engine: u64, seed: u64) -> bool {
+        UniformRng(engine.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ seed).next() < self.grey_share
+    }
+}
+
+/// Returns an engine's interval, longer by a thirtieth for each request that it runs, as in a batch.
+fn interval_us(running: u32, slowdown: f64, noise: f64, rng: &mut UniformRng) -> u64 {
+    let batch = 1.0 + f64::from(running) / 30.0;
+    (8000.0 * batch * slowdown * (1.0 + noise * (2.0 * rng.next() - 1.0))) as u64
+}
+
+/// Returns what one request adds to its batch.
+fn add_request(
+    scenario: &Scenario,
+    origin: (Variant, usize, u64),
+    now: u64,
+    seed: u64,
+    rng: &mut UniformRng,
+) -> SampleBatch {
+    let (variant, route, engine) = origin;
+    let mut batch = SampleBatch::default();
+    if scenario.is_lost((engine % 3) as usize, now) {
+        batch.lost = 1;
+        return batch;
+    }
+    let grey_engine = engine + if variant == Variant::Stable { 1000 } else { 0 };
+    let greyness = if scenario.is_grey(grey_engine, seed) { 0.4 } else { 0.0 };
+    if rng.next() < scenario.failure_rate(variant, route, now).max(greyness) {
+        batch.failed = 1;
+        return batch;
+    }
+    batch.succeeded = 1;
+    let is_faulty = variant == Variant::Candidate && now > scenario.faulty_from_ms;
+    let slowdown = if is_faulty { scenario.slowdown } else { 1.0 };
+    let mean = if variant == Variant::Stable { STABLE_RUNNING } else { 1.0 };
+    let running = (mean * 2.0 * rng.next()) as u32;
+    let interval_us = interval_us(running, slowdown, scenario.noise, rng);
+    batch.event_intervals.push(EventInterval { running, interval_us, is_cold: scenario.is_cold });
+    batch
+}
+
 /// Returns the verdict after a time, and when the first alarm came.
 fn simulate(scenario: &Scenario, seed: u64, length_ms: u64) -> (Verdict, Option<u64>) {
     let mut rng = UniformRng(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) + 1);
-    let mut analysis = CanaryAnalysis::new(0);
+    let mut analysis = CanaryAnalysis::new();
     let mut now = 0;
     while now < length_ms {
         now += BATCH_MS;
-        for (number, route) in ["long", "short"].into_iter().enumerate() {
+        for (number, route) in ROUTES.into_iter().enumerate() {
             for (variant, per_s) in
                 [(Variant::Stable, scenario.candidate_per_s * 10.0), (Variant::Candidate, scenario.candidate_per_s)]
             {
-                let is_faulty = variant == Variant::Candidate && now > scenario.faulty_from_ms;
-                let failure_rate =
-                    if is_faulty { scenario.candidate_failure_rates[number] } else { scenario.stable_failure_rate };
-                let mut batch = SampleBatch::default();
                 let expected = per_s / 2.0 * BATCH_MS as f64 / 1000.0;
                 let count = expected.floor() as u64 + u64::from(rng.next() < expected.fract());
                 for _ in 0..count {
-                    match rng.next() < failure_rate {
-                        true => batch.failed += 1,
-                        false => batch.succeeded += 1,
-                    }
-                    let slowdown = if is_faulty { scenario.slowdown } else { 1.0 };
-                    batch.event_intervals.push(((8000.0 * slowdown * (0.5 + rng.next())) as u64, 1));
+                    let engine = (rng.next() * ENGINES as f64) as u64;
+                    let batch = add_request(scenario, (variant, number, engine), now, seed, &mut rng);
+                    let zone = ZONES[(engine % 3) as usize];
+                    let origin = SampleOrigin { route, variant, engine, zone, load: LoadClass::Calm };
+                    analysis.record(&origin, &batch, now);
                 }
-                analysis.record(route, variant, &batch, now);
             }
         }
-        if matches!(analysis.verdict(), Verdict::Failing | Verdict::Slow) {
+        if analysis.verdict().is_bad() {
             return (analysis.verdict(), Some(now));
         }
     }
@@ -111,6 +182,16 @@
     assert!(alarm_times.iter().filter(|at| **at > 4000).count() <= 6, "{:?}", alarm_times.iter().max());
 }
 
+#[test]
+fn a_version_that_fails_a_tenth_of_its_requests_is_found_within_a_few_hundred_of_them() {
+    for (share, requests) in [(0.08, 500), (0.1, 375)] {
+        let scenario = Scenario { candidate_failure_rates: [share; 2], ..HEALTHY };
+        let alarm_times = alarms(&scenario, 30_000, 200);
+        let in_time = alarm_times.iter().filter(|at| **at * 25 <= requests * 1000).count();
+        assert!(in_time >= 170, "{share}: {in_time} of 200");
+    }
+}
+
 #[test]
 fn a_version_that_is_several_times_slower_is_found() {
     let scenario = Scenario { slowdown: 4.0, ..HEALTHY };
@@ -119,14 +200,84 @@
     assert!(alarm_times.iter().all(|at| *at <= 3000));
 }
 
+#[test]
+fn a_version_that_is_slower_by_half_at_less_load_is_found_where_times_are_steady() {
+    let scenario = Scenario { slowdown: 1.5, noise: 0.12, ..HEALTHY };
+    let alarm_times = alarms(&scenario, 15_000, 200);
+    assert!(alarm_times.len() >= 198, "{}", alarm_times.len());
+    assert!(alarm_times.iter().filter(|at| **at > 3500).count() <= 4, "{:?}", alarm_times.iter().max());
+    let healthy = Scenario { noise: 0.12, ..HEALTHY };
+    assert!(alarms(&healthy, 15_000, 400).len() <= 4);
+}
+
+#[test]
+fn a_version_that_is_a_tenth_slower_is_not_blamed() {
+    let scenario = Scenario { slowdown: 1.1, noise: 0.06, ..HEALTHY };
+    let alarms = alarms(&scenario, 15_000, 200).len();
+    assert!(alarms <= 4, "{alarms} of 200");
+}
+
+#[test]
+fn cold_engines_show_that_a_version_is_fast_and_never_that_it_is_slow() {
+    let record = |is_cold, slowdown: f64| {
+        let mut analysis = CanaryAnalysis::new();
+        let mut rng = UniformRng(7);
+        let origin = |variant, engine| SampleOrigin { route: "r", variant, engine, zone: "a", load: LoadClass::Calm };
+        for step in 0..400 {
+            let scenario = Scenario { noise: 0.05, slowdown, ..HEALTHY };
+            let stable = add_request(&scenario, (Variant::Stable, 0, 0), step, 1, &mut rng);
+            analysis.record(&origin(Variant::Stable, 0), &stable, step);
+            let scenario = Scenario { is_cold, ..scenario };
+            let candidate = add_request(&scenario, (Variant::Candidate, 0, step % 9), step + 1, 1, &mut rng);
+            analysis.record(&origin(Variant::Candidate, step % 9), &candidate, step);
+        }
+        analysis.verdict()
+    };
+    assert_eq!(record(true, 1.0), Verdict::Healthy);
+    assert_eq!(record(false, 2.0), Verdict::Slow);
+    assert_eq!(record(true, 2.0), Verdict::Inconclusive);
+}
+
 #[test]
 fn failures_that_all_versions_share_are_not_attributed_to_the_candidate() {
     let scenario = Scenario { stable_failure_rate: 0.3, candidate_failure_rates: [0.3; 2], ..HEALTHY };
-    let alarms = alarms(&scenario, 8000, 200).len();
-    assert!(alarms <= 10, "{alarms} of 200");
+    let found = alarms(&scenario, 8000, 200).len();
+    assert!(found <= 10, "{found} of 200");
+    let found = alarms(&Scenario { has_bad_time: true, ..HEALTHY }, 15_000, 200).len();
+    assert!(found <= 10, "{found} of 200 in a bad time");
+}
+
+#[test]
+fn grey_engines_and_a_lost_zone_are_not_attributed_to_the_version() {
+    let found = alarms(&Scenario { grey_share: 0.15, ..HEALTHY }, 15_000, 200).len();
+    assert!(found <= 10, "{found} of 200 with grey engines");
+    let found = alarms(&Scenario { zone_lost_at: Some(5000), ..HEALTHY }, 15_000, 200).len();
+    assert!(found <= 4, "{found} of 200 with a lost zone");
+}
+
+/// Records requests at one engine that is loaded, of which some fail, and returns the verdict.
+fn verdict_of_loaded_engine(calm_failures: u64) -> Verdict {
+    let mut analysis = CanaryAnalysis::new();
+    let origin = |variant, engine, load| SampleOrigin { route: "r", variant, engine, zone: "a", load };
+    let good = SampleBatch { succeeded: 20, ..Default::default() };
+    for engine in 0..20 {
+        analysis.record(&origin(Variant::Stable, engine, LoadClass::Calm), &good, 100);
+        analysis.record(&origin(Variant::Candidate, engine, LoadClass::Calm), &good, 100);
+    }
+    let calm = SampleBatch { failed: calm_failures, ..Default::default() };
+    analysis.record(&origin(Variant::Candidate, 3, LoadClass::Calm), &calm, 200);
+    let loaded = SampleBatch { succeeded: 8, failed: 8, ..Default::default() };
+    analysis.record(&origin(Variant::Candidate, 3, LoadClass::Loaded), &loaded, 300);
+    analysis.verdict()
+}
+
+#[test]
+fn a_version_that_fails_under_load_is_found_at_one_engine_that_was_well_before() {
+    assert_eq!(verdict_of_loaded_engine(0), Verdict::FailingUnderLoad);
+    assert!(!verdict_of_loaded_engine(2).is_bad(), "the engine failed without load");
 }
 
 #[test]
 fn without_samples_the_verdict_is_inconclusive() {
-    assert_eq!(CanaryAnalysis::new(0).verdict(), Verdict::Inconclusive);
+    assert_eq!(CanaryAnalysis::new().verdict(), Verdict::Inconclusive);
 }
--- a/versions/src/failure_evidence.rs
+++ b/versions/src/failure_evidence.rs
@@ -1,56 +1,51 @@
-//! The evidence of one route that a candidate fails more often than the stable version.
-//!
-//! It is a one-sided CUSUM (Page's test) of the log likelihood ratio between two failure rates: the stable version's with an
-//! allowance, and one that is clearly worse. It finds a version that is faulty from its start as fast as a sequential test
-//! would, and one that becomes faulty later as fast, since earlier successes do not count in its favour.
-
-use crate::SampleBatch;
-
-/// Excess over the stable version's failure rate that a candidate may have.
-const ALLOWED_EXCESS: f64 = 0.02;
-/// Further excess, over the allowed rate, that is clearly worse.
-const ALARM_EXCESS: f64 = 0.2;
-/// Lowest failure rate that the stable version is assumed to have.
-const MIN_FAILURE_RATE: f64 = 0.005;
-/// Highest failure rate that the stable version is assumed to have.
-const MAX_FAILURE_RATE: f64 = 0.5;
-/// Weight, in samples, of `MIN_FAILURE_RATE` as prior: with few samples the measured rate says little.
-const PRIOR_SAMPLES: f64 = 20.0;
-
-/// One route's evidence.
-#[derive(Default)]
+//! The evidence of one route, at one class of load, that a candidate fails more often than the stable version.
+
+use crate::base_rate::BaseRate;
+use crate::cusum::{Cusum, EngineOutcomes, Tuning};
+use crate::{SampleBatch, SampleOrigin};
+
+/// Finds versions that fail a fifth of their requests or more within a dozen of samples.
+const COARSE: Tuning = Tuning { allowed_excess: 0.02, alarm_excess: 0.2 };
+/// Finds versions that fail some hundredths of their requests within some hundred samples.
+const FINE: Tuning = Tuning { allowed_excess: 0.015, alarm_excess: 0.06 };
+
+/// The evidence.
 pub(crate) struct FailureEvidence {
-    stable_succeeded: f64,
-    stable_failed: f64,
-    cusum: f64,
+    stable: BaseRate,
+    coarse: Cusum,
+    fine: Cusum,
 }
 
 impl FailureEvidence {
+    pub(crate) fn new() -> FailureEvidence {
+        FailureEvidence { stable: BaseRate::default(), coarse: Cusum::new(COARSE), fine: Cusum::new(FINE) }
+    }
+
     /// Adds requests that the stable version served.
-    pub(crate) fn record_stable(&mut self, batch: &SampleBatch) {
-        self.stable_succeeded += batch.succeeded as f64;
-        self.stable_failed += batch.failed as f64;
+    pub(crate) fn record_stable(&mut self, batch: &SampleBatch, now: u64) {
+        self.stable.record(batch.succeeded, batch.failed + batch.lost, now);
     }
 
-    /// Adds requests that the candidate served.
-    pub(crate) fn record_candidate(&mut self, batch: &SampleBatch) {
-        let allowed_rate = self.stable_failure_rate() + ALLOWED_EXCESS;
-        let excessive_rate = allowed_rate + ALARM_EXCESS;
-        let failure_weight = (excessive_rate / allowed_rate).ln();
-        let success_weight = ((1.0 - excessive_rate) / (1.0 - allowed_rate)).ln();
-        // The order inside a batch is not known. Successes come first, so that they can't hide failures that came last.
-        self.cusum = (self.cusum + batch.succeeded as f64 * success_weight).max(0.0);
-        self.cusum += batch.failed as f64 * failure_weight;
+    /// Returns the share of requests that the stable version fails.
+    pub(crate) fn stable_rate(&mut self, now: u64) -> f64 {
+        self.stable.rate(now)
     }
 
-    /// Returns the cumulative sum: 0 without evidence, larger the clearer it is that the candidate fails more often.
-    pub(crate) fn cusum(&self) -> f64 {
-        self.cusum
+    /// Adds requests that the candidate served. `base_rate` is the share that the stable version fails.
+    pub(crate) fn record_candidate(&mut self, origin: &SampleOrigin, batch: &SampleBatch, base_rate: f64) {
+        let outcomes = EngineOutcomes {
+            engine: origin.engine,
+            zone: origin.zone,
+            good: batch.succeeded,
+            bad: batch.failed,
+            lost: batch.lost,
+        };
+        self.coarse.record(&outcomes, base_rate);
+        self.fine.record(&outcomes, base_rate);
     }
 
-    /// Returns the share of requests that the stable version fails.
-    fn stable_failure_rate(&self) -> f64 {
-        let samples = self.stable_succeeded + self.stable_failed + PRIOR_SAMPLES;
-        ((self.stable_failed + PRIOR_SAMPLES * MIN_FAILURE_RATE) / samples).clamp(MIN_FAILURE_RATE, MAX_FAILURE_RATE)
+    /// Returns the cumulative sum: 0 without evidence, larger the clearer it is that the candidate fails more often.
+    pub(crate) fn cusum(&self) -> f64 {
+        self.coarse.value().max(self.fine.value())
     }
 }
--- a/versions/src/lib.rs
+++ b/versions/src/lib.rs
@@ -5,12 +5,15 @@
 //! designs.
 #![deny(missing_docs)]
 
+mod base_rate;
 mod canary_analysis;
+mod cusum;
 mod failure_evidence;
-mod recent_intervals;
+mod load_model;
 mod rollout_schedule;
 mod sample;
+mod speed_evidence;
 
 pub use canary_analysis::{CanaryAnalysis, Verdict};
-pub use rollout_schedule::{RolloutSchedule, RolloutStep, CANARY_SHARE, FULL_SHARE};
-pub use sample::{SampleBatch, Variant};
+pub use rollout_schedule::{RolloutSchedule, RolloutStage, RolloutStep, FULL_SHARE, MAX_CANARY_SHARE};
+pub use sample::{EventInterval, LoadClass, SampleBatch, SampleOrigin, Variant, LOADED_SLOT_SHARE};
--- /dev/null
+++ b/versions/src/load_model_tests.rs
@@ -0,0 +1,33 @@
+//! The line through the stable version's intervals, and what lies above it.
+
+use super::LoadModel;
+
+/// Returns a model of an engine whose interval grows by a tenth of its least with each request, with a noise of a twentieth.
+fn model() -> LoadModel {
+    let mut model = LoadModel::default();
+    for step in 0..400_u32 {
+        let running = step % 12;
+        let noise = 1.0 + (f64::from(step * 7 % 11) / 5.0 - 1.0) * 0.05;
+        model.record(running, 5000.0 * (1.0 + 0.1 * f64::from(running)) * noise);
+    }
+    model
+}
+
+#[test]
+fn a_response_is_compared_with_others_at_its_load() {
+    let model = model();
+    assert_eq!(model.is_slow(1, 5500.0), Some(false));
+    assert_eq!(model.is_slow(1, 5500.0 * 1.4), Some(true));
+    assert_eq!(model.is_slow(11, 10_500.0), Some(false), "as slow as such a batch is");
+    assert_eq!(model.is_slow(11, 10_500.0 * 1.4), Some(true));
+    assert_eq!(model.is_slow(30, 20_000.0), Some(false), "beyond what was seen");
+}
+
+#[test]
+fn too_few_samples_say_nothing() {
+    let mut model = LoadModel::default();
+    for _ in 0..60 {
+        assert_eq!(model.is_slow(1, 1e9), None);
+        model.record(1, 5000.0);
+    }
+}
--- a/versions/src/rollout_schedule.rs
+++ b/versions/src/rollout_schedule.rs
@@ -1,25 +1,60 @@
 //! Which share of a service's requests the candidate gets at which time.
 //!
-//! A rollout has three stages: the canary with a small share, a short halfway stage, and all requests until the rollout is
-//! declared complete. It ends within its duration in either case: a candidate that is not found healthy in time is rolled back.
+//! A rollout has three stages. In the canary the candidate gets a small share, spread over all of its engines, for as long as
+//! completing in time allows. In the load test it gets a larger share, and few of its engines get as many requests as they bear.
+//! Then it gets all requests until the rollout is declared complete. It ends within its duration in either case: a candidate that is
+//! not found healthy in time is rolled back.
+//!
+//! Until the candidate gets all requests, what it had plus what it gets until a verdict acts stays within the share of requests
+//! that a faulty version may have, by arithmetic. [`RolloutSchedule::exposure_ms`] is that bound.
 
 use crate::Verdict;
 
-/// Share of the requests, in thousandths, that a canary gets. Below a tenth by what chance and late updates may add.
-pub const CANARY_SHARE: u32 = 70;
-/// Share of the halfway stage, in thousandths: the candidate's engines must fill their prefix caches before they get all.
-const HALFWAY_SHARE: u32 = 400;
 /// Share that is all requests, in thousandths.
 pub const FULL_SHARE: u32 = 1000;
+/// Highest share of a canary, in thousandths. A higher one is a load test.
+pub const MAX_CANARY_SHARE: u32 = 100;
+/// Highest share of a load test, in thousandths.
+const MAX_LOAD_TEST_SHARE: u32 = 300;
 
-/// Share of the duration that is given to the canary, so that a version that becomes faulty late does so as a canary.
-const CANARY_DURATION_SHARE: f64 = 0.52;
-/// How long the halfway stage lasts.
-const HALFWAY_MS: u64 = 1000;
-/// How long the candidate has all requests before the rollout may be declared complete.
-const MIN_FULL_SHARE_MS: u64 = 2500;
+/// Part of the share that a faulty version may have which the canary takes.
+const CANARY_PART: f64 = 0.4;
+/// How long the load test lasts: as long as engines take to fill their slots and to show what that does.
+const LOAD_TEST_MS: u64 = 1600;
+/// How much longer it may last where there is first evidence against the candidate.
+const MAX_EXTENSION_MS: u64 = 500;
+/// How long after a fault began, with this share of the requests, no router sends to the candidate any more: samples are
+/// reported, pooled and judged, and the record is committed and delivered.
+const REACTION_MS: u64 = 500;
+/// How long a candidate that is not found healthy at the end of the canary may take to become so.
+const VERDICT_GRACE_MS: u64 = 400;
+/// How long the candidate has all requests before the rollout is declared complete, as planned and at least.
+const FULL_SHARE_MS: u64 = 1800;
+const MIN_FULL_SHARE_MS: u64 = 1200;
 /// How long before its duration ends a rollout is declared complete.
-const COMPLETION_MARGIN_MS: u64 = 1200;
+const COMPLETION_MARGIN_MS: u64 = 700;
+
+/// What a share of the requests is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RolloutStage {
+    /// A small share, spread over all engines of the candidate.
+    Canary,
+    /// A larger share, on few engines.
+    LoadTest,
+    /// All requests.
+    Full,
+}
+
+impl RolloutStage {
+    /// Returns the stage of a share in thousandths.
+    pub fn of(share: u32) -> RolloutStage {
+        match share {
+            0..=MAX_CANARY_SHARE => RolloutStage::Canary,
+            FULL_SHARE.. => RolloutStage::Full,
+            _ => RolloutStage::LoadTest,
+        }
+    }
+}
 
 /// The next step of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,18 +74,48 @@
 pub struct RolloutSchedule {
     /// Milliseconds after its start by which the rollout must be complete or rolled back.
     pub duration_ms: u64,
+    /// The share of the requests of that time that a faulty version may have, 0 to 1.
+    pub exposure_share: f64,
 }
 
 impl RolloutSchedule {
     /// Returns when the canary stage ends, in milliseconds after the start.
     pub fn canary_ms(&self) -> u64 {
-        let usual_ms = (self.duration_ms as f64 * CANARY_DURATION_SHARE) as u64;
-        usual_ms.min(self.promotion_deadline_ms().saturating_sub(HALFWAY_MS / 2))
+        self.duration_ms.saturating_sub(LOAD_TEST_MS + FULL_SHARE_MS + COMPLETION_MARGIN_MS)
+    }
+
+    /// Returns the share of the canary, in thousandths.
+    pub fn canary_share(&self) -> u32 {
+        let share = self.exposure_share * CANARY_PART * f64::from(FULL_SHARE);
+        (share as u32).clamp(1, MAX_CANARY_SHARE)
+    }
+
+    /// Returns the share of the load test, in thousandths: what the canary left, spent until a verdict acts.
+    pub fn load_test_share(&self) -> u32 {
+        let share = f64::from(FULL_SHARE) * self.unspent_ms() / (LOAD_TEST_MS + REACTION_MS) as f64;
+        (share as u32).clamp(MAX_CANARY_SHARE + 1, MAX_LOAD_TEST_SHARE)
+    }
+
+    /// Returns the most that a faulty version gets before it has all requests: in milliseconds during which it would have had all
+    /// of them.
+    pub fn exposure_ms(&self) -> f64 {
+        let load_test_ms = LOAD_TEST_MS + self.extension_ms() + REACTION_MS;
+        self.canary_exposure_ms() + load_test_ms as f64 * share_of_all(self.load_test_share())
+    }
+
+    /// Returns how much of the exposure allowed over the whole duration the canary leaves.
+    fn unspent_ms(&self) -> f64 {
+        (self.exposure_share * self.duration_ms as f64 - self.canary_exposure_ms()).max(0.0)
     }
 
-    /// Returns when a candidate that was not found healthy is rolled back, in milliseconds after the start.
-    fn promotion_deadline_ms(&self) -> u64 {
-        self.duration_ms.saturating_sub(COMPLETION_MARGIN_MS + MIN_FULL_SHARE_MS + HALFWAY_MS)
+    fn canary_exposure_ms(&self) -> f64 {
+        (self.canary_ms() + VERDICT_GRACE_MS) as f64 * share_of_all(self.canary_share())
+    }
+
+    /// Returns how much longer the load test may last where there is first evidence against the candidate.
+    fn extension_ms(&self) -> u64 {
+        let affordable_ms = self.unspent_ms() / share_of_all(self.load_test_share());
+        (affordable_ms as u64).saturating_sub(LOAD_TEST_MS + REACTION_MS).min(MAX_EXTENSION_MS)
     }
 
     /// Returns the step that is due.
@@ -58,25 +123,49 @@
     /// `share` is the candidate's current share in thousandths, `share_for_ms` how long it has had it, `elapsed_ms` the time
     /// since the start of the rollout.
     pub fn next_step(&self, share: u32, share_for_ms: u64, elapsed_ms: u64, verdict: Verdict) -> RolloutStep {
-        if matches!(verdict, Verdict::Failing | Verdict::Slow) {
+        if verdict.is_bad() {
             return RolloutStep::RollBack;
         }
-        if share >= FULL_SHARE {
-            let is_due = elapsed_ms + COMPLETION_MARGIN_MS >= self.duration_ms && share_for_ms >= MIN_FULL_SHARE_MS;
-            return if is_due { RolloutStep::Complete } else { RolloutStep::Hold };
-        }
-        if share > CANARY_SHARE {
-            return if share_for_ms >= HALFWAY_MS { RolloutStep::SetShare(FULL_SHARE) } else { RolloutStep::Hold };
+        match RolloutStage::of(share) {
+            RolloutStage::Canary => self.after_canary(share, elapsed_ms, verdict),
+            RolloutStage::LoadTest => self.after_load_test(share_for_ms, verdict),
+            RolloutStage::Full => self.after_full_share(share_for_ms, elapsed_ms),
         }
+    }
+
+    fn after_canary(&self, share: u32, elapsed_ms: u64, verdict: Verdict) -> RolloutStep {
         if elapsed_ms < self.canary_ms() {
-            return if share == 0 { RolloutStep::SetShare(CANARY_SHARE) } else { RolloutStep::Hold };
+            return if share == 0 { RolloutStep::SetShare(self.canary_share()) } else { RolloutStep::Hold };
         }
         match verdict {
-            Verdict::Healthy => RolloutStep::SetShare(HALFWAY_SHARE),
-            _ if elapsed_ms >= self.promotion_deadline_ms() => RolloutStep::RollBack,
+            Verdict::Healthy => RolloutStep::SetShare(self.load_test_share()),
+            _ if elapsed_ms >= self.canary_ms() + VERDICT_GRACE_MS => RolloutStep::RollBack,
             _ => RolloutStep::Hold,
         }
     }
+
+    fn after_load_test(&self, share_for_ms: u64, verdict: Verdict) -> RolloutStep {
+        match verdict {
+            _ if share_for_ms < LOAD_TEST_MS => RolloutStep::Hold,
+            Verdict::Healthy => RolloutStep::SetShare(FULL_SHARE),
+            _ if share_for_ms >= LOAD_TEST_MS + self.extension_ms() => RolloutStep::RollBack,
+            _ => RolloutStep::Hold,
+        }
+    }
+
+    fn after_full_share(&self, share_for_ms: u64, elapsed_ms: u64) -> RolloutStep {
+        let is_due = elapsed_ms + COMPLETION_MARGIN_MS >= self.duration_ms && share_for_ms >= MIN_FULL_SHARE_MS;
+        if is_due {
+            RolloutStep::Complete
+        } else {
+            RolloutStep::Hold
+        }
+    }
+}
+
+/// Returns a share in thousandths as a part of 1.
+fn share_of_all(share: u32) -> f64 {
+    f64::from(share) / f64::from(FULL_SHARE)
 }
 
 #[cfg(test)]
--- a/versions/src/rollout_schedule_tests.rs
+++ b/versions/src/rollout_schedule_tests.rs
@@ -1,11 +1,17 @@
 //! The steps of a rollout.
 
-use super::{RolloutSchedule, RolloutStep, CANARY_SHARE, FULL_SHARE};
+use super::{RolloutSchedule, RolloutStage, RolloutStep, FULL_SHARE};
 use crate::Verdict;
 
+const EXPOSURE_SHARE: f64 = 0.1;
+
+fn schedule(duration_ms: u64) -> RolloutSchedule {
+    RolloutSchedule { duration_ms, exposure_share: EXPOSURE_SHARE }
+}
+
 /// Runs a rollout to its end; returns the last step, when it came, and the mean share over the duration.
 fn simulate(duration_ms: u64, verdict: impl Fn(u64) -> Verdict) -> (RolloutStep, u64, f64) {
-    let schedule = RolloutSchedule { duration_ms };
+    let schedule = schedule(duration_ms);
     let (mut share, mut since, mut sum) = (0, 0, 0.0);
     for now in (0..=duration_ms).step_by(100) {
         match schedule.next_step(share, now - since, now, verdict(now)) {
@@ -23,38 +29,88 @@
     for duration_ms in [8000, 12_000, 14_000, 17_000, 60_000] {
         let (step, at, _) = simulate(duration_ms, |_| Verdict::Healthy);
         assert_eq!(step, RolloutStep::Complete);
-        assert!(at + 1000 <= duration_ms, "{duration_ms}: {at}");
+        assert!(at + 700 <= duration_ms, "{duration_ms}: {at}");
     }
 }
 
 #[test]
 fn a_failing_version_is_rolled_back_whenever_it_is_found() {
     for found_at in [0, 3000, 5000, 9000, 10_000] {
-        let verdict = |now: u64| if now >= found_at { Verdict::Failing } else { Verdict::Healthy };
-        let (step, at, _) = simulate(12_000, verdict);
-        assert_eq!((step, at), (RolloutStep::RollBack, found_at));
+        for bad in [Verdict::Failing, Verdict::FailingUnderLoad, Verdict::Slow] {
+            let verdict = |now: u64| if now >= found_at { bad } else { Verdict::Healthy };
+            let (step, at, _) = simulate(12_000, verdict);
+            assert_eq!((step, at), (RolloutStep::RollBack, found_at));
+        }
     }
-    assert_eq!(simulate(12_000, |_| Verdict::Slow).0, RolloutStep::RollBack);
 }
 
 #[test]
 fn an_inconclusive_version_gets_less_than_a_tenth_and_is_rolled_back_in_time() {
-    let (step, at, mean) = simulate(12_000, |_| Verdict::Inconclusive);
-    assert_eq!(step, RolloutStep::RollBack);
-    assert!(at < 12_000 && mean < 0.1, "{at} {mean}");
-}
-
-#[test]
-fn a_version_that_fails_as_the_canary_ends_had_less_than_a_tenth_until_then() {
-    let schedule = RolloutSchedule { duration_ms: 12_000 };
-    let canary_ms = schedule.canary_ms();
-    let (step, _, mean) = simulate(12_000, |now| if now >= canary_ms { Verdict::Failing } else { Verdict::Healthy });
-    assert_eq!(step, RolloutStep::RollBack);
-    assert!(mean < 0.1, "{mean}");
-    assert_eq!(schedule.next_step(CANARY_SHARE, canary_ms, canary_ms, Verdict::Inconclusive), RolloutStep::Hold);
-    assert_eq!(
-        schedule.next_step(FULL_SHARE, 100, 11_900, Verdict::Healthy),
-        RolloutStep::Hold,
-        "all must have moved for a while"
-    );
+    for duration_ms in [8000, 12_000, 30_000] {
+        let (step, at, mean) = simulate(duration_ms, |_| Verdict::Inconclusive);
+        assert_eq!(step, RolloutStep::RollBack);
+        assert!(at < duration_ms && mean < 0.1, "{duration_ms}: {at} {mean}");
+    }
+}
+
+#[test]
+fn a_version_that_is_found_within_the_reaction_time_had_less_than_a_tenth_until_then() {
+    // It becomes faulty at any moment before it gets all requests, and is found and withdrawn half a second later.
+    for duration_ms in (8000..=60_000).step_by(500) {
+        let schedule = schedule(duration_ms);
+        let end_of_load_test = schedule.canary_ms() + 1600;
+        for faulty_at in (0..end_of_load_test).step_by(500) {
+            let withdrawn_at = faulty_at + 500;
+            let verdict = |now: u64| if now >= withdrawn_at { Verdict::Failing } else { Verdict::Healthy };
+            let (step, _, share) = simulate(duration_ms, verdict);
+            assert_eq!(step, RolloutStep::RollBack);
+            assert!(share < 0.1, "{duration_ms}, faulty at {faulty_at}: {share}");
+        }
+    }
+}
+
+#[test]
+fn the_exposure_before_the_full_share_is_bounded_by_arithmetic() {
+    for duration_ms in (8000..=60_000).step_by(100) {
+        for exposure_share in [0.05, 0.1, 0.2] {
+            let schedule = RolloutSchedule { duration_ms, exposure_share };
+            let is_short = schedule.load_test_share() == 101;
+            let allowed_ms = exposure_share * duration_ms as f64;
+            assert!(is_short || schedule.exposure_ms() <= allowed_ms + 1.0, "{duration_ms} {exposure_share}");
+        }
+    }
+}
+
+#[test]
+fn the_canary_lasts_until_four_seconds_before_the_end() {
+    for duration_ms in [8000, 12_000, 60_000] {
+        assert_eq!(schedule(duration_ms).canary_ms() + 4100, duration_ms);
+    }
+}
+
+#[test]
+fn a_load_test_that_shows_something_goes_on_for_a_while_and_ends_in_a_rollback() {
+    let schedule = schedule(12_000);
+    let share = schedule.load_test_share();
+    let step = |share_for_ms, verdict| schedule.next_step(share, share_for_ms, 9000, verdict);
+    assert_eq!(step(1500, Verdict::Healthy), RolloutStep::Hold);
+    assert_eq!(step(1600, Verdict::Healthy), RolloutStep::SetShare(FULL_SHARE));
+    assert_eq!(step(1600, Verdict::Inconclusive), RolloutStep::Hold);
+    assert_eq!(step(2200, Verdict::Inconclusive), RolloutStep::RollBack);
+}
+
+#[test]
+fn all_must_have_moved_for_a_while_before_a_rollout_is_complete() {
+    let schedule = schedule(12_000);
+    assert_eq!(schedule.next_step(FULL_SHARE, 100, 11_900, Verdict::Healthy), RolloutStep::Hold);
+    assert_eq!(schedule.next_step(FULL_SHARE, 1200, 11_900, Verdict::Inconclusive), RolloutStep::Complete);
+}
+
+#[test]
+fn shares_tell_their_stage() {
+    let schedule = schedule(12_000);
+    assert_eq!(RolloutStage::of(0), RolloutStage::Canary);
+    assert_eq!(RolloutStage::of(schedule.canary_share()), RolloutStage::Canary);
+    assert_eq!(RolloutStage::of(schedule.load_test_share()), RolloutStage::LoadTest);
+    assert_eq!(RolloutStage::of(FULL_SHARE), RolloutStage::Full);
 }
