Rollouts: analyses, samples' way and outcomes in modules of their own; terms of the field

Change: moves and names only: rollout_analyses, sample_relay, rollout/outcome, rollout/reporting; passed and failed in place of good and bad.

--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -33,7 +33,7 @@
 use crate::replication::replica::Replica;
 use crate::replication::shared_state::SharedCommittedState;
 use crate::roles::AcquiredRoles;
-use crate::rollout::version_rollouts::RolloutAnalyses;
+use crate::rollout::rollout_analyses::RolloutAnalyses;
 use crate::shutdown::Shutdown;
 
 /// The parts of this process. Each keeps its own state behind its own lock.
--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -16,7 +16,7 @@
 use crate::quota_shards::send_owners;
 use crate::replication::committed_state::{CommittedState, RoleState};
 use crate::roles::CATALOG;
-use crate::rollout::version_rollouts;
+use crate::rollout::{sample_relay, version_rollouts};
 
 /// From this version of messages on routers know staleness limits.
 const STALENESS_LIMITS: u64 = 2;
@@ -48,7 +48,7 @@
                 .collect(),
         };
         let mut update = self.missing_state(&mut subscriber, now);
-        version_rollouts::request_samples(self, &subscriber);
+        sample_relay::request_samples(self, &subscriber);
         self.add_controllers(&mut update, &renewal.node, &mut subscriber, now);
         // A lease on bound work is renewed only for one that has confirmed every limit known here.
         // One of the first version holds none: it serves on, and no limit binds while it is there.
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::delivery::limit_confirmations;
 use crate::peers::gossip;
 use crate::quota_shards;
-use crate::rollout::version_rollouts::record_samples;
+use crate::rollout::sample_relay::record_samples;
 
 /// Handles one message that came over a connection, and responds where the message wants a response.
 pub fn dispatch(controller: &Arc<Controller>, responder: Responder, id: u64, message: Message) {
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -3,32 +3,32 @@
 //! A new version gets its share only while a confirmed controller has renewed this router's lease a moment ago. A router
 //! that is partitioned, or was suspended, sends to the stable version.
 
+mod outcome;
+mod reporting;
+
 use std::collections::{BTreeMap, HashMap};
 use std::mem;
-use std::sync::Arc;
 use std::time::Duration;
 
 use kernel::clock;
 use load_balancing::{Arm, CandidatePlacement};
-use protocol::link::PeerClient;
-use protocol::message::{HiddenKey, Message};
+use protocol::message::HiddenKey;
 use protocol::version_rollout::{RolloutState, VersionRollout};
-use protocol::version_samples::{EngineSamples, SampleCounts, SampleKey, SampledInterval};
-use tokio::time;
+use protocol::version_samples::{EngineSamples, SampleCounts, SampleKey};
 use versions::{LoadClass, RolloutStage};
 
 use crate::event::VERSION_ROLLOUT_ACTIVATED;
 use crate::proxy::exchange::Exchange;
+use crate::rollout::reporting::SampleReader;
 use crate::state::State;
 
+pub use outcome::{ServedBy, VersionOutcome};
+pub use reporting::{apply_sample_request, send_samples};
+
 /// How long samples are collected before they are sent while the new version has a small share.
 const CANARY_SAMPLING_INTERVAL: Duration = Duration::from_millis(200);
 /// How long they are collected while it has a larger one: the sooner it is found bad, the fewer requests it gets.
 const SAMPLING_INTERVAL: Duration = Duration::from_millis(100);
-/// Most event intervals that one message has for an origin; more would not change the estimate.
-const MAX_INTERVALS_PER_SAMPLE: usize = 64;
-/// How long a controller's request for samples by engine and load is valid, in milliseconds. It comes with each renewal.
-const SAMPLE_REQUEST_VALID_MS: u64 = 5000;
 
 /// How long a canary stays at the same engines: a few times as long as a response takes, so that they bear their load for most of
 /// it.
@@ -44,12 +44,6 @@
     order: u64,
 }
 
-/// A controller that reads samples by engine and load.
-struct SampleReader {
-    ip: String,
-    requested_at: u64,
-}
-
 /// The newest rollout of a service.
 struct KnownRollout {
     record: VersionRollout,
@@ -73,37 +67,6 @@
     sample_reader: Option<SampleReader>,
 }
 
-/// How the version that served a request did.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VersionOutcome {
-    /// The request ended as it should.
-    Success {
-        /// The mean time between the events of its stream in microseconds, if it had several.
-        event_interval_us: Option<u64>,
-    },
-    /// Its engine answered with a failure.
-    Failed,
-    /// The response broke off or never came.
-    Lost,
-}
-
-/// The engine that served a request, as it stood when it responded.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ServedBy {
-    /// The hash of its id.
-    pub engine_hash: u64,
-    /// The index of its zone.
-    pub zone: u32,
-    /// Requests that it ran.
-    pub running: u32,
-    /// Its slots.
-    pub slots: u32,
-    /// Whether it had started a moment ago.
-    pub is_cold: bool,
-    /// Whether it was filled up on purpose, so that its times say nothing of its version.
-    pub is_packed: bool,
-}
-
 impl Rollouts {
     /// Inserts a rollout if it is newer than the known one of its service, and returns whether it was.
     fn insert_if_newer(&mut self, service: u32, record: VersionRollout, now: u64) -> bool {
@@ -149,18 +112,7 @@
         let Some(rollout) = self.active(service) else { return false };
         let rollout = RolloutKey { service: rollout.service.clone(), order: rollout.order };
         let counts = self.samples.entry(rollout).or_default().entry(key).or_default();
-        match outcome {
-            VersionOutcome::Success { event_interval_us } => {
-                counts.succeeded += 1;
-                let interval_us = event_interval_us.and_then(|interval_us| u32::try_from(interval_us).ok());
-                let has_room = counts.intervals.len() < MAX_INTERVALS_PER_SAMPLE;
-                let (running, is_cold) = (served_by.running, served_by.is_cold);
-                let sampled = interval_us.map(|interval_us| SampledInterval { running, interval_us, is_cold });
-                counts.intervals.extend(sampled.filter(|_| has_room));
-            }
-            VersionOutcome::Failed => counts.failed += 1,
-            VersionOutcome::Lost => counts.lost += 1,
-        }
+        outcome::add(counts, served_by, outcome);
         true
     }
 
@@ -185,12 +137,6 @@
             false => SAMPLING_INTERVAL,
         }
     }
-
-    /// Returns whether the controller at `ip` reads samples by engine and load.
-    fn is_read_by(&self, ip: &str, now: u64) -> bool {
-        let is_valid = |reader: &SampleReader| reader.ip == ip && now < reader.requested_at + SAMPLE_REQUEST_VALID_MS;
-        self.sample_reader.as_ref().is_some_and(is_valid)
-    }
 }
 
 /// Returns which engines of a new version a request goes to.
@@ -203,12 +149,6 @@
     }
 }
 
-/// Takes a controller's request for samples by engine and load.
-pub fn apply_sample_request(state: &State, controller: String) {
-    let reader = SampleReader { ip: controller, requested_at: clock::now() };
-    state.rollouts().sample_reader = Some(reader);
-}
-
 /// Puts a rollout from a controller in force, unless a newer one is known.
 pub fn apply(state: &State, rollout: VersionRollout) {
     let service = state.engines().service_index(&rollout.service);
@@ -226,29 +166,6 @@
     rollouts.by_service.values().map(|known| entry(&known.record)).collect()
 }
 
-/// Sends samples to the home controller, as long as the process runs.
-pub async fn send_samples(state: Arc<State>) {
-    loop {
-        state.samples_wanted.notified().await;
-        let interval = state.rollouts().sampling_interval();
-        time::sleep(interval).await;
-        let list = state.rollouts().drain_samples(clock::now());
-        let controller = state.home_controller().clone();
-        let Some(controller) = controller else { continue };
-        list.iter().for_each(|samples| report(&state, &controller, samples));
-    }
-}
-
-/// Reports samples to a controller in a form that it reads.
-fn report(state: &State, controller: &PeerClient, samples: &EngineSamples) {
-    let ip = controller.addr().rsplit_once(':').map_or(controller.addr(), |(ip, _)| ip);
-    let is_read = state.rollouts().is_read_by(ip, clock::now());
-    controller.notify(match is_read {
-        true => Message::EngineSamples(Box::new(samples.clone())),
-        false => Message::Samples(Box::new(samples.to_legacy())),
-    });
-}
-
 impl Exchange {
     /// Chooses the version that serves this request: a new one only if its engines can be sent to now.
     pub fn choose_version(&mut self) {
--- a/versions/src/base_rate.rs
+++ b/versions/src/base_rate.rs
@@ -11,21 +11,21 @@
 /// Samples from which on the recent rate counts.
 const MIN_RECENT_SAMPLES: f64 = 20.0;
 
-/// Numbers of good and bad outcomes.
+/// Numbers of outcomes.
 #[derive(Clone, Copy, Default)]
 struct Counts {
-    good: f64,
-    bad: f64,
+    passed: f64,
+    failed: f64,
 }
 
 impl Counts {
-    fn add(&mut self, good: u64, bad: u64) {
-        self.good += good as f64;
-        self.bad += bad as f64;
+    fn add(&mut self, passed: u64, failed: u64) {
+        self.passed += passed as f64;
+        self.failed += failed as f64;
     }
 
     fn total(&self) -> f64 {
-        self.good + self.bad
+        self.passed + self.failed
     }
 }
 
@@ -41,24 +41,24 @@
 
 impl BaseRate {
     /// Adds outcomes of the stable version.
-    pub(crate) fn record(&mut self, good: u64, bad: u64, now: u64) {
+    pub(crate) fn record(&mut self, passed: u64, failed: u64, now: u64) {
         self.rotate(now);
-        self.current.add(good, bad);
-        self.all.add(good, bad);
+        self.current.add(passed, failed);
+        self.all.add(passed, failed);
         if self.all.total() > MAX_SAMPLES {
-            self.all = Counts { good: self.all.good / 2.0, bad: self.all.bad / 2.0 };
+            self.all = Counts { passed: self.all.passed / 2.0, failed: self.all.failed / 2.0 };
         }
     }
 
     /// Returns the rate. `now` is a steady time in milliseconds.
     pub(crate) fn rate(&mut self, now: u64) -> f64 {
         self.rotate(now);
-        let lasting = (self.all.bad + PRIOR_SAMPLES * MIN_RATE) / (self.all.total() + PRIOR_SAMPLES);
+        let lasting = (self.all.failed + PRIOR_SAMPLES * MIN_RATE) / (self.all.total() + PRIOR_SAMPLES);
         let recent_total = self.current.total() + self.previous.total();
         if recent_total < MIN_RECENT_SAMPLES {
             return lasting.max(MIN_RATE);
         }
-        lasting.max((self.current.bad + self.previous.bad) / recent_total).max(MIN_RATE)
+        lasting.max((self.current.failed + self.previous.failed) / recent_total).max(MIN_RATE)
     }
 
     fn rotate(&mut self, now: u64) {
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -28,7 +28,7 @@
 
 impl Verdict {
     /// Returns whether the candidate must not serve any longer.
-    pub fn is_bad(self) -> bool {
+    pub fn is_alarm(self) -> bool {
         matches!(self, Verdict::Failing | Verdict::FailingUnderLoad | Verdict::Slow)
     }
 }
--- a/versions/src/canary_analysis_tests.rs
+++ b/versions/src/canary_analysis_tests.rs
@@ -39,7 +39,7 @@
     /// Whether all engines have started a moment ago.
     is_cold: bool,
     /// Whether a third of all requests fail at both versions from 4 s to 7 s.
-    has_bad_time: bool,
+    has_outage: bool,
 }
 
 const HEALTHY: Scenario = Scenario {
@@ -52,14 +52,14 @@
     grey_share: 0.0,
     zone_lost_at: None,
     is_cold: false,
-    has_bad_time: false,
+    has_outage: false,
 };
 
 impl Scenario {
     fn failure_rate(&self, variant: Variant, route: usize, now: u64) -> f64 {
         let is_faulty = variant == Variant::Candidate && now > self.faulty_from_ms;
         let rate = if is_faulty { self.candidate_failure_rates[route] } else { self.stable_failure_rate };
-        if self.has_bad_time && (4000..7000).contains(&now) {
+        if self.has_outage && (4000..7000).contains(&now) {
             rate.max(0.33)
         } else {
             rate
@@ -133,7 +133,7 @@
                 }
             }
         }
-        if analysis.verdict().is_bad() {
+        if analysis.verdict().is_alarm() {
             return (analysis.verdict(), Some(now));
         }
     }
@@ -243,7 +243,7 @@
     let scenario = Scenario { stable_failure_rate: 0.3, candidate_failure_rates: [0.3; 2], ..HEALTHY };
     let found = alarms(&scenario, 8000, 200).len();
     assert!(found <= 10, "{found} of 200");
-    let found = alarms(&Scenario { has_bad_time: true, ..HEALTHY }, 15_000, 200).len();
+    let found = alarms(&Scenario { has_outage: true, ..HEALTHY }, 15_000, 200).len();
     assert!(found <= 10, "{found} of 200 in a bad time");
 }
 
@@ -274,7 +274,7 @@
 #[test]
 fn a_version_that_fails_under_load_is_found_at_one_engine_that_was_well_before() {
     assert_eq!(verdict_of_loaded_engine(0), Verdict::FailingUnderLoad);
-    assert!(!verdict_of_loaded_engine(2).is_bad(), "the engine failed without load");
+    assert!(!verdict_of_loaded_engine(2).is_alarm(), "the engine failed without load");
 }
 
 #[test]
--- a/versions/src/cusum.rs
+++ b/versions/src/cusum.rs
@@ -39,9 +39,9 @@
 pub(crate) struct EngineOutcomes<'a> {
     pub(crate) engine: u64,
     pub(crate) zone: &'a str,
-    pub(crate) good: u64,
+    pub(crate) passed: u64,
     /// Bad outcomes that the engine itself gave.
-    pub(crate) bad: u64,
+    pub(crate) failed: u64,
     /// Bad outcomes that a lost engine, zone or link explains as well.
     pub(crate) lost: u64,
 }
@@ -80,13 +80,13 @@
         }
         let allowed_rate = base_rate.min(MAX_BASE_RATE) + self.tuning.allowed_excess;
         let excessive_rate = allowed_rate + self.tuning.alarm_excess;
-        let bad_weight = (excessive_rate / allowed_rate).ln();
-        let good_weight = ((1.0 - allowed_rate) / (1.0 - excessive_rate)).ln();
+        let failure_weight = (excessive_rate / allowed_rate).ln();
+        let pass_weight = ((1.0 - allowed_rate) / (1.0 - excessive_rate)).ln();
         // The order inside a batch is not known. Good ones come first, so that they can't hide bad ones that came last.
-        self.lower(outcomes.good as f64 * good_weight);
-        let from_bad = self.engine_part(outcomes.engine, outcomes.bad as f64 * bad_weight);
-        self.raise(outcomes.engine, from_bad);
-        let from_lost = self.engine_part(outcomes.engine, outcomes.lost as f64 * bad_weight);
+        self.lower(outcomes.passed as f64 * pass_weight);
+        let from_failed = self.engine_part(outcomes.engine, outcomes.failed as f64 * failure_weight);
+        self.raise(outcomes.engine, from_failed);
+        let from_lost = self.engine_part(outcomes.engine, outcomes.lost as f64 * failure_weight);
         let from_lost = self.zone_part(outcomes.zone, from_lost);
         self.raise(outcomes.engine, from_lost);
         if from_lost > 0.0 {
--- a/versions/src/failure_evidence.rs
+++ b/versions/src/failure_evidence.rs
@@ -36,8 +36,8 @@
         let outcomes = EngineOutcomes {
             engine: origin.engine,
             zone: origin.zone,
-            good: batch.succeeded,
-            bad: batch.failed,
+            passed: batch.succeeded,
+            failed: batch.failed,
             lost: batch.lost,
         };
         self.coarse.record(&outcomes, base_rate);
--- a/versions/src/rollout_schedule.rs
+++ b/versions/src/rollout_schedule.rs
@@ -123,7 +123,7 @@
     /// `share` is the candidate's current share in thousandths, `share_for_ms` how long it has had it, `elapsed_ms` the time
     /// since the start of the rollout.
     pub fn next_step(&self, share: u32, share_for_ms: u64, elapsed_ms: u64, verdict: Verdict) -> RolloutStep {
-        if verdict.is_bad() {
+        if verdict.is_alarm() {
             return RolloutStep::RollBack;
         }
         match RolloutStage::of(share) {
--- a/versions/src/rollout_schedule_tests.rs
+++ b/versions/src/rollout_schedule_tests.rs
@@ -107,7 +107,7 @@
 }
 
 #[test]
-fn shares_tell_their_stage() {
+fn a_stage_follows_from_its_share() {
     let schedule = schedule(12_000);
     assert_eq!(RolloutStage::of(0), RolloutStage::Canary);
     assert_eq!(RolloutStage::of(schedule.canary_share()), RolloutStage::Canary);
--- a/versions/src/speed_evidence.rs
+++ b/versions/src/speed_evidence.rs
@@ -46,10 +46,11 @@
         if verdicts.is_empty() {
             return;
         }
-        let bad = verdicts.iter().filter(|is_slow| **is_slow).count() as u64;
-        let good = verdicts.len() as u64 - bad;
-        self.compared += good + bad;
-        let outcomes = EngineOutcomes { engine: origin.engine, zone: origin.zone, good, bad, lost: 0 };
+        let slow = verdicts.iter().filter(|is_slow| **is_slow).count() as u64;
+        let others = verdicts.len() as u64 - slow;
+        self.compared += verdicts.len() as u64;
+        let outcomes =
+            EngineOutcomes { engine: origin.engine, zone: origin.zone, passed: others, failed: slow, lost: 0 };
         let base_rate = self.stable.rate(now).max(MIN_SLOW_RATE);
         self.cusum.record(&outcomes, base_rate);
     }
