--- a/versions/src/rollout_schedule_tests.rs
+++ b/versions/src/rollout_schedule_tests.rs
@@ -88,6 +88,17 @@
     }
 }
 
+#[test]
+fn a_version_that_is_inconclusive_as_the_canary_ends_is_waited_for() {
+    let schedule = schedule(12_000);
+    let (canary_ms, share) = (schedule.canary_ms(), schedule.canary_share());
+    assert_eq!(schedule.next_step(share, canary_ms, canary_ms, Verdict::Inconclusive), RolloutStep::Hold);
+    assert_eq!(
+        schedule.next_step(share, canary_ms + 400, canary_ms + 400, Verdict::Inconclusive),
+        RolloutStep::RollBack
+    );
+}
+
 #[test]
 fn a_load_test_that_shows_something_goes_on_for_a_while_and_ends_in_a_rollback() {
     let schedule = schedule(12_000);
