--- a/controller/src/api/version_rollouts.rs
+++ b/controller/src/api/version_rollouts.rs
@@ -1,19 +1,27 @@
 //! The resource of rollouts of versions: starting one, and its state.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use kernel::clock;
 use poem::{Endpoint, Request};
 use protocol::version_rollout::{RolloutState, VersionRollout};
 use serde_json::Value;
+use tokio::time;
 
 use crate::api::operator_requests::request_timeout_ms;
 use crate::api::response::{ApiError, ApiResponse};
 use crate::controller::Controller;
 use crate::replication::registers::Decision;
 use crate::rollout::staleness_limits::unknown_service;
+use crate::rollout::version_rollouts;
 
 /// The longest that a rollout may take.
 const MAX_DURATION_S: f64 = 7.0 * 86_400.0;
+/// How long a question for the state of a rollout waits for its end, in milliseconds, where that is due in a moment.
+const MAX_END_WAIT_MS: u64 = 700;
+/// How often it looks meanwhile.
+const END_POLL_INTERVAL: Duration = Duration::from_millis(40);
 
 /// A request to roll a version out.
 #[derive(Clone, Debug, PartialEq)]
@@ -148,15 +156,31 @@
 }
 
 impl VersionRolloutResource {
+    /// Answers with the state of a service's rollout. Where its end is due in a moment, the answer waits for that, so that operators
+    /// who ask now and then learn it in time.
     async fn read(&self, service: &str) -> ApiResponse {
-        let decide = |body: &[u8]| Decision::Answer(StoredRollout::decode(body));
-        let key = VersionRollout::key(service);
-        match self.0.change(&key, request_timeout_ms(&self.0), decide).await {
-            Some(StoredRollout::Rollout(rollout)) => ApiResponse::json(&rollout_state(&rollout)),
-            Some(StoredRollout::Empty) => ApiError::not_found(format!("service `{service}`: no rollout")).into(),
-            Some(StoredRollout::Unreadable) | None => ApiResponse::OutcomeUnknown,
+        let asked_at = clock::now();
+        loop {
+            let rollout = match self.read_stored(service).await {
+                Some(StoredRollout::Rollout(rollout)) => rollout,
+                Some(StoredRollout::Empty) => {
+                    return ApiError::not_found(format!("service `{service}`: no rollout")).into()
+                }
+                Some(StoredRollout::Unreadable) | None => return ApiResponse::OutcomeUnknown,
+            };
+            let now = clock::now();
+            let may_wait = now < asked_at + MAX_END_WAIT_MS && version_rollouts::ends_soon(&self.0, &rollout, now);
+            if !may_wait {
+                return ApiResponse::json(&rollout_state(&rollout));
+            }
+            time::sleep(END_POLL_INTERVAL).await;
         }
     }
+
+    async fn read_stored(&self, service: &str) -> Option<StoredRollout> {
+        let decide = |body: &[u8]| Decision::Answer(StoredRollout::decode(body));
+        self.0.change(&VersionRollout::key(service), request_timeout_ms(&self.0), decide).await
+    }
 }
 
 /// Returns a rollout as operators see it.
--- a/controller/src/rollout/rollout_analyses.rs
+++ b/controller/src/rollout/rollout_analyses.rs
@@ -9,6 +9,9 @@
 use tokio::sync::Notify;
 use versions::{CanaryAnalysis, EventInterval, LoadClass, SampleBatch, SampleOrigin, Variant, Verdict};
 
+/// How long samples are not judged as they come after they were: judging takes some time, and reports come from many routers.
+const JUDGING_INTERVAL_MS: u64 = 40;
+
 /// What is known here of one rollout.
 struct RolloutAnalysis {
     order: u64,
@@ -20,6 +23,8 @@
     record_number: u64,
     /// When the newest record became known.
     record_since: u64,
+    /// When the samples were last judged as they came.
+    judged_at: u64,
 }
 
 impl RolloutAnalysis {
@@ -30,6 +35,7 @@
             started_at: start_time(now, rollout.elapsed_ms),
             record_number: rollout.number,
             record_since: now,
+            judged_at: 0,
         }
     }
 
@@ -48,6 +54,15 @@
         self.started_at = self.started_at.min(start_time(now, elapsed_ms));
     }
 
+    /// Returns whether samples show that the version is bad, unless they were judged a moment ago.
+    fn is_alarming(&mut self, now: u64) -> bool {
+        if now < self.judged_at + JUDGING_INTERVAL_MS {
+            return false;
+        }
+        self.judged_at = now;
+        self.canary.verdict().is_alarm()
+    }
+
     /// Returns how long the rollout has been under way.
     fn elapsed_ms(&self, now: u64) -> u64 {
         u64::try_from(now as i64 - self.started_at).unwrap_or(0)
@@ -113,7 +128,7 @@
         for (key, counts) in samples.list.iter().filter(|(key, _)| key.is_candidate) {
             canary.record(&origin_of(key), &batch_of(counts), now);
         }
-        if canary.verdict().is_alarm() {
+        if analysis.is_alarming(now) {
             self.alarm_raised.notify_one();
         }
         if !samples.is_relayed {
--- a/controller/src/rollout/version_rollouts.rs
+++ b/controller/src/rollout/version_rollouts.rs
@@ -9,7 +9,7 @@
 use kernel::{clock, startup};
 use protocol::message::{HiddenKey, Message};
 use protocol::version_rollout::{RolloutState, VersionRollout};
-use versions::{RolloutSchedule, RolloutStep, Verdict};
+use versions::{RolloutSchedule, RolloutStage, RolloutStep, Verdict};
 
 use crate::controller::Controller;
 use crate::delivery::subscribers::Subscriber;
@@ -62,6 +62,20 @@
     rollouts.filter(|rollout| rollout.state == RolloutState::Active).collect()
 }
 
+/// Returns whether a rollout is about to be complete or rolled back since its duration ends.
+pub fn ends_soon(controller: &Controller, rollout: &VersionRollout, now: u64) -> bool {
+    if rollout.state != RolloutState::Active || RolloutStage::of(rollout.share) != RolloutStage::Full {
+        return false;
+    }
+    let elapsed_ms = controller.rollout_analyses.judge(rollout, now).elapsed_ms;
+    schedule_of(controller, rollout).ends_soon(elapsed_ms)
+}
+
+fn schedule_of(controller: &Controller, rollout: &VersionRollout) -> RolloutSchedule {
+    let exposure_share = controller.settings.bounds.exposure_share;
+    RolloutSchedule { duration_ms: rollout.duration_ms, exposure_share }
+}
+
 /// Looks at one rollout, and takes the step that is due if this controller is the one to do so.
 async fn advance(controller: &Arc<Controller>, rollout: &VersionRollout) {
     let now = clock::now();
@@ -69,8 +83,7 @@
     if !is_responsible(controller, &rollout.service, now) {
         return;
     }
-    let exposure_share = controller.settings.bounds.exposure_share;
-    let schedule = RolloutSchedule { duration_ms: rollout.duration_ms, exposure_share };
+    let schedule = schedule_of(controller, rollout);
     let step = schedule.next_step(rollout.share, share_for_ms, elapsed_ms, verdict);
     let Some(next) = after_step(rollout, step, elapsed_ms, &rollback_reason(verdict, &worst_route)) else { return };
     if commit(controller, rollout, &next).await {
@@ -115,7 +128,9 @@
             format!("it fails more often than the version in place on route {worst_route} at engines under load")
         }
         Verdict::Slow => format!("it is slower than the version in place on route {worst_route}"),
-        Verdict::Healthy | Verdict::Inconclusive => "not enough was seen of it in time".into(),
+        Verdict::HealthyUnderLoad | Verdict::Healthy | Verdict::Inconclusive => {
+            "not enough was seen of it in time".into()
+        }
     }
 }
 
--- a/load_balancing/src/lib.rs
+++ b/load_balancing/src/lib.rs
@@ -37,7 +37,9 @@
     plan_phase_change, plan_phase_change_among, EngineObservation, PhaseChange, PhaseLoad, ServiceLoad,
 };
 pub use retry_budget::RetryBudget;
-pub use selection::{Arm, CachedPrefix, CandidatePlacement, SelectedEngine, SelectionContext, WeightVersionRange};
+pub use selection::{
+    Arm, CachedPrefix, CandidatePlacement, PackingStart, SelectedEngine, SelectionContext, WeightVersionRange,
+};
 pub use slow_start::SlowStart;
 pub use staleness_bound::{StalenessBound, StalenessBounds, LEASE_MS};
 pub use subset::Subset;
--- a/load_balancing/src/selection.rs
+++ b/load_balancing/src/selection.rs
@@ -37,6 +37,13 @@
     pub arm: Arm,
 }
 
+impl SelectionContext<'_> {
+    /// Returns the same selection among the engines of another version.
+    pub fn for_arm(&self, arm: Arm) -> SelectionContext<'_> {
+        SelectionContext { arm, ..*self }
+    }
+}
+
 /// The weight versions of a model that a request may run on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct WeightVersionRange {
@@ -100,13 +107,24 @@
     },
     /// Few decode engines, the same ones at all routers, so that each gets as many requests as it bears.
     Packed {
-        /// The candidate's share of the requests, in thousandths.
-        share: u32,
+        /// The part of the stable version's load that the candidate's requests make, in thousandths.
+        load_share: u32,
         /// Drawn at random for each request: which of the few engines it goes to.
         draw: u32,
+        /// The first of these engines.
+        first: PackingStart,
     },
 }
 
+/// Where a load test begins: at the engines that the canary before it went to, which are known best.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PackingStart {
+    /// The canary's share of the requests, in thousandths.
+    pub canary_share: u32,
+    /// The last turn of the canary.
+    pub turn: u32,
+}
+
 impl Arm {
     /// Returns whether this is the version that is being rolled out.
     pub fn is_candidate(self) -> bool {
--- a/load_balancing/src/selection/packing.rs
+++ b/load_balancing/src/selection/packing.rs
@@ -2,7 +2,7 @@
 //! needs for that part, or as few as take it.
 
 use super::candidates::Rating;
-use super::{Arm, CandidatePlacement, SelectionContext};
+use super::{Arm, CandidatePlacement, PackingStart, SelectionContext};
 use crate::engine_state::EngineState;
 use crate::phase::Phase;
 
@@ -10,6 +10,10 @@
 const TARGET_SLOT_SHARE: f64 = 0.65;
 /// The share of its slots from which on a packed engine is passed over.
 const MAX_SLOT_SHARE: f64 = 0.9;
+/// How many engines a load test is to fill. One that fails by itself must not decide alone.
+const LOAD_TEST_ENGINES: f64 = 4.0;
+/// A whole, in thousandths.
+const WHOLE: u32 = 1000;
 
 impl SelectionContext<'_> {
     /// Returns the engine that a request goes to while its version has a part of the requests. `None`: the choice is as usual,
@@ -24,18 +28,24 @@
         let position = match placement {
             CandidatePlacement::Spread => return None,
             CandidatePlacement::Rotating { share, draw, turn } => {
-                let count = (self.stable_engine_count() * part(share)).max(1.0);
-                turn as usize * count.ceil() as usize + drawn_position(count, draw)
+                let count = self.rotating_count(share);
+                turn_position(count, turn) + drawn_position(count, draw)
             }
-            CandidatePlacement::Packed { share, draw } => {
-                let filled = self.packed_load(first, share) / (TARGET_SLOT_SHARE * f64::from(first.slots.max(1)));
-                drawn_position(filled.max(1.0), draw)
+            CandidatePlacement::Packed { load_share, draw, first: PackingStart { canary_share, turn } } => {
+                let engine_load = TARGET_SLOT_SHARE * f64::from(first.slots.max(1));
+                let filled = self.packed_load(first, load_share) / engine_load;
+                turn_position(self.rotating_count(canary_share), turn) + drawn_position(filled.max(1.0), draw)
             }
         };
         let from_position = ordered.iter().cycle().skip(position % ordered.len()).take(ordered.len());
         from_position.copied().find(|at| self.can_be_placed(*at))
     }
 
+    /// Returns to how many engines a canary goes at a time.
+    fn rotating_count(&self, share: u32) -> f64 {
+        (self.stable_engine_count() * part(share)).max(1.0)
+    }
+
     fn stable_engine_count(&self) -> f64 {
         let stable = self.engine_table.subset(self.service, Phase::Decode, false);
         stable.map_or(0.0, |subset| subset.engines.len() as f64)
@@ -43,8 +53,18 @@
 
     /// Returns how many requests the candidate's share is at a time, from what the stable version ran before the share moved. Once
     /// that has fallen the figure is too low, and the packed engines fill up further; they are passed over when they are full.
-    fn packed_load(&self, engine: &EngineState, share: u32) -> f64 {
-        self.engine_table.stable_decode_load(engine) * part(share)
+    fn packed_load(&self, engine: &EngineState, load_share: u32) -> f64 {
+        self.engine_table.stable_decode_load(engine) * part(load_share)
+    }
+
+    /// Returns the part of the stable version's load, in thousandths, that fills as many engines of the candidate as a load test
+    /// needs.
+    pub fn load_test_need(&self) -> u32 {
+        let engines = self.subset(Phase::Decode).map(|subset| &subset.engines[..]).unwrap_or_default();
+        let Some(engine) = engines.first().map(|at| &self.engine_table.engines[*at]) else { return WHOLE };
+        let needed = LOAD_TEST_ENGINES * TARGET_SLOT_SHARE * f64::from(engine.slots);
+        let load = self.engine_table.stable_decode_load(engine).max(1.0);
+        (f64::from(WHOLE) * needed / load).min(f64::from(WHOLE)) as u32
     }
 
     fn can_be_placed(&self, at: usize) -> bool {
@@ -56,7 +76,12 @@
 
 /// Returns a share in thousandths as a part of 1.
 fn part(share: u32) -> f64 {
-    f64::from(share) / 1000.0
+    f64::from(share) / f64::from(WHOLE)
+}
+
+/// Returns where the engines of a turn begin.
+fn turn_position(count: f64, turn: u32) -> usize {
+    turn as usize * count.ceil() as usize
 }
 
 /// Returns which of `count` engines a draw falls on; the last one gets a part of what the others get where `count` is no whole
--- a/router/src/config/routing_table.rs
+++ b/router/src/config/routing_table.rs
@@ -11,6 +11,7 @@
 
 use crate::config::tenants::Tenants;
 use crate::proxy::duration_estimate::DurationEstimate;
+use crate::proxy::stream_duration::StreamDuration;
 
 /// Whether and how a request of a route may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,6 +50,8 @@
     pub anonymous: bool,
     /// The durations of its requests at this router, kept across changes of the route.
     pub durations: Arc<DurationEstimate>,
+    /// How long its streams take at this router by their tokens, kept likewise.
+    pub stream_durations: Arc<StreamDuration>,
 }
 
 impl Route {
@@ -114,6 +117,7 @@
         allowed_regions: item.allowed_regions.clone(),
         anonymous: item.anonymous,
         durations: Default::default(),
+        stream_durations: Default::default(),
     }
 }
 
@@ -151,8 +155,12 @@
             next.remove(name);
         }
         for item in &change.routes {
-            let durations = self.route(&item.name).map_or_else(Default::default, |held| held.durations.clone());
-            next.insert(&item.hostname, Route { durations, ..route(item, engine_table) });
+            let mut route = route(item, engine_table);
+            if let Some(held) = self.route(&item.name) {
+                route.durations = held.durations.clone();
+                route.stream_durations = held.stream_durations.clone();
+            }
+            next.insert(&item.hostname, route);
         }
         for name in &change.removed_services {
             next.services.remove(&engine_table.service_index(name));
--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -273,6 +273,7 @@
         kv_handle: None,
         variant: Default::default(),
         served_by: Default::default(),
+        responded_at_ms: None,
     }
 }
 
--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -12,7 +12,7 @@
 use kernel::hashing;
 use protocol::headers::{
     self, ATTEMPT_ID, KV_SOURCE, LAST_EVENT_ID, MODEL, PROMPT_PREFIX, SERVING_PHASE, TARGET_INSTANCE, TIME_BUDGET,
-    URGENCY_CLASS,
+    TOKEN_COUNT, URGENCY_CLASS,
 };
 use tokio::time;
 
@@ -207,6 +207,12 @@
         self.deadline_ms.saturating_sub(now)
     }
 
+    /// Returns the number of tokens that the request puts out at most; 0 where it does not say.
+    pub fn max_output_tokens(&self) -> u32 {
+        let text = self.headers.get(TOKEN_COUNT).and_then(|value| value.to_str().ok()).unwrap_or_default();
+        text.split(',').nth(1).and_then(|number| number.trim().parse().ok()).unwrap_or(0)
+    }
+
     /// Returns the number of tokens of the prompt.
     pub fn prompt_tokens(&self) -> u32 {
         self.prompt_segments.iter().fold(0, |sum, segment| segment.tokens.saturating_add(sum))
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -84,6 +84,8 @@
     pub variant: Arm,
     /// The engine that was sent to last, as it stood when it responded.
     pub served_by: ServedBy,
+    /// When it responded, in milliseconds.
+    pub responded_at_ms: Option<u64>,
 }
 
 impl Drop for Exchange {
--- a/router/src/proxy/forward.rs
+++ b/router/src/proxy/forward.rs
@@ -57,6 +57,7 @@
     let (engine_index, response) = execute(&mut exchange).await?;
     if response.head.status.is_success() {
         verify_success(&mut exchange, &response)?;
+        exchange.record_version_outcome(VersionOutcome::Answered);
     } else if response.head.status.is_server_error() {
         exchange.record_version_outcome(VersionOutcome::Failed);
     }
--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -17,3 +17,4 @@
 pub mod response_head;
 pub mod send;
 mod stream;
+pub mod stream_duration;
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -68,9 +68,10 @@
             BodyEnd::Complete => {
                 sender.finish().await;
                 if is_success {
-                    exchange.record_version_outcome(VersionOutcome::Success {
+                    exchange.record_version_outcome(VersionOutcome::Complete {
                         event_interval_us: splitter.mean_interval_us(),
                     });
+                    exchange.record_stream_duration();
                 }
                 let endpoint = exchange.endpoint(engine_index);
                 let EngineResponse { head, connection, .. } = response;
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -4,6 +4,7 @@
 //! that is partitioned, or was suspended, sends to the stable version.
 
 mod outcome;
+mod output_sizes;
 mod reporting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -11,14 +12,16 @@
 use std::time::Duration;
 
 use kernel::clock;
-use load_balancing::{Arm, CandidatePlacement};
+use load_balancing::{Arm, CandidatePlacement, PackingStart, Phase};
 use protocol::message::HiddenKey;
 use protocol::version_rollout::{RolloutState, VersionRollout};
 use protocol::version_samples::{EngineSamples, SampleCounts, SampleKey};
-use versions::{LoadClass, RolloutStage};
+use versions::{LoadClass, RolloutSchedule, RolloutStage};
 
 use crate::event::VERSION_ROLLOUT_ACTIVATED;
 use crate::proxy::exchange::Exchange;
+use crate::proxy::stream_duration::StreamTimes;
+use crate::rollout::output_sizes::OutputSizes;
 use crate::rollout::reporting::SampleReader;
 use crate::state::State;
 
@@ -37,6 +40,15 @@
 /// Thousandths of the requests that make a whole.
 const SHARE_SCALE: u64 = 1000;
 
+/// The part of the load that a load test makes in the end which it makes while it lasts: long requests add up.
+const LOAD_TEST_BUILD_UP: f64 = 0.6;
+/// How much more load a load test makes at first than it needs, so that engines fill up while it lasts.
+const LOAD_TEST_SURPLUS: f64 = 2.5;
+/// How long a request is expected to take where nothing is known, in milliseconds.
+const DEFAULT_EXPECTED_MS: u64 = 2000;
+/// The most engines of the stable version, by service, that samples tell apart.
+const MAX_SAMPLED_ENGINES: u64 = 64;
+
 /// The rollout that samples belong to.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct RolloutKey {
@@ -57,12 +69,34 @@
     fn elapsed_ms(&self, now: u64) -> u64 {
         u64::try_from(now as i64 - self.started_at).unwrap_or(0)
     }
+
+    fn schedule(&self, exposure_share: f64) -> RolloutSchedule {
+        RolloutSchedule { duration_ms: self.record.duration_ms, exposure_share }
+    }
+}
+
+/// What the choice of a version depends on, beside the rollout.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestProfile {
+    /// Uniformly random bits.
+    pub random: u64,
+    /// The tokens that the request puts out at most.
+    pub max_output_tokens: u32,
+    /// How long it is expected to take, in milliseconds.
+    pub expected_ms: u64,
+    /// The known rollouts were confirmed a moment ago.
+    pub holds_lease: bool,
+    /// The share of the requests of its term that a faulty version may have.
+    pub exposure_share: f64,
+    /// The part of the stable version's load, in thousandths, that a load test needs.
+    pub load_test_need: u32,
 }
 
 /// The newest rollouts, by the dense index of their service, and samples of those that are active.
 #[derive(Default)]
 pub struct Rollouts {
     by_service: HashMap<u32, KnownRollout>,
+    output_sizes: HashMap<u32, OutputSizes>,
     samples: BTreeMap<RolloutKey, BTreeMap<SampleKey, SampleCounts>>,
     sample_reader: Option<SampleReader>,
 }
@@ -93,20 +127,52 @@
         self.by_service.values().find(is_same).map_or(0, |known| known.elapsed_ms(now))
     }
 
-    /// Returns the version that serves a request. `holds_lease`: the known rollouts were confirmed a moment ago.
-    pub fn select_variant(&self, service: u32, random: u64, holds_lease: bool, now: u64) -> Arm {
+    /// Records how many tokens a request puts out at most.
+    pub fn record_output(&mut self, service: u32, max_output_tokens: u32) {
+        self.output_sizes.entry(service).or_default().record(max_output_tokens);
+    }
+
+    /// Returns the version that serves a request.
+    pub fn select_variant(&self, service: u32, profile: &RequestProfile, now: u64) -> Arm {
         let Some(known) = self.by_service.get(&service) else { return Arm::Stable };
-        let rollout = &known.record;
-        match rollout.state {
-            RolloutState::Active if holds_lease && random % SHARE_SCALE < u64::from(rollout.share) => {
-                Arm::Candidate(placement(rollout.share, random / SHARE_SCALE, known.elapsed_ms(now)))
-            }
+        match known.record.state {
+            RolloutState::Active if profile.holds_lease => self.select_active(service, known, profile, now),
             // Its engines are listed as candidates until discovery has moved them to the stable ones.
             RolloutState::Complete => Arm::Candidate(CandidatePlacement::Spread),
             RolloutState::Active | RolloutState::Reverted => Arm::Stable,
         }
     }
 
+    /// Returns the version that serves a request while a rollout is active.
+    fn select_active(&self, service: u32, known: &KnownRollout, profile: &RequestProfile, now: u64) -> Arm {
+        let share = known.record.share;
+        let elapsed_ms = known.elapsed_ms(now);
+        let draw = (profile.random / SHARE_SCALE) as u32;
+        let is_drawn = |share: f64| ((profile.random % SHARE_SCALE) as f64) < share;
+        match RolloutStage::of(share) {
+            RolloutStage::Canary if is_drawn(share.into()) => {
+                Arm::Candidate(CandidatePlacement::Rotating { share, draw, turn: turn_at(elapsed_ms) })
+            }
+            RolloutStage::LoadTest => {
+                let sizes = self.output_sizes.get(&service).copied().unwrap_or_default();
+                let share = load_test_share(share, &sizes, profile.load_test_need);
+                if !is_drawn(share * sizes.relative_size(profile.max_output_tokens)) {
+                    return Arm::Stable;
+                }
+                let load_share = (share * sizes.load_factor() * LOAD_TEST_BUILD_UP) as u32;
+                let first = PackingStart {
+                    canary_share: known.schedule(profile.exposure_share).canary_share(),
+                    turn: turn_at(known.record.elapsed_ms),
+                };
+                Arm::Candidate(CandidatePlacement::Packed { load_share, draw, first })
+            }
+            RolloutStage::Full if known.schedule(profile.exposure_share).has_moved(elapsed_ms, profile.expected_ms) => {
+                Arm::Candidate(CandidatePlacement::Spread)
+            }
+            RolloutStage::Canary | RolloutStage::Full => Arm::Stable,
+        }
+    }
+
     /// Records the outcome of a request while its service has an active rollout, and returns whether it has one.
     fn record(&mut self, service: u32, key: SampleKey, served_by: &ServedBy, outcome: VersionOutcome) -> bool {
         let Some(rollout) = self.active(service) else { return false };
@@ -139,14 +205,15 @@
     }
 }
 
-/// Returns which engines of a new version a request goes to.
-fn placement(share: u32, random: u64, elapsed_ms: u64) -> CandidatePlacement {
-    let draw = random as u32;
-    match RolloutStage::of(share) {
-        RolloutStage::Canary => CandidatePlacement::Rotating { share, draw, turn: (elapsed_ms / TURN_MS) as u32 },
-        RolloutStage::LoadTest => CandidatePlacement::Packed { share, draw },
-        RolloutStage::Full => CandidatePlacement::Spread,
-    }
+/// Returns the turn of a canary.
+fn turn_at(elapsed_ms: u64) -> u32 {
+    (elapsed_ms / TURN_MS) as u32
+}
+
+/// Returns the share of the requests that a load test takes, in thousandths: `share`, or less where that is enough.
+fn load_test_share(share: u32, sizes: &OutputSizes, need: u32) -> f64 {
+    let needed = f64::from(need) * LOAD_TEST_SURPLUS / sizes.load_factor();
+    f64::from(share).min(needed)
 }
 
 /// Puts a rollout from a controller in force, unless a newer one is known.
@@ -169,18 +236,50 @@
 impl Exchange {
     /// Chooses the version that serves this request: a new one only if its engines can be sent to now.
     pub fn choose_version(&mut self) {
-        let random = self.state.rng().next_u64();
         let now = clock::now();
-        let holds_lease = self.state.staleness_bounds().is_confirmed(now);
-        self.variant = self.state.rollouts().select_variant(self.service, random, holds_lease, now);
+        let profile = self.request_profile(now);
+        let mut rollouts = self.state.rollouts();
+        rollouts.record_output(self.service, profile.max_output_tokens);
+        let variant = rollouts.select_variant(self.service, &profile, now);
+        drop(rollouts);
+        self.variant = variant;
         if self.variant.is_candidate() && !self.with_selection(|selection| selection.is_usable()) {
             self.variant = Arm::Stable;
         }
     }
 
+    fn request_profile(&self, now: u64) -> RequestProfile {
+        let max_output_tokens = self.request.max_output_tokens();
+        let streams = &self.request.authorization.route().stream_durations;
+        let expected_ms = streams.expected_ms(max_output_tokens).unwrap_or(DEFAULT_EXPECTED_MS);
+        let has_rollout = self.state.rollouts().active(self.service).is_some();
+        let load_test_need = if has_rollout { self.candidate_load_test_need() } else { 0 };
+        let random = self.state.rng().next_u64();
+        let holds_lease = self.state.staleness_bounds().is_confirmed(now);
+        let exposure_share = self.state.settings.bounds.exposure_share;
+        RequestProfile { random, max_output_tokens, expected_ms, holds_lease, exposure_share, load_test_need }
+    }
+
+    /// Returns the part of the stable version's load, in thousandths, that a load test of the candidate needs.
+    fn candidate_load_test_need(&self) -> u32 {
+        let candidate = Arm::Candidate(CandidatePlacement::Spread);
+        self.with_selection(|selection| selection.for_arm(candidate).load_test_need())
+    }
+
+    /// Records how long the stream took that is complete now.
+    pub fn record_stream_duration(&self) {
+        let Some(responded_at_ms) = self.responded_at_ms else { return };
+        self.request.authorization.route().stream_durations.record(StreamTimes {
+            head_ms: responded_at_ms.saturating_sub(self.request.received_at_ms),
+            body_ms: clock::now().saturating_sub(responded_at_ms),
+            max_output_tokens: self.request.max_output_tokens(),
+        });
+    }
+
     /// Notes the engine that responds, as it stands now.
     pub fn note_served_by(&mut self, engine_index: usize) {
         let now = clock::now();
+        self.responded_at_ms = Some(now);
         let is_packed = matches!(self.variant, Arm::Candidate(CandidatePlacement::Packed { .. }));
         let engine_table = self.state.engines();
         let engine = &engine_table.engines[engine_index];
@@ -198,16 +297,17 @@
     pub fn record_version_outcome(&self, outcome: VersionOutcome) {
         let served_by = self.served_by;
         let is_candidate = self.variant.is_candidate();
+        let has_known_engine = is_candidate || self.is_sampled_engine(served_by.engine_hash);
         let key = SampleKey {
             route: self.route.clone(),
             is_candidate,
-            engine_hash: if is_candidate { served_by.engine_hash } else { 0 },
+            engine_hash: if has_known_engine { served_by.engine_hash } else { 0 },
             zone: self.state.engines().zone_name(served_by.zone).unwrap_or_default().into(),
             is_loaded: LoadClass::of(served_by.running, served_by.slots) == LoadClass::Loaded,
         };
         let outcome = match outcome {
-            VersionOutcome::Success { .. } if served_by.is_packed => {
-                VersionOutcome::Success { event_interval_us: None }
+            VersionOutcome::Complete { .. } if served_by.is_packed => {
+                VersionOutcome::Complete { event_interval_us: None }
             }
             outcome => outcome,
         };
@@ -215,6 +315,15 @@
             self.state.samples_wanted.notify_one();
         }
     }
+
+    /// Returns whether samples tell this engine of the stable version apart. In a large fleet only a part of them is, so that
+    /// reports stay small.
+    fn is_sampled_engine(&self, engine_hash: u64) -> bool {
+        let engine_table = self.state.engines();
+        let subset = engine_table.subset(self.service, Phase::Decode, false);
+        let count = subset.map_or(0, |subset| subset.engines.len()) as u64;
+        engine_hash.is_multiple_of(count.div_ceil(MAX_SAMPLED_ENGINES).max(1))
+    }
 }
 
 #[cfg(test)]
--- a/router/src/rollout/outcome.rs
+++ b/router/src/rollout/outcome.rs
@@ -8,8 +8,11 @@
 /// How the version that served a request did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum VersionOutcome {
-    /// The request ended as it should.
-    Success {
+    /// The engine began a response that is no failure. It may still be lost. This is told at once, as failures are: those of a
+    /// version that has just got more requests would else be known before what speaks for it.
+    Answered,
+    /// The response is complete.
+    Complete {
         /// The mean time between the events of its stream in microseconds, if it had several.
         event_interval_us: Option<u64>,
     },
@@ -39,8 +42,8 @@
 /// Adds the outcome of one request to the samples of its origin.
 pub(super) fn add(counts: &mut SampleCounts, served_by: &ServedBy, outcome: VersionOutcome) {
     match outcome {
-        VersionOutcome::Success { event_interval_us } => {
-            counts.succeeded += 1;
+        VersionOutcome::Answered => counts.succeeded += 1,
+        VersionOutcome::Complete { event_interval_us } => {
             let interval_us = event_interval_us.and_then(|interval_us| u32::try_from(interval_us).ok());
             let has_room = counts.intervals.len() < MAX_INTERVALS_PER_SAMPLE;
             let (running, is_cold) = (served_by.running, served_by.is_cold);
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -6,15 +6,18 @@
 
 use std::collections::BTreeMap;
 
-use crate::cusum::{ALARM_THRESHOLD, SUSPICION_THRESHOLD};
-use crate::failure_evidence::FailureEvidence;
+use crate::engine_mixture::{either, Counts, Observed};
+use crate::load_evidence::LoadEvidence;
+use crate::outcome_history::{EngineOutcomes, Evidence, OutcomeHistory, Tuning};
 use crate::speed_evidence::SpeedEvidence;
 use crate::{LoadClass, SampleBatch, SampleOrigin, Variant};
 
 /// What the samples show.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
-    /// Enough samples, and none of them is evidence against the candidate.
+    /// Enough samples, also of engines that are loaded, and none of them is evidence against the candidate.
+    HealthyUnderLoad,
+    /// Enough samples, and none of them is evidence against the candidate; too few of engines that are loaded.
     Healthy,
     /// Too few samples, or first evidence against the candidate.
     Inconclusive,
@@ -31,20 +34,35 @@
     pub fn is_alarm(self) -> bool {
         matches!(self, Verdict::Failing | Verdict::FailingUnderLoad | Verdict::Slow)
     }
+
+    /// Returns whether nothing speaks against the candidate, as far as it could be seen without load.
+    pub fn is_healthy(self) -> bool {
+        matches!(self, Verdict::Healthy | Verdict::HealthyUnderLoad)
+    }
 }
 
-/// Successful requests of the candidate, over all routes, before it counts as healthy. One that fails three tenths of its requests
-/// passes for healthy in fewer than a tenth of all cases at so few requests, and then shows in the load test.
-const MIN_SUCCESSES: u64 = 12;
+/// The log likelihood ratio from which on the candidate counts as faulty.
+const ALARM_THRESHOLD: f64 = 7.0;
+/// The same for faults under load, which rest on few engines.
+const LOAD_ALARM_THRESHOLD: f64 = 5.5;
+/// The log likelihood ratio from which on a candidate no longer counts as healthy.
+const SUSPICION_THRESHOLD: f64 = 3.0;
+/// How low the log likelihood ratio of a fault that fails a quarter of the requests is before the candidate counts as healthy, over
+/// all routes. One that fails three tenths passes for healthy in fewer than a tenth of all cases at so few requests, and shows
+/// in the load test.
+const HEALTHY_RATIO: f64 = -3.2;
+/// The same for a fault under load: one that fails three tenths of the requests passes in fewer than one in fifty cases.
+const HEALTHY_LOAD_RATIO: f64 = -4.0;
+/// The same for responses that are slow.
+const HEALTHY_SPEED_RATIO: f64 = -1.0;
 /// Responses of the candidate that were compared in speed, over all routes, before it counts as healthy.
 const MIN_COMPARED_SPEEDS: u64 = 5;
-/// Failures of one engine that is not loaded, from which on its failures under load are taken for its own.
-const MIN_CALM_FAILURES: u64 = 2;
+/// Which failing candidates are to be found.
+const FAILURE_TUNING: Tuning = Tuning { allowed_excess: 0.01, fault_rates: [0.08, 0.25, 0.5, 0.75, 0.95] };
 
 /// The evidence of one route.
 struct RouteEvidence {
-    calm: FailureEvidence,
-    loaded: FailureEvidence,
+    failures: OutcomeHistory,
     speed: SpeedEvidence,
 }
 
@@ -52,9 +70,9 @@
 #[derive(Default)]
 pub struct CanaryAnalysis {
     routes: BTreeMap<String, RouteEvidence>,
-    /// By engine of the candidate: failures while it was not loaded.
-    calm_failures: BTreeMap<u64, u64>,
-    succeeded: u64,
+    load: LoadEvidence,
+    /// Whether any engine tells how many requests it runs.
+    tells_load: bool,
 }
 
 impl CanaryAnalysis {
@@ -69,84 +87,87 @@
             self.routes.insert(origin.route.into(), RouteEvidence::new());
         }
         let Some(route) = self.routes.get_mut(origin.route) else { return };
+        let is_loaded = origin.load == LoadClass::Loaded;
+        self.tells_load |= is_loaded || batch.event_intervals.iter().any(|interval| interval.running > 0);
+        let outcomes = EngineOutcomes {
+            engine: origin.engine,
+            zone: origin.zone,
+            passed: batch.succeeded,
+            failed: batch.failed,
+            lost: batch.lost,
+        };
         if origin.variant == Variant::Stable {
-            route.record_stable(origin.load, batch, now);
+            route.failures.record_stable(&outcomes, now);
+            route.speed.record_stable(origin, &batch.event_intervals, now);
             return;
         }
-        self.succeeded += batch.succeeded;
-        let calm_failures = self.calm_failures.entry(origin.engine).or_default();
-        if origin.load == LoadClass::Calm {
-            *calm_failures += batch.failed + batch.lost;
-        } else if *calm_failures >= MIN_CALM_FAILURES {
-            return;
-        }
-        route.record_candidate(origin, batch, now);
+        route.failures.record_candidate(&outcomes, now);
+        route.speed.record_candidate(origin, &batch.event_intervals, now);
+        let (rate, failing_share) = route.failures.stable_now(origin.zone);
+        let counts = Counts { passed: batch.succeeded as f64, bad: (batch.failed + batch.lost) as f64 };
+        let observed = Observed::new(counts, either(rate, FAILURE_TUNING.allowed_excess));
+        self.load.record(origin.engine, is_loaded, observed, failing_share);
     }
 
     /// Returns what the samples show so far.
     pub fn verdict(&self) -> Verdict {
-        let max_of = |cusum: fn(&RouteEvidence) -> f64| self.routes.values().map(cusum).fold(0.0, f64::max);
-        let calm = max_of(|route| route.calm.cusum());
-        let loaded = max_of(|route| route.loaded.cusum());
-        let slow = max_of(|route| route.speed.cusum());
-        if calm >= ALARM_THRESHOLD {
-            return Verdict::Failing;
-        }
-        if loaded >= ALARM_THRESHOLD {
+        let failing_under_load = self.load.strongest_ratio();
+        if failing_under_load >= LOAD_ALARM_THRESHOLD {
             return Verdict::FailingUnderLoad;
         }
+        let failures: Vec<Evidence> = self.routes.values().map(|route| route.failures.evidence()).collect();
+        let failing = strongest(&failures);
+        if failing >= ALARM_THRESHOLD {
+            return Verdict::Failing;
+        }
+        let speeds: Vec<Evidence> = self.routes.values().map(|route| route.speed.evidence()).collect();
+        let slow = strongest(&speeds);
         if slow >= ALARM_THRESHOLD {
             return Verdict::Slow;
         }
-        let is_suspected = calm.max(loaded).max(slow) >= SUSPICION_THRESHOLD;
-        match !is_suspected && self.succeeded >= MIN_SUCCESSES && self.has_compared_speeds() {
-            true => Verdict::Healthy,
-            false => Verdict::Inconclusive,
+        let is_suspected = failing_under_load.max(failing).max(slow) >= SUSPICION_THRESHOLD;
+        let is_fast = self.has_compared_speeds(&speeds);
+        if is_suspected || !is_fast || ruled_out_ratio(&failures) > HEALTHY_RATIO {
+            return Verdict::Inconclusive;
+        }
+        if failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load {
+            Verdict::HealthyUnderLoad
+        } else {
+            Verdict::Healthy
         }
     }
 
-    /// Returns whether enough responses were compared in speed, where they can be.
-    fn has_compared_speeds(&self) -> bool {
+    /// Returns whether enough responses were compared in speed and found fast, where they can be compared.
+    fn has_compared_speeds(&self, speeds: &[Evidence]) -> bool {
         let compared: u64 = self.routes.values().map(|route| route.speed.compared()).sum();
         let is_measurable = self.routes.values().any(|route| route.speed.is_measurable());
-        !is_measurable || compared >= MIN_COMPARED_SPEEDS
+        !is_measurable || (compared >= MIN_COMPARED_SPEEDS && ruled_out_ratio(speeds) <= HEALTHY_SPEED_RATIO)
     }
 
     /// Returns the route that has the most evidence against the candidate.
     pub fn worst_route(&self) -> Option<&str> {
-        let worst = self.routes.iter().max_by(|(_, one), (_, two)| one.cusum().total_cmp(&two.cusum()));
+        let worst = self.routes.iter().max_by(|(_, one), (_, two)| one.against().total_cmp(&two.against()));
         worst.map(|(route, _)| route.as_str())
     }
 }
 
-impl RouteEvidence {
-    fn new() -> RouteEvidence {
-        RouteEvidence { calm: FailureEvidence::new(), loaded: FailureEvidence::new(), speed: SpeedEvidence::new() }
-    }
+/// Returns the strongest evidence against the candidate among all routes.
+fn strongest(routes: &[Evidence]) -> f64 {
+    routes.iter().map(|evidence| evidence.against).fold(0.0, f64::max)
+}
 
-    fn record_stable(&mut self, load: LoadClass, batch: &SampleBatch, now: u64) {
-        match load {
-            LoadClass::Calm => self.calm.record_stable(batch, now),
-            LoadClass::Loaded => self.loaded.record_stable(batch, now),
-        }
-        self.speed.record_stable(&batch.event_intervals, now);
-    }
+/// Returns the log likelihood ratio of the faults that must be ruled out, over all routes: a fault shows on some of them at least.
+fn ruled_out_ratio(routes: &[Evidence]) -> f64 {
+    routes.iter().map(Evidence::ruled_out_ratio).sum()
+}
 
-    /// The stable version's engines are seldom loaded: its rate is the higher one of both classes.
-    fn record_candidate(&mut self, origin: &SampleOrigin, batch: &SampleBatch, now: u64) {
-        let calm_rate = self.calm.stable_rate(now);
-        match origin.load {
-            LoadClass::Calm => self.calm.record_candidate(origin, batch, calm_rate),
-            LoadClass::Loaded => {
-                let base_rate = self.loaded.stable_rate(now).max(calm_rate);
-                self.loaded.record_candidate(origin, batch, base_rate);
-            }
-        }
-        self.speed.record_candidate(origin, &batch.event_intervals, now);
+impl RouteEvidence {
+    fn new() -> RouteEvidence {
+        RouteEvidence { failures: OutcomeHistory::new(FAILURE_TUNING), speed: SpeedEvidence::new() }
     }
 
-    fn cusum(&self) -> f64 {
-        self.calm.cusum().max(self.loaded.cusum()).max(self.speed.cusum())
+    fn against(&self) -> f64 {
+        self.failures.evidence().against.max(self.speed.evidence().against)
     }
 }
 
--- a/versions/src/lib.rs
+++ b/versions/src/lib.rs
@@ -5,11 +5,12 @@
 //! designs.
 #![deny(missing_docs)]
 
-mod base_rate;
+mod baseline;
 mod canary_analysis;
-mod cusum;
-mod failure_evidence;
+mod engine_mixture;
+mod load_evidence;
 mod load_model;
+mod outcome_history;
 mod rollout_schedule;
 mod sample;
 mod speed_evidence;
--- /dev/null
+++ b/versions/src/outcome_history_tests.rs
@@ -0,0 +1,132 @@
+//! What one engine and one zone can add, the baseline of a bad time, and windows.
+
+use super::{EngineOutcomes, OutcomeHistory, Tuning};
+
+const TUNING: Tuning = Tuning { allowed_excess: 0.01, fault_rates: [0.08, 0.25, 0.5, 0.75, 0.95] };
+/// The evidence at which a candidate is taken back.
+const ALARM: f64 = 7.0;
+
+fn outcomes(engine: u64, zone: &str, passed: u64, failed: u64, lost: u64) -> EngineOutcomes<'_> {
+    EngineOutcomes { engine, zone, passed, failed, lost }
+}
+
+/// Returns a history of 30 sound engines of the stable version in two zones, for 3 s.
+fn history() -> OutcomeHistory {
+    let mut history = OutcomeHistory::new(TUNING);
+    for step in 0..30 {
+        for engine in 100..130 {
+            let zone = if engine % 2 == 0 { "a" } else { "b" };
+            history.record_stable(&outcomes(engine, zone, 1, 0, 0), step * 100);
+        }
+    }
+    history
+}
+
+#[test]
+fn one_engine_among_many_cannot_raise_the_alarm() {
+    let mut history = history();
+    (0..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 0, 0), 3000));
+    history.record_candidate(&outcomes(3, "a", 0, 100, 0), 3000);
+    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    history.record_candidate(&outcomes(4, "a", 0, 100, 0), 3000);
+    assert!(history.evidence().against < ALARM, "others are sound: {}", history.evidence().against);
+}
+
+#[test]
+fn the_first_of_several_engines_cannot_raise_the_alarm_and_two_can() {
+    let mut history = history();
+    history.record_candidate(&outcomes(2, "a", 1, 0, 0), 3000);
+    history.record_candidate(&outcomes(3, "a", 0, 100, 0), 3600);
+    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    history.record_candidate(&outcomes(4, "a", 0, 100, 0), 3600);
+    assert!(history.evidence().against >= ALARM, "{}", history.evidence().against);
+}
+
+#[test]
+fn an_engine_that_is_alone_can_raise_the_alarm() {
+    let mut history = history();
+    history.record_candidate(&outcomes(3, "a", 0, 5, 0), 3000);
+    assert!(history.evidence().against >= ALARM);
+}
+
+#[test]
+fn the_lost_responses_of_one_zone_among_several_cannot_raise_the_alarm() {
+    let mut history = history();
+    history.record_candidate(&outcomes(99, "b", 1, 0, 0), 3000);
+    (0..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 0, 0, 10), 3000));
+    let one_zone = history.evidence().against;
+    assert!(one_zone < ALARM, "{one_zone}");
+    (20..40).for_each(|engine| history.record_candidate(&outcomes(engine, "b", 0, 0, 10), 3000));
+    assert!(history.evidence().against >= ALARM);
+}
+
+#[test]
+fn failures_of_a_zone_in_which_the_stable_version_fails_too_say_little() {
+    let mut history = history();
+    for step in 30..36 {
+        for engine in 100..130 {
+            let (zone, passed) = if engine % 2 == 0 { ("a", 0) } else { ("b", 1) };
+            history.record_stable(&outcomes(engine, zone, passed, 1 - passed, 0), step * 100);
+        }
+        (0..10).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 0, 1, 0), step * 100));
+    }
+    assert!(history.evidence().against < ALARM / 2.0, "{}", history.evidence().against);
+    (10..20).for_each(|engine| history.record_candidate(&outcomes(engine, "b", 0, 3, 0), 3500));
+    assert!(history.evidence().against >= ALARM, "in the other zone they do");
+}
+
+#[test]
+fn a_bad_time_is_not_blamed_on_the_candidate_and_does_not_hide_what_comes_later() {
+    let mut history = history();
+    for step in 30..50 {
+        (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 2, 2, 0), step * 100));
+        (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 1, 0), step * 100));
+    }
+    assert!(history.evidence().against < 1.0, "{}", history.evidence().against);
+    for step in 50..100 {
+        (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 4, 0, 0), step * 100));
+        (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 0, 0), step * 100));
+    }
+    assert!(history.evidence().ruled_out_ratio() < -20.0);
+    for step in 100..106 {
+        (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 4, 0, 0), step * 100));
+        (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 1, 0), step * 100));
+    }
+    assert!(history.evidence().against >= ALARM, "it became faulty after 10 s");
+}
+
+#[test]
+fn without_new_samples_of_the_stable_version_its_rate_stays() {
+    let mut history = OutcomeHistory::new(TUNING);
+    for step in 0..30 {
+        (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 4, 1, 0), step * 100));
+    }
+    for step in 100..130 {
+        (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 4, 1, 0), step * 100));
+    }
+    let (rate, _) = history.stable_now("a");
+    assert!((0.15..0.25).contains(&rate), "{rate}");
+    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+}
+
+#[test]
+fn engines_of_the_stable_version_that_fail_by_themselves_are_left_out_and_make_such_engines_likely() {
+    let mut history = OutcomeHistory::new(TUNING);
+    for step in 0..30 {
+        for engine in 100..130 {
+            let failed = u64::from(engine < 109 && step % 2 == 0);
+            history.record_stable(&outcomes(engine, "a", 1 - failed, failed, 0), step * 100);
+        }
+    }
+    let (rate, failing_share) = history.stable_now("a");
+    assert!(rate < 0.03, "{rate}");
+    assert!((0.2..0.4).contains(&failing_share), "{failing_share}");
+    // Three of ten engines of a good candidate fail by themselves as well.
+    for engine in 0..10 {
+        let failed = if engine < 3 { 8 } else { 0 };
+        history.record_candidate(&outcomes(engine, "a", 16 - failed, failed, 0), 3000);
+    }
+    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    (10..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 4, 4, 0), 3900));
+    assert!(history.evidence().against >= ALARM, "engines fail that did not before, and none is sound");
+}
--- a/versions/src/rollout_schedule.rs
+++ b/versions/src/rollout_schedule.rs
@@ -20,19 +20,26 @@
 /// Part of the share that a faulty version may have which the canary takes.
 const CANARY_PART: f64 = 0.4;
 /// How long the load test lasts: as long as engines take to fill their slots and to show what that does.
-const LOAD_TEST_MS: u64 = 1600;
+const LOAD_TEST_MS: u64 = 1300;
 /// How much longer it may last where there is first evidence against the candidate.
-const MAX_EXTENSION_MS: u64 = 500;
+const MAX_EXTENSION_MS: u64 = 800;
 /// How long after a fault began, with this share of the requests, no router sends to the candidate any more: samples are
 /// reported, pooled and judged, and the record is committed and delivered.
 const REACTION_MS: u64 = 500;
 /// How long a candidate that is not found healthy at the end of the canary may take to become so.
 const VERDICT_GRACE_MS: u64 = 400;
-/// How long the candidate has all requests before the rollout is declared complete, as planned and at least.
-const FULL_SHARE_MS: u64 = 1800;
+/// How long the last stage lasts before the rollout is declared complete, as planned and at least. In it the candidate gets each
+/// request that would not end at the stable version before that.
+const MAX_FULL_SHARE_MS: u64 = 3000;
+/// The same as a part of the duration, where that is short.
+const FULL_SHARE_PART: u64 = 4;
 const MIN_FULL_SHARE_MS: u64 = 1200;
 /// How long before its duration ends a rollout is declared complete.
-const COMPLETION_MARGIN_MS: u64 = 700;
+const COMPLETION_MARGIN_MS: u64 = 300;
+/// How long before that it counts as ending soon: longer than operators who watch it pause between two questions.
+const END_NOTICE_MS: u64 = 550;
+/// How long before its duration ends a rollout is rolled back that something speaks against.
+const LAST_CHANCE_MS: u64 = 100;
 
 /// What a share of the requests is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,7 +88,23 @@
 impl RolloutSchedule {
     /// Returns when the canary stage ends, in milliseconds after the start.
     pub fn canary_ms(&self) -> u64 {
-        self.duration_ms.saturating_sub(LOAD_TEST_MS + FULL_SHARE_MS + COMPLETION_MARGIN_MS)
+        self.duration_ms.saturating_sub(LOAD_TEST_MS + self.full_share_ms() + COMPLETION_MARGIN_MS)
+    }
+
+    /// Returns how long the last stage is planned to last, in milliseconds.
+    fn full_share_ms(&self) -> u64 {
+        (self.duration_ms / FULL_SHARE_PART).min(MAX_FULL_SHARE_MS)
+    }
+
+    /// Returns whether a request that begins now, and is expected to take so long, goes to the candidate in the last stage: the
+    /// stable version's engines stop when the rollout is complete.
+    pub fn has_moved(&self, elapsed_ms: u64, expected_ms: u64) -> bool {
+        elapsed_ms + expected_ms + COMPLETION_MARGIN_MS >= self.duration_ms
+    }
+
+    /// Returns whether the end of a rollout in its last stage is due in a moment.
+    pub fn ends_soon(&self, elapsed_ms: u64) -> bool {
+        elapsed_ms < self.duration_ms && elapsed_ms + COMPLETION_MARGIN_MS + END_NOTICE_MS >= self.duration_ms
     }
 
     /// Returns the share of the canary, in thousandths.
@@ -129,7 +152,7 @@
         match RolloutStage::of(share) {
             RolloutStage::Canary => self.after_canary(share, elapsed_ms, verdict),
             RolloutStage::LoadTest => self.after_load_test(share_for_ms, verdict),
-            RolloutStage::Full => self.after_full_share(share_for_ms, elapsed_ms),
+            RolloutStage::Full => self.after_full_share(share_for_ms, elapsed_ms, verdict),
         }
     }
 
@@ -138,7 +161,7 @@
             return if share == 0 { RolloutStep::SetShare(self.canary_share()) } else { RolloutStep::Hold };
         }
         match verdict {
-            Verdict::Healthy => RolloutStep::SetShare(self.load_test_share()),
+            Verdict::Healthy | Verdict::HealthyUnderLoad => RolloutStep::SetShare(self.load_test_share()),
             _ if elapsed_ms >= self.canary_ms() + VERDICT_GRACE_MS => RolloutStep::RollBack,
             _ => RolloutStep::Hold,
         }
@@ -147,18 +170,19 @@
     fn after_load_test(&self, share_for_ms: u64, verdict: Verdict) -> RolloutStep {
         match verdict {
             _ if share_for_ms < LOAD_TEST_MS => RolloutStep::Hold,
-            Verdict::Healthy => RolloutStep::SetShare(FULL_SHARE),
+            Verdict::HealthyUnderLoad => RolloutStep::SetShare(FULL_SHARE),
             _ if share_for_ms >= LOAD_TEST_MS + self.extension_ms() => RolloutStep::RollBack,
             _ => RolloutStep::Hold,
         }
     }
 
-    fn after_full_share(&self, share_for_ms: u64, elapsed_ms: u64) -> RolloutStep {
+    fn after_full_share(&self, share_for_ms: u64, elapsed_ms: u64, verdict: Verdict) -> RolloutStep {
         let is_due = elapsed_ms + COMPLETION_MARGIN_MS >= self.duration_ms && share_for_ms >= MIN_FULL_SHARE_MS;
-        if is_due {
-            RolloutStep::Complete
-        } else {
-            RolloutStep::Hold
+        let is_last_chance = elapsed_ms + LAST_CHANCE_MS >= self.duration_ms;
+        match is_due {
+            true if verdict.is_healthy() => RolloutStep::Complete,
+            true if is_last_chance => RolloutStep::RollBack,
+            _ => RolloutStep::Hold,
         }
     }
 }
--- a/versions/src/sample.rs
+++ b/versions/src/sample.rs
@@ -18,9 +18,9 @@
     Loaded,
 }
 
-/// The share of an engine's slots from which on it counts as loaded. It lies below half, since what an engine reports is some
+/// The share of an engine's slots from which on it counts as loaded. It lies below half, since what an engine reports may be some
 /// requests old.
-pub const LOADED_SLOT_SHARE: f64 = 0.375;
+pub const LOADED_SLOT_SHARE: f64 = 0.47;
 
 impl LoadClass {
     /// Returns the class of an engine that runs so many requests. One that reports no load counts as calm.
--- a/versions/src/speed_evidence.rs
+++ b/versions/src/speed_evidence.rs
@@ -3,40 +3,33 @@
 //! What counts is how many of its responses are slower than nearly all of the stable version's, so that a version that is slow
 //! for a part of its requests shows as well as one that is slow for all.
 
-use crate::base_rate::BaseRate;
-use crate::cusum::{Cusum, EngineOutcomes, Tuning};
 use crate::load_model::LoadModel;
+use crate::outcome_history::{EngineOutcomes, Evidence, OutcomeHistory, Tuning};
 use crate::{EventInterval, SampleOrigin};
 
-/// A candidate may have slow responses a tenth more often than the stable version; four tenths more often is clearly worse.
-const TUNING: Tuning = Tuning { allowed_excess: 0.1, alarm_excess: 0.3 };
-/// The share of its own responses by which the stable version is assumed to be slow at least.
-const MIN_SLOW_RATE: f64 = 0.04;
+/// A candidate may have slow responses more often by 0.15 of all than the stable version.
+const TUNING: Tuning = Tuning { allowed_excess: 0.15, fault_rates: [0.35, 0.5, 0.65, 0.8, 0.95] };
 
 /// The evidence.
 pub(crate) struct SpeedEvidence {
     model: LoadModel,
-    stable: BaseRate,
-    cusum: Cusum,
+    outcomes: OutcomeHistory,
     compared: u64,
 }
 
 impl SpeedEvidence {
     pub(crate) fn new() -> SpeedEvidence {
-        SpeedEvidence {
-            model: LoadModel::default(),
-            stable: BaseRate::default(),
-            cusum: Cusum::new(TUNING),
-            compared: 0,
-        }
+        SpeedEvidence { model: LoadModel::default(), outcomes: OutcomeHistory::new(TUNING), compared: 0 }
     }
 
     /// Adds responses of the stable version.
-    pub(crate) fn record_stable(&mut self, intervals: &[EventInterval], now: u64) {
-        for interval in intervals.iter().filter(|interval| !interval.is_cold) {
-            if let Some(is_slow) = self.model.record(interval.running, interval.interval_us as f64) {
-                self.stable.record(u64::from(!is_slow), u64::from(is_slow), now);
-            }
+    pub(crate) fn record_stable(&mut self, origin: &SampleOrigin, intervals: &[EventInterval], now: u64) {
+        let warm = intervals.iter().filter(|interval| !interval.is_cold);
+        let verdicts: Vec<bool> = warm
+            .filter_map(|interval| self.model.record(origin.engine, interval.running, interval.interval_us as f64))
+            .collect();
+        if !verdicts.is_empty() {
+            self.outcomes.record_stable(&outcomes_of(origin, &verdicts), now);
         }
     }
 
@@ -46,13 +39,8 @@
         if verdicts.is_empty() {
             return;
         }
-        let slow = verdicts.iter().filter(|is_slow| **is_slow).count() as u64;
-        let others = verdicts.len() as u64 - slow;
         self.compared += verdicts.len() as u64;
-        let outcomes =
-            EngineOutcomes { engine: origin.engine, zone: origin.zone, passed: others, failed: slow, lost: 0 };
-        let base_rate = self.stable.rate(now).max(MIN_SLOW_RATE);
-        self.cusum.record(&outcomes, base_rate);
+        self.outcomes.record_candidate(&outcomes_of(origin, &verdicts), now);
     }
 
     /// Returns whether a response is slow. `None`: nothing can be said, since there is nothing to compare with, or the engine is
@@ -62,9 +50,9 @@
         is_slow.filter(|is_slow| !(*is_slow && interval.is_cold))
     }
 
-    /// Returns the cumulative sum: 0 without evidence, larger the clearer it is that the candidate is slower.
-    pub(crate) fn cusum(&self) -> f64 {
-        self.cusum.value()
+    /// Returns what the responses say.
+    pub(crate) fn evidence(&self) -> Evidence {
+        self.outcomes.evidence()
     }
 
     /// Returns how many responses of the candidate were compared.
@@ -77,3 +65,9 @@
         self.model.is_slow(0, 0.0).is_some()
     }
 }
+
+fn outcomes_of<'a>(origin: &SampleOrigin<'a>, verdicts: &[bool]) -> EngineOutcomes<'a> {
+    let slow = verdicts.iter().filter(|is_slow| **is_slow).count() as u64;
+    let passed = verdicts.len() as u64 - slow;
+    EngineOutcomes { engine: origin.engine, zone: origin.zone, passed, failed: slow, lost: 0 }
+}
