Rollouts: tidepoint experiment rollout; a line of speeds that slow engines don't bend; proof in bad weather

Single candidate engines that fail by themselves raised the alarm within half a second; a small fault was hidden by failures of engines.

Change: crate `experiment` plays orders in virtual time with the real choice of versions and engines, analysis and schedule; `tidepoint experiment rollout` prints its table or JSON; three parts of the design can be switched off, and tests show that each is noticed. The line is fitted to the last 400 responses without engines that are slow by themselves. Where many engines fail by themselves, more evidence raises the alarm, and a fault of a twelfth of the requests must look unlikely before all requests move. A canary's turn lasts 1.2 s (2 s), so that more engines are seen; a load test packs three engines at most. Loaded proof needs a ratio of -5.5 (-4).

--- a/load_balancing/src/selection/packing.rs
+++ b/load_balancing/src/selection/packing.rs
@@ -10,6 +10,8 @@
 const TARGET_SLOT_SHARE: f64 = 0.65;
 /// The share of its slots from which on a packed engine is passed over.
 const MAX_SLOT_SHARE: f64 = 0.9;
+/// How many engines are packed at most: more would not fill up while a load test lasts.
+const MAX_PACKED_ENGINES: f64 = 3.0;
 /// How many engines a load test is to fill. One that fails by itself must not decide alone.
 const LOAD_TEST_ENGINES: f64 = 4.0;
 /// A whole, in thousandths.
@@ -34,7 +36,8 @@
             CandidatePlacement::Packed { load_share, draw, first: PackingStart { canary_share, turn } } => {
                 let engine_load = TARGET_SLOT_SHARE * f64::from(first.slots.max(1));
                 let filled = self.packed_load(first, load_share) / engine_load;
-                turn_position(self.rotating_count(canary_share), turn) + drawn_position(filled.max(1.0), draw)
+                turn_position(self.rotating_count(canary_share), turn)
+                    + drawn_position(filled.clamp(1.0, MAX_PACKED_ENGINES), draw)
             }
         };
         let from_position = ordered.iter().cycle().skip(position % ordered.len()).take(ordered.len());
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -20,6 +20,8 @@
 mod subscription;
 mod upstream;
 
+pub use rollout::{RequestProfile, Rollouts};
+
 #[cfg(test)]
 mod testing;
 #[cfg(test)]
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -33,9 +33,9 @@
 /// How long they are collected while it has a larger one: the sooner it is found bad, the fewer requests it gets.
 const SAMPLING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a canary stays at the same engines: a few times as long as a response takes, so that they bear their load for most of
+/// How long a canary stays at the same engines: about as long as a response takes, so that they bear their load for most of
 /// it.
-const TURN_MS: u64 = 2000;
+const TURN_MS: u64 = 1200;
 
 /// Thousandths of the requests that make a whole.
 const SHARE_SCALE: u64 = 1000;
@@ -103,7 +103,7 @@
 
 impl Rollouts {
     /// Inserts a rollout if it is newer than the known one of its service, and returns whether it was.
-    fn insert_if_newer(&mut self, service: u32, record: VersionRollout, now: u64) -> bool {
+    pub fn insert_if_newer(&mut self, service: u32, record: VersionRollout, now: u64) -> bool {
         let known = self.by_service.get(&service);
         if known.is_some_and(|known| known.record.number >= record.number) {
             return false;
--- a/router/src/rollout_tests.rs
+++ b/router/src/rollout_tests.rs
@@ -76,7 +76,7 @@
         let candidates: Vec<Arm> = arms.filter(|arm| arm.is_candidate()).collect();
         let packed = |arm: &&Arm| matches!(arm, Arm::Candidate(CandidatePlacement::Packed { load_share: 180, .. }));
         let rotating =
-            |arm: &&Arm| matches!(arm, Arm::Candidate(CandidatePlacement::Rotating { share: 40, turn: 2, .. }));
+            |arm: &&Arm| matches!(arm, Arm::Candidate(CandidatePlacement::Rotating { share: 40, turn: 4, .. }));
         assert_eq!(candidates.iter().filter(rotating).count(), if number == 1 { 40 } else { 0 });
         assert_eq!(candidates.len(), share as usize);
         assert_eq!(candidates.iter().filter(packed).count(), if is_packed { candidates.len() } else { 0 });
--- a/tidepoint/src/error.rs
+++ b/tidepoint/src/error.rs
@@ -40,6 +40,14 @@
     /// Only one of two options was given.
     #[error("show: --service and --model go together")]
     IncompleteName,
+    /// A flag has a value that is not allowed.
+    #[error("{flag}: {allowed}")]
+    InvalidFlag {
+        /// The flag.
+        flag: &'static str,
+        /// What it takes.
+        allowed: &'static str,
+    },
     /// A simulated batch broke its promise.
     #[error("a job was not answered exactly once")]
     NotExactlyOnce,
--- /dev/null
+++ b/tidepoint/src/experiment.rs
@@ -0,0 +1,109 @@
+//! Experiments in virtual time: drawn terms of rollouts, and what came of them.
+
+use experiment::rollout::{run, standard_scenarios, Ablation, Fleet, Scenario, Summary, Version, Weather};
+
+use crate::error::CommandError;
+use crate::flags::Experiment;
+
+/// Terms of each scenario where none are named.
+const DEFAULT_TERMS: u64 = 100;
+/// The length of a term, in seconds, where none is named.
+const DEFAULT_DURATION_S: f64 = 12.0;
+/// The fleet where none is named: decode engines of each version, slots of an engine, and requests a second.
+const DEFAULT_FLEET: Fleet = Fleet { engines: 36, slots: 64, requests_per_s: 310.0 };
+
+/// Runs an experiment and prints its table, or one JSON object a line.
+///
+/// # Errors
+///
+/// Fails if a part that is to be switched off is not known, or a number makes no sense.
+pub fn run_experiment(flags: &Experiment) -> Result<(), CommandError> {
+    match flags.subject.as_str() {
+        "rollout" => run_rollouts(flags),
+        _ => Err(CommandError::InvalidFlag { flag: "experiment", allowed: "rollout" }),
+    }
+}
+
+fn run_rollouts(flags: &Experiment) -> Result<(), CommandError> {
+    let duration_ms = (positive("--duration-s", flags.duration_s.unwrap_or(DEFAULT_DURATION_S))? * 1000.0) as u64;
+    let fleet = Fleet {
+        engines: positive("--engines", flags.engines.unwrap_or(DEFAULT_FLEET.engines))?,
+        slots: positive("--slots", flags.slots.unwrap_or(DEFAULT_FLEET.slots))?,
+        requests_per_s: positive("--per-s", flags.per_s.unwrap_or(DEFAULT_FLEET.requests_per_s))?,
+    };
+    let ablation = parse_ablation(flags.without.as_deref())?;
+    let (terms, seed) = (flags.terms.unwrap_or(DEFAULT_TERMS), flags.seed.unwrap_or(1));
+    if !flags.json {
+        println!(
+            "{:<14} {:<24} {:>6} {:>9} {:>9} {:>9} {:>8}",
+            "version", "beside", "terms", "complete", "reverted", "over-exp.", "largest"
+        );
+    }
+    for scenario in standard_scenarios(fleet, duration_ms, ablation) {
+        let summary = run(&scenario, terms, seed);
+        match flags.json {
+            true => println!("{}", serde_json::to_string(&summary)?),
+            false => println!("{}", row(&summary)),
+        }
+    }
+    Ok(())
+}
+
+fn row(summary: &Summary) -> String {
+    let Scenario { version, weather, .. } = summary.scenario;
+    format!(
+        "{:<14} {:<24} {:>6} {:>9} {:>9} {:>9} {:>8.3}",
+        version_name(version),
+        weather_name(weather),
+        summary.terms,
+        summary.complete,
+        summary.reverted,
+        summary.over_exposed,
+        summary.largest_share
+    )
+}
+
+fn version_name(version: Version) -> String {
+    match version {
+        Version::Good => "good".into(),
+        Version::Errors(share) => format!("errors {share}"),
+        Version::Slow(times) => format!("slow x {times}"),
+        Version::UnderLoad => "under load".into(),
+        Version::OneRoute => "one route".into(),
+        Version::Late(before_end_ms) => format!("late -{} s", before_end_ms as f64 / 1000.0),
+    }
+}
+
+fn weather_name(weather: Weather) -> String {
+    match weather {
+        Weather::Calm => "nothing".into(),
+        Weather::GreyErrors(share) => format!("grey errors {share}"),
+        Weather::GreyErrorsAtLoad(share) => format!("grey errors {share} at load"),
+        Weather::FailAll(share) => format!("failing all {share}"),
+        Weather::GreySlow(share) => format!("grey slow {share}"),
+        Weather::ZoneLost => "a lost zone".into(),
+        Weather::Everywhere(rate) => format!("errors {rate} everywhere"),
+    }
+}
+
+fn parse_ablation(name: Option<&str>) -> Result<Ablation, CommandError> {
+    match name {
+        None => Ok(Ablation::Complete),
+        Some("baseline") => Ok(Ablation::NoBaseline),
+        Some("engines") => Ok(Ablation::EnginesNotToldApart),
+        Some("load") => Ok(Ablation::NoLoad),
+        Some(_) => Err(CommandError::InvalidFlag { flag: "--without", allowed: "baseline, engines or load" }),
+    }
+}
+
+fn positive<T: PartialOrd + Default>(flag: &'static str, value: T) -> Result<T, CommandError> {
+    if value > T::default() {
+        Ok(value)
+    } else {
+        Err(CommandError::InvalidFlag { flag, allowed: "a number above 0" })
+    }
+}
+
+#[cfg(test)]
+#[path = "experiment_tests.rs"]
+mod tests;
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -102,6 +102,28 @@
             }
         }
 
+        /// Simulate decisions of routers and controllers in virtual time.
+        cmd experiment {
+            /// What: `rollout`, good and faulty versions beside engines that fail by themselves.
+            required subject: String
+            /// Terms of each scenario (100).
+            optional --terms terms: u64
+            /// The seed of all draws (1).
+            optional --seed seed: u64
+            /// The length of a term (12).
+            optional --duration-s duration_s: f64
+            /// Decode engines of each version (36).
+            optional --engines engines: usize
+            /// Slots of an engine (64).
+            optional --slots slots: u32
+            /// Requests a second (310).
+            optional --per-s per_s: f64
+            /// A part of the design that is switched off: baseline, engines or load.
+            optional --without part: String
+            /// Print one JSON object a line.
+            optional --json
+        }
+
         /// Bringing in a new version of a service.
         cmd version {
             /// Start it: engines of the new version run beside the old ones.
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -6,6 +6,7 @@
 use kernel::settings;
 
 mod error;
+mod experiment;
 mod flags;
 mod http_client;
 mod simulate_batch;
@@ -36,6 +37,7 @@
         flags::TidepointCmd::Rollout(rollout) => staleness_limit::run(&rollout.subcommand),
         flags::TidepointCmd::Version(version) => http_client::version_rollout(&version.subcommand),
         flags::TidepointCmd::Rehearse(plan) => simulate_batch::run(&plan),
+        flags::TidepointCmd::Experiment(experiment) => experiment::run_experiment(&experiment),
     };
     match done {
         Ok(()) => process::ExitCode::SUCCESS,
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -51,8 +51,11 @@
 /// all routes. One that fails three tenths passes for healthy in fewer than a tenth of all cases at so few requests, and shows
 /// in the load test.
 const HEALTHY_RATIO: f64 = -3.2;
-/// The same for a fault under load: one that fails three tenths of the requests passes in fewer than one in fifty cases.
-const HEALTHY_LOAD_RATIO: f64 = -4.0;
+/// The same for a fault under load: one that fails three tenths of the requests passes in about one of two hundred cases.
+const HEALTHY_LOAD_RATIO: f64 = -5.5;
+/// The same for a small fault that other failures may hide: a version that fails a tenth of its requests passes in some hundredths of
+/// all cases, and a good one in bad weather is taken back as often.
+const NO_HIDDEN_FAULT_RATIO: f64 = -1.5;
 /// The same for responses that are slow.
 const HEALTHY_SPEED_RATIO: f64 = -1.0;
 /// Responses of the candidate that were compared in speed, over all routes, before it counts as healthy.
@@ -130,7 +133,9 @@
         if is_suspected || !is_fast || ruled_out_ratio(&failures) > HEALTHY_RATIO {
             return Verdict::Inconclusive;
         }
-        if failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load {
+        let hidden_faults: Vec<f64> = failures.iter().filter_map(Evidence::hidden_fault_ratio).collect();
+        let hides_none = hidden_faults.is_empty() || hidden_faults.into_iter().sum::<f64>() <= NO_HIDDEN_FAULT_RATIO;
+        if hides_none && (failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load) {
             Verdict::HealthyUnderLoad
         } else {
             Verdict::Healthy
@@ -153,7 +158,7 @@
 
 /// Returns the strongest evidence against the candidate among all routes.
 fn strongest(routes: &[Evidence]) -> f64 {
-    routes.iter().map(|evidence| evidence.against).fold(0.0, f64::max)
+    routes.iter().map(Evidence::strength).fold(0.0, f64::max)
 }
 
 /// Returns the log likelihood ratio of the faults that must be ruled out, over all routes: a fault shows on some of them at least.
@@ -167,7 +172,7 @@
     }
 
     fn against(&self) -> f64 {
-        self.failures.evidence().against.max(self.speed.evidence().against)
+        self.failures.evidence().strength().max(self.speed.evidence().strength())
     }
 }
 
--- a/versions/src/load_model.rs
+++ b/versions/src/load_model.rs
@@ -1,18 +1,17 @@
 //! How long the stable version takes between two events of a response, by how many requests its engine runs.
 //!
 //! Engines decode in batches, and a step takes a fixed time and a time for each request of the batch. So the interval is a linear
-//! function of the requests that run, fitted by least squares with weights that fade; what lies above it is a ratio.
+//! function of the requests that run, fitted by least squares; what lies above it is a ratio. Engines that are slow by themselves
+//! are left out: those whose intervals are long beside the others', and then those that lie above the line of the rest.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Number of samples after which a sample's weight has fallen to 1/e.
-const MEMORY_SAMPLES: f64 = 600.0;
+/// How many samples the line is fitted to.
+const KEPT_SAMPLES: usize = 400;
 /// Samples before the model predicts.
-const MIN_SAMPLES: u64 = 40;
-/// How many ratios of the stable version's samples to their prediction are kept for their quantile.
-const KEPT_RATIOS: usize = 256;
-/// How many ratios are kept between two looks for their quantile.
-const RATIOS_BETWEEN_LIMITS: u64 = 8;
+const MIN_SAMPLES: usize = 80;
+/// How many samples come between two fits.
+const SAMPLES_BETWEEN_FITS: u64 = 8;
 /// The quantile of the stable version's ratios from which the limit is derived.
 const LIMIT_QUANTILE: f64 = 0.75;
 /// How far the limit lies above that quantile.
@@ -22,146 +21,132 @@
 /// How much higher the limit is above the mean load of the stable version's responses. The requests that an engine runs change
 /// while a response lasts, so that the fitted line rises less than it should.
 const HIGHER_LOAD_MARGIN: f64 = 1.1;
-
-/// How much slower than the median of all an engine's own responses are, where it is left out: it is slow by itself.
+/// How much longer the intervals of an engine are than the median engine's, whatever it runs, where it is slow by itself.
+const SLOW_ENGINE_INTERVAL: f64 = 2.0;
+/// How far an engine's intervals lie above the line of the others where it is slow by itself.
 const SLOW_ENGINE_RATIO: f64 = 1.25;
 /// Responses of an engine before that is told.
-const MIN_ENGINE_SAMPLES: u64 = 3;
-/// How much a response counts for its engine's mean.
-const ENGINE_MEAN_WEIGHT: f64 = 0.25;
+const MIN_ENGINE_SAMPLES: usize = 3;
 /// The engine of which samples are not told apart.
 const UNKNOWN_ENGINE: u64 = 0;
 
-/// The mean logarithm of an engine's ratios.
-#[derive(Clone, Copy, Debug, Default)]
-struct EngineMean {
-    samples: u64,
-    log_ratio: f64,
+/// One response.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    engine: u64,
+    running: f64,
+    interval_us: f64,
 }
 
-/// Sums of a least-squares fit with fading weights.
-#[derive(Default)]
-struct Sums {
-    weight: f64,
-    x: f64,
-    y: f64,
-    xx: f64,
-    xy: f64,
+/// The interval as a function of the requests that run.
+#[derive(Clone, Copy, Debug)]
+struct Line {
+    mean_running: f64,
+    mean_interval_us: f64,
+    slope: f64,
 }
 
-/// The model, and how far the stable version's own samples lie from it.
+impl Line {
+    /// Fits a line by least squares. `None` without samples.
+    fn fit<'a>(samples: impl Iterator<Item = &'a Sample> + Clone) -> Option<Line> {
+        let count = samples.clone().count() as f64;
+        if count == 0.0 {
+            return None;
+        }
+        let mean_running = samples.clone().map(|sample| sample.running).sum::<f64>() / count;
+        let mean_interval_us = samples.clone().map(|sample| sample.interval_us).sum::<f64>() / count;
+        let (mut variance, mut covariance) = (0.0, 0.0);
+        for sample in samples {
+            let distance = sample.running - mean_running;
+            variance += distance * distance;
+            covariance += distance * (sample.interval_us - mean_interval_us);
+        }
+        // More requests never make an engine faster: a slope below 0 is noise.
+        let slope = if variance > f64::EPSILON { (covariance / variance).max(0.0) } else { 0.0 };
+        Some(Line { mean_running, mean_interval_us, slope })
+    }
+
+    /// Returns an interval as a multiple of the predicted one.
+    fn ratio(&self, running: f64, interval_us: f64) -> f64 {
+        let predicted = self.mean_interval_us + self.slope * (running - self.mean_running);
+        // Far from what was seen the line says little; it never falls below half of the mean.
+        interval_us / predicted.max(self.mean_interval_us / 2.0).max(1.0)
+    }
+}
+
+/// The line, and how far the stable version's own samples lie from it.
+#[derive(Clone, Copy, Debug)]
+struct Fit {
+    line: Line,
+    /// The ratio from which on a response is slow.
+    limit: f64,
+}
+
+/// The model.
 #[derive(Default)]
 pub(crate) struct LoadModel {
-    sums: Sums,
-    samples: u64,
-    /// Of engines that are not slow by themselves.
-    ratios: VecDeque<f64>,
-    /// Of all engines, to tell which are slow by themselves.
-    all_ratios: VecDeque<f64>,
-    median: f64,
-    ratio_count: u64,
-    limit: f64,
-    engines: BTreeMap<u64, EngineMean>,
+    samples: VecDeque<Sample>,
+    recorded: u64,
+    fit: Option<Fit>,
 }
 
 impl LoadModel {
     /// Adds a response of the stable version, and returns whether it was slow by its own version's measure. `None`: too few were
-    /// seen before. Engines that are slow by themselves don't change the measure.
+    /// seen before.
     pub(crate) fn record(&mut self, engine: u64, running: u32, interval_us: f64) -> Option<bool> {
         let is_slow = self.is_slow(running, interval_us);
-        if let Some(ratio) = self.ratio(running, interval_us) {
-            self.note_engine(engine, ratio);
-            if self.is_slow_engine(engine) {
-                return is_slow;
-            }
-            self.keep_ratio(ratio);
+        if self.samples.len() == KEPT_SAMPLES {
+            self.samples.pop_front();
         }
-        let fade = 1.0 - 1.0 / MEMORY_SAMPLES;
-        let (x, y, sums) = (f64::from(running), interval_us, &mut self.sums);
-        sums.weight = sums.weight * fade + 1.0;
-        sums.x = sums.x * fade + x;
-        sums.y = sums.y * fade + y;
-        sums.xx = sums.xx * fade + x * x;
-        sums.xy = sums.xy * fade + x * y;
-        self.samples += 1;
-        is_slow
-    }
-
-    fn note_engine(&mut self, engine: u64, ratio: f64) {
-        if self.all_ratios.len() == KEPT_RATIOS {
-            self.all_ratios.pop_front();
+        self.samples.push_back(Sample { engine, running: running.into(), interval_us });
+        self.recorded += 1;
+        if self.samples.len() >= MIN_SAMPLES && self.recorded.is_multiple_of(SAMPLES_BETWEEN_FITS) {
+            self.fit = self.fitted();
         }
-        self.all_ratios.push_back(ratio);
-        self.ratio_count += 1;
-        if self.ratio_count.is_multiple_of(RATIOS_BETWEEN_LIMITS) {
-            self.median = quantile(&self.all_ratios, 0.5);
-        }
-        let mean = self.engines.entry(engine).or_default();
-        mean.samples += 1;
-        let weight = ENGINE_MEAN_WEIGHT.max(1.0 / mean.samples as f64);
-        mean.log_ratio += weight * (ratio.max(f64::MIN_POSITIVE).ln() - mean.log_ratio);
-    }
-
-    /// Returns whether an engine's responses are slow where those of most engines are not.
-    fn is_slow_engine(&self, engine: u64) -> bool {
-        let Some(mean) = self.engines.get(&engine).filter(|_| engine != UNKNOWN_ENGINE) else { return false };
-        self.median > 0.0
-            && mean.samples >= MIN_ENGINE_SAMPLES
-            && mean.log_ratio > (SLOW_ENGINE_RATIO * self.median).ln()
+        is_slow
     }
 
     /// Returns whether a response is slower than nearly all of the stable version's. `None`: too few of these were seen.
     pub(crate) fn is_slow(&self, running: u32, interval_us: f64) -> Option<bool> {
-        let ratio = self.ratio(running, interval_us)?;
-        self.has_limit().then_some(ratio > self.limit_at(running))
+        let Fit { line, limit } = self.fit?;
+        let margin = if f64::from(running) > line.mean_running { HIGHER_LOAD_MARGIN } else { 1.0 };
+        Some(line.ratio(running.into(), interval_us) > limit * margin)
     }
 
-    fn limit_at(&self, running: u32) -> f64 {
-        match f64::from(running) > self.sums.x / self.sums.weight {
-            true => self.limit * HIGHER_LOAD_MARGIN,
-            false => self.limit,
-        }
+    fn fitted(&self) -> Option<Fit> {
+        let slow = self.engines_above(SLOW_ENGINE_INTERVAL, |sample| sample.interval_us);
+        let line = Line::fit(self.samples_without(&slow))?;
+        let slow = self.engines_above(SLOW_ENGINE_RATIO, |sample| line.ratio(sample.running, sample.interval_us));
+        let line = Line::fit(self.samples_without(&slow))?;
+        let ratios = self.samples_without(&slow).map(|sample| line.ratio(sample.running, sample.interval_us));
+        let limit = quantile(ratios.collect(), LIMIT_QUANTILE) * QUANTILE_MARGIN;
+        Some(Fit { line, limit: limit.max(MIN_LIMIT) })
     }
 
-    fn has_limit(&self) -> bool {
-        self.limit > 0.0 && self.ratios.len() as u64 >= MIN_SAMPLES
+    fn samples_without<'a>(&'a self, engines: &'a BTreeSet<u64>) -> impl Iterator<Item = &'a Sample> + Clone {
+        self.samples.iter().filter(|sample| !engines.contains(&sample.engine))
     }
 
-    /// Returns the interval as a multiple of the predicted one.
-    fn ratio(&self, running: u32, interval_us: f64) -> Option<f64> {
-        if self.samples < MIN_SAMPLES {
-            return None;
+    /// Returns the engines whose median lies more than `times` above the median of all engines' medians.
+    fn engines_above(&self, times: f64, value: impl Fn(&Sample) -> f64) -> BTreeSet<u64> {
+        let mut by_engine: BTreeMap<u64, Vec<f64>> = BTreeMap::new();
+        for sample in self.samples.iter().filter(|sample| sample.engine != UNKNOWN_ENGINE) {
+            by_engine.entry(sample.engine).or_default().push(value(sample));
         }
-        let Sums { weight, x, y, xx, xy } = self.sums;
-        let (mean_x, mean_y) = (x / weight, y / weight);
-        let variance = xx / weight - mean_x * mean_x;
-        let covariance = xy / weight - mean_x * mean_y;
-        // More requests never make an engine faster: a slope below 0 is noise.
-        let slope = if variance > f64::EPSILON { (covariance / variance).max(0.0) } else { 0.0 };
-        let predicted = mean_y + slope * (f64::from(running) - mean_x);
-        // Far from what was seen the line says little; it never falls below half of the mean.
-        Some(interval_us / predicted.max(mean_y / 2.0).max(1.0))
-    }
-
-    fn keep_ratio(&mut self, ratio: f64) {
-        if self.ratios.len() == KEPT_RATIOS {
-            self.ratios.pop_front();
-        }
-        self.ratios.push_back(ratio);
-        if self.samples.is_multiple_of(RATIOS_BETWEEN_LIMITS) {
-            self.update_limit();
+        let known = by_engine.into_iter().filter(|(_, values)| values.len() >= MIN_ENGINE_SAMPLES);
+        let medians: Vec<(u64, f64)> = known.map(|(engine, values)| (engine, quantile(values, 0.5))).collect();
+        if medians.is_empty() {
+            return BTreeSet::new();
         }
-    }
-
-    fn update_limit(&mut self) {
-        self.limit = (quantile(&self.ratios, LIMIT_QUANTILE) * QUANTILE_MARGIN).max(MIN_LIMIT);
+        let limit = times * quantile(medians.iter().map(|(_, median)| *median).collect(), 0.5);
+        medians.into_iter().filter(|(_, median)| *median > limit).map(|(engine, _)| engine).collect()
     }
 }
 
-fn quantile(values: &VecDeque<f64>, part: f64) -> f64 {
-    let mut sorted: Vec<f64> = values.iter().copied().collect();
-    let at = ((sorted.len() - 1) as f64 * part) as usize;
-    let (_, quantile, _) = sorted.select_nth_unstable_by(at, f64::total_cmp);
+/// Returns a quantile of values, of which there is one at least.
+fn quantile(mut values: Vec<f64>, part: f64) -> f64 {
+    let at = ((values.len() - 1) as f64 * part) as usize;
+    let (_, quantile, _) = values.select_nth_unstable_by(at, f64::total_cmp);
     *quantile
 }
 
--- a/versions/src/outcome_history.rs
+++ b/versions/src/outcome_history.rs
@@ -25,6 +25,10 @@
 const MIN_BASELINE_SAMPLES: f64 = 20.0;
 /// The most that the lost responses of one zone add, where there are several.
 const ZONE_CAP: f64 = 4.2;
+/// The share of engines that fail by themselves from which on many do.
+const BAD_FAILING_SHARE: f64 = 0.05;
+/// The rate of sound engines of the stable version from which on a small fault of the candidate may be hidden.
+const HIDING_RATE: f64 = 0.03;
 /// The share of engines that are assumed to fail by themselves where there is one engine only.
 const FAILING_SHARE_OF_ONE: f64 = 1e-4;
 
@@ -118,16 +122,36 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Evidence {
     /// The largest log likelihood ratio for a fault, over all windows and sizes of a fault.
-    pub(crate) against: f64,
+    against: f64,
     /// The log likelihood ratios over everything, by size of the fault: the lower, the surer that there is none.
     lasting: [f64; FAULT_RATE_COUNT],
+    /// Whether many engines of the stable version fail by themselves.
+    is_weather_bad: bool,
+    /// Whether so many requests to the stable version fail that a small fault of the candidate may be hidden.
+    may_hide_fault: bool,
 }
 
+/// How much of the evidence against a candidate is left out where many engines fail by themselves: a canary goes to few engines at a
+/// time, and these may all be such ones.
+const BAD_WEATHER_ALLOWANCE: f64 = 3.0;
+
 impl Evidence {
+    /// Returns how much speaks against the candidate.
+    pub(crate) fn strength(&self) -> f64 {
+        let allowance = if self.is_weather_bad { BAD_WEATHER_ALLOWANCE } else { 0.0 };
+        (self.against - allowance).max(0.0)
+    }
+
     /// Returns the largest log likelihood ratio, over everything, of the faults that must be ruled out: all but the smallest.
     pub(crate) fn ruled_out_ratio(&self) -> f64 {
         self.lasting[1..].iter().copied().fold(f64::NEG_INFINITY, f64::max)
     }
+
+    /// Returns the log likelihood ratio, over everything, of the smallest fault where other failures may hide it. `None` where few
+    /// requests fail, so that it shows by itself.
+    pub(crate) fn hidden_fault_ratio(&self) -> Option<f64> {
+        self.may_hide_fault.then_some(self.lasting[0])
+    }
 }
 
 impl OutcomeHistory {
@@ -169,10 +193,11 @@
 
     /// Returns what the outcomes say.
     pub(crate) fn evidence(&self) -> Evidence {
-        let failing_share =
-            if self.candidate_engines.len() == 1 { FAILING_SHARE_OF_ONE } else { self.baseline.failing_share };
+        let failing_share = self.failing_share();
         let by_span: Vec<_> = (0..self.spans.len()).map(|at| self.observed(at)).collect();
-        let mut evidence = Evidence::default();
+        let is_weather_bad = self.is_weather_bad();
+        let may_hide_fault = is_weather_bad || self.baseline.rate >= HIDING_RATE;
+        let mut evidence = Evidence { is_weather_bad, may_hide_fault, ..Evidence::default() };
         for window in WINDOWS {
             let is_recent = |span: &Span| self.spans.back().is_some_and(|last| span.index + window > last.index);
             let recent = self.spans.iter().zip(&by_span).filter(|(span, _)| is_recent(span));
@@ -187,6 +212,19 @@
         evidence
     }
 
+    /// Returns the share of engines that fail by themselves, as it is to be assumed of the candidate's.
+    fn failing_share(&self) -> f64 {
+        match self.candidate_engines.len() == 1 && !self.is_weather_bad() {
+            true => FAILING_SHARE_OF_ONE,
+            false => self.baseline.failing_share,
+        }
+    }
+
+    /// Returns whether many engines of the stable version fail by themselves.
+    fn is_weather_bad(&self) -> bool {
+        self.baseline.failing_share >= BAD_FAILING_SHARE
+    }
+
     /// Returns the log likelihood ratio by size of the fault.
     fn ratios(&self, engines: &BTreeMap<EngineKey, CandidateOutcomes>, failing_share: f64) -> [f64; FAULT_RATE_COUNT] {
         let mut sums = [0.0; FAULT_RATE_COUNT];
--- a/versions/src/outcome_history_tests.rs
+++ b/versions/src/outcome_history_tests.rs
@@ -27,9 +27,9 @@
     let mut history = history();
     (0..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 0, 0), 3000));
     history.record_candidate(&outcomes(3, "a", 0, 100, 0), 3000);
-    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM, "{}", history.evidence().strength());
     history.record_candidate(&outcomes(4, "a", 0, 100, 0), 3000);
-    assert!(history.evidence().against < ALARM, "others are sound: {}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM, "others are sound: {}", history.evidence().strength());
 }
 
 #[test]
@@ -37,16 +37,16 @@
     let mut history = history();
     history.record_candidate(&outcomes(2, "a", 1, 0, 0), 3000);
     history.record_candidate(&outcomes(3, "a", 0, 100, 0), 3600);
-    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM, "{}", history.evidence().strength());
     history.record_candidate(&outcomes(4, "a", 0, 100, 0), 3600);
-    assert!(history.evidence().against >= ALARM, "{}", history.evidence().against);
+    assert!(history.evidence().strength() >= ALARM, "{}", history.evidence().strength());
 }
 
 #[test]
 fn an_engine_that_is_alone_can_raise_the_alarm() {
     let mut history = history();
     history.record_candidate(&outcomes(3, "a", 0, 5, 0), 3000);
-    assert!(history.evidence().against >= ALARM);
+    assert!(history.evidence().strength() >= ALARM);
 }
 
 #[test]
@@ -54,10 +54,10 @@
     let mut history = history();
     history.record_candidate(&outcomes(99, "b", 1, 0, 0), 3000);
     (0..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 0, 0, 10), 3000));
-    let one_zone = history.evidence().against;
+    let one_zone = history.evidence().strength();
     assert!(one_zone < ALARM, "{one_zone}");
     (20..40).for_each(|engine| history.record_candidate(&outcomes(engine, "b", 0, 0, 10), 3000));
-    assert!(history.evidence().against >= ALARM);
+    assert!(history.evidence().strength() >= ALARM);
 }
 
 #[test]
@@ -70,9 +70,9 @@
         }
         (0..10).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 0, 1, 0), step * 100));
     }
-    assert!(history.evidence().against < ALARM / 2.0, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM / 2.0, "{}", history.evidence().strength());
     (10..20).for_each(|engine| history.record_candidate(&outcomes(engine, "b", 0, 3, 0), 3500));
-    assert!(history.evidence().against >= ALARM, "in the other zone they do");
+    assert!(history.evidence().strength() >= ALARM, "in the other zone they do");
 }
 
 #[test]
@@ -82,7 +82,7 @@
         (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 2, 2, 0), step * 100));
         (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 1, 0), step * 100));
     }
-    assert!(history.evidence().against < 1.0, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < 1.0, "{}", history.evidence().strength());
     for step in 50..100 {
         (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 4, 0, 0), step * 100));
         (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 0, 0), step * 100));
@@ -92,7 +92,7 @@
         (100..130).for_each(|engine| history.record_stable(&outcomes(engine, "a", 4, 0, 0), step * 100));
         (0..8).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 1, 1, 0), step * 100));
     }
-    assert!(history.evidence().against >= ALARM, "it became faulty after 10 s");
+    assert!(history.evidence().strength() >= ALARM, "it became faulty after 10 s");
 }
 
 #[test]
@@ -106,7 +106,7 @@
     }
     let (rate, _) = history.stable_now("a");
     assert!((0.15..0.25).contains(&rate), "{rate}");
-    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM, "{}", history.evidence().strength());
 }
 
 #[test]
@@ -126,7 +126,7 @@
         let failed = if engine < 3 { 8 } else { 0 };
         history.record_candidate(&outcomes(engine, "a", 16 - failed, failed, 0), 3000);
     }
-    assert!(history.evidence().against < ALARM, "{}", history.evidence().against);
+    assert!(history.evidence().strength() < ALARM, "{}", history.evidence().strength());
     (10..20).for_each(|engine| history.record_candidate(&outcomes(engine, "a", 4, 4, 0), 3900));
-    assert!(history.evidence().against >= ALARM, "engines fail that did not before, and none is sound");
+    assert!(history.evidence().strength() >= ALARM, "engines fail that did not before, and none is sound");
 }
