--- a/experiment/src/rollout/fleet.rs
+++ b/experiment/src/rollout/fleet.rs
@@ -84,14 +84,15 @@
         SimulatedFleet { engine_table, engines, scenario: *scenario }
     }
 
-    /// Returns how a request ends that an engine begins now.
-    pub(super) fn ending(&self, at: usize, route: usize, tokens: u32, now: u64, rng: &mut Rng) -> Ending {
+    /// Returns how a request ends that an engine begins so long after the order.
+    pub(super) fn ending(&self, at: usize, route: usize, tokens: u32, elapsed_ms: u64, rng: &mut Rng) -> Ending {
         let engine = &self.engines[at];
-        if self.is_zone_lost(engine.zone, now) {
+        if self.is_zone_lost(engine.zone, elapsed_ms) {
             return Ending::Lost;
         }
-        let of_version = if engine.is_candidate { self.version_failure_rate(engine, route, now) } else { 0.0 };
-        let sound = 1.0 - (1.0 - FAILURE_RATE) * (1.0 - of_version) * (1.0 - self.weather_failure_rate(engine, now));
+        let of_version = if engine.is_candidate { self.version_failure_rate(engine, route, elapsed_ms) } else { 0.0 };
+        let sound =
+            1.0 - (1.0 - FAILURE_RATE) * (1.0 - of_version) * (1.0 - self.weather_failure_rate(engine, elapsed_ms));
         if uniform(rng) < sound {
             return Ending::Failed;
         }
@@ -101,22 +102,24 @@
         Ending::Complete { after_ms: token_ms * f64::from(tokens), token_us: (token_ms * 1000.0) as u64 }
     }
 
-    fn version_failure_rate(&self, engine: &SimulatedEngine, route: usize, now: u64) -> f64 {
+    fn version_failure_rate(&self, engine: &SimulatedEngine, route: usize, elapsed_ms: u64) -> f64 {
         let half_of_slots = self.scenario.fleet.slots / 2;
         match self.scenario.version {
             Version::Errors(share) => share,
             Version::UnderLoad if engine.running >= half_of_slots => 0.5,
             Version::OneRoute if route == 0 => 0.5,
-            Version::Late(before_end_ms) if now + before_end_ms >= self.scenario.duration_ms => 0.5,
+            Version::Late(before_end_ms) if elapsed_ms + before_end_ms >= self.scenario.duration_ms => 0.5,
             _ => 0.0,
         }
     }
 
-    fn weather_failure_rate(&self, engine: &SimulatedEngine, now: u64) -> f64 {
+    fn weather_failure_rate(&self, engine: &SimulatedEngine, elapsed_ms: u64) -> f64 {
         let (duration_ms, is_hit) = (self.scenario.duration_ms, engine.is_hit);
         match self.scenario.weather {
-            Weather::GreyErrors(_) if is_hit && now > duration_ms / 10 => GREY_FAILURE_RATE,
-            Weather::GreyErrorsAtLoad(_) if is_hit && now + LOAD_TEST_BEFORE_END_MS > duration_ms => GREY_FAILURE_RATE,
+            Weather::GreyErrors(_) if is_hit && elapsed_ms > duration_ms / 10 => GREY_FAILURE_RATE,
+            Weather::GreyErrorsAtLoad(_) if is_hit && elapsed_ms + LOAD_TEST_BEFORE_END_MS > duration_ms => {
+                GREY_FAILURE_RATE
+            }
             Weather::FailAll(_) if is_hit => 1.0,
             Weather::Everywhere(rate) => rate,
             _ => 0.0,
@@ -135,9 +138,9 @@
         }
     }
 
-    fn is_zone_lost(&self, zone: usize, now: u64) -> bool {
+    fn is_zone_lost(&self, zone: usize, elapsed_ms: u64) -> bool {
         let from = self.scenario.duration_ms / 2;
-        self.scenario.weather == Weather::ZoneLost && zone == 0 && (from..from + ZONE_LOST_MS).contains(&now)
+        self.scenario.weather == Weather::ZoneLost && zone == 0 && (from..from + ZONE_LOST_MS).contains(&elapsed_ms)
     }
 }
 
--- a/experiment/src/rollout/term.rs
+++ b/experiment/src/rollout/term.rs
@@ -212,7 +212,8 @@
     }
 
     fn send(&mut self, engine: usize, route: usize, tokens: u32, is_packed: bool, now: u64) {
-        let ending = self.fleet.ending(engine, route, tokens, now, &mut self.rng);
+        let elapsed_ms = now.saturating_sub(WARM_UP_MS);
+        let ending = self.fleet.ending(engine, route, tokens, elapsed_ms, &mut self.rng);
         self.fleet.engines[engine].running += 1;
         let running = self.fleet.engines[engine].running;
         self.report_load(engine, now);
