--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -6,13 +6,14 @@
 mod outcome;
 mod output_sizes;
 mod reporting;
+mod version_choice;
 
 use std::collections::{BTreeMap, HashMap};
 use std::mem;
 use std::time::Duration;
 
 use kernel::clock;
-use load_balancing::{Arm, CandidatePlacement, PackingStart, Phase};
+use load_balancing::{Arm, CandidatePlacement, Phase};
 use protocol::message::HiddenKey;
 use protocol::version_rollout::{RolloutState, VersionRollout};
 use protocol::version_samples::{EngineSamples, SampleCounts, SampleKey};
@@ -27,23 +28,13 @@
 
 pub use outcome::{ServedBy, VersionOutcome};
 pub use reporting::{apply_sample_request, send_samples};
+pub use version_choice::RequestProfile;
 
 /// How long samples are collected before they are sent while the new version has a small share.
 const CANARY_SAMPLING_INTERVAL: Duration = Duration::from_millis(200);
 /// How long they are collected while it has a larger one: the sooner it is found bad, the fewer requests it gets.
 const SAMPLING_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long a canary stays at the same engines: about as long as a response takes, so that they bear their load for most of
-/// it.
-const TURN_MS: u64 = 1200;
-
-/// Thousandths of the requests that make a whole.
-const SHARE_SCALE: u64 = 1000;
-
-/// The part of the load that a load test makes in the end which it makes while it lasts: long requests add up.
-const LOAD_TEST_BUILD_UP: f64 = 0.6;
-/// How much more load a load test makes at first than it needs, so that engines fill up while it lasts.
-const LOAD_TEST_SURPLUS: f64 = 2.5;
 /// How long a request is expected to take where nothing is known, in milliseconds.
 const DEFAULT_EXPECTED_MS: u64 = 2000;
 /// The most engines of the stable version, by service, that samples tell apart.
@@ -75,23 +66,6 @@
     }
 }
 
-/// What the choice of a version depends on, beside the rollout.
-#[derive(Clone, Copy, Debug)]
-pub struct RequestProfile {
-    /// Uniformly random bits.
-    pub random: u64,
-    /// The tokens that the request puts out at most.
-    pub max_output_tokens: u32,
-    /// How long it is expected to take, in milliseconds.
-    pub expected_ms: u64,
-    /// The known rollouts were confirmed a moment ago.
-    pub holds_lease: bool,
-    /// The share of the requests of its term that a faulty version may have.
-    pub exposure_share: f64,
-    /// The part of the stable version's load, in thousandths, that a load test needs.
-    pub load_test_need: u32,
-}
-
 /// The newest rollouts, by the dense index of their service, and samples of those that are active.
 #[derive(Default)]
 pub struct Rollouts {
@@ -132,47 +106,6 @@
         self.output_sizes.entry(service).or_default().record(max_output_tokens);
     }
 
-    /// Returns the version that serves a request.
-    pub fn select_variant(&self, service: u32, profile: &RequestProfile, now: u64) -> Arm {
-        let Some(known) = self.by_service.get(&service) else { return Arm::Stable };
-        match known.record.state {
-            RolloutState::Active if profile.holds_lease => self.select_active(service, known, profile, now),
-            // Its engines are listed as candidates until discovery has moved them to the stable ones.
-            RolloutState::Complete => Arm::Candidate(CandidatePlacement::Spread),
-            RolloutState::Active | RolloutState::Reverted => Arm::Stable,
-        }
-    }
-
-    /// Returns the version that serves a request while a rollout is active.
-    fn select_active(&self, service: u32, known: &KnownRollout, profile: &RequestProfile, now: u64) -> Arm {
-        let share = known.record.share;
-        let elapsed_ms = known.elapsed_ms(now);
-        let draw = (profile.random / SHARE_SCALE) as u32;
-        let is_drawn = |share: f64| ((profile.random % SHARE_SCALE) as f64) < share;
-        match RolloutStage::of(share) {
-            RolloutStage::Canary if is_drawn(share.into()) => {
-                Arm::Candidate(CandidatePlacement::Rotating { share, draw, turn: turn_at(elapsed_ms) })
-            }
-            RolloutStage::LoadTest => {
-                let sizes = self.output_sizes.get(&service).copied().unwrap_or_default();
-                let share = load_test_share(share, &sizes, profile.load_test_need);
-                if !is_drawn(share * sizes.relative_size(profile.max_output_tokens)) {
-                    return Arm::Stable;
-                }
-                let load_share = (share * sizes.load_factor() * LOAD_TEST_BUILD_UP) as u32;
-                let first = PackingStart {
-                    canary_share: known.schedule(profile.exposure_share).canary_share(),
-                    turn: turn_at(known.record.elapsed_ms),
-                };
-                Arm::Candidate(CandidatePlacement::Packed { load_share, draw, first })
-            }
-            RolloutStage::Full if known.schedule(profile.exposure_share).has_moved(elapsed_ms, profile.expected_ms) => {
-                Arm::Candidate(CandidatePlacement::Spread)
-            }
-            RolloutStage::Canary | RolloutStage::Full => Arm::Stable,
-        }
-    }
-
     /// Records the outcome of a request while its service has an active rollout, and returns whether it has one.
     fn record(&mut self, service: u32, key: SampleKey, served_by: &ServedBy, outcome: VersionOutcome) -> bool {
         let Some(rollout) = self.active(service) else { return false };
@@ -205,17 +138,6 @@
     }
 }
 
-/// Returns the turn of a canary.
-fn turn_at(elapsed_ms: u64) -> u32 {
-    (elapsed_ms / TURN_MS) as u32
-}
-
-/// Returns the share of the requests that a load test takes, in thousandths: `share`, or less where that is enough.
-fn load_test_share(share: u32, sizes: &OutputSizes, need: u32) -> f64 {
-    let needed = f64::from(need) * LOAD_TEST_SURPLUS / sizes.load_factor();
-    f64::from(share).min(needed)
-}
-
 /// Puts a rollout from a controller in force, unless a newer one is known.
 pub fn apply(state: &State, rollout: VersionRollout) {
     let service = state.engines().service_index(&rollout.service);
