--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -133,9 +133,11 @@
         if is_suspected || !is_fast || ruled_out_ratio(&failures) > HEALTHY_RATIO {
             return Verdict::Inconclusive;
         }
+        // Among engines that fail by themselves a faulty version can't be told from a good one for sure.
+        let is_weather_bad = failures.iter().chain(&speeds).any(Evidence::is_weather_bad);
         let hidden_faults: Vec<f64> = failures.iter().filter_map(Evidence::hidden_fault_ratio).collect();
         let hides_none = hidden_faults.is_empty() || hidden_faults.into_iter().sum::<f64>() <= NO_HIDDEN_FAULT_RATIO;
-        if hides_none && (failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load) {
+        if !is_weather_bad && hides_none && (failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load) {
             Verdict::HealthyUnderLoad
         } else {
             Verdict::Healthy
