Rollouts, read again: a waiting read asks no quorum, a verdict tells why, known engines alone make the baseline

Found by reading the change as whoever is on call for it would: - GET of a rollout that waits for its end read at a quorum each 40 ms, in the way of the very change that it waits for. It looks at what is known at its controller now, and reads at a quorum once. - A version that was taken back among failing engines was said to have had too few samples.

Tests: the new reason in schedule and analysis, samples that are not told apart in baseline and line. No expectation of an older test changed.

--- a/controller/src/api/version_rollouts.rs
+++ b/controller/src/api/version_rollouts.rs
@@ -84,19 +84,7 @@
     }
 
     fn first_rollout(&self) -> VersionRollout {
-        VersionRollout {
-            service: self.service.clone(),
-            number: 1,
-            order: 1,
-            target: self.target.clone(),
-            duration_ms: self.duration_ms,
-            state: RolloutState::Active,
-            share: 0,
-            elapsed_ms: 0,
-            stable: None,
-            reverted: Vec::new(),
-            reason: String::new(),
-        }
+        VersionRollout::first(&self.service, &self.target, self.duration_ms)
     }
 }
 
@@ -156,30 +144,25 @@
 }
 
 impl VersionRolloutResource {
-    /// Answers with the state of a service's rollout. Where its end is due in a moment, the answer waits for that, so that operators
-    /// who ask now and then learn it in time.
     async fn read(&self, service: &str) -> ApiResponse {
-        let asked_at = clock::now();
-        loop {
-            let rollout = match self.read_stored(service).await {
-                Some(StoredRollout::Rollout(rollout)) => rollout,
-                Some(StoredRollout::Empty) => {
-                    return ApiError::not_found(format!("service `{service}`: no rollout")).into()
-                }
-                Some(StoredRollout::Unreadable) | None => return ApiResponse::OutcomeUnknown,
-            };
-            let now = clock::now();
-            let may_wait = now < asked_at + MAX_END_WAIT_MS && version_rollouts::ends_soon(&self.0, &rollout, now);
-            if !may_wait {
-                return ApiResponse::json(&rollout_state(&rollout));
-            }
-            time::sleep(END_POLL_INTERVAL).await;
+        self.wait_for_end(service).await;
+        let decide = |body: &[u8]| Decision::Answer(StoredRollout::decode(body));
+        let key = VersionRollout::key(service);
+        match self.0.change(&key, request_timeout_ms(&self.0), decide).await {
+            Some(StoredRollout::Rollout(rollout)) => ApiResponse::json(&rollout_state(&rollout)),
+            Some(StoredRollout::Empty) => ApiError::not_found(format!("service `{service}`: no rollout")).into(),
+            Some(StoredRollout::Unreadable) | None => ApiResponse::OutcomeUnknown,
         }
     }
 
-    async fn read_stored(&self, service: &str) -> Option<StoredRollout> {
-        let decide = |body: &[u8]| Decision::Answer(StoredRollout::decode(body));
-        self.0.change(&VersionRollout::key(service), request_timeout_ms(&self.0), decide).await
+    /// Waits while the end of a service's rollout is due in a moment, so that operators who ask now and then learn it in time.
+    ///
+    /// Only what is known here is looked at: a read at a quorum would get in the way of the very change that is waited for.
+    async fn wait_for_end(&self, service: &str) {
+        let asked_at = clock::now();
+        while clock::now() < asked_at + MAX_END_WAIT_MS && version_rollouts::ends_soon(&self.0, service, clock::now()) {
+            time::sleep(END_POLL_INTERVAL).await;
+        }
     }
 }
 
--- a/controller/src/rollout/rollout_analyses.rs
+++ b/controller/src/rollout/rollout_analyses.rs
@@ -86,7 +86,7 @@
 pub struct Judgement {
     /// What the samples show.
     pub verdict: Verdict,
-    /// The route with the most evidence against the candidate; empty without samples.
+    /// The route with the most evidence against the candidate; empty unless that is an alarm.
     pub worst_route: String,
     /// How long the rollout has been under way.
     pub elapsed_ms: u64,
@@ -140,14 +140,22 @@
     pub fn judge(&self, rollout: &VersionRollout, now: u64) -> Judgement {
         let mut table = self.table.lock();
         let analysis = table.of(rollout, now);
+        let verdict = analysis.canary.verdict();
+        // Looking for the route means weighing all evidence once more.
+        let worst_route = if verdict.is_alarm() { analysis.canary.worst_route() } else { None };
         Judgement {
-            verdict: analysis.canary.verdict(),
-            worst_route: analysis.canary.worst_route().unwrap_or_default().to_string(),
+            verdict,
+            worst_route: worst_route.unwrap_or_default().to_string(),
             elapsed_ms: analysis.elapsed_ms(now),
             share_for_ms: now - analysis.record_since,
         }
     }
 
+    /// Returns how long a rollout has been under way.
+    pub fn elapsed_ms(&self, rollout: &VersionRollout, now: u64) -> u64 {
+        self.table.lock().of(rollout, now).elapsed_ms(now)
+    }
+
     /// Waits until samples show that a version must not serve any longer.
     ///
     /// Cancel safe: an alarm that nobody waited for wakes the next one who does.
--- a/controller/src/rollout/version_rollouts.rs
+++ b/controller/src/rollout/version_rollouts.rs
@@ -62,13 +62,15 @@
     rollouts.filter(|rollout| rollout.state == RolloutState::Active).collect()
 }
 
-/// Returns whether a rollout is about to be complete or rolled back since its duration ends.
-pub fn ends_soon(controller: &Controller, rollout: &VersionRollout, now: u64) -> bool {
+/// Returns whether the rollout of a service, as far as it is known here, is about to be complete or rolled back since its duration
+/// ends.
+pub fn ends_soon(controller: &Controller, service: &str, now: u64) -> bool {
+    let Some(rollout) = controller.committed.version_rollout(service) else { return false };
     if rollout.state != RolloutState::Active || RolloutStage::of(rollout.share) != RolloutStage::Full {
         return false;
     }
-    let elapsed_ms = controller.rollout_analyses.judge(rollout, now).elapsed_ms;
-    schedule_of(controller, rollout).ends_soon(elapsed_ms)
+    let elapsed_ms = controller.rollout_analyses.elapsed_ms(&rollout, now);
+    schedule_of(controller, &rollout).ends_soon(elapsed_ms)
 }
 
 fn schedule_of(controller: &Controller, rollout: &VersionRollout) -> RolloutSchedule {
@@ -128,6 +130,10 @@
             format!("it fails more often than the version in place on route {worst_route} at engines under load")
         }
         Verdict::Slow => format!("it is slower than the version in place on route {worst_route}"),
+        Verdict::Unprovable => {
+            "nothing speaks against it, but too many engines of the version in place fail or are slow by themselves"
+                .into()
+        }
         Verdict::HealthyUnderLoad | Verdict::Healthy | Verdict::Inconclusive => {
             "not enough was seen of it in time".into()
         }
--- a/experiment/src/rollout/fleet.rs
+++ b/experiment/src/rollout/fleet.rs
@@ -5,7 +5,7 @@
 use protocol::message::{EndpointList, Engine};
 use protocol::version_rollout::candidates_of;
 
-use crate::rollout::{Fleet, Scenario, Version, Weather};
+use crate::rollout::{Disturbance, Fleet, Scenario, Version};
 
 /// The zones.
 pub(super) const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -36,7 +36,7 @@
     /// The index of its zone.
     pub(super) zone: usize,
     pub(super) is_candidate: bool,
-    /// Whether it is one of those that the weather hits.
+    /// Whether it is one of those that the disturbance hits.
     is_hit: bool,
     pub(super) running: u32,
 }
@@ -72,7 +72,7 @@
                 engine_table.update(&EndpointList { zone: list, term: 1, sequence: 1, engines }, 0);
             }
         }
-        let hit_share = hit_share(scenario.weather);
+        let hit_share = hit_share(scenario.disturbance);
         let mut engines = Vec::new();
         for table_index in 0..engine_table.engines.len() {
             let is_candidate = engine_table.engines[table_index].candidate;
@@ -92,7 +92,7 @@
         }
         let of_version = if engine.is_candidate { self.version_failure_rate(engine, route, elapsed_ms) } else { 0.0 };
         let sound =
-            1.0 - (1.0 - FAILURE_RATE) * (1.0 - of_version) * (1.0 - self.weather_failure_rate(engine, elapsed_ms));
+            1.0 - (1.0 - FAILURE_RATE) * (1.0 - of_version) * (1.0 - self.disturbance_failure_rate(engine, elapsed_ms));
         if uniform(rng) < sound {
             return Ending::Failed;
         }
@@ -113,22 +113,22 @@
         }
     }
 
-    fn weather_failure_rate(&self, engine: &SimulatedEngine, elapsed_ms: u64) -> f64 {
+    fn disturbance_failure_rate(&self, engine: &SimulatedEngine, elapsed_ms: u64) -> f64 {
         let (duration_ms, is_hit) = (self.scenario.duration_ms, engine.is_hit);
-        match self.scenario.weather {
-            Weather::GreyErrors(_) if is_hit && elapsed_ms > duration_ms / 10 => GREY_FAILURE_RATE,
-            Weather::GreyErrorsAtLoad(_) if is_hit && elapsed_ms + LOAD_TEST_BEFORE_END_MS > duration_ms => {
+        match self.scenario.disturbance {
+            Disturbance::GreyErrors(_) if is_hit && elapsed_ms > duration_ms / 10 => GREY_FAILURE_RATE,
+            Disturbance::GreyErrorsAtLoad(_) if is_hit && elapsed_ms + LOAD_TEST_BEFORE_END_MS > duration_ms => {
                 GREY_FAILURE_RATE
             }
-            Weather::FailAll(_) if is_hit => 1.0,
-            Weather::Everywhere(rate) => rate,
+            Disturbance::FailAll(_) if is_hit => 1.0,
+            Disturbance::Everywhere(rate) => rate,
             _ => 0.0,
         }
     }
 
     fn slowness(&self, engine: &SimulatedEngine) -> f64 {
-        let of_engine = match self.scenario.weather {
-            Weather::GreySlow(_) if engine.is_hit => GREY_SLOWNESS,
+        let of_engine = match self.scenario.disturbance {
+            Disturbance::GreySlow(_) if engine.is_hit => GREY_SLOWNESS,
             _ => 1.0,
         };
         match self.scenario.version {
@@ -140,18 +140,20 @@
 
     fn is_zone_lost(&self, zone: usize, elapsed_ms: u64) -> bool {
         let from = self.scenario.duration_ms / 2;
-        self.scenario.weather == Weather::ZoneLost && zone == 0 && (from..from + ZONE_LOST_MS).contains(&elapsed_ms)
+        self.scenario.disturbance == Disturbance::ZoneLost
+            && zone == 0
+            && (from..from + ZONE_LOST_MS).contains(&elapsed_ms)
     }
 }
 
-/// Returns the share of the engines that the weather hits.
-fn hit_share(weather: Weather) -> f64 {
-    match weather {
-        Weather::GreyErrors(share)
-        | Weather::GreyErrorsAtLoad(share)
-        | Weather::FailAll(share)
-        | Weather::GreySlow(share) => share,
-        Weather::Calm | Weather::ZoneLost | Weather::Everywhere(_) => 0.0,
+/// Returns the share of the engines that the disturbance hits.
+fn hit_share(disturbance: Disturbance) -> f64 {
+    match disturbance {
+        Disturbance::GreyErrors(share)
+        | Disturbance::GreyErrorsAtLoad(share)
+        | Disturbance::FailAll(share)
+        | Disturbance::GreySlow(share) => share,
+        Disturbance::Nothing | Disturbance::ZoneLost | Disturbance::Everywhere(_) => 0.0,
     }
 }
 
--- a/experiment/src/rollout/mod.rs
+++ b/experiment/src/rollout/mod.rs
@@ -9,7 +9,7 @@
 mod summary;
 mod term;
 
-pub use scenario::{Ablation, Fleet, Scenario, Version, Weather};
+pub use scenario::{Ablation, Disturbance, Fleet, Scenario, Version};
 pub use summary::{run, standard_scenarios, Summary};
 pub use term::{simulate, TermOutcome};
 
--- a/experiment/src/rollout/scenario.rs
+++ b/experiment/src/rollout/scenario.rs
@@ -23,9 +23,9 @@
 /// What else goes wrong: at a share of the engines of both versions, drawn anew for each term.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Weather {
+pub enum Disturbance {
     /// Nothing.
-    Calm,
+    Nothing,
     /// A share of the engines fails 0.4 of its requests, from a tenth of the term on.
     GreyErrors(f64),
     /// The same, from the beginning of the load test on.
@@ -75,7 +75,7 @@
     /// The version.
     pub version: Version,
     /// What else goes wrong.
-    pub weather: Weather,
+    pub disturbance: Disturbance,
     /// What is switched off.
     pub ablation: Ablation,
 }
--- a/experiment/src/rollout/summary.rs
+++ b/experiment/src/rollout/summary.rs
@@ -5,7 +5,7 @@
 use protocol::version_rollout::RolloutState;
 use serde::Serialize;
 
-use crate::rollout::{simulate, Ablation, Fleet, Scenario, TermOutcome, Version, Weather};
+use crate::rollout::{simulate, Ablation, Disturbance, Fleet, Scenario, TermOutcome, Version};
 
 /// What came of the terms of one scenario.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
@@ -35,7 +35,7 @@
             }
         };
         let handles: Vec<_> = (0..workers).map(|first| scope.spawn(worker(first))).collect();
-        handles.into_iter().flat_map(|handle| handle.join().unwrap_or_default()).collect()
+        handles.into_iter().flat_map(|handle| handle.join().expect("a term does not panic")).collect()
     });
     summarize(scenario, &outcomes)
 }
@@ -53,7 +53,7 @@
     }
 }
 
-/// Returns the scenarios of the table: each version beside each weather.
+/// Returns the scenarios of the table: each version beside each disturbance.
 pub fn standard_scenarios(fleet: Fleet, duration_ms: u64, ablation: Ablation) -> Vec<Scenario> {
     let versions = [
         Version::Good,
@@ -65,15 +65,15 @@
         Version::OneRoute,
         Version::Late(4000),
     ];
-    let weathers = [
-        Weather::Calm,
-        Weather::GreyErrors(0.3),
-        Weather::GreyErrorsAtLoad(0.3),
-        Weather::FailAll(0.2),
-        Weather::GreySlow(0.3),
-        Weather::ZoneLost,
-        Weather::Everywhere(0.1),
+    let disturbances = [
+        Disturbance::Nothing,
+        Disturbance::GreyErrors(0.3),
+        Disturbance::GreyErrorsAtLoad(0.3),
+        Disturbance::FailAll(0.2),
+        Disturbance::GreySlow(0.3),
+        Disturbance::ZoneLost,
+        Disturbance::Everywhere(0.1),
     ];
-    let scenario = |version, weather| Scenario { fleet, duration_ms, version, weather, ablation };
-    versions.into_iter().flat_map(|version| weathers.map(|weather| scenario(version, weather))).collect()
+    let scenario = |version, disturbance| Scenario { fleet, duration_ms, version, disturbance, ablation };
+    versions.into_iter().flat_map(|version| disturbances.map(|disturbance| scenario(version, disturbance))).collect()
 }
--- a/experiment/src/rollout/term.rs
+++ b/experiment/src/rollout/term.rs
@@ -1,6 +1,7 @@
 //! One term: requests arrive, versions and engines are chosen, samples are pooled and judged, and the share moves.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::mem;
 
 use kernel::Rng;
 use load_balancing::{Arm, CandidatePlacement, Phase, SelectionContext};
@@ -109,7 +110,7 @@
         scenario: *scenario,
         fleet,
         rollouts: Rollouts::default(),
-        record: first_record(scenario.duration_ms),
+        record: VersionRollout::first(SERVICE, "v2", scenario.duration_ms),
         record_since: 0,
         pending: VecDeque::new(),
         analysis: CanaryAnalysis::new(),
@@ -122,22 +123,6 @@
     term.outcome
 }
 
-fn first_record(duration_ms: u64) -> VersionRollout {
-    VersionRollout {
-        service: SERVICE.into(),
-        number: 1,
-        order: 1,
-        target: "v2".into(),
-        duration_ms,
-        state: RolloutState::Active,
-        share: 0,
-        elapsed_ms: 0,
-        stable: None,
-        reverted: Vec::new(),
-        reason: String::new(),
-    }
-}
-
 impl Term {
     fn run(&mut self) {
         let mut arrivals = 0.0;
@@ -238,7 +223,7 @@
 
     fn end_requests(&mut self, now: u64) {
         let later = self.running.split_off(&(now + 1));
-        let ended = std::mem::replace(&mut self.running, later);
+        let ended = mem::replace(&mut self.running, later);
         for request in ended.into_values().flatten() {
             self.fleet.engines[request.engine].running -= 1;
             self.report_load(request.engine, now);
--- a/load_balancing/src/selection/packing.rs
+++ b/load_balancing/src/selection/packing.rs
@@ -12,7 +12,7 @@
 const MAX_SLOT_SHARE: f64 = 0.9;
 /// How many engines are packed at most: more would not fill up while a load test lasts.
 const MAX_PACKED_ENGINES: f64 = 3.0;
-/// How many engines a load test is to fill. One that fails by itself must not decide alone.
+/// How many engines' load a load test takes: that of more than are packed, so that these fill up.
 const LOAD_TEST_ENGINES: f64 = 4.0;
 /// A whole, in thousandths.
 const WHOLE: u32 = 1000;
--- a/protocol/src/version_rollout.rs
+++ b/protocol/src/version_rollout.rs
@@ -57,6 +57,23 @@
 }
 
 impl VersionRollout {
+    /// Returns the first record of a service's first rollout.
+    pub fn first(service: &str, target: &str, duration_ms: u64) -> VersionRollout {
+        VersionRollout {
+            service: service.into(),
+            number: 1,
+            order: 1,
+            target: target.into(),
+            duration_ms,
+            state: RolloutState::Active,
+            share: 0,
+            elapsed_ms: 0,
+            stable: None,
+            reverted: Vec::new(),
+            reason: String::new(),
+        }
+    }
+
     /// Returns the key of the register of a service's rollout.
     pub fn key(service: &str) -> String {
         format!("{KEY_PREFIX}{service}")
--- a/protocol/src/version_samples.rs
+++ b/protocol/src/version_samples.rs
@@ -29,7 +29,8 @@
     pub route: String,
     /// Of the new version, or else of the old one.
     pub is_candidate: bool,
-    /// The hash of the engine's id; 0 for the old version, whose engines are not told apart.
+    /// The hash of the engine's id; 0 where engines are not told apart: most of the old version in a large fleet, and all of it in
+    /// samples of routers before the ones that sample them.
     pub engine_hash: u64,
     /// The engine's zone.
     pub zone: String,
--- a/router/src/rollout.rs
+++ b/router/src/rollout.rs
@@ -217,6 +217,9 @@
 
     /// Records how the version that served this request did.
     pub fn record_version_outcome(&self, outcome: VersionOutcome) {
+        if self.state.rollouts().active(self.service).is_none() {
+            return;
+        }
         let served_by = self.served_by;
         let is_candidate = self.variant.is_candidate();
         let has_known_engine = is_candidate || self.is_sampled_engine(served_by.engine_hash);
--- a/tidepoint/src/experiment.rs
+++ b/tidepoint/src/experiment.rs
@@ -1,6 +1,6 @@
 //! Experiments in virtual time: drawn terms of rollouts, and what came of them.
 
-use experiment::rollout::{run, standard_scenarios, Ablation, Fleet, Scenario, Summary, Version, Weather};
+use experiment::rollout::{run, standard_scenarios, Ablation, Disturbance, Fleet, Scenario, Summary, Version};
 
 use crate::error::CommandError;
 use crate::flags::Experiment;
@@ -50,11 +50,11 @@
 }
 
 fn row(summary: &Summary) -> String {
-    let Scenario { version, weather, .. } = summary.scenario;
+    let Scenario { version, disturbance, .. } = summary.scenario;
     format!(
         "{:<14} {:<24} {:>6} {:>9} {:>9} {:>9} {:>8.3}",
         version_name(version),
-        weather_name(weather),
+        disturbance_name(disturbance),
         summary.terms,
         summary.complete,
         summary.reverted,
@@ -74,15 +74,15 @@
     }
 }
 
-fn weather_name(weather: Weather) -> String {
-    match weather {
-        Weather::Calm => "nothing".into(),
-        Weather::GreyErrors(share) => format!("grey errors {share}"),
-        Weather::GreyErrorsAtLoad(share) => format!("grey errors {share} at load"),
-        Weather::FailAll(share) => format!("failing all {share}"),
-        Weather::GreySlow(share) => format!("grey slow {share}"),
-        Weather::ZoneLost => "a lost zone".into(),
-        Weather::Everywhere(rate) => format!("errors {rate} everywhere"),
+fn disturbance_name(disturbance: Disturbance) -> String {
+    match disturbance {
+        Disturbance::Nothing => "nothing".into(),
+        Disturbance::GreyErrors(share) => format!("grey errors {share}"),
+        Disturbance::GreyErrorsAtLoad(share) => format!("grey errors {share} at load"),
+        Disturbance::FailAll(share) => format!("failing all {share}"),
+        Disturbance::GreySlow(share) => format!("grey slow {share}"),
+        Disturbance::ZoneLost => "a lost zone".into(),
+        Disturbance::Everywhere(rate) => format!("errors {rate} everywhere"),
     }
 }
 
--- a/tidepoint/src/experiment_tests.rs
+++ b/tidepoint/src/experiment_tests.rs
@@ -1,6 +1,6 @@
 //! What the flags of experiments take.
 
-use experiment::rollout::{run, Ablation, Fleet, Scenario, Version, Weather};
+use experiment::rollout::{run, Ablation, Disturbance, Fleet, Scenario, Version};
 
 use super::{parse_ablation, positive, row};
 
@@ -22,8 +22,8 @@
 #[test]
 fn a_row_tells_scenario_and_outcome() {
     let fleet = Fleet { engines: 6, slots: 8, requests_per_s: 40.0 };
-    let (version, weather) = (Version::Errors(0.5), Weather::FailAll(0.2));
-    let scenario = Scenario { fleet, duration_ms: 8000, version, weather, ablation: Ablation::Complete };
+    let (version, disturbance) = (Version::Errors(0.5), Disturbance::FailAll(0.2));
+    let scenario = Scenario { fleet, duration_ms: 8000, version, disturbance, ablation: Ablation::Complete };
     let row = row(&run(&scenario, 1, 1));
     let words: Vec<&str> = row.split_whitespace().collect();
     assert_eq!(words[..6], ["errors", "0.5", "failing", "all", "0.2", "1"]);
--- a/versions/src/baseline.rs
+++ b/versions/src/baseline.rs
@@ -4,8 +4,11 @@
 
 use crate::engine_mixture::{failing_probability, Counts};
 
-/// The engine of which samples are not told apart.
+/// The engine of which samples are not told apart. Where enough samples of others are there, its samples are left out: they hold
+/// engines that fail by themselves.
 pub(crate) const UNKNOWN_ENGINE: u64 = 0;
+/// Samples of known engines from which on those of the unknown ones are left out.
+const MIN_KNOWN_SAMPLES: f64 = 20.0;
 
 /// Lowest rate that is assumed of sound engines.
 const MIN_RATE: f64 = 0.005;
@@ -21,7 +24,7 @@
 /// Rounds of the estimate: each improves the rate with the share, and the share with the rate.
 const ROUNDS: usize = 4;
 /// The probability from which on an engine is taken for one that fails by itself.
-const FAILING_PROBABILITY: f64 = 0.5;
+const FAILING_PROBABILITY: f64 = 0.8;
 
 /// What the stable version's engines do at one time.
 #[derive(Clone, Debug)]
@@ -32,20 +35,30 @@
     pub(crate) failing_share: f64,
     /// The engines that are taken for failing.
     pub(crate) failing_engines: BTreeSet<u64>,
+    /// Whether it rests on engines that are told apart alone.
+    pub(crate) tells_engines_apart: bool,
 }
 
 impl Default for Baseline {
     fn default() -> Baseline {
-        Baseline { rate: MIN_RATE, failing_share: MIN_FAILING_SHARE, failing_engines: BTreeSet::new() }
+        Baseline {
+            rate: MIN_RATE,
+            failing_share: MIN_FAILING_SHARE,
+            failing_engines: BTreeSet::new(),
+            tells_engines_apart: false,
+        }
     }
 }
 
 impl Baseline {
     /// Estimates the baseline from the outcomes of the stable version's engines, by expectation and maximization.
     pub(crate) fn estimate(engines: &BTreeMap<u64, Counts>) -> Baseline {
-        let mut rate = rate_of(engines.values().copied(), MIN_RATE);
-        let mut share = FIRST_FAILING_SHARE;
         let known = || engines.iter().filter(|(engine, _)| **engine != UNKNOWN_ENGINE);
+        let known_samples: f64 = known().map(|(_, counts)| counts.total()).sum();
+        let tells_engines_apart = known_samples >= MIN_KNOWN_SAMPLES;
+        let counted = || engines.iter().filter(|(engine, _)| **engine != UNKNOWN_ENGINE || !tells_engines_apart);
+        let mut rate = rate_of(counted().map(|(_, counts)| *counts), MIN_RATE);
+        let mut share = FIRST_FAILING_SHARE;
         let count = known().count() as f64;
         for _ in 0..ROUNDS {
             let probability = |counts: &Counts| failing_probability(*counts, share, rate);
@@ -55,13 +68,13 @@
                 counts.scale(if *engine == UNKNOWN_ENGINE { 1.0 } else { 1.0 - probability(&counts) });
                 counts
             };
-            let next_rate = rate_of(engines.iter().map(sound), MIN_RATE);
+            let next_rate = rate_of(counted().map(sound), MIN_RATE);
             share = ((expected + MIN_FAILING_SHARE) / (count + 1.0)).clamp(MIN_FAILING_SHARE, MAX_FAILING_SHARE);
             rate = next_rate;
         }
         let is_failing = |counts: &Counts| failing_probability(*counts, share, rate) > FAILING_PROBABILITY;
         let failing_engines = known().filter(|(_, counts)| is_failing(counts)).map(|(engine, _)| *engine).collect();
-        Baseline { rate, failing_share: share, failing_engines }
+        Baseline { rate, failing_share: share, failing_engines, tells_engines_apart }
     }
 }
 
--- a/versions/src/baseline_tests.rs
+++ b/versions/src/baseline_tests.rs
@@ -46,3 +46,16 @@
     let one = BTreeMap::from([(7, Counts { passed: 0.0, bad: 1.0 })]);
     assert!(Baseline::estimate(&one).rate < 0.06);
 }
+
+#[test]
+fn samples_that_are_not_told_apart_are_left_out_where_others_are_enough() {
+    let mut mixed = engines(12, 8, 0);
+    mixed.insert(UNKNOWN_ENGINE, Counts { passed: 880.0, bad: 120.0 });
+    let baseline = Baseline::estimate(&mixed);
+    assert!(baseline.tells_engines_apart && baseline.rate < 0.02, "{}", baseline.rate);
+    assert_eq!(baseline.failing_engines.len(), 12);
+    let few =
+        BTreeMap::from([(7, Counts { passed: 5.0, bad: 0.0 }), (UNKNOWN_ENGINE, Counts { passed: 70.0, bad: 30.0 })]);
+    let baseline = Baseline::estimate(&few);
+    assert!(!baseline.tells_engines_apart && baseline.rate > 0.2, "{}", baseline.rate);
+}
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -1,7 +1,7 @@
 //! What pooled samples show of a candidate, compared with the stable version at the same time on the same routes.
 //!
-//! Failures are compared route by route and by class of load, since a candidate may be faulty on one route only, or only under
-//! load. Speed is compared route by route: the time between the events of a response, against the stable version's at the same
+//! Failures are compared route by route, since a candidate may be faulty on one route only, and over all routes at engines that are
+//! loaded, since it may fail only there. Speed is compared route by route: the time between the events of a response, against the stable version's at the same
 //! load.
 
 use std::collections::BTreeMap;
@@ -19,6 +19,9 @@
     HealthyUnderLoad,
     /// Enough samples, and none of them is evidence against the candidate; too few of engines that are loaded.
     Healthy,
+    /// Nothing speaks against the candidate, but so many engines of the stable version fail or are slow by themselves that a faulty
+    /// one could not be told from it for sure.
+    Unprovable,
     /// Too few samples, or first evidence against the candidate.
     Inconclusive,
     /// The candidate fails more often than the stable version.
@@ -37,7 +40,7 @@
 
     /// Returns whether nothing speaks against the candidate, as far as it could be seen without load.
     pub fn is_healthy(self) -> bool {
-        matches!(self, Verdict::Healthy | Verdict::HealthyUnderLoad)
+        matches!(self, Verdict::Healthy | Verdict::HealthyUnderLoad | Verdict::Unprovable)
     }
 }
 
@@ -54,7 +57,7 @@
 /// The same for a fault under load: one that fails three tenths of the requests passes in about one of two hundred cases.
 const HEALTHY_LOAD_RATIO: f64 = -5.5;
 /// The same for a small fault that other failures may hide: a version that fails a tenth of its requests passes in some hundredths of
-/// all cases, and a good one in bad weather is taken back as often.
+/// all cases, and a good one is taken back as often.
 const NO_HIDDEN_FAULT_RATIO: f64 = -1.5;
 /// The same for responses that are slow.
 const HEALTHY_SPEED_RATIO: f64 = -1.0;
@@ -133,11 +136,12 @@
         if is_suspected || !is_fast || ruled_out_ratio(&failures) > HEALTHY_RATIO {
             return Verdict::Inconclusive;
         }
-        // Among engines that fail by themselves a faulty version can't be told from a good one for sure.
-        let is_weather_bad = failures.iter().chain(&speeds).any(Evidence::is_weather_bad);
+        if failures.iter().chain(&speeds).any(Evidence::many_engines_fail) {
+            return Verdict::Unprovable;
+        }
         let hidden_faults: Vec<f64> = failures.iter().filter_map(Evidence::hidden_fault_ratio).collect();
         let hides_none = hidden_faults.is_empty() || hidden_faults.into_iter().sum::<f64>() <= NO_HIDDEN_FAULT_RATIO;
-        if !is_weather_bad && hides_none && (failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load) {
+        if hides_none && (failing_under_load <= HEALTHY_LOAD_RATIO || !self.tells_load) {
             Verdict::HealthyUnderLoad
         } else {
             Verdict::Healthy
@@ -163,7 +167,8 @@
     routes.iter().map(Evidence::strength).fold(0.0, f64::max)
 }
 
-/// Returns the log likelihood ratio of the faults that must be ruled out, over all routes: a fault shows on some of them at least.
+/// Returns the log likelihood ratio of the faults that must be ruled out, over all routes together. A fault of one route alone shows by
+/// the evidence of that route.
 fn ruled_out_ratio(routes: &[Evidence]) -> f64 {
     routes.iter().map(Evidence::ruled_out_ratio).sum()
 }
--- a/versions/src/canary_analysis_tests.rs
+++ b/versions/src/canary_analysis_tests.rs
@@ -296,3 +296,22 @@
 fn without_samples_the_verdict_is_inconclusive() {
     assert_eq!(CanaryAnalysis::new().verdict(), Verdict::Inconclusive);
 }
+
+#[test]
+fn where_many_engines_fail_by_themselves_a_good_version_cannot_be_proved() {
+    let scenario = Scenario { grey_share: 0.3, ..HEALTHY };
+    // Of the stable version's engines some are grey in each zone, and not so many that it is the zone that fails.
+    let is_spread = |seed: &u64| {
+        let in_zone = |zone: u64| (zone..ENGINES).step_by(ZONES.len());
+        let grey_in = |zone| in_zone(zone).filter(|engine| scenario.is_grey(engine + 1000, *seed)).count();
+        (0..3).all(|zone| (1..=5).contains(&grey_in(zone)))
+    };
+    let seeds: Vec<u64> = (0..300).filter(is_spread).collect();
+    assert!(seeds.len() >= 60, "{}", seeds.len());
+    let verdicts: Vec<Verdict> = seeds.into_iter().map(|seed| simulate(&scenario, seed, 8000).0).collect();
+    let count = |is_counted: fn(&Verdict) -> bool| verdicts.iter().filter(|verdict| is_counted(verdict)).count();
+    let proved = count(|verdict| matches!(verdict, Verdict::Healthy | Verdict::HealthyUnderLoad));
+    assert!(proved * 50 <= verdicts.len(), "{proved} of {}: {verdicts:?}", verdicts.len());
+    assert!(count(|verdict| *verdict == Verdict::Unprovable) * 10 >= verdicts.len() * 9, "{verdicts:?}");
+    assert!(Verdict::Unprovable.is_healthy() && !Verdict::Unprovable.is_alarm());
+}
--- a/versions/src/load_model.rs
+++ b/versions/src/load_model.rs
@@ -6,6 +6,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::baseline::UNKNOWN_ENGINE;
+
 /// How many samples the line is fitted to.
 const KEPT_SAMPLES: usize = 400;
 /// Samples before the model predicts.
@@ -27,8 +29,6 @@
 const SLOW_ENGINE_RATIO: f64 = 1.25;
 /// Responses of an engine before that is told.
 const MIN_ENGINE_SAMPLES: usize = 3;
-/// The engine of which samples are not told apart.
-const UNKNOWN_ENGINE: u64 = 0;
 
 /// One response.
 #[derive(Clone, Copy, Debug)]
@@ -114,15 +114,28 @@
     }
 
     fn fitted(&self) -> Option<Fit> {
+        let unknown = self.unknown_engine();
         let slow = self.engines_above(SLOW_ENGINE_INTERVAL, |sample| sample.interval_us);
+        let slow: BTreeSet<u64> = slow.union(&unknown).copied().collect();
         let line = Line::fit(self.samples_without(&slow))?;
         let slow = self.engines_above(SLOW_ENGINE_RATIO, |sample| line.ratio(sample.running, sample.interval_us));
+        let slow: BTreeSet<u64> = slow.union(&unknown).copied().collect();
         let line = Line::fit(self.samples_without(&slow))?;
         let ratios = self.samples_without(&slow).map(|sample| line.ratio(sample.running, sample.interval_us));
         let limit = quantile(ratios.collect(), LIMIT_QUANTILE) * QUANTILE_MARGIN;
         Some(Fit { line, limit: limit.max(MIN_LIMIT) })
     }
 
+    /// Returns the engine that stands for all that are not told apart, where there are enough samples of others.
+    fn unknown_engine(&self) -> BTreeSet<u64> {
+        let known = self.samples.iter().filter(|sample| sample.engine != UNKNOWN_ENGINE).count();
+        if known >= MIN_SAMPLES {
+            BTreeSet::from([UNKNOWN_ENGINE])
+        } else {
+            BTreeSet::new()
+        }
+    }
+
     fn samples_without<'a>(&'a self, engines: &'a BTreeSet<u64>) -> impl Iterator<Item = &'a Sample> + Clone {
         self.samples.iter().filter(|sample| !engines.contains(&sample.engine))
     }
--- a/versions/src/load_model_tests.rs
+++ b/versions/src/load_model_tests.rs
@@ -58,3 +58,14 @@
     let model = model_beside_slow_engines(10);
     assert_eq!(model.is_slow(1, 5500.0 * 8.0), Some(false));
 }
+
+#[test]
+fn slow_engines_that_are_not_told_apart_do_not_bend_the_line_either() {
+    let mut model = LoadModel::default();
+    for step in 0..600_u32 {
+        let (engine, slowness) = if step % 2 == 0 { (u64::from(step % 7) + 1, 1.0) } else { (0, 8.0) };
+        model.record(engine, step % 5, 5000.0 * (1.0 + 0.1 * f64::from(step % 5)) * slowness);
+    }
+    assert_eq!(model.is_slow(1, 5500.0), Some(false));
+    assert_eq!(model.is_slow(1, 5500.0 * 1.5), Some(true));
+}
--- a/versions/src/outcome_history.rs
+++ b/versions/src/outcome_history.rs
@@ -8,7 +8,7 @@
 use std::mem;
 use std::ops::Range;
 
-use crate::baseline::{rate_of, weighted_rate_of, Baseline};
+use crate::baseline::{rate_of, weighted_rate_of, Baseline, UNKNOWN_ENGINE};
 use crate::engine_mixture::{either, Counts, Observed};
 
 /// Length of a span.
@@ -26,7 +26,12 @@
 /// The most that the lost responses of one zone add, where there are several.
 const ZONE_CAP: f64 = 4.2;
 /// The share of engines that fail by themselves from which on many do.
-const BAD_FAILING_SHARE: f64 = 0.1;
+const MANY_FAILING_SHARE: f64 = 0.1;
+/// The share of a zone's engines that fail from which on it is the zone that fails.
+const FAILING_ZONE_SHARE: f64 = 0.8;
+/// Bad outcomes of an engine that fails by itself, on average, before many are taken for such ones: where traffic is thin one alone
+/// makes an engine look so.
+const MIN_BAD_OF_FAILING: f64 = 2.0;
 /// The rate of sound engines of the stable version from which on a small fault of the candidate may be hidden.
 const HIDING_RATE: f64 = 0.03;
 /// The share of engines that are assumed to fail by themselves where there is one engine only.
@@ -126,19 +131,19 @@
     /// The log likelihood ratios over everything, by size of the fault: the lower, the surer that there is none.
     lasting: [f64; FAULT_RATE_COUNT],
     /// Whether many engines of the stable version fail by themselves.
-    is_weather_bad: bool,
+    many_engines_fail: bool,
     /// Whether sound engines of the stable version fail so many requests that a small fault of the candidate may be hidden.
     may_hide_fault: bool,
 }
 
 /// How much of the evidence against a candidate is left out where many engines fail by themselves: a canary goes to few engines at a
 /// time, and these may all be such ones.
-const BAD_WEATHER_ALLOWANCE: f64 = 3.0;
+const FAILING_ENGINES_ALLOWANCE: f64 = 3.0;
 
 impl Evidence {
     /// Returns how much speaks against the candidate.
     pub(crate) fn strength(&self) -> f64 {
-        let allowance = if self.is_weather_bad { BAD_WEATHER_ALLOWANCE } else { 0.0 };
+        let allowance = if self.many_engines_fail { FAILING_ENGINES_ALLOWANCE } else { 0.0 };
         (self.against - allowance).max(0.0)
     }
 
@@ -148,8 +153,8 @@
     }
 
     /// Returns whether many engines of the stable version fail by themselves.
-    pub(crate) fn is_weather_bad(&self) -> bool {
-        self.is_weather_bad
+    pub(crate) fn many_engines_fail(&self) -> bool {
+        self.many_engines_fail
     }
 
     /// Returns the log likelihood ratio, over everything, of the smallest fault where other failures may hide it. `None` where few
@@ -200,9 +205,9 @@
     pub(crate) fn evidence(&self) -> Evidence {
         let failing_share = self.failing_share();
         let by_span: Vec<_> = (0..self.spans.len()).map(|at| self.observed(at)).collect();
-        let is_weather_bad = self.is_weather_bad();
+        let many_engines_fail = self.many_engines_fail();
         let may_hide_fault = self.baseline.rate >= HIDING_RATE;
-        let mut evidence = Evidence { is_weather_bad, may_hide_fault, ..Evidence::default() };
+        let mut evidence = Evidence { many_engines_fail, may_hide_fault, ..Evidence::default() };
         for window in WINDOWS {
             let is_recent = |span: &Span| self.spans.back().is_some_and(|last| span.index + window > last.index);
             let recent = self.spans.iter().zip(&by_span).filter(|(span, _)| is_recent(span));
@@ -219,19 +224,21 @@
 
     /// Returns the share of engines that fail by themselves, as it is to be assumed of the candidate's.
     fn failing_share(&self) -> f64 {
-        match self.candidate_engines.len() == 1 && !self.is_weather_bad() {
+        match self.candidate_engines.len() == 1 && !self.many_engines_fail() {
             true => FAILING_SHARE_OF_ONE,
             false => self.baseline.failing_share,
         }
     }
 
     /// Returns whether many engines of the stable version fail by themselves, those of a zone that fails as a whole left out.
-    fn is_weather_bad(&self) -> bool {
+    fn many_engines_fail(&self) -> bool {
         let zones = self.zone_outcomes(0..self.spans.len());
         let in_sound_zones = || zones.values().filter(|zone| !zone.is_failing());
         let failing: usize = in_sound_zones().map(|zone| zone.failing.engines.len()).sum();
         let sound: usize = in_sound_zones().map(|zone| zone.sound.engines.len()).sum();
-        failing > 0 && failing as f64 >= BAD_FAILING_SHARE * (failing + sound) as f64
+        let bad: f64 = in_sound_zones().map(|zone| zone.failing.counts.bad).sum();
+        let is_shown = failing > 0 && bad >= MIN_BAD_OF_FAILING * failing as f64;
+        is_shown && failing as f64 >= MANY_FAILING_SHARE * (failing + sound) as f64
     }
 
     /// Returns the log likelihood ratio by size of the fault.
@@ -335,7 +342,9 @@
     /// Returns the outcomes of the stable version in some spans, by zone.
     fn zone_outcomes(&self, spans: Range<usize>) -> BTreeMap<usize, ZoneOutcomes> {
         let mut zones: BTreeMap<usize, ZoneOutcomes> = BTreeMap::new();
-        for (key, counts) in spans.flat_map(|at| &self.spans[at].stable) {
+        let is_counted = |key: &EngineKey| key.engine != UNKNOWN_ENGINE || !self.baseline.tells_engines_apart;
+        let outcomes = spans.flat_map(|at| &self.spans[at].stable);
+        for (key, counts) in outcomes.filter(|(key, _)| is_counted(key)) {
             let is_failing = self.baseline.failing_engines.contains(&key.engine);
             zones.entry(key.zone).or_default().add(key.engine, *counts, is_failing);
         }
@@ -366,12 +375,13 @@
         group.counts.add(counts);
     }
 
-    /// Returns whether most of its engines fail.
+    /// Returns whether nearly all of its engines fail.
     fn is_failing(&self) -> bool {
-        self.failing.engines.len() > self.sound.engines.len()
+        let (failing, sound) = (self.failing.engines.len(), self.sound.engines.len());
+        failing as f64 >= FAILING_ZONE_SHARE * (failing + sound) as f64
     }
 
-    /// Returns the rate of the zone. Where most of its engines fail, it is the zone that fails and not some of its engines. These
+    /// Returns the rate of the zone. Where nearly all of its engines fail, it is the zone that fails and not some of its engines. These
     /// are counted, not their outcomes: one that fails at once gets more requests than others.
     fn rate(&self, overall: f64) -> f64 {
         let failing = if self.is_failing() { self.failing.counts } else { Counts::default() };
--- a/versions/src/rollout_schedule.rs
+++ b/versions/src/rollout_schedule.rs
@@ -2,7 +2,7 @@
 //!
 //! A rollout has three stages. In the canary the candidate gets a small share, spread over all of its engines, for as long as
 //! completing in time allows. In the load test it gets a larger share, and few of its engines get as many requests as they bear.
-//! Then it gets all requests until the rollout is declared complete. It ends within its duration in either case: a candidate that is
+//! Then it gets each request that would not end at the stable version before the rollout is declared complete. It ends within its duration in either case: a candidate that is
 //! not found healthy in time is rolled back.
 //!
 //! Until the candidate gets all requests, what it had plus what it gets until a verdict acts stays within the share of requests
@@ -21,18 +21,19 @@
 const CANARY_PART: f64 = 0.4;
 /// How long the load test lasts: as long as engines take to fill their slots and to show what that does.
 const LOAD_TEST_MS: u64 = 1300;
-/// How much longer it may last where there is first evidence against the candidate.
+/// How much longer it may last where the candidate is not proved to be healthy under load.
 const MAX_EXTENSION_MS: u64 = 800;
 /// How long after a fault began, with this share of the requests, no router sends to the candidate any more: samples are
 /// reported, pooled and judged, and the record is committed and delivered.
 const REACTION_MS: u64 = 500;
 /// How long a candidate that is not found healthy at the end of the canary may take to become so.
 const VERDICT_GRACE_MS: u64 = 400;
-/// How long the last stage lasts before the rollout is declared complete, as planned and at least. In it the candidate gets each
-/// request that would not end at the stable version before that.
+/// How long the last stage is planned to last at most. In it the candidate gets each request that would not end at the stable version
+/// before the rollout is complete.
 const MAX_FULL_SHARE_MS: u64 = 3000;
-/// The same as a part of the duration, where that is short.
+/// The part of the duration, one in so many, that it is planned to last where that is less.
 const FULL_SHARE_PART: u64 = 4;
+/// How long it lasts at least before the rollout is declared complete.
 const MIN_FULL_SHARE_MS: u64 = 1200;
 /// How long before its duration ends a rollout is declared complete.
 const COMPLETION_MARGIN_MS: u64 = 300;
@@ -48,7 +49,7 @@
     Canary,
     /// A larger share, on few engines.
     LoadTest,
-    /// All requests.
+    /// All requests, each no earlier than its length needs.
     Full,
 }
 
@@ -135,7 +136,7 @@
         (self.canary_ms() + VERDICT_GRACE_MS) as f64 * share_of_all(self.canary_share())
     }
 
-    /// Returns how much longer the load test may last where there is first evidence against the candidate.
+    /// Returns how much longer the load test may last where the candidate is not proved to be healthy under load.
     fn extension_ms(&self) -> u64 {
         let affordable_ms = self.unspent_ms() / share_of_all(self.load_test_share());
         (affordable_ms as u64).saturating_sub(LOAD_TEST_MS + REACTION_MS).min(MAX_EXTENSION_MS)
@@ -161,7 +162,7 @@
             return if share == 0 { RolloutStep::SetShare(self.canary_share()) } else { RolloutStep::Hold };
         }
         match verdict {
-            Verdict::Healthy | Verdict::HealthyUnderLoad => RolloutStep::SetShare(self.load_test_share()),
+            _ if verdict.is_healthy() => RolloutStep::SetShare(self.load_test_share()),
             _ if elapsed_ms >= self.canary_ms() + VERDICT_GRACE_MS => RolloutStep::RollBack,
             _ => RolloutStep::Hold,
         }
--- a/versions/src/rollout_schedule_tests.rs
+++ b/versions/src/rollout_schedule_tests.rs
@@ -132,6 +132,8 @@
     assert_eq!(step(1200, Verdict::HealthyUnderLoad), RolloutStep::Hold);
     assert_eq!(step(1300, Verdict::HealthyUnderLoad), RolloutStep::SetShare(FULL_SHARE));
     assert_eq!(step(1300, Verdict::Healthy), RolloutStep::Hold, "nothing was seen under load");
+    assert_eq!(step(1300, Verdict::Unprovable), RolloutStep::Hold);
+    assert_eq!(step(2200, Verdict::Unprovable), RolloutStep::RollBack);
     assert_eq!(step(2200, Verdict::Healthy), RolloutStep::RollBack);
     assert_eq!(step(1300, Verdict::Inconclusive), RolloutStep::Hold);
     assert_eq!(step(1900, Verdict::Inconclusive), RolloutStep::Hold);
