soak: planned work over real processes, with clients that use connections to the end

Cause: the record of requests taken long after SIGTERM; no test of ours ended processes in series, under traffic, beside signals and changes that overlap, with clients that go on using a connection until the process is gone. Change: crate and program `soak`: routers and controllers as processes on loopback, SIGTERM, SIGHUP, restarts and changes in series drawn from a seed; judged by what clients, engines and the operator saw.

--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,166 @@
+//! The daemons of a run: their addresses, their settings, and their processes.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::{fs, io};
+
+use tokio::task::JoinHandle;
+
+use crate::process::{Daemon, Launch};
+use crate::scenario::{Action, Scenario, Target};
+
+/// The zones that daemons and engines are spread over.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+/// The first of the networks 127.N that runs use; the seed chooses among as many.
+const FIRST_NETWORK: u64 = 130;
+const NETWORKS: u64 = 100;
+
+/// The addresses of a run, all in one network of the loopback interface.
+#[derive(Clone, Copy, Debug)]
+pub struct Network(u64);
+
+impl Network {
+    /// Returns the network of a seed.
+    pub fn of_seed(seed: u64) -> Network {
+        Network(FIRST_NETWORK + seed % NETWORKS)
+    }
+
+    fn host(self, group: u32, place: usize) -> String {
+        format!("127.{}.{group}.{}", self.0, place + 1)
+    }
+
+    fn controller_ip(self, place: usize) -> String {
+        self.host(0, place)
+    }
+
+    fn router_ip(self, place: usize) -> String {
+        self.host(1, place)
+    }
+
+    /// Returns where a controller takes operators' requests.
+    pub fn control(self, place: usize) -> String {
+        format!("{}:7803", self.controller_ip(place))
+    }
+
+    /// Returns where a router takes clients' requests.
+    pub fn frontend(self, place: usize) -> String {
+        format!("{}:7801", self.router_ip(place))
+    }
+
+    /// Returns where a router answers readiness checks.
+    pub fn readiness(self, place: usize) -> String {
+        format!("{}:7802", self.router_ip(place))
+    }
+
+    /// Returns the address of an engine.
+    pub fn engine(self, place: usize) -> String {
+        format!("{}:7820", self.host(2, place))
+    }
+
+    /// Returns the address of the platform's list.
+    pub fn platform(self) -> String {
+        format!("{}:7800", self.host(3, 0))
+    }
+}
+
+/// Where the programs of a run come from.
+#[derive(Clone, Debug)]
+pub enum Programs {
+    /// This program itself, with the name of the daemon as its arguments.
+    Own(PathBuf),
+    /// The programs in a folder, for runs of an earlier build.
+    Folder(PathBuf),
+}
+
+impl Programs {
+    fn launch(&self, role: &str, dir: &Path, name: &str) -> Launch {
+        let (program, arguments) = match self {
+            Programs::Own(program) => (program.clone(), vec!["daemon".to_string(), role.to_string()]),
+            Programs::Folder(folder) => (folder.join(role), Vec::new()),
+        };
+        Launch { program, arguments, settings: dir.join(format!("{name}.toml")), log: dir.join(format!("{name}.log")) }
+    }
+}
+
+/// All daemons of a run.
+pub struct Fleet {
+    /// The routers in their order.
+    pub routers: Vec<Arc<Daemon>>,
+    /// The controllers in their order.
+    pub controllers: Vec<Arc<Daemon>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Fleet {
+    /// Writes all settings into `dir` and starts all daemons.
+    ///
+    /// # Errors
+    ///
+    /// When a file can't be written.
+    pub fn start(scenario: &Scenario, programs: &Programs, dir: &Path) -> io::Result<Fleet> {
+        let network = Network::of_seed(scenario.seed);
+        let mut fleet = Fleet { routers: Vec::new(), controllers: Vec::new(), tasks: Vec::new() };
+        for place in 0..scenario.controllers {
+            let name = format!("controller-{place}");
+            let disk = dir.join(&name);
+            fs::create_dir_all(&disk)?;
+            let binds = format!("control_plane = \"{}\"", network.control(place));
+            let text = settings(scenario, &network.controller_ip(place), &name, place, &binds, Some(&disk));
+            fs::write(dir.join(format!("{name}.toml")), text)?;
+            let daemon = fleet.launch(programs.launch("controller", dir, &name));
+            fleet.controllers.push(daemon);
+        }
+        for place in 0..scenario.routers {
+            let name = format!("router-{place}");
+            let binds =
+                format!("frontend = \"{}\"\nreadiness = \"{}\"", network.frontend(place), network.readiness(place));
+            let text = settings(scenario, &network.router_ip(place), &name, place, &binds, None);
+            fs::write(dir.join(format!("{name}.toml")), text)?;
+            let daemon = fleet.launch(programs.launch("router", dir, &name));
+            fleet.routers.push(daemon);
+        }
+        Ok(fleet)
+    }
+
+    fn launch(&mut self, launch: Launch) -> Arc<Daemon> {
+        let (daemon, task) = Daemon::start(launch);
+        self.tasks.push(task);
+        daemon
+    }
+
+    /// Lets an action happen to a daemon.
+    pub fn apply(&self, target: Target, action: Action) {
+        let daemon = match target {
+            Target::Router(place) => &self.routers[place],
+            Target::Controller(place) => &self.controllers[place],
+        };
+        match action {
+            Action::Terminate => daemon.terminate(),
+            Action::Reload => daemon.reload(),
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // The tasks own the child processes, which are killed with them.
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn settings(scenario: &Scenario, ip: &str, name: &str, place: usize, binds: &str, disk: Option<&Path>) -> String {
+    let network = Network::of_seed(scenario.seed);
+    let seeds: Vec<String> = (0..scenario.controllers.min(3)).map(|place| network.control(place)).collect();
+    let data = disk.map_or(String::new(), |disk| format!("data_dir = {:?}\n", disk.display().to_string()));
+    format!(
+        "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"{}\"\ninternal_ports = [7810, 7815]\n\
+         seed_peers = {seeds:?}\nbootstrap = true\nquorum_member = {}\n{data}[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n\
+         [bind_addresses]\n{binds}\n[limits]\nmemory_mb = 260\nfd_limit = 4000\ndisk_mb = 64\n\
+         [bounds]\nconverge_ms = 2000\ngrace_s = {:?}\nbudget_slack = 20.0\nretry_budget = 0.2\n\
+         [cloud_api]\naddress = \"{}\"\nrate_per_s = 300.0\n",
+        ZONES[place % ZONES.len()],
+        disk.is_some(),
+        scenario.grace_s,
+        network.platform()
+    )
+}
--- /dev/null
+++ b/soak/src/process.rs
@@ -0,0 +1,117 @@
+//! One daemon as a process of the system, started again each time after it has ended.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{ExitStatus, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use parking_lot::Mutex;
+use tokio::process::{Child, Command};
+use tokio::time;
+
+/// The pause before a process that ended is started again.
+const RESTART_PAUSE: Duration = Duration::from_millis(300);
+
+/// What the log of a process and its settings are called, and how it is started.
+#[derive(Clone, Debug)]
+pub struct Launch {
+    /// The program.
+    pub program: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<String>,
+    /// The path of its settings.
+    pub settings: PathBuf,
+    /// Where its output goes.
+    pub log: PathBuf,
+}
+
+/// One incarnation of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Incarnation {
+    /// When it was started.
+    pub started: Instant,
+    /// When it got its first SIGTERM.
+    pub terminated: Option<Instant>,
+    /// When it had ended, and whether with success.
+    pub ended: Option<(Instant, bool)>,
+}
+
+/// A daemon and the incarnations of its process. The last one is the present one.
+pub struct Daemon {
+    pid: Mutex<Option<u32>>,
+    incarnations: Mutex<Vec<Incarnation>>,
+}
+
+impl Daemon {
+    /// Starts the process and keeps it running until the returned daemon's task is aborted.
+    pub fn start(launch: Launch) -> (Arc<Daemon>, tokio::task::JoinHandle<()>) {
+        let daemon = Arc::new(Daemon { pid: Mutex::new(None), incarnations: Mutex::default() });
+        let task = tokio::spawn(keep_running(daemon.clone(), launch));
+        (daemon, task)
+    }
+
+    /// Returns all incarnations so far.
+    pub fn incarnations(&self) -> Vec<Incarnation> {
+        self.incarnations.lock().clone()
+    }
+
+    /// Sends SIGTERM to the present process, if there is one.
+    pub fn terminate(&self) {
+        if !self.signal(libc::SIGTERM) {
+            return;
+        }
+        if let Some(present) = self.incarnations.lock().last_mut() {
+            present.terminated.get_or_insert(Instant::now());
+        }
+    }
+
+    /// Sends SIGHUP to the present process, if there is one.
+    pub fn reload(&self) {
+        self.signal(libc::SIGHUP);
+    }
+
+    fn signal(&self, signal: i32) -> bool {
+        let pid = *self.pid.lock();
+        // SAFETY: a signal to a process that this daemon started and has not yet reaped.
+        pid.is_some_and(|pid| unsafe { libc::kill(pid as i32, signal) } == 0)
+    }
+
+    fn began(&self, child: &Child) {
+        *self.pid.lock() = child.id();
+        self.incarnations.lock().push(Incarnation { started: Instant::now(), terminated: None, ended: None });
+    }
+
+    fn ended(&self, status: ExitStatus) {
+        *self.pid.lock() = None;
+        if let Some(present) = self.incarnations.lock().last_mut() {
+            present.ended = Some((Instant::now(), status.success()));
+        }
+    }
+}
+
+async fn keep_running(daemon: Arc<Daemon>, launch: Launch) {
+    loop {
+        let mut child = spawn(&launch).expect("the program starts");
+        daemon.began(&child);
+        let status = child.wait().await.expect("a child process");
+        daemon.ended(status);
+        time::sleep(RESTART_PAUSE).await;
+    }
+}
+
+fn open_log(path: &Path) -> std::io::Result<File> {
+    File::options().create(true).append(true).open(path)
+}
+
+fn spawn(launch: &Launch) -> std::io::Result<Child> {
+    let log = open_log(&launch.log)?;
+    Command::new(&launch.program)
+        .args(&launch.arguments)
+        .env("TIDEPOINT_CONFIG", &launch.settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .kill_on_drop(true)
+        .spawn()
+}
