Tallies: counters that both sides of a cut keep, replicated without a quorum

Change: crate `tally`: a grow-only set of entries in one log an origin, version vectors, who is in reach, when an add may be acknowledged (machine_loss + 1 disks in zones + 1 zones, or all replicas in reach). Each controller with a disk is a replica with a store of its own (consensus::Store takes any record), others redirect; 503 promises that nothing was done, 504 does not. Protocol version 8: TallySync and TallySynced, sent only to controllers that read them.

--- a/consensus/src/acceptor.rs
+++ b/consensus/src/acceptor.rs
@@ -11,7 +11,7 @@
 };
 use rkyv::{Archive, Deserialize, Serialize};
 
-use crate::{decode_membership, quorum, MEMBERSHIP_KEY};
+use crate::{decode_membership, quorum, StoredRecord, MEMBERSHIP_KEY};
 
 /// One change of an acceptor's state, as it is logged. Later records replace earlier ones.
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
@@ -24,6 +24,18 @@
     VotingEnabled,
 }
 
+kernel::impl_archive_bytes!(LogRecord);
+
+impl StoredRecord for LogRecord {
+    fn to_bytes(&self) -> Vec<u8> {
+        self.to_bytes()
+    }
+
+    fn from_bytes(bytes: &[u8]) -> Option<Self> {
+        LogRecord::from_bytes(bytes)
+    }
+}
+
 /// The state of one acceptor.
 ///
 /// Invariants: the prepared number of a register and the position of its entry never decrease; the proposal number of
--- a/consensus/src/lib.rs
+++ b/consensus/src/lib.rs
@@ -29,7 +29,7 @@
 pub use proposal::{Decision, Progress, Proposal};
 pub use reconfiguration::{next_membership, stabilized, ClusterView, Health, MembershipTransition, MEMBER_TIMEOUT_MS};
 pub use round::{next_term, Ownership, Round, RoundProgress};
-pub use storage::{Store, StoreError};
+pub use storage::{Store, StoreError, StoredRecord};
 
 /// The key of the register that holds the core membership.
 pub const MEMBERSHIP_KEY: &str = "core";
--- a/consensus/src/storage/record.rs
+++ b/consensus/src/storage/record.rs
@@ -1,13 +1,17 @@
-//! The binary form of one log record: a header with a checksum, followed by the body in rkyv's form.
+//! The binary form of one log record: a header with a checksum, followed by the body in the form that its type gives it.
 //!
 //! Header: magic (4 bytes), body length (4), the length of the segment known to be synced when the record was written
 //! (8), checksum of all the rest (4), zero (4). Numbers are little-endian.
 
 use crc32fast::Hasher;
-use rkyv::rancor;
-use rkyv::util::AlignedVec;
 
-use crate::acceptor::LogRecord;
+/// What a store holds: the records of one kind of state.
+pub trait StoredRecord: Sized {
+    /// Returns the binary form.
+    fn to_bytes(&self) -> Vec<u8>;
+    /// Parses the binary form; `None` if the bytes are not one.
+    fn from_bytes(bytes: &[u8]) -> Option<Self>;
+}
 
 /// The first bytes of every record.
 pub const MAGIC: [u8; 4] = *b"tdp1";
@@ -52,8 +56,8 @@
 /// # Panics
 ///
 /// Never in practice: a record in memory can always be serialized.
-pub fn encode(record: &LogRecord, synced_before: u64, out: &mut Vec<u8>) {
-    let body = rkyv::to_bytes::<rancor::Error>(record).expect("a log record can always be written");
+pub fn encode(record: &impl StoredRecord, synced_before: u64, out: &mut Vec<u8>) {
+    let body = record.to_bytes();
     let start = out.len();
     out.extend_from_slice(&MAGIC);
     out.extend_from_slice(&(body.len() as u32).to_le_bytes());
@@ -65,11 +69,9 @@
 }
 
 /// Decodes a record from its header and body, or returns `None` if the checksum or the body does not fit.
-pub fn decode(header_bytes: &[u8; HEADER_BYTES], header: &Header, body: &[u8]) -> Option<LogRecord> {
+pub fn decode<R: StoredRecord>(header_bytes: &[u8; HEADER_BYTES], header: &Header, body: &[u8]) -> Option<R> {
     if checksum(header_bytes, body) != header.checksum {
         return None;
     }
-    let mut aligned = AlignedVec::<16>::with_capacity(body.len());
-    aligned.extend_from_slice(body);
-    rkyv::from_bytes::<LogRecord, rancor::Error>(&aligned).ok()
+    R::from_bytes(body)
 }
--- a/consensus/src/storage/recovery.rs
+++ b/consensus/src/storage/recovery.rs
@@ -5,8 +5,8 @@
 use super::directory::{DataFile, Directory};
 use super::error::{io_error, StoreError};
 use super::files::{segment_name, snapshot_name, StoreFiles, FIRST_SEGMENT};
+use super::record::StoredRecord;
 use super::segment::SegmentReader;
-use crate::acceptor::LogRecord;
 
 /// How the records of one file ended.
 #[derive(Default)]
@@ -43,10 +43,10 @@
 }
 
 /// Passes the records of the newest snapshot to `apply`.
-pub fn read_snapshot(
+pub fn read_snapshot<R: StoredRecord>(
     directory: &dyn Directory,
     files: &StoreFiles,
-    apply: &mut dyn FnMut(LogRecord),
+    apply: &mut dyn FnMut(R),
 ) -> Result<(), StoreError> {
     if let Some(number) = files.snapshots.last() {
         read_file(directory, &snapshot_name(*number), false, apply)?;
@@ -55,10 +55,10 @@
 }
 
 /// Passes the records of the live segments to `apply`, up to the active one.
-pub fn read_log(
+pub fn read_log<R: StoredRecord>(
     directory: &dyn Directory,
     live: &[u64],
-    apply: &mut dyn FnMut(LogRecord),
+    apply: &mut dyn FnMut(R),
 ) -> Result<RecoveredLog, StoreError> {
     let active_segment = active_segment(directory, live)?;
     let mut end = FileEnd::default();
@@ -71,14 +71,14 @@
 }
 
 /// Reads the records of one file. `may_be_torn`: its end may have been written without being synced.
-fn read_file(
+fn read_file<R: StoredRecord>(
     directory: &dyn Directory,
     name: &str,
     may_be_torn: bool,
-    apply: &mut dyn FnMut(LogRecord),
+    apply: &mut dyn FnMut(R),
 ) -> Result<FileEnd, StoreError> {
     let file = directory.open(name).map_err(io_error(directory, name))?;
-    let mut reader = SegmentReader::new(&*file).map_err(io_error(directory, name))?;
+    let mut reader = SegmentReader::<R>::new(&*file).map_err(io_error(directory, name))?;
     let mut synced_bytes = 0;
     while let Some(stored) = reader.next().map_err(io_error(directory, name))? {
         synced_bytes = stored.synced_before;
--- a/consensus/src/storage/segment.rs
+++ b/consensus/src/storage/segment.rs
@@ -1,37 +1,45 @@
 //! Reads the records of one file in pieces, so that memory stays bounded by one piece or one record.
 
 use std::io;
+use std::marker::PhantomData;
 
 use super::directory::DataFile;
-use super::record::{decode, Header, HEADER_BYTES, MAGIC};
-use crate::acceptor::LogRecord;
+use super::record::{decode, Header, StoredRecord, HEADER_BYTES, MAGIC};
 
 /// How many bytes are read ahead.
 const READ_BYTES: u64 = 256 * 1024;
 
 /// Reads records in order. Invariant: all records before `offset` were complete.
-pub struct SegmentReader<'a> {
+pub struct SegmentReader<'a, R> {
     file: &'a dyn DataFile,
     size: u64,
     offset: u64,
     /// The part of the file that was read last, and where it begins.
     window: Vec<u8>,
     window_start: u64,
+    records: PhantomData<R>,
 }
 
 /// A complete record as it stands in the file.
-pub struct StoredRecord {
-    pub record: LogRecord,
+pub struct FoundRecord<R> {
+    pub record: R,
     /// Everything before this offset was synced before the record was written.
     pub synced_before: u64,
     /// The length of header and body, in bytes.
     pub size: u64,
 }
 
-impl<'a> SegmentReader<'a> {
+impl<'a, R: StoredRecord> SegmentReader<'a, R> {
     /// Starts at the beginning of a file.
     pub fn new(file: &'a dyn DataFile) -> io::Result<Self> {
-        Ok(SegmentReader { file, size: file.size()?, offset: 0, window: Vec::new(), window_start: 0 })
+        Ok(SegmentReader {
+            file,
+            size: file.size()?,
+            offset: 0,
+            window: Vec::new(),
+            window_start: 0,
+            records: PhantomData,
+        })
     }
 
     /// Returns the offset behind the last record that was read.
@@ -46,7 +54,7 @@
 
     /// Returns the next record, or `None` at the end of the file and at bytes that are not a complete record;
     /// [`SegmentReader::is_at_end`] tells which.
-    pub fn next(&mut self) -> io::Result<Option<StoredRecord>> {
+    pub fn next(&mut self) -> io::Result<Option<FoundRecord<R>>> {
         let found = self.record_at(self.offset)?;
         self.offset += found.as_ref().map_or(0, |found| found.size);
         Ok(found)
@@ -81,7 +89,7 @@
         Ok(first.iter().zip(MAGIC).any(|(byte, magic)| *byte != magic && *byte != 0))
     }
 
-    fn record_at(&mut self, offset: u64) -> io::Result<Option<StoredRecord>> {
+    fn record_at(&mut self, offset: u64) -> io::Result<Option<FoundRecord<R>>> {
         let left = self.size - offset;
         if left < HEADER_BYTES as u64 {
             return Ok(None);
@@ -95,7 +103,7 @@
         }
         let body = &self.bytes(offset, size)?[HEADER_BYTES..];
         let record = decode(&header_bytes, &header, body);
-        Ok(record.map(|record| StoredRecord { record, synced_before: header.synced_before, size }))
+        Ok(record.map(|record| FoundRecord { record, synced_before: header.synced_before, size }))
     }
 
     /// Returns bytes of the file, reading ahead by a piece.
--- a/consensus/src/storage/store.rs
+++ b/consensus/src/storage/store.rs
@@ -4,12 +4,13 @@
 //! something that was synced is an error with file and offset, because an acceptor must not forget what it promised.
 
 use std::io;
+use std::marker::PhantomData;
 use std::path::Path;
 
 use super::directory::{DataFile, Directory, FileSystemDirectory};
 use super::error::{io_error, StoreError};
 use super::files::{segment_name, snapshot_name, StoreFiles, TEMPORARY_SNAPSHOT};
-use super::record::encode;
+use super::record::{encode, StoredRecord};
 use super::recovery::{clear_later_segments, prepare_segments, read_log, read_snapshot, repair_tail};
 use crate::acceptor::LogRecord;
 
@@ -23,11 +24,12 @@
 /// Records are gathered up to this size before they are written.
 const WRITE_BYTES: usize = 1024 * 1024;
 
-/// The log of an acceptor and its snapshots, in one directory.
+/// A log of records and its snapshots, in one directory; the acceptor's unless stated.
 ///
 /// Invariants: the first `synced` bytes of the active segment are on disk; every segment before it is on disk as a
 /// whole; the snapshot numbered N holds everything of the segments below N.
-pub struct Store {
+pub struct Store<R = LogRecord> {
+    records: PhantomData<fn(R)>,
     directory: Box<dyn Directory>,
     segment: Box<dyn DataFile>,
     number: u64,
@@ -43,7 +45,7 @@
     snapshot_from: u64,
 }
 
-impl Store {
+impl<R: StoredRecord> Store<R> {
     /// Opens a directory, creating it where it is missing, and passes all records found there to `apply`, oldest
     /// first. All of them are on disk when this returns.
     ///
@@ -51,7 +53,7 @@
     ///
     /// [`StoreError::Io`] where the file system refuses; [`StoreError::Corrupted`] where something that was synced
     /// cannot be read.
-    pub fn open(path: &Path, apply: &mut dyn FnMut(LogRecord)) -> Result<Store, StoreError> {
+    pub fn open(path: &Path, apply: &mut dyn FnMut(R)) -> Result<Store<R>, StoreError> {
         let directory =
             FileSystemDirectory::open(path).map_err(|source| StoreError::Io { path: path.into(), source })?;
         Store::open_directory(Box::new(directory), SEGMENT_BYTES, apply)
@@ -60,8 +62,8 @@
     pub(crate) fn open_directory(
         directory: Box<dyn Directory>,
         segment_bytes: u64,
-        apply: &mut dyn FnMut(LogRecord),
-    ) -> Result<Store, StoreError> {
+        apply: &mut dyn FnMut(R),
+    ) -> Result<Store<R>, StoreError> {
         let files = StoreFiles::list(&*directory)?;
         let live = prepare_segments(&*directory, &files)?;
         read_snapshot(&*directory, &files, apply)?;
@@ -72,6 +74,7 @@
         clear_later_segments(&*directory, &live, log.active_segment)?;
         directory.sync().map_err(io_error(&*directory, ""))?;
         let store = Store {
+            records: PhantomData,
             directory,
             segment,
             number: log.active_segment,
@@ -92,7 +95,7 @@
     ///
     /// None of the records counts after an error, and no response that rests on them may be sent.
     /// [`StoreError::SnapshotOverdue`] where the log has reached its maximum length, else [`StoreError::Io`].
-    pub fn append(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
+    pub fn append(&mut self, records: &[R]) -> Result<(), StoreError> {
         if self.is_snapshot_overdue() {
             return Err(StoreError::SnapshotOverdue);
         }
@@ -121,7 +124,7 @@
     /// # Errors
     ///
     /// [`StoreError::Io`]. The log goes on, in the old segment or the new one, and nothing is lost.
-    pub fn snapshot(&mut self, records: &[LogRecord]) -> Result<(), StoreError> {
+    pub fn snapshot(&mut self, records: &[R]) -> Result<(), StoreError> {
         self.remove_replaced_files();
         let written = self.begin_segment().and_then(|()| self.write_snapshot(records));
         if written.is_err() {
@@ -155,7 +158,7 @@
     }
 
     /// Writes a snapshot, which appears under its name only once its content is on disk.
-    fn write_snapshot(&self, records: &[LogRecord]) -> Result<(), StoreError> {
+    fn write_snapshot(&self, records: &[R]) -> Result<(), StoreError> {
         let temporary = self.directory.create(TEMPORARY_SNAPSHOT).map_err(self.io_error(TEMPORARY_SNAPSHOT))?;
         write_records(&*temporary, 0, 0, records).map_err(self.io_error(TEMPORARY_SNAPSHOT))?;
         temporary.sync().map_err(self.io_error(TEMPORARY_SNAPSHOT))?;
@@ -193,7 +196,12 @@
 }
 
 /// Writes records one after the other from `offset` on. Returns the offset where they end.
-fn write_records(file: &dyn DataFile, mut offset: u64, synced_before: u64, records: &[LogRecord]) -> io::Result<u64> {
+fn write_records<R: StoredRecord>(
+    file: &dyn DataFile,
+    mut offset: u64,
+    synced_before: u64,
+    records: &[R],
+) -> io::Result<u64> {
     let mut block = Vec::new();
     for record in records {
         encode(record, synced_before, &mut block);
--- a/controller/src/api/mod.rs
+++ b/controller/src/api/mod.rs
@@ -11,4 +11,5 @@
 pub mod routes;
 pub mod staleness_limits;
 pub mod status;
+pub mod tallies;
 pub mod version_rollouts;
--- a/controller/src/api/operator_requests.rs
+++ b/controller/src/api/operator_requests.rs
@@ -86,7 +86,7 @@
 }
 
 /// Returns the address of the operators' interface of another controller: ports are the same on all machines.
-fn control_address(own: &str, peer: &str) -> Option<String> {
+pub fn control_address(own: &str, peer: &str) -> Option<String> {
     let (_, port) = own.rsplit_once(':')?;
     Some(format!("{peer}:{port}"))
 }
--- a/controller/src/api/routes.rs
+++ b/controller/src/api/routes.rs
@@ -13,6 +13,7 @@
 use crate::api::config::{ConfigResource, EvacuationResource, CONFIG_PATH};
 use crate::api::staleness_limits::{LatestVersionResource, RolloutCollection, StalenessLimitResource, VersionReport};
 use crate::api::status::{Fleet, Journal, Tenants};
+use crate::api::tallies::{TallyCollection, TallyResource};
 use crate::api::version_rollouts::VersionRolloutResource;
 use crate::controller::Controller;
 use crate::shutdown::Shutdown;
@@ -49,6 +50,8 @@
         .at("/rollouts/:service/:model", StalenessLimitResource(controller.clone()))
         .at("/rollouts/:service/:model/latest", latest(VersionReport::Latest))
         .at("/rollouts/:service/:model/rollback", latest(VersionReport::Rollback))
+        .at("/tallies", TallyCollection(controller.clone()))
+        .at("/tallies/:id", TallyResource(controller.clone()))
         .at("/evacuation/:zone", EvacuationResource(controller.clone()))
 }
 
--- /dev/null
+++ b/controller/src/api/tallies.rs
@@ -0,0 +1,134 @@
+//! The resources of tallies: `POST` and `GET /tallies/ID`, and `GET /tallies`, which lists them.
+
+use std::sync::Arc;
+
+use kernel::clock;
+use poem::{Endpoint, Request};
+use protocol::tally::TallyEntry;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
+
+use crate::api::operator_requests;
+use crate::api::request::read_text;
+use crate::api::response::{ApiError, ApiResponse};
+use crate::controller::Controller;
+use crate::tallies::{AddOutcome, Refusal, Tallies, TallyReplica};
+
+/// The longest body of an add.
+const MAX_BODY_BYTES: usize = 4096;
+/// When a refused caller had better come again, in milliseconds.
+const RETRY_AFTER_MS: u64 = 300;
+/// The status of an add that is in the log and could not be acknowledged in time.
+const UNCONFIRMED_STATUS: u16 = 504;
+
+/// One tally.
+pub struct TallyResource(pub Arc<Controller>);
+
+/// All tallies.
+pub struct TallyCollection(pub Arc<Controller>);
+
+/// Returns where to ask, where this controller keeps no tallies.
+fn elsewhere(controller: &Controller, path: &str) -> ApiResponse {
+    let Tallies::Elsewhere(directory) = &controller.tallies else { return overloaded() };
+    let zone = &controller.settings.zone;
+    let is_near = |ip: &str| controller.peers.read(|view| view.zone_of(ip) == zone);
+    let own = controller.settings.bind_addresses.control_plane.as_deref();
+    let replica = directory.nearest(is_near, clock::now());
+    let address = own.zip(replica).and_then(|(own, replica)| operator_requests::control_address(own, &replica));
+    match address {
+        Some(address) => ApiResponse::Redirect { address, path: path.into() },
+        None => overloaded(),
+    }
+}
+
+fn overloaded() -> ApiResponse {
+    ApiResponse::Overloaded { retry_after_ms: RETRY_AFTER_MS }
+}
+
+/// Parses an add.
+///
+/// # Errors
+///
+/// Which part of it is missing or not allowed.
+fn parse_add(tally: &str, text: &str) -> Result<TallyEntry, ApiError> {
+    let value: Map<String, Value> =
+        serde_json::from_str(text).map_err(|error| ApiError::bad_request(format!("body: {error}")))?;
+    let instance_id = value.get("instance_id").and_then(Value::as_str);
+    let instance_id = instance_id.ok_or_else(|| ApiError::bad_request("instance_id: missing or no text"))?;
+    let found = value.get("actor").ok_or_else(|| ApiError::bad_request("actor: missing"))?;
+    let amount = found.as_u64().ok_or_else(|| {
+        ApiError::bad_request(format!("actor: found {found}, must be a whole number from 0 to {}", tally::MAX_AMOUNT))
+    })?;
+    let entry = TallyEntry { tally: tally.into(), instance_id: instance_id.into(), amount };
+    tally::check_entry(&entry).map_err(|error| ApiError::bad_request(error.to_string()))?;
+    Ok(entry)
+}
+
+async fn add(replica: &TallyReplica, entry: TallyEntry) -> ApiResponse {
+    match replica.add(entry).await {
+        AddOutcome::Acknowledged => ApiResponse::Done,
+        AddOutcome::Refused(Refusal::CatchingUp | Refusal::DiskStalled | Refusal::Full) => overloaded(),
+        AddOutcome::Unconfirmed => {
+            ApiError::new(UNCONFIRMED_STATUS, "too few disks confirmed it in time: it may count").into()
+        }
+    }
+}
+
+/// Totals may exceed 64 bits: they are written as they are.
+fn total_json(total: u128) -> ApiResponse {
+    ApiResponse::Json(format!("{{\"total\":{total}}}").into_bytes())
+}
+
+fn totals_json(totals: Vec<(String, u128)>) -> ApiResponse {
+    let number = |total: u128| RawValue::from_string(total.to_string()).ok();
+    let totals: std::collections::BTreeMap<String, Option<Box<RawValue>>> =
+        totals.into_iter().map(|(name, total)| (name, number(total))).collect();
+    match serde_json::to_vec(&totals) {
+        Ok(text) => ApiResponse::Json([b"{\"tallies\":".as_slice(), &text, b"}"].concat()),
+        Err(_) => overloaded(),
+    }
+}
+
+impl TallyResource {
+    async fn answer(&self, request: &mut Request) -> Result<ApiResponse, ApiError> {
+        let name = request.path_params::<String>().unwrap_or_default();
+        let entry = match request.method().as_str() {
+            "GET" => None,
+            "POST" => Some(parse_add(&name, &read_text(request, MAX_BODY_BYTES).await?)?),
+            _ => return Err(ApiError::method_not_allowed("method: GET or POST")),
+        };
+        let Tallies::Replica(replica) = &self.0.tallies else {
+            return Ok(elsewhere(&self.0, request.uri().path()));
+        };
+        Ok(match entry {
+            Some(entry) => add(replica, entry).await,
+            None => replica.total(&name).map_or_else(overloaded, total_json),
+        })
+    }
+}
+
+impl Endpoint for TallyResource {
+    type Output = ApiResponse;
+
+    async fn call(&self, mut request: Request) -> poem::Result<ApiResponse> {
+        Ok(self.answer(&mut request).await.into())
+    }
+}
+
+impl Endpoint for TallyCollection {
+    type Output = ApiResponse;
+
+    async fn call(&self, request: Request) -> poem::Result<ApiResponse> {
+        if request.method().as_str() != "GET" {
+            return Ok(ApiError::method_not_allowed("method: GET").into());
+        }
+        Ok(match &self.0.tallies {
+            Tallies::Replica(replica) => replica.totals().map_or_else(overloaded, totals_json),
+            Tallies::Elsewhere(_) => elsewhere(&self.0, request.uri().path()),
+        })
+    }
+}
+
+#[cfg(test)]
+#[path = "tallies_tests.rs"]
+mod tests;
--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -35,6 +35,7 @@
 use crate::roles::AcquiredRoles;
 use crate::rollout::rollout_analyses::RolloutAnalyses;
 use crate::shutdown::Shutdown;
+use crate::tallies::Tallies;
 
 /// The parts of this process. Each keeps its own state behind its own lock.
 pub struct Controller {
@@ -68,6 +69,8 @@
     pub rollout_analyses: RolloutAnalyses,
     /// Shards of tenants' quotas.
     pub quotas: QuotaShards,
+    /// Tallies, or the way to them.
+    pub tallies: Tallies,
     /// The process is about to end.
     pub shutting_down: AtomicBool,
     /// The work that is finished before the process ends.
--- a/controller/src/event.rs
+++ b/controller/src/event.rs
@@ -44,5 +44,9 @@
 pub const RULE: Event = Event { code: 170, text: "limit on stale weights binds everywhere" };
 /// A router keeps its lease without confirming a staleness limit.
 pub const UNSETTLED: Event = Event { code: 171, text: "a router keeps its lease without confirming a limit" };
+/// The replica of tallies here answers from now on.
+pub const TALLIES_CAUGHT_UP: Event = Event { code: 190, text: "tallies caught up" };
+/// The replica of tallies here takes no new keys.
+pub const TALLIES_FULL: Event = Event { code: 191, text: "no room for more keys of tallies" };
 /// A version rollout took a step.
 pub const VERSION_STEP: Event = Event { code: 180, text: "step of a version rollout" };
--- a/controller/src/lib.rs
+++ b/controller/src/lib.rs
@@ -21,5 +21,6 @@
 mod rollout;
 mod shutdown;
 pub mod startup;
+mod tallies;
 #[cfg(test)]
 mod testing;
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -43,6 +43,9 @@
             let response = quota_shards::acquire_token(controller, &request);
             respond(Message::TokenResponse(Box::new(response)));
         }
+        Message::TallySync(sync) => controller.tallies.receive(&sync, now, move |answer| {
+            responder.reply(id, &Message::TallySynced(Box::new(answer)));
+        }),
         Message::UsageRequest(_) => {
             let usage = quota_shards::usage(controller);
             respond(Message::UsageResponse(Box::new(usage)));
--- a/controller/src/replication/disk_tests.rs
+++ b/controller/src/replication/disk_tests.rs
@@ -39,10 +39,10 @@
 fn what_was_completed_is_found_when_the_store_is_opened_again() {
     let path = env::temp_dir().join(format!("tidepoint-disk-{}", process::id()));
     let _ = fs::remove_dir_all(&path);
-    let mut voter = Acceptor::new("10.0.0.1");
-    let (store, empty) = open(&path, &mut voter).expect("opens");
-    assert!(empty && voter.snapshot().len() == 1);
-    let disk = Disk::start(Some(store), voter, telemetry::latency_histogram());
+    let blank = || Acceptor::new("10.0.0.1");
+    let opened = open(&path, blank).expect("opens");
+    assert!(opened.is_empty && opened.state.snapshot().len() == 1);
+    let disk = Disk::start(Some(opened.store), opened.state, telemetry::latency_histogram());
     let (done, wait) = mpsc::channel();
     disk.write(vec![core(1), LogRecord::VotingEnabled]);
     for term in 1..=300 {
@@ -51,9 +51,8 @@
     }
     let order: Vec<u64> = wait.iter().take(300).collect();
     assert_eq!(order, (1..=300).collect::<Vec<u64>>(), "in the order in which they were handed over");
-    let mut found = Acceptor::new("10.0.0.1");
-    let (_, empty) = open(&path, &mut found).expect("opens");
-    assert!(!empty);
-    assert_eq!(found.snapshot(), folded(&[core(1), LogRecord::VotingEnabled, slot("config", 300)]));
+    let found = open(&path, blank).expect("opens");
+    assert!(!found.is_empty);
+    assert_eq!(found.state.snapshot(), folded(&[core(1), LogRecord::VotingEnabled, slot("config", 300)]));
     let _ = fs::remove_dir_all(path);
 }
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -31,6 +31,7 @@
 use crate::replication::reconfiguration;
 use crate::replication::replica::Replica;
 use crate::rollout::version_rollouts;
+use crate::tallies::{exchange, ReplicaDirectory, Tallies, TallyReplica};
 use crate::{balancing, roles, shutdown};
 
 /// The parts of the controller, which register themselves here and are started in their stated order.
@@ -55,6 +56,7 @@
 part!(BALANCING, "balance", 7, balancing::start);
 part!(VERSION_ROLLOUTS, "versions", 9, version_rollouts::start);
 part!(OPERATOR_API, "control", 6, routes::start);
+part!(TALLIES, "tallies", 10, exchange::start);
 part!(PEERS, "peers", 1, start_peer_listener);
 
 /// How long to wait before the socket for peers is tried again.
@@ -98,12 +100,12 @@
 }
 
 fn open_acceptor(settings: &Settings) -> Result<OpenedAcceptor, StoreError> {
-    let mut acceptor = Acceptor::new(&settings.ip);
+    let blank = || Acceptor::new(&settings.ip);
     let Some(dir) = &settings.data_dir else {
-        return Ok(OpenedAcceptor { acceptor, store: None, is_disk_empty: true });
+        return Ok(OpenedAcceptor { acceptor: blank(), store: None, is_disk_empty: true });
     };
-    let (store, is_disk_empty) = disk::open(Path::new(dir), &mut acceptor)?;
-    Ok(OpenedAcceptor { acceptor, store: Some(store), is_disk_empty })
+    let opened = disk::open(Path::new(dir), blank)?;
+    Ok(OpenedAcceptor { acceptor: opened.state, store: Some(opened.store), is_disk_empty: opened.is_empty })
 }
 
 /// Starts the acceptor on its disk. One that bootstraps on an empty disk founds the core.
@@ -122,11 +124,19 @@
     Replica::new(acceptor, disk)
 }
 
+/// Opens the tallies where there is a disk.
+fn open_tallies(settings: &Settings, incarnation: u64, metrics: &Metrics) -> Result<Tallies, StoreError> {
+    let Some(dir) = &settings.data_dir else { return Ok(Tallies::Elsewhere(ReplicaDirectory::default())) };
+    let random = consensus::replica_id(&settings.ip, incarnation);
+    TallyReplica::open(settings, dir, random, metrics.disk_write.clone()).map(Tallies::Replica)
+}
+
 /// Puts the parts of the process together.
-fn assemble(settings: Settings, opened: OpenedAcceptor, incarnation: u64) -> Arc<Controller> {
+fn assemble(settings: Settings, opened: OpenedAcceptor, incarnation: u64) -> Result<Arc<Controller>, StoreError> {
     let metrics = Metrics::default();
+    let tallies = open_tallies(&settings, incarnation, &metrics)?;
     let view = MembershipView::new(&settings.ip, &settings.zone, LIVENESS_TIMEOUT_MS);
-    Arc::new(Controller {
+    Ok(Arc::new(Controller {
         incarnation,
         replica_id: consensus::replica_id(&settings.ip, incarnation),
         replica: start_replica(&settings, opened, &metrics),
@@ -141,25 +151,26 @@
         elapsed_times: Default::default(),
         rollout_analyses: Default::default(),
         quotas: QuotaShards::new(&settings.ip),
+        tallies,
         shutting_down: Default::default(),
         shutdown: Default::default(),
         metrics,
         settings,
-    })
+    }))
 }
 
 /// Runs a controller until it is told to end and has finished what it took, and returns the code to exit with.
 pub async fn run(settings: Settings, mut signals: Signals) -> process::ExitCode {
     let incarnation = new_incarnation();
-    let opened = match open_acceptor(&settings) {
-        Ok(opened) => opened,
+    let assembled = open_acceptor(&settings).and_then(|opened| assemble(settings, opened, incarnation));
+    let controller = match assembled {
+        Ok(controller) => controller,
         Err(error) => {
             log_event!(DISK_UNUSABLE, "cause" => error.to_string());
             eprintln!("controller: {error}");
             return process::ExitCode::from(EXIT_DISK_UNUSABLE);
         }
     };
-    let controller = assemble(settings, opened, incarnation);
     let observed = controller.clone();
     telemetry::start(&controller.settings.ip, controller.settings.metrics.as_ref(), move || {
         observed.metrics.render(&observed)
--- /dev/null
+++ b/controller/src/tallies/exchange.rs
@@ -0,0 +1,108 @@
+//! The calls to other replicas of tallies: one task each, which calls when the own log has grown and otherwise once a round.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use kernel::startup;
+use parking_lot::Mutex;
+use protocol::message::{Message, TALLIES};
+use tally::LagTracker;
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::controller::Controller;
+use crate::tallies::{Tallies, TallyReplica};
+
+/// The time from one call to the next where there is nothing to send, in milliseconds.
+const ROUND_MS: u64 = 350;
+/// A controller that keeps no tallies is called again after so long: that tells it where they are kept.
+const ELSEWHERE_PAUSE: Duration = Duration::from_secs(1);
+/// How long another replica may take to have on disk what it was sent, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 700;
+
+/// Starts the calls, where there is a replica here.
+pub fn start(controller: &Arc<Controller>) {
+    let Tallies::Replica(replica) = &controller.tallies else { return };
+    let (controller, replica) = (controller.clone(), replica.clone());
+    tokio::spawn(async move {
+        let followed = Arc::<Mutex<HashSet<String>>>::default();
+        let mut rounds = startup::interval(ROUND_MS);
+        loop {
+            rounds.tick().await;
+            for ip in readers(&controller) {
+                replica.discover(&ip, &controller.peers.read(|view| view.zone_of(&ip).to_string()));
+                if followed.lock().insert(ip.clone()) {
+                    let (controller, replica, followed) = (controller.clone(), replica.clone(), followed.clone());
+                    tokio::spawn(async move {
+                        follow(&controller, &replica, &ip).await;
+                        followed.lock().remove(&ip);
+                    });
+                }
+            }
+            replica.update_caught_up();
+        }
+    });
+}
+
+/// Returns the other controllers that know tallies.
+fn readers(controller: &Controller) -> Vec<String> {
+    let mut peers = controller.known_peers();
+    peers.retain(|ip| controller.peers.protocol_version(ip) >= TALLIES);
+    peers
+}
+
+/// What a call showed.
+enum Answer {
+    /// The replica has more than before.
+    Advanced,
+    /// It has what it had.
+    Unchanged,
+    /// That controller keeps no tallies.
+    NoReplica,
+    /// Nothing came in time.
+    Silent,
+}
+
+/// Calls one controller for as long as it is known.
+async fn follow(controller: &Controller, replica: &TallyReplica, ip: &str) {
+    let mut lag = LagTracker::default();
+    let mut own_length = replica.own_length();
+    while controller.peers.protocol_version(ip) >= TALLIES {
+        let begun = time::Instant::now();
+        own_length.mark_unchanged();
+        match call(controller, replica, ip, &mut lag).await {
+            // There may be more that it lacks.
+            Answer::Advanced => {}
+            Answer::Unchanged | Answer::Silent => wait_for_round(begun, &mut own_length).await,
+            Answer::NoReplica => time::sleep(ELSEWHERE_PAUSE).await,
+        }
+    }
+    replica.forget(ip);
+}
+
+/// Waits until a round after `begun`, or until the own log has grown.
+async fn wait_for_round(begun: time::Instant, own_length: &mut watch::Receiver<u64>) {
+    let round = begun + Duration::from_millis(ROUND_MS);
+    let _ = time::timeout_at(round, own_length.changed()).await;
+}
+
+async fn call(controller: &Controller, replica: &TallyReplica, ip: &str, lag: &mut LagTracker) -> Answer {
+    let message = Message::TallySync(Box::new(replica.sync_for(ip, lag)));
+    match controller.peers.consensus_client(ip).call(message, CALL_TIMEOUT_MS).await {
+        Some(Message::TallySynced(answer)) if !answer.is_replica => {
+            replica.forget(ip);
+            Answer::NoReplica
+        }
+        Some(Message::TallySynced(answer)) => {
+            let has_advanced = replica.record_answer(ip, *answer);
+            replica.update_caught_up();
+            if has_advanced {
+                Answer::Advanced
+            } else {
+                Answer::Unchanged
+            }
+        }
+        _ => Answer::Silent,
+    }
+}
--- /dev/null
+++ b/controller/src/tallies/replica_tests.rs
@@ -0,0 +1,135 @@
+//! Replicas with disks in a temporary folder, and the exchange between them done by hand.
+
+use std::path::{Path, PathBuf};
+use std::sync::mpsc;
+use std::time::Duration;
+use std::{env, fs, process};
+
+use kernel::settings::{self, Settings};
+use protocol::tally::{TallyEntry, TallySynced};
+use tally::LagTracker;
+use tokio::time;
+
+use super::{AddOutcome, Refusal, TallyReplica};
+
+fn settings(ip: &str, zone: &str, bootstrap: bool) -> Settings {
+    let text = format!(
+        "node_name = \"{ip}\"\nip = \"{ip}\"\nzone = \"{zone}\"\ninternal_ports = [1, 2]\nbootstrap = {bootstrap}\n\
+         [zones]\na = \"r\"\nb = \"r\"\n[limits]\nmemory_mb = 16\nfd_limit = 100\n[fault_tolerance]\nmachine_loss = 1\n\
+         zones = 1\n[cloud_api]\naddress = \"127.0.0.1:1\"\nrate_per_s = 1.0\n"
+    );
+    settings::parse(&text).expect("good settings")
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = env::temp_dir().join(format!("tidepoint-tallies-{name}-{}", process::id()));
+    let _ = fs::remove_dir_all(&path);
+    path
+}
+
+fn open(dir: &Path, ip: &str, zone: &str, bootstrap: bool) -> TallyReplica {
+    let random = dir.to_string_lossy().bytes().chain(ip.bytes()).map(u64::from).sum();
+    let dir = dir.join(ip);
+    let settings = settings(ip, zone, bootstrap);
+    TallyReplica::open(&settings, &dir.to_string_lossy(), random, telemetry::latency_histogram()).expect("opens")
+}
+
+fn entry(key: &str, amount: u64) -> TallyEntry {
+    TallyEntry { tally: "t".into(), instance_id: key.into(), amount }
+}
+
+/// One call of a replica to another, whose response waits for its disk.
+fn call(from: &TallyReplica, from_ip: &str, to: &TallyReplica, to_ip: &str, lag: &mut LagTracker) {
+    let (sender, answer) = mpsc::channel::<TallySynced>();
+    let sync = from.sync_for(to_ip, lag);
+    assert_eq!(sync.ip, from_ip);
+    to.receive(&sync, move |answer| sender.send(answer).expect("awaited"));
+    from.record_answer(to_ip, answer.recv().expect("an answer"));
+}
+
+/// Waits until a replica that was started answers.
+async fn caught_up(replica: &TallyReplica) {
+    while replica.total("t").is_none() {
+        replica.update_caught_up();
+        time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_add_waits_for_another_disk_and_is_read_there() {
+    let dir = folder("pair");
+    let (one, other) = (open(&dir, "10.0.0.1", "a", true), open(&dir, "10.0.0.2", "b", true));
+    tokio::join!(caught_up(&one), caught_up(&other));
+    one.discover("10.0.0.2", "b");
+    let adding = tokio::spawn({
+        let one = one.clone();
+        async move { one.add(entry("k", 4)).await }
+    });
+    let mut written = one.own_length();
+    written.changed().await.expect("its disk");
+    assert!(!adding.is_finished(), "its own disk is not enough while another replica may be in reach");
+    let mut lag = LagTracker::default();
+    call(&one, "10.0.0.1", &other, "10.0.0.2", &mut lag);
+    call(&one, "10.0.0.1", &other, "10.0.0.2", &mut lag);
+    assert_eq!(adding.await.expect("ends"), AddOutcome::Acknowledged);
+    assert_eq!((one.total("t"), other.total("t")), (Some(4), Some(4)));
+    assert_eq!(one.add(entry("k", 4)).await, AddOutcome::Acknowledged, "again");
+    assert_eq!(one.total("t"), Some(4), "it counts once");
+    let _ = fs::remove_dir_all(dir);
+}
+
+#[tokio::test]
+async fn alone_it_goes_on_once_the_others_have_been_silent_and_a_new_start_reads_the_disk() {
+    let dir = folder("alone");
+    let one = open(&dir, "10.0.0.1", "a", true);
+    assert_eq!(one.add(entry("early", 1)).await, AddOutcome::Refused(Refusal::CatchingUp));
+    caught_up(&one).await;
+    one.discover("10.0.0.2", "b");
+    assert_eq!(one.add(entry("k", 3)).await, AddOutcome::Unconfirmed, "the other one was there a moment ago");
+    assert_eq!(one.add(entry("k", 3)).await, AddOutcome::Acknowledged, "it is out of reach by now");
+    assert_eq!(one.add(entry("l", 5)).await, AddOutcome::Acknowledged);
+    let again = open(&dir, "10.0.0.1", "a", false);
+    assert_eq!(again.total("t"), None, "it may lack what others have");
+    caught_up(&again).await;
+    assert_eq!(again.total("t"), Some(8));
+    let _ = fs::remove_dir_all(dir);
+}
+
+#[tokio::test]
+async fn one_that_lost_its_disk_answers_only_after_another_one_told_it_what_there_is() {
+    let dir = folder("lost");
+    let one = open(&dir, "10.0.0.1", "a", true);
+    caught_up(&one).await;
+    assert_eq!(one.add(entry("k", 7)).await, AddOutcome::Acknowledged);
+    let other = open(&dir, "10.0.0.2", "b", false);
+    time::sleep(Duration::from_millis(1100)).await;
+    other.update_caught_up();
+    assert_eq!(other.total("t"), None, "nobody told it anything");
+    other.discover("10.0.0.1", "a");
+    one.discover("10.0.0.2", "b");
+    let (mut forth, mut back) = (LagTracker::default(), LagTracker::default());
+    call(&one, "10.0.0.1", &other, "10.0.0.2", &mut forth);
+    call(&other, "10.0.0.2", &one, "10.0.0.1", &mut back);
+    other.update_caught_up();
+    assert_eq!(other.total("t"), None, "it knows that it lacks something");
+    call(&one, "10.0.0.1", &other, "10.0.0.2", &mut forth);
+    call(&other, "10.0.0.2", &one, "10.0.0.1", &mut back);
+    other.update_caught_up();
+    assert_eq!(other.total("t"), Some(7));
+    let _ = fs::remove_dir_all(dir);
+}
+
+#[tokio::test]
+async fn beyond_its_room_it_takes_no_new_keys_and_answers_for_known_ones() {
+    let dir = folder("full");
+    let one = open(&dir, "10.0.0.1", "a", true);
+    caught_up(&one).await;
+    let room = tally::max_entries(16, 0);
+    for number in 0..room {
+        assert!(one.begin_add(entry(&format!("k{number}"), 1)).is_ok());
+    }
+    assert_eq!(one.add(entry("more", 1)).await, AddOutcome::Refused(Refusal::Full));
+    assert_eq!(one.add(entry("k0", 1)).await, AddOutcome::Acknowledged);
+    assert_eq!(one.total("t"), Some(room as u128));
+    let _ = fs::remove_dir_all(dir);
+}
--- a/kernel/src/settings/mod.rs
+++ b/kernel/src/settings/mod.rs
@@ -53,6 +53,9 @@
     /// The deployment's keep-alive interval, in milliseconds. The daemons derive nothing from it.
     #[serde(default = "default_keepalive_ms")]
     pub keepalive_ms: u64,
+    /// What may be lost at once with all rules kept.
+    #[serde(default)]
+    pub fault_tolerance: FaultTolerance,
     /// All zones of the deployment, each with its region.
     pub zones: BTreeMap<String, String>,
     /// Where the daemon listens for others than daemons.
@@ -106,6 +109,24 @@
     pub disk_mb: u64,
 }
 
+/// What may be lost at once with all rules kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(default)]
+pub struct FaultTolerance {
+    /// How many of the machines that may be voting members.
+    pub machine_loss: u32,
+    /// How many zones.
+    pub zones: u32,
+    /// How many regions. The daemons derive nothing from it.
+    pub region_loss: u32,
+}
+
+impl Default for FaultTolerance {
+    fn default() -> Self {
+        FaultTolerance { machine_loss: 1, zones: 1, region_loss: 0 }
+    }
+}
+
 /// The figures of the rules; each has its usual value where a deployment leaves it out.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(default)]
--- a/protocol/src/capability.rs
+++ b/protocol/src/capability.rs
@@ -6,7 +6,7 @@
 
 /// The newest version of the protocol that this program reads. Daemons send it as the term of
 /// [`HiddenKey::ProtocolVersion`].
-pub const PROTOCOL_VERSION: u64 = 7;
+pub const PROTOCOL_VERSION: u64 = 8;
 
 /// The version of daemons that name none.
 const FIRST_PROTOCOL_VERSION: u64 = 1;
@@ -40,6 +40,9 @@
 /// Daemons from this version on take and give samples of rollouts as `EngineSamples`.
 pub const ENGINE_SAMPLES: u64 = 7;
 
+/// Controllers from this version on keep tallies and take `TallySync`.
+pub const TALLIES: u64 = 8;
+
 /// Returns whether a name in a list of versions is no zone's.
 pub fn is_hidden_key(name: &str) -> bool {
     HiddenKey::parse(name).is_some()
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod renewal;
 pub mod socket;
 mod staleness_limit;
+pub mod tally;
 pub mod traffic;
 mod version_entry;
 pub mod version_rollout;
@@ -36,4 +37,6 @@
 #[cfg(test)]
 mod stored_by_7_tests;
 #[cfg(test)]
+mod stored_by_8_tests;
+#[cfg(test)]
 mod testing;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -15,6 +15,7 @@
 use crate::operator_request::{CommittedDelta, OperatorRequest, OperatorResponse};
 use crate::quota::{ShardOwner, ShardUsage, TokenRequest, TokenResponse};
 use crate::renewal::SubscriptionRenewed;
+use crate::tally::{TallySync, TallySynced};
 use crate::version_rollout::{Samples, VersionRollout};
 use crate::version_samples::{EngineSamples, SampleRequest};
 
@@ -121,4 +122,8 @@
     SampleRequest(Box<SampleRequest>),
     /// What routers saw of a rollout, by engine and load. Since version 7.
     EngineSamples(Box<EngineSamples>),
+    /// What a replica of tallies has, and entries that another one lacks. Since version 8.
+    TallySync(Box<TallySync>),
+    /// The response to `TallySync`. Since version 8.
+    TallySynced(Box<TallySynced>),
 }
--- a/protocol/src/stored_by_7_tests.rs
+++ b/protocol/src/stored_by_7_tests.rs
@@ -3,8 +3,8 @@
 use std::fs;
 use std::path::{Path, PathBuf};
 
-use crate::frame::{self, Kind, HEADER_BYTES};
 use crate::message::Message;
+use crate::testing::stored_frames::{assert_stored, frames};
 use crate::version_samples::{EngineSamples, SampleCounts, SampleKey, SampleRequest, SampledInterval};
 
 fn fixture() -> PathBuf {
@@ -35,27 +35,13 @@
     ]
 }
 
-fn frames() -> Vec<u8> {
-    let encode = |message: &Message| frame::encode(Kind::Notification, 0, message).expect("sealed");
-    messages().iter().map(encode).collect::<Vec<_>>().concat()
-}
-
 #[test]
 #[ignore = "writes the fixture of version 7"]
 fn write_fixture() {
-    fs::write(fixture(), frames()).expect("written");
+    fs::write(fixture(), frames(&messages())).expect("written");
 }
 
 #[test]
 fn messages_of_version_7_are_read_and_written_to_the_byte() {
-    let bytes = fs::read(fixture()).expect("the fixture");
-    assert_eq!(frames(), bytes);
-    let mut rest = bytes.as_slice();
-    for expected in messages() {
-        let (head, body) = rest.split_first_chunk::<HEADER_BYTES>().expect("a head");
-        let (body, behind) = body.split_at(frame::decode_header(head).expect("a head").len);
-        assert_eq!(frame::decode_body(body).expect("a body"), expected);
-        rest = behind;
-    }
-    assert!(rest.is_empty(), "{} bytes behind the last frame", rest.len());
+    assert_stored(&fs::read(fixture()).expect("the fixture"), messages());
 }
--- /dev/null
+++ b/protocol/src/stored_by_8_tests.rs
@@ -0,0 +1,40 @@
+//! The messages that version 8 added, as they stand on the wire: later versions must read them as they were meant.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use crate::message::Message;
+use crate::tally::{Origin, OriginVersion, TallyBatch, TallyEntry, TallySync, TallySynced};
+use crate::testing::stored_frames::{assert_stored, frames};
+
+fn fixture() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("fixtures/messages-8.bin")
+}
+
+/// Every message that version 8 added.
+pub(crate) fn messages() -> Vec<Message> {
+    let entry = TallyEntry { tally: "t3".into(), instance_id: "5c0e7a21d94b36f8".into(), amount: (1 << 53) - 1 };
+    let durable =
+        vec![OriginVersion { origin: Origin(u64::MAX), length: 7 }, OriginVersion { origin: Origin(1), length: 0 }];
+    let sync = TallySync {
+        ip: "10.0.0.1".into(),
+        durable: durable.clone(),
+        caught_up: true,
+        batches: vec![TallyBatch { origin: Origin(u64::MAX), start: 6, entries: vec![entry] }],
+    };
+    vec![
+        Message::TallySync(Box::new(sync)),
+        Message::TallySynced(Box::new(TallySynced { is_replica: true, caught_up: false, durable })),
+    ]
+}
+
+#[test]
+#[ignore = "writes the fixture of version 8"]
+fn write_fixture() {
+    fs::write(fixture(), frames(&messages())).expect("written");
+}
+
+#[test]
+fn messages_of_version_8_are_read_and_written_to_the_byte() {
+    assert_stored(&fs::read(fixture()).expect("the fixture"), messages());
+}
--- a/protocol/src/testing.rs
+++ b/protocol/src/testing.rs
@@ -2,3 +2,4 @@
 
 pub mod corruptions;
 pub mod samples;
+pub mod stored_frames;
--- a/protocol/src/traffic_tests.rs
+++ b/protocol/src/traffic_tests.rs
@@ -7,12 +7,17 @@
 use super::{record, register, Direction};
 use crate::frame::{self, Kind};
 use crate::message::{Message, MessageKind};
-use crate::{stored_by_5_tests, stored_by_6_tests, stored_by_7_tests};
+use crate::{stored_by_5_tests, stored_by_6_tests, stored_by_7_tests, stored_by_8_tests};
 
 #[test]
 fn the_kind_of_each_message_is_found_in_its_frame() {
-    let messages =
-        [stored_by_5_tests::messages(), stored_by_6_tests::messages(), stored_by_7_tests::messages()].concat();
+    let messages = [
+        stored_by_5_tests::messages(),
+        stored_by_6_tests::messages(),
+        stored_by_7_tests::messages(),
+        stored_by_8_tests::messages(),
+    ]
+    .concat();
     for message in &messages {
         let frame = frame::encode(Kind::Notification, 0, message).expect("it fits into a frame");
         assert_eq!(frame::message_kind(&frame), Some(MessageKind::from(message)));
--- /dev/null
+++ b/tally/src/lib.rs
@@ -0,0 +1,24 @@
+//! Tallies: counters that every replica goes on with on both sides of a partition, and that agree once they hear of one
+//! another again.
+//!
+//! [`TallyLog`] is the replicated state, a grow-only set of entries in one log for each origin; it does no I/O and knows no
+//! time. [`ReplicaSet`] knows which replicas have what on disk, and decides when an entry may be acknowledged. What is
+//! stored is a [`TallyRecord`]. The design is in `docs/counters.md`.
+
+#![deny(missing_docs)]
+
+mod lag_tracker;
+mod limits;
+mod log;
+mod record;
+mod replica_set;
+#[cfg(test)]
+mod testing;
+mod version_vector;
+
+pub use lag_tracker::{LagTracker, FOREIGN_LAG_MS};
+pub use limits::{check_entry, max_entries, InvalidEntry, MAX_AMOUNT, MAX_NAME_BYTES};
+pub use log::{Dot, TallyLog};
+pub use record::TallyRecord;
+pub use replica_set::{Redundancy, ReplicaSet, REACH_MS};
+pub use version_vector::VersionVector;
--- /dev/null
+++ b/tally/src/testing/mod.rs
@@ -0,0 +1,4 @@
+//! Test support: replicas in virtual time, over links that are cut and disks that are lost.
+
+mod simulation;
+mod simulation_tests;
