Tallies: command line, metrics; the soak reads them back; diskless controllers are not waited for

Cause: a replica counted each controller that knows tallies as one in reach until it answered, also those without a disk, again at each round: beside one of these it never caught up and answered 503 for ever. Found by the first run of the command line's test with a controller without a disk.

--- a/controller/src/api/tallies.rs
+++ b/controller/src/api/tallies.rs
@@ -12,6 +12,7 @@
 use crate::api::request::read_text;
 use crate::api::response::{ApiError, ApiResponse};
 use crate::controller::Controller;
+use crate::metrics::Metrics;
 use crate::tallies::{AddOutcome, Refusal, Tallies, TallyReplica};
 
 /// The longest body of an add.
@@ -64,8 +65,10 @@
     Ok(entry)
 }
 
-async fn add(replica: &TallyReplica, entry: TallyEntry) -> ApiResponse {
-    match replica.add(entry).await {
+async fn add(replica: &TallyReplica, entry: TallyEntry, metrics: &Metrics) -> ApiResponse {
+    let outcome = replica.add(entry).await;
+    metrics.record_add(outcome);
+    match outcome {
         AddOutcome::Acknowledged => ApiResponse::Done,
         AddOutcome::Refused(Refusal::CatchingUp | Refusal::DiskStalled | Refusal::Full) => overloaded(),
         AddOutcome::Unconfirmed => {
@@ -101,7 +104,7 @@
             return Ok(elsewhere(&self.0, request.uri().path()));
         };
         Ok(match entry {
-            Some(entry) => add(replica, entry).await,
+            Some(entry) => add(replica, entry, &self.0.metrics).await,
             None => replica.total(&name).map_or_else(overloaded, total_json),
         })
     }
--- a/controller/src/metrics.rs
+++ b/controller/src/metrics.rs
@@ -16,6 +16,7 @@
 
 use crate::batches::records;
 use crate::controller::Controller;
+use crate::tallies::{AddOutcome, Tallies};
 
 /// What an operator's request is about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
@@ -88,6 +89,24 @@
     pub answer: TokenOutcome,
 }
 
+/// The outcome of an add to a tally.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelValue)]
+pub enum AddResult {
+    /// It counts and was acknowledged.
+    Acknowledged,
+    /// Nothing was done.
+    Refused,
+    /// It may count: too few disks confirmed it in time.
+    Unconfirmed,
+}
+
+/// The labels of a metric by outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct AddLabels {
+    /// The outcome.
+    pub result: AddResult,
+}
+
 /// All metrics of a controller. Labels have fixed values only, so that their number never grows.
 pub struct Metrics {
     registry: Registry,
@@ -104,6 +123,10 @@
     /// Singleton roles acquired under a new epoch.
     pub roles_acquired: Counter,
     token_responses: Family<TokenLabels, Counter>,
+    tally_adds: Family<AddLabels, Counter>,
+    tally_entries: Gauge,
+    tally_replicas: Gauge,
+    tally_replicas_in_reach: Gauge,
     config_revision: Gauge,
     confirmed: Gauge,
     core_version: Gauge,
@@ -129,6 +152,10 @@
             platform_polls: Default::default(),
             roles_acquired: Default::default(),
             token_responses: Default::default(),
+            tally_adds: Default::default(),
+            tally_entries: Default::default(),
+            tally_replicas: Default::default(),
+            tally_replicas_in_reach: Default::default(),
             config_revision: Default::default(),
             confirmed: Default::default(),
             core_version: Default::default(),
@@ -141,6 +168,7 @@
         };
         metrics.register_work();
         metrics.register_state();
+        metrics.register_tallies();
         traffic::register(&mut metrics.registry);
         metrics
     }
@@ -180,6 +208,33 @@
         registry.register("leaving", "1 once SIGTERM came", self.shutting_down.clone());
     }
 
+    fn register_tallies(&mut self) {
+        let registry = &mut self.registry;
+        registry.register("tally_adds", "Adds to tallies by what they came to", self.tally_adds.clone());
+        registry.register("tally_entries", "Entries of tallies that are kept here", self.tally_entries.clone());
+        registry.register("tally_replicas", "Other replicas of tallies that are known", self.tally_replicas.clone());
+        let help = "Those of them that answered within the last second";
+        registry.register("tally_replicas_in_reach", help, self.tally_replicas_in_reach.clone());
+    }
+
+    /// Counts an add to a tally.
+    pub fn record_add(&self, outcome: AddOutcome) {
+        let result = match outcome {
+            AddOutcome::Acknowledged => AddResult::Acknowledged,
+            AddOutcome::Refused(_) => AddResult::Refused,
+            AddOutcome::Unconfirmed => AddResult::Unconfirmed,
+        };
+        self.tally_adds.get_or_create(&AddLabels { result }).inc();
+    }
+
+    fn observe_tallies(&self, tallies: &Tallies) {
+        let Tallies::Replica(replica) = tallies else { return };
+        let counts = replica.counts();
+        self.tally_entries.set(counts.entries as i64);
+        self.tally_replicas.set(counts.known as i64);
+        self.tally_replicas_in_reach.set(counts.in_reach as i64);
+    }
+
     /// Counts a response to a request for a token.
     pub fn record_token_response(&self, spent: TokenResponse) {
         let answer = match spent {
@@ -203,6 +258,7 @@
         self.subscribed_routers.set(controller.subscribers.lease_count(now) as i64);
         self.batches.set(controller.committed.read(records::ids).len() as i64);
         self.shutting_down.set(i64::from(controller.shutting_down.load(Ordering::Relaxed)));
+        self.observe_tallies(&controller.tallies);
         telemetry::encode(&self.registry)
     }
 }
--- a/controller/src/metrics_tests.rs
+++ b/controller/src/metrics_tests.rs
@@ -3,6 +3,8 @@
 use protocol::operator_request::{OperatorRequest, OperatorResponse};
 use protocol::quota::TokenResponse;
 
+use crate::tallies::AddOutcome;
+
 use super::{Metrics, PollLabels, PollOutcome, RequestKind, RequestLabels, RequestOutcome, RequestTimer};
 
 #[test]
@@ -13,6 +15,7 @@
     RequestTimer::start(&metrics, &OperatorRequest::ReadConfig).finish(RequestOutcome::Done);
     metrics.platform_polls.get_or_create(&PollLabels { result: PollOutcome::Read }).inc();
     metrics.record_token_response(TokenResponse::Granted);
+    metrics.record_add(AddOutcome::Acknowledged);
     let text = telemetry::encode(&metrics.registry);
     assert_eq!(
         telemetry::testing::metric_names(&text),
--- a/controller/src/tallies/exchange.rs
+++ b/controller/src/tallies/exchange.rs
@@ -31,8 +31,10 @@
         loop {
             rounds.tick().await;
             for ip in readers(&controller) {
-                replica.discover(&ip, &controller.peers.read(|view| view.zone_of(&ip).to_string()));
+                let zone = controller.peers.read(|view| view.zone_of(&ip).to_string());
+                replica.set_zone(&ip, &zone);
                 if followed.lock().insert(ip.clone()) {
+                    replica.discover(&ip, &zone);
                     let (controller, replica, followed) = (controller.clone(), replica.clone(), followed.clone());
                     tokio::spawn(async move {
                         follow(&controller, &replica, &ip).await;
--- a/controller/src/tallies/replica.rs
+++ b/controller/src/tallies/replica.rs
@@ -67,6 +67,17 @@
     Unconfirmed,
 }
 
+/// How much a replica has and knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TallyCounts {
+    /// Entries in all logs.
+    pub entries: usize,
+    /// Other replicas.
+    pub known: usize,
+    /// Those of them that answered within the last second.
+    pub in_reach: usize,
+}
+
 struct State {
     log: TallyLog,
     replicas: ReplicaSet,
@@ -204,11 +215,11 @@
         state.caught_up.then(|| state.log.totals().map(|(name, total)| (name.to_string(), total)).collect())
     }
 
-    /// Returns the number of entries, of other replicas, and of those in reach.
-    pub fn counts(&self) -> (usize, usize, usize) {
+    /// Returns how much there is.
+    pub fn counts(&self) -> TallyCounts {
         let state = self.0.state.lock();
         let (known, in_reach) = state.replicas.counts(clock::now());
-        (state.log.entry_count(), known, in_reach)
+        TallyCounts { entries: state.log.entry_count(), known, in_reach }
     }
 
     /// Writes records and runs `completion` once they are on disk, with what is on it then. The lock is held, so that the
@@ -323,6 +334,11 @@
         self.0.state.lock().replicas.discover(ip, zone, clock::now());
     }
 
+    /// Notes the zone of a replica, if it is one.
+    pub fn set_zone(&self, ip: &str, zone: &str) {
+        self.0.state.lock().replicas.set_zone(ip, zone);
+    }
+
     /// Forgets a controller that keeps no tallies.
     pub fn forget(&self, ip: &str) {
         self.0.state.lock().replicas.forget(ip);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -2,9 +2,10 @@
 //! series that overlap, while clients go on using open connections until the process behind them is gone.
 //!
 //! One seed gives one schedule. What is judged is only what the stand-in clients, engines and the operator saw on their
-//! sockets: no accepted request is abandoned, none runs twice, no acknowledged change is lost, and each process ends
+//! sockets: no accepted request is abandoned, none runs twice, no acknowledged change or add to a tally is lost, and each process ends
 //! within its grace period.
 
+mod application;
 mod client;
 mod engine;
 mod fleet;
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use crate::application::TallyHistory;
 use crate::client::{Attempt, Outcome};
 use crate::engine::{EngineLog, Sightings};
 use crate::operator::OperatorLog;
@@ -31,6 +32,8 @@
     End(String),
     /// An acknowledged change was forgotten, or a proper one refused.
     Config(String),
+    /// A tally shows more than was sent, or less than was acknowledged.
+    Tally(String),
 }
 
 /// The result of a run.
@@ -52,6 +55,20 @@
     pub terminations: usize,
     /// Changes of the configuration that were acknowledged.
     pub changes: u64,
+    /// Adds to tallies that were acknowledged.
+    pub adds: usize,
+}
+
+/// What was seen on sockets.
+pub struct Observed<'a> {
+    /// The tries of all clients.
+    pub attempts: &'a [Attempt],
+    /// What reached engines.
+    pub engines: &'a EngineLog,
+    /// What the operator saw.
+    pub operator: &'a OperatorLog,
+    /// What applications saw.
+    pub tallies: &'a TallyHistory,
 }
 
 /// A daemon with all incarnations of its process.
@@ -72,24 +89,21 @@
 
 impl Report {
     /// Judges a run.
-    pub fn judge(
-        grace_s: f64,
-        histories: &[History],
-        attempts: &[Attempt],
-        engines: &EngineLog,
-        operator: &OperatorLog,
-    ) -> Report {
+    pub fn judge(grace_s: f64, histories: &[History], observed: &Observed) -> Report {
         let grace = Duration::from_secs_f64(grace_s);
-        let mut report = Report { attempts: attempts.len(), changes: operator.acknowledged, ..Report::default() };
+        let Observed { attempts, engines, operator, tallies } = observed;
+        let (changes, adds) = (operator.acknowledged, tallies.acknowledged());
+        let mut report = Report { attempts: attempts.len(), changes, adds, ..Report::default() };
         for history in histories {
             report.judge_ends(history, grace);
         }
-        for attempt in attempts {
+        for attempt in *attempts {
             let history = histories.iter().find(|history| history.target == Target::Router(attempt.router));
             let incarnation = history.and_then(|history| history.at(attempt.sent)).copied();
             report.judge_attempt(attempt, &engines.of(&attempt.id), incarnation, grace);
         }
         report.violations.extend(operator.faults.iter().cloned().map(Violation::Config));
+        report.violations.extend(tallies.faults.iter().cloned().map(Violation::Tally));
         report
     }
 
@@ -152,11 +166,11 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
-        let Report { attempts, answered, refused, failed, unanswered, terminations, changes, violations } = self;
+        let Report { attempts, answered, refused, failed, unanswered, terminations, changes, adds, violations } = self;
         write!(
             out,
             "{attempts} tries: {answered} answered, {refused} refused, {failed} failed, {unanswered} not accepted; \
-             {terminations} terminations, {changes} changes; {} violations",
+             {terminations} terminations, {changes} changes, {adds} adds; {} violations",
             violations.len()
         )
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -6,18 +6,20 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
 use serde_json::{json, Value};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time;
 
+use crate::application::{read_back, Application, TallyHistory};
 use crate::client::{Attempt, Client};
 use crate::engine::{self, EngineLog};
 use crate::fleet::{Fleet, Network, Programs, ZONES};
 use crate::http;
 use crate::operator::Operator;
 use crate::platform;
-use crate::report::{History, Report};
+use crate::report::{History, Observed, Report};
 use crate::scenario::{Scenario, Target};
 
 /// How long all daemons may take until they serve, and the operator until a change is acknowledged.
@@ -41,10 +43,18 @@
     for place in 0..scenario.clients {
         clients.spawn(Client::new(scenario, place).run(stop.clone()));
     }
+    let tallies = Arc::<Mutex<TallyHistory>>::default();
+    let mut applications = JoinSet::new();
+    for place in 0..scenario.applications {
+        applications.spawn(Application::new(scenario, place, tallies.clone()).run(stop.clone()));
+    }
     let (operator, ()) = tokio::join!(operator.run(&stop, START_LIMIT), follow_schedule(scenario, &fleet, &stop));
     let attempts: Vec<Attempt> = clients.join_all().await.into_iter().flatten().collect();
+    applications.join_all().await;
     let operator = operator.finish(START_LIMIT).await;
-    let report = Report::judge(scenario.grace_s, &histories(&fleet), &attempts, &engines, &operator);
+    read_back(scenario, &tallies).await;
+    let observed = Observed { attempts: &attempts, engines: &engines, operator: &operator, tallies: &tallies.lock() };
+    let report = Report::judge(scenario.grace_s, &histories(&fleet), &observed);
     drop((fleet, stand_ins));
     Ok(report)
 }
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -17,6 +17,8 @@
     pub engines: usize,
     /// How many clients send requests, each one after the other.
     pub clients: usize,
+    /// How many applications add to tallies and read them.
+    pub applications: usize,
     /// The grace period of a process in seconds.
     pub grace_s: f64,
     /// How long signals and changes come, counted from the moment at which all daemons serve.
@@ -32,6 +34,7 @@
             controllers: 3,
             engines: 4,
             clients: 40,
+            applications: 4,
             grace_s: 4.0,
             duration: Duration::from_secs(14),
         }
--- a/soak/tests/planned_work.rs
+++ b/soak/tests/planned_work.rs
@@ -25,7 +25,10 @@
             let report = soak::run(&Scenario::short(seed), &programs, &dir).await.expect("daemons come into service");
             println!("seed {seed}: {report}");
             assert!(report.violations.is_empty(), "seed {seed}: {:#?}, logs in {}", report.violations, dir.display());
-            assert!(report.terminations >= 5 && report.answered > 200, "seed {seed} exercises it: {report}");
+            assert!(
+                report.terminations >= 5 && report.answered > 200 && report.adds > 50,
+                "seed {seed} exercises it: {report}"
+            );
             let _ = fs::remove_dir_all(dir);
         });
     }
--- a/tally/src/replica_set.rs
+++ b/tally/src/replica_set.rs
@@ -54,8 +54,13 @@
             caught_up: false,
             has_answered: false,
         };
-        let peer = self.peers.entry(ip.into()).or_insert_with(unknown);
-        if !zone.is_empty() {
+        self.peers.entry(ip.into()).or_insert_with(unknown);
+        self.set_zone(ip, zone);
+    }
+
+    /// Notes the zone of a replica, if it is known by now.
+    pub fn set_zone(&mut self, ip: &str, zone: &str) {
+        if let Some(peer) = self.peers.get_mut(ip).filter(|_| !zone.is_empty()) {
             peer.zone = zone.into();
         }
     }
--- a/tally/src/replica_set_tests.rs
+++ b/tally/src/replica_set_tests.rs
@@ -65,6 +65,17 @@
     assert!(set.is_durable(DOT, 500 + REACH_MS));
 }
 
+#[test]
+fn a_controller_that_keeps_no_tallies_is_not_waited_for() {
+    let mut set = ReplicaSet::new("a", REDUNDANCY, having(5));
+    set.discover("b1", "b", 500);
+    assert!(!set.is_durable(DOT, 500) && !set.has_caught_up(false, 500));
+    set.forget("b1");
+    set.set_zone("b1", "b");
+    assert!(set.is_durable(DOT, 500) && set.has_caught_up(false, 500));
+    assert_eq!(set.counts(500), (0, 0));
+}
+
 #[test]
 fn a_replica_that_lost_its_disk_no_longer_counts() {
     let mut set = replicas();
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -141,6 +141,28 @@
             }
         }
 
+        /// Tallies: counters that every controller with a disk goes on with while zones are cut off.
+        cmd tally {
+            /// Show one tally's total.
+            cmd get {
+                required --at at: String
+                required name: String
+            }
+            /// Add to a tally, once for each key.
+            cmd add {
+                required --at at: String
+                /// The key under which it counts once, however often it is sent.
+                required --key key: String
+                /// A whole number.
+                required --amount amount: u64
+                required name: String
+            }
+            /// Show all tallies with their totals.
+            cmd list {
+                required --at at: String
+            }
+        }
+
         /// Play an off-peak run in the simulation: halls leave, the owner crashes and freezes.
         cmd rehearse {
             optional --jobs jobs: usize
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -11,6 +11,7 @@
 mod http_client;
 mod simulate_batch;
 mod staleness_limit;
+mod tally;
 mod trace_change;
 
 /// The exit code of a command that failed; a wrong command line ends with the parser's own.
@@ -36,6 +37,7 @@
         flags::TidepointCmd::Cancel(one) => http_client::cancel_batch(&one.at, &one.batch),
         flags::TidepointCmd::Rollout(rollout) => staleness_limit::run(&rollout.subcommand),
         flags::TidepointCmd::Version(version) => http_client::version_rollout(&version.subcommand),
+        flags::TidepointCmd::Tally(tally) => tally::run(&tally.subcommand),
         flags::TidepointCmd::Rehearse(plan) => simulate_batch::run(&plan),
         flags::TidepointCmd::Experiment(experiment) => experiment::run_experiment(&experiment),
     };
--- /dev/null
+++ b/tidepoint/src/tally.rs
@@ -0,0 +1,19 @@
+//! Tallies from the command line.
+
+use crate::error::CommandError;
+use crate::flags::TallyCmd;
+use crate::http_client;
+
+/// Shows or lists tallies, or adds to one, and prints the answer. An add that fails may be sent again under the same key.
+pub fn run(command: &TallyCmd) -> Result<(), CommandError> {
+    match command {
+        TallyCmd::Get(get) => http_client::print(&get.at, &format!("/tallies/{}", get.name)),
+        TallyCmd::List(list) => http_client::print(&list.at, "/tallies"),
+        TallyCmd::Add(add) => {
+            let body = serde_json::json!({"instance_id": add.key, "actor": add.amount}).to_string();
+            let url = format!("http://{}/tallies/{}", add.at, add.name);
+            println!("{}", http_client::send(|client| client.post(url).body(body))?);
+            Ok(())
+        }
+    }
+}
