--- a/controller/src/api/mod.rs
+++ b/controller/src/api/mod.rs
@@ -12,4 +12,5 @@
 pub mod staleness_limits;
 pub mod status;
 pub mod tallies;
+pub mod usage;
 pub mod version_rollouts;
--- /dev/null
+++ b/controller/src/api/usage.rs
@@ -0,0 +1,36 @@
+//! The resource of usage: which windows are agreed on, and which of them the platform has acknowledged.
+
+use std::sync::Arc;
+
+use poem::{Endpoint, Request};
+use serde_json::{json, Map, Value};
+
+use crate::api::response::{ApiError, ApiResponse};
+use crate::controller::Controller;
+use crate::metering::exporter;
+
+/// The windows that are agreed on.
+pub struct Usage(pub Arc<Controller>);
+
+impl Endpoint for Usage {
+    type Output = ApiResponse;
+
+    async fn call(&self, request: Request) -> poem::Result<ApiResponse> {
+        if request.method().as_str() != "GET" {
+            return Ok(ApiError::method_not_allowed("method: GET").into());
+        }
+        let Some(state) = self.0.committed.read(exporter::known_state) else {
+            return Ok(ApiResponse::OutcomeUnknown);
+        };
+        let windows: Vec<Value> = state
+            .windows
+            .iter()
+            .map(|known| {
+                let counts: Map<String, Value> =
+                    known.counts.iter().map(|one| (one.tenant.clone(), Value::from(one.count))).collect();
+                json!({ "window_id": known.window, "told": known.told, "count_table": counts })
+            })
+            .collect();
+        Ok(ApiResponse::json(&json!({ "windows": windows })))
+    }
+}
--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -24,6 +24,7 @@
 use crate::delivery::subscribers::Subscribers;
 use crate::discovery::engine_directory::EngineDirectory;
 use crate::event::{LEARNED, UNREADABLE};
+use crate::metering::Metering;
 use crate::metrics::Metrics;
 use crate::peers::directory::Peers;
 use crate::prefix_catalog::PrefixCatalog;
@@ -69,6 +70,8 @@
     pub rollout_analyses: RolloutAnalyses,
     /// Shards of tenants' quotas.
     pub quotas: QuotaShards,
+    /// Counts of requests that routers report.
+    pub metering: Metering,
     /// Tallies, or the way to them.
     pub tallies: Tallies,
     /// The process is about to end.
--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -13,6 +13,7 @@
 use crate::controller::{Controller, ROUTER_LEASE_MS};
 use crate::delivery::limit_confirmations;
 use crate::delivery::subscribers::Subscriber;
+use crate::metering;
 use crate::quota_shards::send_owners;
 use crate::replication::committed_state::{CommittedState, RoleState};
 use crate::roles::CATALOG;
@@ -49,6 +50,7 @@
         };
         let mut update = self.missing_state(&mut subscriber, now);
         sample_relay::request_samples(self, &subscriber);
+        metering::request_counts(self, &subscriber);
         self.add_controllers(&mut update, &renewal.node, &mut subscriber, now);
         // A lease on bound work is renewed only for one that has confirmed every limit known here.
         // One of the first version holds none: it serves on, and no limit binds while it is there.
--- a/controller/src/event.rs
+++ b/controller/src/event.rs
@@ -44,6 +44,12 @@
 pub const RULE: Event = Event { code: 170, text: "limit on stale weights binds everywhere" };
 /// A router keeps its lease without confirming a staleness limit.
 pub const UNSETTLED: Event = Event { code: 171, text: "a router keeps its lease without confirming a limit" };
+/// The counts of a window are agreed on.
+pub const USAGE_AGREED: Event = Event { code: 192, text: "usage of a window agreed on" };
+/// The platform acknowledged the counts of a window.
+pub const USAGE_TOLD: Event = Event { code: 193, text: "usage of a window told" };
+/// The platform did not acknowledge the counts of a window; they are sent again.
+pub const USAGE_REFUSED: Event = Event { code: 194, text: "usage of a window not acknowledged" };
 /// The replica of tallies here answers from now on.
 pub const TALLIES_CAUGHT_UP: Event = Event { code: 190, text: "tallies caught up" };
 /// The replica of tallies here takes no new keys.
--- a/controller/src/lib.rs
+++ b/controller/src/lib.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod event;
 mod http_client;
+mod metering;
 mod metrics;
 mod peers;
 mod prefix_catalog;
--- /dev/null
+++ b/controller/src/metering/exporter.rs
@@ -0,0 +1,239 @@
+//! The export of windows: collected from all controllers, agreed on in a register, then told to the platform.
+//!
+//! The order is what keeps one value for a window for ever: nothing is sent before its counts are on a quorum of disks, and whoever
+//! sends it, and however often, sends the bytes of the register.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use consensus::Decision;
+use kernel::{clock, log_event, startup};
+use metering::{window_at, window_end_ms, CountTables, ExportState, WindowId};
+use protocol::message::{Message, METERING};
+use protocol::metering::MeteringQuery;
+use tokio::task::JoinSet;
+
+use crate::controller::Controller;
+use crate::event::{USAGE_AGREED, USAGE_REFUSED, USAGE_TOLD};
+use crate::metering::platform::{Holder, Platform, TellError};
+use crate::roles::{self, USAGE};
+
+/// The key of the register that holds what is agreed on.
+pub const EXPORT_KEY: &str = "usage";
+/// The pause between two looks.
+const TICK_MS: u64 = 300;
+/// How long after its end a window is collected, in milliseconds: routers report twice a second.
+const SETTLE_MS: u64 = 2500;
+/// So long before its counts are due a window is agreed on without controllers that do not answer, in milliseconds.
+const MARGIN_MS: u64 = 2500;
+/// How long a window waits for a zone of which no controller answers, in milliseconds: it may be cut off and count on.
+const PARTITION_WAIT_MS: u64 = 60_000;
+/// A controller that was heard within this time is expected to answer, in milliseconds.
+const EXPECTED_MS: u64 = 60_000;
+/// Windows that ended earlier than this are not collected any more, in milliseconds.
+const MAX_AGE_MS: u64 = 120_000;
+/// How long another controller may take to answer what routers reported to it, in milliseconds.
+const QUERY_TIMEOUT_MS: u64 = 600;
+/// How long one change of the register may take, in milliseconds.
+const COMMIT_TIMEOUT_MS: u64 = 1000;
+/// The shortest and the longest pause after a call to the platform that failed, in milliseconds.
+const FIRST_RETRY_MS: u64 = 300;
+const LONGEST_RETRY_MS: u64 = 4000;
+const MS_PER_S: f64 = 1000.0;
+
+/// Exports windows while this controller owns the role, for as long as the process runs.
+pub fn start(controller: &Arc<Controller>) {
+    if !controller.settings.cloud_api.takes_usage() {
+        return;
+    }
+    let Some(platform) = Platform::new(&controller.settings.cloud_api.address) else { return };
+    let mut exporter =
+        Exporter { controller: controller.clone(), platform, empty: BTreeSet::new(), retry: Retry::default() };
+    tokio::spawn(async move {
+        let mut ticks = startup::interval(TICK_MS);
+        loop {
+            ticks.tick().await;
+            exporter.step().await;
+        }
+    });
+}
+
+/// The pause after failed calls to the platform.
+#[derive(Default)]
+struct Retry {
+    pause_ms: u64,
+    not_before: u64,
+}
+
+impl Retry {
+    fn fail(&mut self, now: u64) {
+        self.pause_ms = (self.pause_ms * 2).clamp(FIRST_RETRY_MS, LONGEST_RETRY_MS);
+        self.not_before = now + self.pause_ms;
+    }
+}
+
+struct Exporter {
+    controller: Arc<Controller>,
+    platform: Platform,
+    /// Windows of which all controllers said that nothing began in them.
+    empty: BTreeSet<WindowId>,
+    retry: Retry,
+}
+
+/// What all controllers know of some windows.
+struct Collected {
+    tables: CountTables,
+    /// Controllers that did not answer, by zone.
+    missing: usize,
+    /// No controller of some zone answered.
+    is_zone_missing: bool,
+}
+
+impl Exporter {
+    /// Agrees on windows that are due, and tells the oldest that is agreed on.
+    async fn step(&mut self) {
+        let Some(epoch) = self.acting_epoch() else { return };
+        if !roles::declare_predecessor_expired(&self.controller, USAGE, epoch).await {
+            return;
+        }
+        self.agree().await;
+        self.tell().await;
+    }
+
+    fn acting_epoch(&self) -> Option<u64> {
+        roles::acting_epoch(&self.controller, USAGE, clock::now())
+    }
+
+    /// Returns the windows that have ended and settled, and on which nothing is agreed.
+    fn due_windows(&self, state: &ExportState, time_ms: u64) -> Vec<WindowId> {
+        let window_ms = self.controller.metering.window_ms();
+        let settled = time_ms.saturating_sub(SETTLE_MS);
+        let first = window_at(time_ms.saturating_sub(MAX_AGE_MS), window_ms);
+        let last = window_at(settled, window_ms);
+        (first..last).filter(|window| state.is_open(*window) && !self.empty.contains(window)).collect()
+    }
+
+    async fn agree(&mut self) {
+        let (controller, time_ms) = (self.controller.clone(), self.controller.metering.time_ms());
+        let Some(state) = controller.committed.read(known_state) else { return };
+        let due = self.due_windows(&state, time_ms);
+        if due.is_empty() {
+            return;
+        }
+        let collected = collect(&controller, &due, time_ms).await;
+        for window in due {
+            let age_ms = time_ms.saturating_sub(window_end_ms(window, controller.metering.window_ms()));
+            if !self.is_ready(&collected, age_ms) {
+                continue;
+            }
+            let counts = collected.tables.totals(window);
+            if counts.is_empty() {
+                if collected.missing == 0 {
+                    self.empty.insert(window);
+                }
+                continue;
+            }
+            let tenants = counts.len();
+            let is_agreed = change(&controller, |state| state.with_agreed(window, counts.clone())).await;
+            if is_agreed {
+                log_event!(USAGE_AGREED, "window" => window, "tenants" => tenants, "missing" => collected.missing,
+                    "age_ms" => age_ms);
+            }
+        }
+        let first = window_at(time_ms.saturating_sub(MAX_AGE_MS), controller.metering.window_ms());
+        self.empty.retain(|window| *window >= first);
+    }
+
+    /// Returns whether a window is to be agreed on with what was collected, so long after its end.
+    fn is_ready(&self, collected: &Collected, age_ms: u64) -> bool {
+        let due_ms = (self.controller.settings.bounds.usage_delay_s * MS_PER_S) as u64;
+        match (collected.missing, collected.is_zone_missing) {
+            (0, _) => true,
+            (_, true) => age_ms >= PARTITION_WAIT_MS,
+            (_, false) => age_ms + MARGIN_MS >= due_ms,
+        }
+    }
+
+    /// Tells the platform the oldest window that is agreed on.
+    async fn tell(&mut self) {
+        let now = clock::now();
+        if now < self.retry.not_before {
+            return;
+        }
+        let window = self.controller.committed.read(|state| known_state(state)?.next_to_tell().cloned());
+        let Some(window) = window else { return };
+        // Asked for again: agreeing took its time.
+        let Some(epoch) = self.acting_epoch() else { return };
+        let holder = Holder { node: &self.controller.settings.node_name, epoch };
+        match self.platform.tell(&holder, &window).await {
+            Ok(()) => {
+                self.retry = Retry::default();
+                change(&self.controller, |state| state.with_told(window.window)).await;
+                log_event!(USAGE_TOLD, "window" => window.window, "tenants" => window.counts.len(), "epoch" => epoch);
+            }
+            Err(error) => {
+                self.retry.fail(clock::now());
+                if error != TellError::RateLimited {
+                    log_event!(USAGE_REFUSED, "window" => window.window, "cause" => format!("{error:?}"));
+                }
+            }
+        }
+    }
+}
+
+/// Returns what is known to be agreed on. `None`: it can't be read.
+pub fn known_state(state: &crate::replication::committed_state::CommittedState) -> Option<ExportState> {
+    let body = state.entries.get(EXPORT_KEY).map_or(&[][..], |entry| &entry.body);
+    ExportState::open(body)
+}
+
+/// Changes the register. Returns whether this change, and no other, was written.
+async fn change(controller: &Controller, next: impl Fn(&ExportState) -> Option<ExportState>) -> bool {
+    let judge = |body: &[u8]| {
+        let changed = ExportState::open(body).and_then(|state| next(&state));
+        changed.map_or(Decision::Answer(false), |state| Decision::Write(state.to_bytes(), true))
+    };
+    controller.change(EXPORT_KEY, COMMIT_TIMEOUT_MS, judge).await.unwrap_or(false)
+}
+
+/// Asks all controllers what routers reported to them of some windows.
+async fn collect(controller: &Arc<Controller>, windows: &[WindowId], time_ms: u64) -> Collected {
+    let present = window_at(time_ms, controller.metering.window_ms());
+    let mut tables = CountTables::default();
+    controller.metering.select(windows).routers.iter().for_each(|report| tables.merge(report, present));
+    let mut calls = JoinSet::new();
+    for (ip, zone) in expected(controller) {
+        let (client, windows) = (controller.peers.client(&ip), windows.to_vec());
+        calls.spawn(async move {
+            let query = Message::MeteringQuery(Box::new(MeteringQuery { windows }));
+            let answer = client.call(query, QUERY_TIMEOUT_MS).await;
+            (zone, answer)
+        });
+    }
+    let mut answered_by_zone: BTreeMap<String, bool> = BTreeMap::new();
+    let mut missing = 0;
+    while let Some(Ok((zone, answer))) = calls.join_next().await {
+        let has_answered = answered_by_zone.entry(zone).or_default();
+        match answer {
+            Some(Message::MeteringTables(answer)) => {
+                *has_answered = true;
+                answer.routers.iter().for_each(|report| tables.merge(report, present));
+            }
+            _ => missing += 1,
+        }
+    }
+    let is_zone_missing =
+        answered_by_zone.iter().any(|(zone, answered)| !answered && *zone != controller.settings.zone);
+    Collected { tables, missing, is_zone_missing }
+}
+
+/// Returns the other controllers that were heard lately, with their zones.
+fn expected(controller: &Controller) -> Vec<(String, String)> {
+    let now = clock::now();
+    controller.peers.read(|view| {
+        let others = view.controllers.iter().filter(|(ip, _)| *ip != controller.own_ip());
+        let heard = others.filter(|(_, peer)| peer.last_seen > 0 && peer.last_seen + EXPECTED_MS > now);
+        let readers = heard.filter(|(_, peer)| peer.protocol_version >= METERING);
+        readers.map(|(ip, peer)| (ip.clone(), peer.zone.clone())).collect()
+    })
+}
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::config::execution;
 use crate::controller::Controller;
 use crate::delivery::limit_confirmations;
+use crate::metering;
 use crate::peers::gossip;
 use crate::quota_shards;
 use crate::rollout::sample_relay::record_samples;
@@ -46,6 +47,9 @@
         Message::TallySync(sync) => controller.tallies.receive(&sync, now, move |answer| {
             responder.reply(id, &Message::TallySynced(Box::new(answer)));
         }),
+        Message::MeteringQuery(query) => {
+            respond(Message::MeteringTables(Box::new(metering::answer(controller, &query))));
+        }
         Message::UsageRequest(_) => {
             let usage = quota_shards::usage(controller);
             respond(Message::UsageResponse(Box::new(usage)));
@@ -96,6 +100,7 @@
         Message::RegisterOwners(list) => controller.catalog.register(list.0, &list.1, now),
         Message::Samples(samples) => record_samples(controller, EngineSamples::from_legacy(&samples)),
         Message::EngineSamples(samples) => record_samples(controller, *samples),
+        Message::MeteringReport(report) => controller.metering.record(&report),
         Message::WeightVersions(list) => limit_confirmations::accept_weight_versions(controller, *list),
         _ => return false,
     }
--- a/controller/src/roles.rs
+++ b/controller/src/roles.rs
@@ -24,6 +24,9 @@
 /// The key of the role that runs batches.
 pub const BATCH: &str = "duty/batch";
 
+/// The key of the role that tells the platform how many requests began.
+pub const USAGE: &str = "duty/usage";
+
 /// The pause between two looks at a role.
 const TICK_MS: u64 = 400;
 /// A controller that has just started first listens who else is there.
@@ -58,7 +61,7 @@
 
 /// Acquires roles where that is due, for as long as the process runs.
 pub fn start(controller: &Arc<Controller>) {
-    for key in [CATALOG, BALANCE, BATCH] {
+    for key in [CATALOG, BALANCE, BATCH, USAGE] {
         let controller = controller.clone();
         tokio::spawn(async move {
             let mut ticks = startup::interval(TICK_MS);
@@ -132,6 +135,9 @@
     if key == BATCH && controller.committed.read(records::ids).is_empty() {
         return;
     }
+    if key == USAGE && !controller.settings.cloud_api.takes_usage() {
+        return;
+    }
     let role = controller.committed.role(key).unwrap_or_default();
     if !may_acquire(controller, key, &role.owner, confirmed_ms) {
         return;
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -23,6 +23,7 @@
 use crate::controller::{Controller, LIVENESS_TIMEOUT_MS};
 use crate::discovery::poller;
 use crate::event::{DISK_UNUSABLE, SHUTDOWN_BEGUN, SHUTDOWN_FINISHED, START};
+use crate::metering::{exporter, Metering};
 use crate::metrics::Metrics;
 use crate::peers::directory::Peers;
 use crate::peers::{dispatch, gossip, pause};
@@ -56,6 +57,7 @@
 part!(BALANCING, "balance", 7, balancing::start);
 part!(VERSION_ROLLOUTS, "versions", 9, version_rollouts::start);
 part!(OPERATOR_API, "control", 6, routes::start);
+part!(METERING, "metering", 11, exporter::start);
 part!(TALLIES, "tallies", 10, exchange::start);
 part!(PEERS, "peers", 1, start_peer_listener);
 
@@ -151,6 +153,7 @@
         elapsed_times: Default::default(),
         rollout_analyses: Default::default(),
         quotas: QuotaShards::new(&settings.ip),
+        metering: Metering::new(&settings),
         tallies,
         shutting_down: Default::default(),
         shutdown: Default::default(),
--- a/kernel/src/settings/mod.rs
+++ b/kernel/src/settings/mod.rs
@@ -173,6 +173,10 @@
     pub fencing: bool,
     /// How long the owner of a singleton role keeps it while it is unavailable, in milliseconds.
     pub lease_ms: u64,
+    /// The length of a window of which requests are counted for the platform, in seconds.
+    pub report_window_s: f64,
+    /// How long after its end the counts of a window are due, in seconds.
+    pub usage_delay_s: f64,
 }
 
 impl Default for Bounds {
@@ -199,6 +203,8 @@
             reuse_hold_s: 2.0,
             fencing: false,
             lease_ms: 3000,
+            report_window_s: 5.0,
+            usage_delay_s: 10.0,
         }
     }
 }
@@ -213,6 +219,19 @@
     /// How far its list of engines lags behind, in milliseconds.
     #[serde(default)]
     pub lag_ms: u64,
+    /// What the platform takes from one daemon at a time.
+    #[serde(default)]
+    pub duty_list: Vec<String>,
+}
+
+/// The platform's name for being told how many requests of each tenant began in a window.
+const USAGE_EXPORT: &str = "usage_export";
+
+impl CloudApi {
+    /// Returns whether the platform is to be told how many requests of each tenant began in a window.
+    pub fn takes_usage(&self) -> bool {
+        self.duty_list.iter().any(|duty| duty == USAGE_EXPORT)
+    }
 }
 
 fn default_keepalive_ms() -> u64 {
--- a/protocol/src/capability.rs
+++ b/protocol/src/capability.rs
@@ -43,6 +43,9 @@
 /// Controllers from this version on keep tallies and take `TallySync`.
 pub const TALLIES: u64 = 8;
 
+/// Daemons from this version on count requests that begin, and collect these counts.
+pub const METERING: u64 = 8;
+
 /// Returns whether a name in a list of versions is no zone's.
 pub fn is_hidden_key(name: &str) -> bool {
     HiddenKey::parse(name).is_some()
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -18,6 +18,7 @@
 mod hidden_key;
 pub mod link;
 pub mod message;
+pub mod metering;
 pub mod operator_request;
 pub mod quota;
 mod register_keys;
--- a/protocol/src/message.rs
+++ b/protocol/src/message.rs
@@ -12,6 +12,7 @@
 use prometheus_client::encoding::EncodeLabelValue;
 use strum::{EnumDiscriminants, EnumIter, FromRepr};
 
+use crate::metering::{MeteringQuery, MeteringRequest, MeteringTables, RouterCounts};
 use crate::operator_request::{CommittedDelta, OperatorRequest, OperatorResponse};
 use crate::quota::{ShardOwner, ShardUsage, TokenRequest, TokenResponse};
 use crate::renewal::SubscriptionRenewed;
@@ -126,4 +127,12 @@
     TallySync(Box<TallySync>),
     /// The response to `TallySync`. Since version 8.
     TallySynced(Box<TallySynced>),
+    /// Asks a router for counts of requests that began. Since version 8.
+    MeteringRequest(Box<MeteringRequest>),
+    /// What a router counted. Since version 8.
+    MeteringReport(Box<RouterCounts>),
+    /// Asks a controller for what routers reported to it. Since version 8.
+    MeteringQuery(Box<MeteringQuery>),
+    /// The response to `MeteringQuery`. Since version 8.
+    MeteringTables(Box<MeteringTables>),
 }
--- a/protocol/src/stored_by_8_tests.rs
+++ b/protocol/src/stored_by_8_tests.rs
@@ -4,6 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use crate::message::Message;
+use crate::metering::{MeteringQuery, MeteringRequest, MeteringTables, RouterCounts, TenantCount, WindowCounts};
 use crate::tally::{Origin, OriginVersion, TallyBatch, TallyEntry, TallySync, TallySynced};
 use crate::testing::stored_frames::{assert_stored, frames};
 
@@ -22,9 +23,15 @@
         caught_up: true,
         batches: vec![TallyBatch { origin: Origin(u64::MAX), start: 6, entries: vec![entry] }],
     };
+    let tenants = vec![TenantCount { tenant: "nowu640".into(), count: 412 }];
+    let counts = RouterCounts { router: u64::MAX, windows: vec![WindowCounts { window: 353_445_120, tenants }] };
     vec![
         Message::TallySync(Box::new(sync)),
         Message::TallySynced(Box::new(TallySynced { is_replica: true, caught_up: false, durable })),
+        Message::MeteringRequest(Box::new(MeteringRequest { controller: "10.0.0.1".into(), incarnation: 3 })),
+        Message::MeteringReport(Box::new(counts.clone())),
+        Message::MeteringQuery(Box::new(MeteringQuery { windows: vec![353_445_120] })),
+        Message::MeteringTables(Box::new(MeteringTables { routers: vec![counts] })),
     ]
 }
 
--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -274,6 +274,7 @@
         variant: Default::default(),
         served_by: Default::default(),
         responded_at_ms: None,
+        is_metered: false,
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod frontend;
 mod kv;
 mod limits;
+mod metering;
 mod metrics;
 mod proxy;
 mod rollout;
--- a/router/src/proxy/engine_send.rs
+++ b/router/src/proxy/engine_send.rs
@@ -61,6 +61,7 @@
         self.record_outcome(engine_index, &outcome);
         self.note_served_by(engine_index);
         self.count_outcome(&outcome, options.is_prefill);
+        self.meter(&outcome, options.is_prefill);
         if !matches!(outcome, SendOutcome::Response(_)) {
             self.end_send(engine_index);
         }
@@ -103,6 +104,17 @@
         self.reached_engine |= !is_unsent && !is_answered_prefill;
     }
 
+    /// Counts the request for its tenant, once, when an engine has begun to run it.
+    fn meter(&mut self, outcome: &SendOutcome, is_prefill: bool) {
+        let has_begun = !is_prefill && matches!(outcome, SendOutcome::Response(_));
+        if !has_begun || mem::replace(&mut self.is_metered, true) {
+            return;
+        }
+        if let Some(tenant) = self.request.authorization.tenant() {
+            self.state.metering.record(&tenant.name);
+        }
+    }
+
     /// Waits until there is an outcome, time is up, or the engine is found unresponsive and the request may go elsewhere.
     async fn await_outcome(
         &self,
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -86,6 +86,8 @@
     pub served_by: ServedBy,
     /// When it responded, in milliseconds.
     pub responded_at_ms: Option<u64>,
+    /// Counted for its tenant: an engine has begun it.
+    pub is_metered: bool,
 }
 
 impl Drop for Exchange {
--- a/router/src/startup.rs
+++ b/router/src/startup.rs
@@ -11,6 +11,7 @@
 use crate::event::{PREFIX_LOOKUP_COUNTS, ROUTER_STARTED, SHUTDOWN_FINISHED, SHUTDOWN_STARTED};
 use crate::frontend::drain::{DrainPhase, DrainSchedule};
 use crate::frontend::listener;
+use crate::metering;
 use crate::metrics::Stage;
 use crate::rollout;
 use crate::state::State;
@@ -33,6 +34,7 @@
 router_plugin!(READY, "readiness", 1, |state| drop(tokio::spawn(listener::serve_readiness(state.clone()))));
 router_plugin!(SUBSCRIPTION, "news", 2, |state| drop(tokio::spawn(driver::run(state.clone()))));
 router_plugin!(FRONTEND, "frontend", 3, |state| drop(tokio::spawn(listener::serve_frontend(state.clone()))));
+router_plugin!(METERING, "metering", 5, |state| drop(tokio::spawn(metering::send_counts(state.clone()))));
 router_plugin!(SAMPLES, "samples", 4, |state| drop(tokio::spawn(rollout::send_samples(state.clone()))));
 
 /// Runs a router until it gets SIGTERM and has finished what it accepted.
@@ -55,6 +57,7 @@
         "stale" => counts.stale_owner, "transfer" => counts.transfer_error, "unanswered" => counts.unanswered,
         "dropped" => counts.dropped);
     state.drain.run(&DrainSchedule::for_grace(state.settings.bounds.grace_s)).await;
+    metering::send_last_counts(state).await;
     log_unfinished(state);
 }
 
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -21,6 +21,7 @@
 use crate::frontend::drain::{Drain, DrainPhase};
 use crate::kv::catalog_client::CatalogClient;
 use crate::limits::quota_gate::QuotaGate;
+use crate::metering::Metering;
 use crate::metrics::Metrics;
 use crate::rollout::Rollouts;
 use crate::upstream::connection_pool::ConnectionPools;
@@ -73,6 +74,8 @@
     rollouts: Mutex<Rollouts>,
     /// Woken when samples of a rollout wait to be sent.
     pub samples_wanted: Notify,
+    /// Counts requests that begin.
+    pub metering: Metering,
 }
 
 /// What subscriptions delivered, besides the routing table and the engines. Invariant: versions never go back.
@@ -124,6 +127,7 @@
             quota_gate: QuotaGate::new(&settings),
             rollouts: Default::default(),
             samples_wanted: Default::default(),
+            metering: Metering::new(&settings),
             settings,
         })
     }
--- a/router/src/subscription/apply_update.rs
+++ b/router/src/subscription/apply_update.rs
@@ -30,6 +30,7 @@
         Message::ShardOwners(list) => state.quota_gate.set_shard_owners(&list),
         Message::VersionRollout(rollout) => rollout::apply(state, *rollout),
         Message::SampleRequest(request) => rollout::apply_sample_request(state, request.controller),
+        Message::MeteringRequest(request) => state.metering.apply_request(*request),
         Message::StalenessLimit(limit) => version_bounds::apply_staleness_limit(state, &limit),
         Message::WeightVersions(list) => version_bounds::apply_weight_versions(state, &list),
         Message::SuspectEngine(report) => suspicion::handle_report(state, &report.0),
--- a/router/src/testing/router.rs
+++ b/router/src/testing/router.rs
@@ -41,6 +41,13 @@
     state
 }
 
+/// Returns one with these settings.
+pub fn router_with(settings: &str, engines: &[Engine]) -> Arc<State> {
+    let state = unproved_router_of(settings, engines, 5.0);
+    state.freshness.prove(i64::MAX);
+    state
+}
+
 /// Returns one that does not know whether its configuration is current.
 pub fn unproved_router(engines: &[Engine], hold_s: f64) -> Arc<State> {
     unproved_router_of(SETTINGS, engines, hold_s)
--- a/tidepoint/src/flags.rs
+++ b/tidepoint/src/flags.rs
@@ -141,6 +141,11 @@
             }
         }
 
+        /// Show which windows of usage are agreed on, and which the platform has acknowledged.
+        cmd usage {
+            required --at at: String
+        }
+
         /// Tallies: counters that every controller with a disk goes on with while zones are cut off.
         cmd tally {
             /// Show one tally's total.
--- a/tidepoint/src/main.rs
+++ b/tidepoint/src/main.rs
@@ -37,6 +37,7 @@
         flags::TidepointCmd::Cancel(one) => http_client::cancel_batch(&one.at, &one.batch),
         flags::TidepointCmd::Rollout(rollout) => staleness_limit::run(&rollout.subcommand),
         flags::TidepointCmd::Version(version) => http_client::version_rollout(&version.subcommand),
+        flags::TidepointCmd::Usage(usage) => http_client::print(&usage.at, "/usage"),
         flags::TidepointCmd::Tally(tally) => tally::run(&tally.subcommand),
         flags::TidepointCmd::Rehearse(plan) => simulate_batch::run(&plan),
         flags::TidepointCmd::Experiment(experiment) => experiment::run_experiment(&experiment),
