Usage: found by the soak: a controller that was started lately, or ended, took counts with it

Cause: the soak, which compares what the platform was told with what engines began, showed a window told with 27 of 84 requests: the controller that routers reported to had been started again just before, and answered at once with nothing. Then one 8 in 100 short: a router had ended, and its home controller after it.

--- a/controller/src/metering/exporter.rs
+++ b/controller/src/metering/exporter.rs
@@ -83,7 +83,7 @@
 /// What all controllers know of some windows.
 struct Collected {
     tables: CountTables,
-    /// Controllers that did not answer, by zone.
+    /// Controllers that did not answer, or may lack reports of their routers.
     missing: usize,
     /// No controller of some zone answered.
     is_zone_missing: bool,
@@ -200,7 +200,8 @@
 async fn collect(controller: &Arc<Controller>, windows: &[WindowId], time_ms: u64) -> Collected {
     let present = window_at(time_ms, controller.metering.window_ms());
     let mut tables = CountTables::default();
-    controller.metering.select(windows).routers.iter().for_each(|report| tables.merge(report, present));
+    let own = controller.metering.select(windows);
+    own.routers.iter().for_each(|report| tables.merge(report, present));
     let mut calls = JoinSet::new();
     for (ip, zone) in expected(controller) {
         let (client, windows) = (controller.peers.client(&ip), windows.to_vec());
@@ -211,12 +212,14 @@
         });
     }
     let mut answered_by_zone: BTreeMap<String, bool> = BTreeMap::new();
-    let mut missing = 0;
+    let mut missing = usize::from(!own.is_complete);
     while let Some(Ok((zone, answer))) = calls.join_next().await {
         let has_answered = answered_by_zone.entry(zone).or_default();
         match answer {
             Some(Message::MeteringTables(answer)) => {
                 *has_answered = true;
+                // One that was started lately has lost what was reported to it, and routers may not have reported again.
+                missing += usize::from(!answer.is_complete);
                 answer.routers.iter().for_each(|report| tables.merge(report, present));
             }
             _ => missing += 1,
--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod exporter;
 mod platform;
+pub mod relay;
 
 use kernel::clock;
 use kernel::settings::Settings;
@@ -13,12 +14,16 @@
 use crate::controller::Controller;
 use crate::delivery::subscribers::Subscriber;
 
+/// A process knows what routers keep once it has run for so long, in milliseconds: a lease of theirs, and some reports.
+const COMPLETE_AFTER_MS: u64 = 4000;
 const MS_PER_S: f64 = 1000.0;
 
 #[derive(Default)]
 struct Reported {
     clock: AnchoredClock,
     tables: CountTables,
+    /// Reports that the owner of the role has no copy of.
+    unrelayed: Vec<RouterCounts>,
 }
 
 /// What routers reported to this controller.
@@ -45,14 +50,29 @@
     }
 
     /// Takes a router's report.
-    pub fn record(&self, report: &RouterCounts) {
+    pub fn record(&self, report: RouterCounts) {
         let present = window_at(self.time_ms(), self.window_ms);
-        self.reported.lock().tables.merge(report, present);
+        let mut reported = self.reported.lock();
+        reported.tables.merge(&report, present);
+        reported.unrelayed.push(report);
+    }
+
+    /// Takes copies of what routers reported to another controller.
+    pub fn record_copies(&self, copies: &MeteringTables) {
+        let present = window_at(self.time_ms(), self.window_ms);
+        let mut reported = self.reported.lock();
+        copies.routers.iter().for_each(|report| reported.tables.merge(report, present));
+    }
+
+    /// Removes and returns the reports that the owner of the role has no copy of.
+    fn take_unrelayed(&self) -> Vec<RouterCounts> {
+        std::mem::take(&mut self.reported.lock().unrelayed)
     }
 
     /// Returns what was reported of some windows.
     pub fn select(&self, windows: &[WindowId]) -> MeteringTables {
-        MeteringTables { routers: self.reported.lock().tables.select(windows) }
+        let is_complete = clock::now() >= COMPLETE_AFTER_MS;
+        MeteringTables { is_complete, routers: self.reported.lock().tables.select(windows) }
     }
 }
 
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -100,7 +100,8 @@
         Message::RegisterOwners(list) => controller.catalog.register(list.0, &list.1, now),
         Message::Samples(samples) => record_samples(controller, EngineSamples::from_legacy(&samples)),
         Message::EngineSamples(samples) => record_samples(controller, *samples),
-        Message::MeteringReport(report) => controller.metering.record(&report),
+        Message::MeteringReport(report) => controller.metering.record(*report),
+        Message::MeteringTables(copies) => controller.metering.record_copies(&copies),
         Message::WeightVersions(list) => limit_confirmations::accept_weight_versions(controller, *list),
         _ => return false,
     }
--- a/protocol/src/metering.rs
+++ b/protocol/src/metering.rs
@@ -48,6 +48,8 @@
 /// The response to [`MeteringQuery`].
 #[derive(Clone, Debug, PartialEq, Eq, Archive, Serialize, Deserialize)]
 pub struct MeteringTables {
+    /// Whether the routers that renew at the responder have had time to report what they keep.
+    pub is_complete: bool,
     /// By router process.
     pub routers: Vec<RouterCounts>,
 }
--- a/protocol/src/stored_by_8_tests.rs
+++ b/protocol/src/stored_by_8_tests.rs
@@ -31,7 +31,7 @@
         Message::MeteringRequest(Box::new(MeteringRequest { controller: "10.0.0.1".into(), incarnation: 3 })),
         Message::MeteringReport(Box::new(counts.clone())),
         Message::MeteringQuery(Box::new(MeteringQuery { windows: vec![353_445_120] })),
-        Message::MeteringTables(Box::new(MeteringTables { routers: vec![counts] })),
+        Message::MeteringTables(Box::new(MeteringTables { is_complete: true, routers: vec![counts] })),
     ]
 }
 
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -13,7 +13,7 @@
 use crate::engine::{complete_body, PACE_HEADER};
 use crate::fleet::Network;
 use crate::http::{self, read_message};
-use crate::operator::HOST;
+use crate::operator::{tenant_key, HOST};
 use crate::scenario::{below, Scenario};
 
 /// Pauses before each event of a stream, in milliseconds. A stream takes [`crate::engine::EVENTS`] times this.
@@ -72,6 +72,7 @@
     network: Network,
     routers: usize,
     name: String,
+    key: String,
     rng: Rng,
     /// Does not heed `Connection: close`: sends on until the connection is gone.
     is_stubborn: bool,
@@ -85,6 +86,7 @@
             network: Network::of_seed(scenario.seed),
             routers: scenario.routers,
             name: format!("{:x}c{place:x}", scenario.seed),
+            key: tenant_key(place),
             rng: Rng::new(scenario.seed.wrapping_mul(1009).wrapping_add(place as u64)),
             is_stubborn: place.is_multiple_of(3),
             attempts: Vec::new(),
@@ -124,8 +126,9 @@
         let id = format!("{}f{:x}", self.name, self.attempts.len());
         let pace_ms = PACES_MS[below(&mut self.rng, PACES_MS.len() as u64) as usize];
         let fields = format!(
-            "Host: {HOST}\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Count: 20,{}\r\nTime-Budget: 8000\r\n\
+            "Host: {HOST}\r\nAuthorization: Bearer {}\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Count: 20,{}\r\nTime-Budget: 8000\r\n\
              Prompt-Prefix: aa:10,{:x}:10\r\n{PACE_HEADER}: {pace_ms}\r\n",
+            self.key,
             crate::engine::EVENTS,
             self.attempts.len() + 256
         );
--- a/soak/src/engine.rs
+++ b/soak/src/engine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use kernel::clock;
 use parking_lot::Mutex;
 use serde_json::json;
 use tokio::io::AsyncWriteExt;
@@ -28,18 +29,35 @@
     pub cut: bool,
 }
 
-/// What all engines saw, by `Attempt-Id`.
+/// A run that began: the time of day in milliseconds, and the tenant.
+pub type BegunRun = (u64, String);
+
+/// What all engines saw.
 #[derive(Default)]
-pub struct EngineLog(Mutex<HashMap<String, Sightings>>);
+pub struct EngineLog {
+    /// By `Attempt-Id`.
+    sightings: Mutex<HashMap<String, Sightings>>,
+    begun: Mutex<Vec<BegunRun>>,
+}
 
 impl EngineLog {
     fn note(&self, attempt: &str, note: impl FnOnce(&mut Sightings)) {
-        note(self.0.lock().entry(attempt.to_string()).or_default());
+        note(self.sightings.lock().entry(attempt.to_string()).or_default());
+    }
+
+    /// Notes that a run of a tenant's request began.
+    pub fn note_begun(&self, time_ms: u64, tenant: &str) {
+        self.begun.lock().push((time_ms, tenant.to_string()));
+    }
+
+    /// Returns all runs that began.
+    pub fn begun(&self) -> Vec<BegunRun> {
+        self.begun.lock().clone()
     }
 
     /// Returns what was seen of a try.
     pub fn of(&self, attempt: &str) -> Sightings {
-        self.0.lock().get(attempt).cloned().unwrap_or_default()
+        self.sightings.lock().get(attempt).cloned().unwrap_or_default()
     }
 }
 
@@ -78,6 +96,7 @@
         return respond(stream, "200 OK", &fields, &body).await.ok();
     }
     log.note(attempt, |seen| seen.runs.push(Instant::now()));
+    log.note_begun(clock::time_of_day_ms(), request.field("tenant"));
     let streamed = stream_events(stream, request, &fields).await;
     if streamed.is_none() {
         log.note(attempt, |seen| seen.cut = true);
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -8,6 +8,7 @@
 
 use crate::process::{Daemon, Launch};
 use crate::scenario::{Action, Scenario, Target};
+use crate::usage::{LEASE, WINDOW};
 
 /// The zones that daemons and engines are spread over.
 pub const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -157,10 +158,13 @@
          seed_peers = {seeds:?}\nbootstrap = true\nquorum_member = {}\n{data}[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n\
          [bind_addresses]\n{binds}\n[limits]\nmemory_mb = 260\nfd_limit = 4000\ndisk_mb = 64\n\
          [bounds]\nconverge_ms = 2000\ngrace_s = {:?}\nbudget_slack = 20.0\nretry_budget = 0.2\n\
-         [cloud_api]\naddress = \"{}\"\nrate_per_s = 300.0\n",
+         report_window_s = {:?}\nusage_delay_s = 8.0\nlease_ms = {}\n\
+         [cloud_api]\naddress = \"{}\"\nrate_per_s = 300.0\nduty_list = [\"usage_export\"]\n",
         ZONES[place % ZONES.len()],
         disk.is_some(),
         scenario.grace_s,
+        WINDOW.as_secs_f64(),
+        LEASE.as_millis(),
         network.platform()
     )
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -16,6 +16,7 @@
 mod report;
 mod run;
 mod scenario;
+mod usage;
 
 pub use fleet::Programs;
 pub use report::{Report, Violation};
--- a/soak/src/operator.rs
+++ b/soak/src/operator.rs
@@ -38,6 +38,18 @@
     log: OperatorLog,
 }
 
+/// How many tenants there are.
+pub const TENANTS: usize = 2;
+
+/// Returns the key of a tenant.
+pub fn tenant_key(tenant: usize) -> String {
+    format!("key-{}", tenant % TENANTS)
+}
+
+fn tenant(number: usize) -> Value {
+    json!({"name": format!("tenant-{number}"), "api_keys": [tenant_key(number)], "priority": 1, "rate_per_s": 0, "burst_size": 0})
+}
+
 fn configuration(revision: u64) -> Value {
     json!({"revision": revision,
         "route_table": [{"name": "soak", "hostname": HOST, "path_prefix": "/x/", "route_type": "streaming",
@@ -45,6 +57,7 @@
             "retry_count": 2, "persistent": true}],
         "service_table": [{"name": "s", "max_connections": 2000, "engine": {"slot_count": 64, "kv_hold_s": 5.0,
             "kv_capacity": 100_000, "kv_token_bytes": 10, "link_mbps": 1000.0, "model_list": [{"name": "m"}]}}],
+        "tenant_table": [tenant(0), tenant(1)],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 100_000, "header_timeout_ms": 3000,
             "idle_timeout_ms": 15000}})
 }
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -9,6 +9,7 @@
 use crate::operator::OperatorLog;
 use crate::process::Incarnation;
 use crate::scenario::Target;
+use crate::usage::UsageLog;
 
 /// A request that was not passed on may end without an answer for so long after its last byte.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
@@ -32,6 +33,8 @@
     End(String),
     /// An acknowledged change was forgotten, or a proper one refused.
     Config(String),
+    /// Usage was told with two values, by two holders, or wrong.
+    Usage(String),
     /// A tally shows more than was sent, or less than was acknowledged.
     Tally(String),
 }
@@ -57,6 +60,8 @@
     pub changes: u64,
     /// Adds to tallies that were acknowledged.
     pub adds: usize,
+    /// Windows of usage that were told.
+    pub windows: usize,
 }
 
 /// What was seen on sockets.
@@ -67,6 +72,8 @@
     pub engines: &'a EngineLog,
     /// What the operator saw.
     pub operator: &'a OperatorLog,
+    /// What the platform was told.
+    pub usage: &'a UsageLog,
     /// What applications saw.
     pub tallies: &'a TallyHistory,
 }
@@ -91,9 +98,10 @@
     /// Judges a run.
     pub fn judge(grace_s: f64, histories: &[History], observed: &Observed) -> Report {
         let grace = Duration::from_secs_f64(grace_s);
-        let Observed { attempts, engines, operator, tallies } = observed;
+        let Observed { attempts, engines, operator, usage, tallies } = observed;
         let (changes, adds) = (operator.acknowledged, tallies.acknowledged());
-        let mut report = Report { attempts: attempts.len(), changes, adds, ..Report::default() };
+        let mut report =
+            Report { attempts: attempts.len(), changes, adds, windows: usage.windows(), ..Report::default() };
         for history in histories {
             report.judge_ends(history, grace);
         }
@@ -103,6 +111,7 @@
             report.judge_attempt(attempt, &engines.of(&attempt.id), incarnation, grace);
         }
         report.violations.extend(operator.faults.iter().cloned().map(Violation::Config));
+        report.violations.extend(usage.faults(engines).into_iter().map(Violation::Usage));
         report.violations.extend(tallies.faults.iter().cloned().map(Violation::Tally));
         report
     }
@@ -166,11 +175,22 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
-        let Report { attempts, answered, refused, failed, unanswered, terminations, changes, adds, violations } = self;
+        let Report {
+            attempts,
+            answered,
+            refused,
+            failed,
+            unanswered,
+            terminations,
+            changes,
+            adds,
+            windows,
+            violations,
+        } = self;
         write!(
             out,
             "{attempts} tries: {answered} answered, {refused} refused, {failed} failed, {unanswered} not accepted; \
-             {terminations} terminations, {changes} changes, {adds} adds; {} violations",
+             {terminations} terminations, {changes} changes, {adds} adds, {windows} windows told; {} violations",
             violations.len()
         )
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::platform;
 use crate::report::{History, Observed, Report};
 use crate::scenario::{Scenario, Target};
+use crate::usage::UsageLog;
 
 /// How long all daemons may take until they serve, and the operator until a change is acknowledged.
 const START_LIMIT: Duration = Duration::from_secs(30);
@@ -33,7 +34,8 @@
 /// When an address is taken or a file can't be written, or the daemons do not come into service.
 pub async fn run(scenario: &Scenario, programs: &Programs, dir: &Path) -> io::Result<Report> {
     let engines = Arc::new(EngineLog::default());
-    let stand_ins = start_stand_ins(scenario, &engines).await?;
+    let usage = Arc::new(UsageLog::default());
+    let stand_ins = start_stand_ins(scenario, &engines, &usage).await?;
     let fleet = Fleet::start(scenario, programs, dir)?;
     let mut operator = Operator::new(scenario);
     operator.change(START_LIMIT).await;
@@ -53,7 +55,13 @@
     applications.join_all().await;
     let operator = operator.finish(START_LIMIT).await;
     read_back(scenario, &tallies).await;
-    let observed = Observed { attempts: &attempts, engines: &engines, operator: &operator, tallies: &tallies.lock() };
+    let observed = Observed {
+        attempts: &attempts,
+        engines: &engines,
+        operator: &operator,
+        tallies: &tallies.lock(),
+        usage: &usage,
+    };
     let report = Report::judge(scenario.grace_s, &histories(&fleet), &observed);
     drop((fleet, stand_ins));
     Ok(report)
@@ -81,7 +89,7 @@
 }
 
 /// Starts the engines and the platform's list of them.
-async fn start_stand_ins(scenario: &Scenario, log: &Arc<EngineLog>) -> io::Result<JoinSet<()>> {
+async fn start_stand_ins(scenario: &Scenario, log: &Arc<EngineLog>, usage: &Arc<UsageLog>) -> io::Result<JoinSet<()>> {
     let network = Network::of_seed(scenario.seed);
     let mut tasks = JoinSet::new();
     let mut list: Vec<Value> = Vec::new();
@@ -93,7 +101,7 @@
             "model_list": [{"name": "m", "revision": 1}]}));
         tasks.spawn(engine::serve(TcpListener::bind(&address).await?, id, log.clone()));
     }
-    tasks.spawn(platform::serve(TcpListener::bind(network.platform()).await?, Arc::new(list)));
+    tasks.spawn(platform::serve(TcpListener::bind(network.platform()).await?, Arc::new(list), usage.clone()));
     Ok(tasks)
 }
 
--- a/versions/src/canary_analysis.rs
+++ b/versions/src/canary_analysis.rs
@@ -7,8 +7,9 @@
 use std::collections::BTreeMap;
 
 use crate::engine_mixture::{either, Counts, Observed};
+use crate::fault_evidence::{Evidence, Tuning};
 use crate::load_evidence::LoadEvidence;
-use crate::outcome_history::{EngineOutcomes, Evidence, OutcomeHistory, Tuning};
+use crate::outcome_history::{EngineOutcomes, OutcomeHistory};
 use crate::speed_evidence::SpeedEvidence;
 use crate::{LoadClass, SampleBatch, SampleOrigin, Variant};
 
--- a/versions/src/lib.rs
+++ b/versions/src/lib.rs
@@ -7,13 +7,16 @@
 
 mod baseline;
 mod canary_analysis;
+mod candidate_outcomes;
 mod engine_mixture;
+mod fault_evidence;
 mod load_evidence;
 mod load_model;
 mod outcome_history;
 mod rollout_schedule;
 mod sample;
 mod speed_evidence;
+mod zone_outcomes;
 
 pub use canary_analysis::{CanaryAnalysis, Verdict};
 pub use rollout_schedule::{RolloutSchedule, RolloutStage, RolloutStep, FULL_SHARE, MAX_CANARY_SHARE};
--- a/versions/src/outcome_history.rs
+++ b/versions/src/outcome_history.rs
@@ -8,8 +8,11 @@
 use std::mem;
 use std::ops::Range;
 
-use crate::baseline::{rate_of, weighted_rate_of, Baseline, UNKNOWN_ENGINE};
+use crate::baseline::{rate_of, Baseline, UNKNOWN_ENGINE};
+use crate::candidate_outcomes::{sum_of, CandidateOutcomes, EngineKey};
 use crate::engine_mixture::{either, Counts, Observed};
+use crate::fault_evidence::{Evidence, Tuning, FAULT_RATE_COUNT};
+use crate::zone_outcomes::{SpanRates, ZoneOutcomes};
 
 /// Length of a span.
 const SPAN_MS: u64 = 300;
@@ -19,16 +22,12 @@
 const WINDOWS: [u64; 3] = [2, 5, KEPT_SPANS];
 /// Samples of one engine's sum at which it is halved, so that it follows what is recent.
 const MAX_SAMPLES: f64 = 4000.0;
-/// Weight, in samples, of the rate everywhere in the rate of a zone.
-const ZONE_PRIOR_SAMPLES: f64 = 6.0;
 /// Samples of the stable version from which on a baseline is estimated.
 const MIN_BASELINE_SAMPLES: f64 = 20.0;
 /// The most that the lost responses of one zone add, where there are several.
 const ZONE_CAP: f64 = 4.2;
 /// The share of engines that fail by themselves from which on many do.
 const MANY_FAILING_SHARE: f64 = 0.1;
-/// The share of a zone's engines that fail from which on it is the zone that fails.
-const FAILING_ZONE_SHARE: f64 = 0.8;
 /// Bad outcomes of an engine that fails by itself, on average, before many are taken for such ones: where traffic is thin one alone
 /// makes an engine look so.
 const MIN_BAD_OF_FAILING: f64 = 2.0;
@@ -37,18 +36,6 @@
 /// The share of engines that are assumed to fail by themselves where there is one engine only.
 const FAILING_SHARE_OF_ONE: f64 = 1e-4;
 
-/// Which candidates the evidence is to find.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Tuning {
-    /// The further share of bad outcomes that a candidate may have.
-    pub(crate) allowed_excess: f64,
-    /// The shares, beyond that, which a faulty one may have: small and large ones.
-    pub(crate) fault_rates: [f64; FAULT_RATE_COUNT],
-}
-
-/// How many sizes of a fault are looked for.
-const FAULT_RATE_COUNT: usize = 5;
-
 /// Outcomes of requests at one engine.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EngineOutcomes<'a> {
@@ -67,27 +54,6 @@
     }
 }
 
-/// An engine, and the index of its zone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct EngineKey {
-    zone: usize,
-    engine: u64,
-}
-
-/// Outcomes of one of the candidate's engines.
-#[derive(Clone, Copy, Debug, Default)]
-struct CandidateOutcomes {
-    observed: Observed,
-    lost: f64,
-}
-
-impl CandidateOutcomes {
-    fn add(&mut self, other: &CandidateOutcomes) {
-        self.observed.add(other.observed);
-        self.lost += other.lost;
-    }
-}
-
 /// What was recorded in one span.
 #[derive(Default)]
 struct Span {
@@ -97,19 +63,6 @@
     candidate: BTreeMap<EngineKey, CandidateOutcomes>,
 }
 
-/// How often sound engines of the stable version failed around one span.
-struct SpanRates {
-    overall: f64,
-    by_zone: BTreeMap<usize, f64>,
-}
-
-impl SpanRates {
-    /// Returns the rate in a zone: never less than everywhere.
-    fn of(&self, zone: usize) -> f64 {
-        self.by_zone.get(&zone).copied().unwrap_or(0.0).max(self.overall)
-    }
-}
-
 /// The outcomes of both versions.
 pub(crate) struct OutcomeHistory {
     tuning: Tuning,
@@ -123,47 +76,6 @@
     candidate_zones: BTreeSet<usize>,
 }
 
-/// What speaks for and against a fault of the candidate.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Evidence {
-    /// The largest log likelihood ratio for a fault, over all windows and sizes of a fault.
-    against: f64,
-    /// The log likelihood ratios over everything, by size of the fault: the lower, the surer that there is none.
-    lasting: [f64; FAULT_RATE_COUNT],
-    /// Whether many engines of the stable version fail by themselves.
-    many_engines_fail: bool,
-    /// Whether sound engines of the stable version fail so many requests that a small fault of the candidate may be hidden.
-    may_hide_fault: bool,
-}
-
-/// How much of the evidence against a candidate is left out where many engines fail by themselves: a canary goes to few engines at a
-/// time, and these may all be such ones.
-const FAILING_ENGINES_ALLOWANCE: f64 = 3.0;
-
-impl Evidence {
-    /// Returns how much speaks against the candidate.
-    pub(crate) fn strength(&self) -> f64 {
-        let allowance = if self.many_engines_fail { FAILING_ENGINES_ALLOWANCE } else { 0.0 };
-        (self.against - allowance).max(0.0)
-    }
-
-    /// Returns the largest log likelihood ratio, over everything, of the faults that must be ruled out: all but the smallest.
-    pub(crate) fn ruled_out_ratio(&self) -> f64 {
-        self.lasting[1..].iter().copied().fold(f64::NEG_INFINITY, f64::max)
-    }
-
-    /// Returns whether many engines of the stable version fail by themselves.
-    pub(crate) fn many_engines_fail(&self) -> bool {
-        self.many_engines_fail
-    }
-
-    /// Returns the log likelihood ratio, over everything, of the smallest fault where other failures may hide it. `None` where few
-    /// requests fail, so that it shows by itself.
-    pub(crate) fn hidden_fault_ratio(&self) -> Option<f64> {
-        self.may_hide_fault.then_some(self.lasting[0])
-    }
-}
-
 impl OutcomeHistory {
     pub(crate) fn new(tuning: Tuning) -> OutcomeHistory {
         OutcomeHistory {
@@ -352,53 +264,6 @@
     }
 }
 
-/// Outcomes of the stable version's engines in one zone.
-#[derive(Default)]
-struct ZoneOutcomes {
-    /// Of engines that are taken for sound.
-    sound: EngineGroup,
-    /// Of engines that are taken for failing.
-    failing: EngineGroup,
-}
-
-/// Engines, and the sum of their outcomes.
-#[derive(Default)]
-struct EngineGroup {
-    engines: BTreeSet<u64>,
-    counts: Counts,
-}
-
-impl ZoneOutcomes {
-    fn add(&mut self, engine: u64, counts: Counts, is_failing: bool) {
-        let group = if is_failing { &mut self.failing } else { &mut self.sound };
-        group.engines.insert(engine);
-        group.counts.add(counts);
-    }
-
-    /// Returns whether nearly all of its engines fail.
-    fn is_failing(&self) -> bool {
-        let (failing, sound) = (self.failing.engines.len(), self.sound.engines.len());
-        failing as f64 >= FAILING_ZONE_SHARE * (failing + sound) as f64
-    }
-
-    /// Returns the rate of the zone. Where nearly all of its engines fail, it is the zone that fails and not some of its engines. These
-    /// are counted, not their outcomes: one that fails at once gets more requests than others.
-    fn rate(&self, overall: f64) -> f64 {
-        let failing = if self.is_failing() { self.failing.counts } else { Counts::default() };
-        weighted_rate_of([self.sound.counts, failing].into_iter(), overall, ZONE_PRIOR_SAMPLES)
-    }
-}
-
-fn sum_of<'a>(
-    mut sum: BTreeMap<EngineKey, CandidateOutcomes>,
-    spans: impl Iterator<Item = &'a BTreeMap<EngineKey, CandidateOutcomes>>,
-) -> BTreeMap<EngineKey, CandidateOutcomes> {
-    for (key, outcomes) in spans.flatten() {
-        sum.entry(*key).or_default().add(outcomes);
-    }
-    sum
-}
-
 #[cfg(test)]
 #[path = "outcome_history_tests.rs"]
 mod tests;
--- a/versions/src/speed_evidence.rs
+++ b/versions/src/speed_evidence.rs
@@ -3,8 +3,9 @@
 //! What counts is how many of its responses are slower than nearly all of the stable version's, so that a version that is slow
 //! for a part of its requests shows as well as one that is slow for all.
 
+use crate::fault_evidence::{Evidence, Tuning};
 use crate::load_model::LoadModel;
-use crate::outcome_history::{EngineOutcomes, Evidence, OutcomeHistory, Tuning};
+use crate::outcome_history::{EngineOutcomes, OutcomeHistory};
 use crate::{EventInterval, SampleOrigin};
 
 /// A candidate may have slow responses more often by 0.15 of all than the stable version.
