--- a/controller/src/metering/exporter.rs
+++ b/controller/src/metering/exporter.rs
@@ -8,7 +8,7 @@
 
 use consensus::Decision;
 use kernel::{clock, log_event, startup};
-use metering::{window_at, window_end_ms, CountTables, ExportState, WindowId};
+use metering::{window_at, CountTables, ExportSchedule, ExportState, MissingReports, WindowId};
 use protocol::message::{Message, METERING};
 use protocol::metering::MeteringQuery;
 use tokio::task::JoinSet;
@@ -22,16 +22,8 @@
 pub const EXPORT_KEY: &str = "usage";
 /// The pause between two looks.
 const TICK_MS: u64 = 300;
-/// How long after its end a window is collected, in milliseconds: routers report twice a second.
-const SETTLE_MS: u64 = 2500;
-/// So long before its counts are due a window is agreed on without controllers that do not answer, in milliseconds.
-const MARGIN_MS: u64 = 2500;
-/// How long a window waits for a zone of which no controller answers, in milliseconds: it may be cut off and count on.
-const PARTITION_WAIT_MS: u64 = 60_000;
 /// A controller that was heard within this time is expected to answer, in milliseconds.
 const EXPECTED_MS: u64 = 60_000;
-/// Windows that ended earlier than this are not collected any more, in milliseconds.
-const MAX_AGE_MS: u64 = 120_000;
 /// How long another controller may take to answer what routers reported to it, in milliseconds.
 const QUERY_TIMEOUT_MS: u64 = 600;
 /// How long one change of the register may take, in milliseconds.
@@ -47,8 +39,10 @@
         return;
     }
     let Some(platform) = Platform::new(&controller.settings.cloud_api.address) else { return };
-    let mut exporter =
-        Exporter { controller: controller.clone(), platform, empty: BTreeSet::new(), retry: Retry::default() };
+    let delay_ms = (controller.settings.bounds.usage_delay_s * MS_PER_S) as u64;
+    let schedule = ExportSchedule { window_ms: controller.metering.window_ms(), delay_ms };
+    let (empty, retry) = (BTreeSet::new(), Retry::default());
+    let mut exporter = Exporter { controller: controller.clone(), platform, schedule, empty, retry };
     tokio::spawn(async move {
         let mut ticks = startup::interval(TICK_MS);
         loop {
@@ -75,6 +69,7 @@
 struct Exporter {
     controller: Arc<Controller>,
     platform: Platform,
+    schedule: ExportSchedule,
     /// Windows of which all controllers said that nothing began in them.
     empty: BTreeSet<WindowId>,
     retry: Retry,
@@ -83,10 +78,7 @@
 /// What all controllers know of some windows.
 struct Collected {
     tables: CountTables,
-    /// Controllers that did not answer, or may lack reports of their routers.
-    missing: usize,
-    /// No controller of some zone answered.
-    is_zone_missing: bool,
+    missing: MissingReports,
 }
 
 impl Exporter {
@@ -104,31 +96,22 @@
         roles::acting_epoch(&self.controller, USAGE, clock::now())
     }
 
-    /// Returns the windows that have ended and settled, and on which nothing is agreed.
-    fn due_windows(&self, state: &ExportState, time_ms: u64) -> Vec<WindowId> {
-        let window_ms = self.controller.metering.window_ms();
-        let settled = time_ms.saturating_sub(SETTLE_MS);
-        let first = window_at(time_ms.saturating_sub(MAX_AGE_MS), window_ms);
-        let last = window_at(settled, window_ms);
-        (first..last).filter(|window| state.is_open(*window) && !self.empty.contains(window)).collect()
-    }
-
     async fn agree(&mut self) {
         let (controller, time_ms) = (self.controller.clone(), self.controller.metering.time_ms());
         let Some(state) = controller.committed.read(known_state) else { return };
-        let due = self.due_windows(&state, time_ms);
+        let due = self.schedule.due_windows(&state, &self.empty, time_ms);
         if due.is_empty() {
             return;
         }
         let collected = collect(&controller, &due, time_ms).await;
         for window in due {
-            let age_ms = time_ms.saturating_sub(window_end_ms(window, controller.metering.window_ms()));
-            if !self.is_ready(&collected, age_ms) {
+            let age_ms = self.schedule.age_ms(window, time_ms);
+            if !self.schedule.is_ready(collected.missing, age_ms) {
                 continue;
             }
             let counts = collected.tables.totals(window);
             if counts.is_empty() {
-                if collected.missing == 0 {
+                if collected.missing == MissingReports::default() {
                     self.empty.insert(window);
                 }
                 continue;
@@ -136,24 +119,14 @@
             let tenants = counts.len();
             let is_agreed = change(&controller, |state| state.with_agreed(window, counts.clone())).await;
             if is_agreed {
-                log_event!(USAGE_AGREED, "window" => window, "tenants" => tenants, "missing" => collected.missing,
+                log_event!(USAGE_AGREED, "window" => window, "tenants" => tenants, "missing" => collected.missing.controllers,
                     "age_ms" => age_ms);
             }
         }
-        let first = window_at(time_ms.saturating_sub(MAX_AGE_MS), controller.metering.window_ms());
+        let first = self.schedule.first_collected(time_ms);
         self.empty.retain(|window| *window >= first);
     }
 
-    /// Returns whether a window is to be agreed on with what was collected, so long after its end.
-    fn is_ready(&self, collected: &Collected, age_ms: u64) -> bool {
-        let due_ms = (self.controller.settings.bounds.usage_delay_s * MS_PER_S) as u64;
-        match (collected.missing, collected.is_zone_missing) {
-            (0, _) => true,
-            (_, true) => age_ms >= PARTITION_WAIT_MS,
-            (_, false) => age_ms + MARGIN_MS >= due_ms,
-        }
-    }
-
     /// Tells the platform the oldest window that is agreed on.
     async fn tell(&mut self) {
         let now = clock::now();
@@ -212,22 +185,22 @@
         });
     }
     let mut answered_by_zone: BTreeMap<String, bool> = BTreeMap::new();
-    let mut missing = usize::from(!own.is_complete);
+    let mut controllers = usize::from(!own.is_complete);
     while let Some(Ok((zone, answer))) = calls.join_next().await {
         let has_answered = answered_by_zone.entry(zone).or_default();
         match answer {
             Some(Message::MeteringTables(answer)) => {
                 *has_answered = true;
                 // One that was started lately has lost what was reported to it, and routers may not have reported again.
-                missing += usize::from(!answer.is_complete);
+                controllers += usize::from(!answer.is_complete);
                 answer.routers.iter().for_each(|report| tables.merge(report, present));
             }
-            _ => missing += 1,
+            _ => controllers += 1,
         }
     }
     let is_zone_missing =
         answered_by_zone.iter().any(|(zone, answered)| !answered && *zone != controller.settings.zone);
-    Collected { tables, missing, is_zone_missing }
+    Collected { tables, missing: MissingReports { controllers, is_zone_missing } }
 }
 
 /// Returns the other controllers that were heard lately, with their zones.
--- /dev/null
+++ b/metering/src/export_schedule_tests.rs
@@ -0,0 +1,39 @@
+//! When windows are due, and what they wait for.
+
+use std::collections::BTreeSet;
+
+use super::{ExportSchedule, MissingReports, PARTITION_WAIT_MS};
+use crate::ExportState;
+
+const SCHEDULE: ExportSchedule = ExportSchedule { window_ms: 5000, delay_ms: 10_000 };
+/// The end of window 999.
+const END: u64 = 5_000_000;
+
+fn due(state: &ExportState, empty: &[u64], time_ms: u64) -> Vec<u64> {
+    SCHEDULE.due_windows(state, &empty.iter().copied().collect::<BTreeSet<u64>>(), time_ms)
+}
+
+#[test]
+fn a_window_is_due_once_the_reports_of_its_end_have_come_and_for_two_minutes() {
+    let state = ExportState::default();
+    assert_eq!(due(&state, &[], END + 2499).last(), Some(&998));
+    assert_eq!(due(&state, &[], END + 2500).last(), Some(&999));
+    assert_eq!(due(&state, &[], END + 2500).len(), 24);
+}
+
+#[test]
+fn what_is_agreed_on_or_empty_is_not_due() {
+    let agreed = ExportState::default().with_agreed(999, Vec::new()).expect("open");
+    let found = due(&agreed, &[998, 996], END + 2500);
+    assert_eq!(&found[found.len() - 2..], [995, 997]);
+}
+
+#[test]
+fn it_waits_for_controllers_until_its_counts_are_nearly_due_and_longer_for_a_zone() {
+    let (none, one) = (MissingReports::default(), MissingReports { controllers: 1, is_zone_missing: false });
+    let zone = MissingReports { controllers: 2, is_zone_missing: true };
+    assert!(SCHEDULE.is_ready(none, 2500));
+    assert!(!SCHEDULE.is_ready(one, 7499) && SCHEDULE.is_ready(one, 7500));
+    assert!(!SCHEDULE.is_ready(zone, PARTITION_WAIT_MS - 1) && SCHEDULE.is_ready(zone, PARTITION_WAIT_MS));
+    assert_eq!(SCHEDULE.age_ms(999, END + 700), 700);
+}
--- a/metering/src/lib.rs
+++ b/metering/src/lib.rs
@@ -8,11 +8,13 @@
 
 mod anchored_clock;
 mod count_tables;
+mod export_schedule;
 mod export_state;
 mod request_counter;
 
 pub use anchored_clock::AnchoredClock;
 pub use count_tables::CountTables;
+pub use export_schedule::{ExportSchedule, MissingReports};
 pub use export_state::{ExportState, ExportWindow, RETAINED_WINDOWS};
 pub use request_counter::RequestCounter;
 
