--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -4,6 +4,8 @@
 mod platform;
 pub mod relay;
 
+use std::sync::atomic::Ordering;
+
 use kernel::clock;
 use kernel::settings::Settings;
 use metering::{window_at, AnchoredClock, CountTables, WindowId};
@@ -64,6 +66,11 @@
         copies.routers.iter().for_each(|report| reported.tables.merge(report, present));
     }
 
+    /// Puts reports back that the owner of the role did not take.
+    fn return_unrelayed(&self, reports: Vec<RouterCounts>) {
+        self.reported.lock().unrelayed.extend(reports);
+    }
+
     /// Removes and returns the reports that the owner of the role has no copy of.
     fn take_unrelayed(&self) -> Vec<RouterCounts> {
         std::mem::take(&mut self.reported.lock().unrelayed)
@@ -85,7 +92,14 @@
     subscriber.responder.notify(&Message::MeteringRequest(Box::new(request)));
 }
 
+/// Takes copies of what routers reported to another controller. The response tells whether this one keeps them.
+pub fn take_copies(controller: &Controller, copies: &MeteringTables) -> Message {
+    controller.metering.record_copies(copies);
+    let is_ending = controller.shutting_down.load(Ordering::Relaxed);
+    Message::MeteringTables(Box::new(MeteringTables { is_complete: !is_ending, routers: Vec::new() }))
+}
+
 /// Answers another controller's question for what routers reported here.
-pub fn answer(controller: &Controller, query: &MeteringQuery) -> MeteringTables {
-    controller.metering.select(&query.windows)
+pub fn answer(controller: &Controller, query: &MeteringQuery) -> Message {
+    Message::MeteringTables(Box::new(controller.metering.select(&query.windows)))
 }
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -47,9 +47,8 @@
         Message::TallySync(sync) => controller.tallies.receive(&sync, now, move |answer| {
             responder.reply(id, &Message::TallySynced(Box::new(answer)));
         }),
-        Message::MeteringQuery(query) => {
-            respond(Message::MeteringTables(Box::new(metering::answer(controller, &query))));
-        }
+        Message::MeteringQuery(query) => respond(metering::answer(controller, &query)),
+        Message::MeteringTables(copies) => respond(metering::take_copies(controller, &copies)),
         Message::UsageRequest(_) => {
             let usage = quota_shards::usage(controller);
             respond(Message::UsageResponse(Box::new(usage)));
@@ -101,7 +100,6 @@
         Message::Samples(samples) => record_samples(controller, EngineSamples::from_legacy(&samples)),
         Message::EngineSamples(samples) => record_samples(controller, *samples),
         Message::MeteringReport(report) => controller.metering.record(*report),
-        Message::MeteringTables(copies) => controller.metering.record_copies(&copies),
         Message::WeightVersions(list) => limit_confirmations::accept_weight_versions(controller, *list),
         _ => return false,
     }
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -191,8 +191,7 @@
     let end = shutdown::last_moment(controller.settings.bounds.grace_s);
     controller.shutting_down.store(true, Ordering::Relaxed);
     gossip::broadcast(controller);
-    relay::hand_over(controller);
-    reconfiguration::leave(controller).await;
+    tokio::join!(relay::hand_over(controller), reconfiguration::leave(controller));
     let (finished, ()) = tokio::join!(controller.shutdown.run(end), time::sleep(FAREWELL));
     log_event!(SHUTDOWN_FINISHED, "finished" => finished, "orders" => controller.metrics.requests_in_flight.get());
 }
