--- a/controller/src/api/tallies.rs
+++ b/controller/src/api/tallies.rs
@@ -1,5 +1,6 @@
 //! The resources of tallies: `POST` and `GET /tallies/ID`, and `GET /tallies`, which lists them.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use kernel::clock;
@@ -84,7 +85,7 @@
 
 fn totals_json(totals: Vec<(String, u128)>) -> ApiResponse {
     let number = |total: u128| RawValue::from_string(total.to_string()).ok();
-    let totals: std::collections::BTreeMap<String, Option<Box<RawValue>>> =
+    let totals: BTreeMap<String, Option<Box<RawValue>>> =
         totals.into_iter().map(|(name, total)| (name, number(total))).collect();
     match serde_json::to_vec(&totals) {
         Ok(text) => ApiResponse::Json([b"{\"tallies\":".as_slice(), &text, b"}"].concat()),
--- a/controller/src/metering/exporter.rs
+++ b/controller/src/metering/exporter.rs
@@ -16,6 +16,7 @@
 use crate::controller::Controller;
 use crate::event::{USAGE_AGREED, USAGE_REFUSED, USAGE_TOLD};
 use crate::metering::platform::{Holder, Platform, TellError};
+use crate::replication::committed_state::CommittedState;
 use crate::roles::{self, USAGE};
 
 /// The key of the register that holds what is agreed on.
@@ -155,7 +156,7 @@
 }
 
 /// Returns what is known to be agreed on. `None`: it can't be read.
-pub fn known_state(state: &crate::replication::committed_state::CommittedState) -> Option<ExportState> {
+pub fn known_state(state: &CommittedState) -> Option<ExportState> {
     let body = state.entries.get(EXPORT_KEY).map_or(&[][..], |entry| &entry.body);
     ExportState::open(body)
 }
--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -4,6 +4,7 @@
 mod platform;
 pub mod relay;
 
+use std::mem;
 use std::sync::atomic::Ordering;
 
 use kernel::clock;
@@ -73,7 +74,7 @@
 
     /// Removes and returns the reports that the owner of the role has no copy of.
     fn take_unrelayed(&self) -> Vec<RouterCounts> {
-        std::mem::take(&mut self.reported.lock().unrelayed)
+        mem::take(&mut self.reported.lock().unrelayed)
     }
 
     /// Returns what was reported of some windows.
--- a/metering/src/request_counter.rs
+++ b/metering/src/request_counter.rs
@@ -1,6 +1,7 @@
 //! What one router counted: by window and tenant, and what of it the reader has not been told.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::mem;
 
 use protocol::metering::{TenantCount, WindowCounts};
 
@@ -45,7 +46,7 @@
     /// Removes and returns what was not reported, as counts from the beginning of each window on.
     pub fn take_unreported(&mut self) -> Vec<WindowCounts> {
         let mut windows: BTreeMap<WindowId, Vec<TenantCount>> = BTreeMap::new();
-        for (window, tenant) in std::mem::take(&mut self.unreported) {
+        for (window, tenant) in mem::take(&mut self.unreported) {
             let count = self.counts.get(&window).and_then(|tenants| tenants.get(&tenant)).copied().unwrap_or(0);
             windows.entry(window).or_default().push(TenantCount { tenant, count });
         }
--- a/soak/src/client.rs
+++ b/soak/src/client.rs
@@ -10,13 +10,13 @@
 use tokio::net::TcpStream;
 use tokio::time;
 
-use crate::engine::{complete_body, PACE_HEADER};
+use crate::engine::{complete_body, EVENTS, PACE_HEADER};
 use crate::fleet::Network;
 use crate::http::{self, read_message};
 use crate::operator::{tenant_key, HOST};
 use crate::scenario::{below, Scenario};
 
-/// Pauses before each event of a stream, in milliseconds. A stream takes [`crate::engine::EVENTS`] times this.
+/// Pauses before each event of a stream, in milliseconds. A stream takes [`EVENTS`] times this.
 const PACES_MS: [u64; 6] = [1, 10, 40, 100, 200, 350];
 /// The longest pause of a client between two requests, in milliseconds.
 const MAX_PAUSE_MS: u64 = 60;
@@ -129,7 +129,7 @@
             "Host: {HOST}\r\nAuthorization: Bearer {}\r\nAttempt-Id: {id}\r\nModel: m\r\nToken-Count: 20,{}\r\nTime-Budget: 8000\r\n\
              Prompt-Prefix: aa:10,{:x}:10\r\n{PACE_HEADER}: {pace_ms}\r\n",
             self.key,
-            crate::engine::EVENTS,
+            EVENTS,
             self.attempts.len() + 256
         );
         if stream.write_all(http::request("POST", "/x/1", &fields, "body").as_bytes()).await.is_err() {
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,6 +1,7 @@
 //! One daemon as a process of the system, started again each time after it has ended.
 
 use std::fs::File;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
 use std::sync::Arc;
@@ -8,6 +9,7 @@
 
 use parking_lot::Mutex;
 use tokio::process::{Child, Command};
+use tokio::task::JoinHandle;
 use tokio::time;
 
 /// The pause before a process that ended is started again.
@@ -45,7 +47,7 @@
 
 impl Daemon {
     /// Starts the process and keeps it running until the returned daemon's task is aborted.
-    pub fn start(launch: Launch) -> (Arc<Daemon>, tokio::task::JoinHandle<()>) {
+    pub fn start(launch: Launch) -> (Arc<Daemon>, JoinHandle<()>) {
         let daemon = Arc::new(Daemon { pid: Mutex::new(None), incarnations: Mutex::default() });
         let task = tokio::spawn(keep_running(daemon.clone(), launch));
         (daemon, task)
@@ -100,11 +102,11 @@
     }
 }
 
-fn open_log(path: &Path) -> std::io::Result<File> {
+fn open_log(path: &Path) -> io::Result<File> {
     File::options().create(true).append(true).open(path)
 }
 
-fn spawn(launch: &Launch) -> std::io::Result<Child> {
+fn spawn(launch: &Launch) -> io::Result<Child> {
     let log = open_log(&launch.log)?;
     Command::new(&launch.program)
         .args(&launch.arguments)
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::http;
 use crate::operator::Operator;
 use crate::platform;
+use crate::process::Daemon;
 use crate::report::{History, Observed, Report};
 use crate::scenario::{Scenario, Target};
 use crate::usage::UsageLog;
@@ -81,10 +82,7 @@
 fn histories(fleet: &Fleet) -> Vec<History> {
     let routers = fleet.routers.iter().enumerate().map(|(place, daemon)| (Target::Router(place), daemon));
     let controllers = fleet.controllers.iter().enumerate().map(|(place, daemon)| (Target::Controller(place), daemon));
-    let history = |(target, daemon): (Target, &Arc<crate::process::Daemon>)| History {
-        target,
-        incarnations: daemon.incarnations(),
-    };
+    let history = |(target, daemon): (Target, &Arc<Daemon>)| History { target, incarnations: daemon.incarnations() };
     routers.chain(controllers).map(history).collect()
 }
 
