soak: SIGHUP that comes before a program runs ends it, which is no fault of the program

Change: the check is narrowed to that: an end within 40 ms of the start, at a SIGHUP within 20 ms of it.

--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -35,6 +35,8 @@
     pub started: Instant,
     /// When it got its first SIGTERM.
     pub terminated: Option<Instant>,
+    /// When it got its first SIGHUP.
+    pub reloaded: Option<Instant>,
     /// When it had ended, and whether with success.
     pub ended: Option<(Instant, bool)>,
 }
@@ -70,7 +72,12 @@
 
     /// Sends SIGHUP to the present process, if there is one.
     pub fn reload(&self) {
-        self.signal(libc::SIGHUP);
+        if !self.signal(libc::SIGHUP) {
+            return;
+        }
+        if let Some(present) = self.incarnations.lock().last_mut() {
+            present.reloaded.get_or_insert(Instant::now());
+        }
     }
 
     fn signal(&self, signal: i32) -> bool {
@@ -81,7 +88,8 @@
 
     fn began(&self, child: &Child) {
         *self.pid.lock() = child.id();
-        self.incarnations.lock().push(Incarnation { started: Instant::now(), terminated: None, ended: None });
+        let incarnation = Incarnation { started: Instant::now(), terminated: None, reloaded: None, ended: None };
+        self.incarnations.lock().push(incarnation);
     }
 
     fn ended(&self, status: ExitStatus) {
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -15,6 +15,8 @@
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// What the end of a process may take beyond its grace, where the machine is busy.
 const END_MARGIN: Duration = Duration::from_millis(500);
+/// How long a process may take from its start until it takes signals over: 1 ms is usual, more where the machine is busy.
+const EXEC_TIME: Duration = Duration::from_millis(20);
 /// The share of the grace, from SIGTERM, in which a request may still be sent and then be given up at the end.
 const ACCEPT_SHARE: f64 = 3.0 / 8.0;
 /// The share of the grace at whose end an engine may still be at work.
@@ -120,6 +122,8 @@
         for one in &history.incarnations {
             self.terminations += usize::from(one.terminated.is_some());
             let story = match (one.terminated, one.ended) {
+                // No program can take a signal over before it runs: SIGHUP ends it then.
+                (None, Some((end, _))) if was_reloaded_at_start(one, end) => continue,
                 (None, Some(_)) => "ended by itself".to_string(),
                 (Some(told), Some((end, _))) if end - told > grace + END_MARGIN => {
                     format!("ended {} ms after SIGTERM", (end - told).as_millis())
@@ -161,6 +165,12 @@
     }
 }
 
+/// Returns whether a process ended at SIGHUP that came before it can have run.
+fn was_reloaded_at_start(incarnation: &Incarnation, end: Instant) -> bool {
+    let came_at_start = |reloaded: Instant| reloaded.saturating_duration_since(incarnation.started) < EXEC_TIME;
+    incarnation.reloaded.is_some_and(came_at_start) && end - incarnation.started < 2 * EXEC_TIME
+}
+
 /// Returns whether a request that got no complete answer had been accepted, and its end is not excused.
 fn is_lost(attempt: &Attempt, seen: &Sightings, by: Option<Incarnation>, grace: Duration) -> bool {
     let was_passed_on = seen.prefills > 0 || !seen.runs.is_empty();
