Usage: reports kept for an owner that does not answer are bounded

Cause, found by reading the change again: reports that the owner of the role did not take were put back without a bound, so a controller cut off from it for hours grew, and at last held a message longer than a frame may be. Change: 2,048 reports are kept; beyond it the tables here and the routers that still run have them.

--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -19,6 +19,8 @@
 
 /// A process knows what routers keep once it has run for so long, in milliseconds: a lease of theirs, and some reports.
 const COMPLETE_AFTER_MS: u64 = 4000;
+/// Reports that are kept for an owner of the role that does not answer.
+const MAX_UNRELAYED: usize = 2048;
 const MS_PER_S: f64 = 1000.0;
 
 #[derive(Default)]
@@ -67,9 +69,12 @@
         copies.routers.iter().for_each(|report| reported.tables.merge(report, present));
     }
 
-    /// Puts reports back that the owner of the role did not take.
+    /// Puts reports back that the owner of the role did not take. While it is out of reach, what is over the bound is dropped:
+    /// the tables here have it, and the routers that still run.
     fn return_unrelayed(&self, reports: Vec<RouterCounts>) {
-        self.reported.lock().unrelayed.extend(reports);
+        let mut reported = self.reported.lock();
+        reported.unrelayed.extend(reports);
+        reported.unrelayed.truncate(MAX_UNRELAYED);
     }
 
     /// Removes and returns the reports that the owner of the role has no copy of.
