Silence of an engine is reported with the zone that saw it, and holds there

Change: reports name the zone of the router that probed; elsewhere they make sampled routers look for themselves.

--- a/load_balancing/src/engine_state.rs
+++ b/load_balancing/src/engine_state.rs
@@ -89,6 +89,8 @@
     pub is_probing: bool,
     /// It answered another router since the last probe from here.
     pub answered_elsewhere: bool,
+    /// It answered a router of another zone since the last probe from here.
+    pub answered_in_other_zone: bool,
     /// A request of this router got no sign of life since the last probe.
     pub is_unresponsive: bool,
     /// Until then it is taken for full, since it turned a request away.
@@ -127,6 +129,7 @@
             last_failure_at: 0,
             is_probing: false,
             answered_elsewhere: false,
+            answered_in_other_zone: false,
             is_unresponsive: false,
             suspected_until: 0,
             saturated_until: 0,
--- a/router/src/upstream/suspicion.rs
+++ b/router/src/upstream/suspicion.rs
@@ -3,7 +3,8 @@
 //!
 //! An engine that becomes unresponsive must not be probed by every router. One that suspects it reports so, some
 //! others are sampled to probe it too, and the rest rely on their reports, both for its silence and for its first
-//! response.
+//! response. A report holds in the zone that it comes from: where zones cannot reach one another, an engine is unresponsive
+//! for one of them and well for another.
 
 use std::mem;
 use std::sync::Arc;
@@ -19,7 +20,7 @@
 use crate::state::State;
 use crate::upstream::probe::{probe, ProbeResponse};
 use crate::upstream::probe_rate::{is_sampled, probe_delay, reported_probe_delay, PROBE_JITTER_MS, SUSPICION_MS};
-use crate::upstream::suspicion_report::SuspicionReport;
+use crate::upstream::suspicion_report::{Sighting, SuspicionReport};
 
 /// How long a request may go without a sign of life from its engine before the engine is probed, in milliseconds.
 pub const LIVENESS_TIMEOUT_MS: u64 = 150;
@@ -49,11 +50,18 @@
     let report = SuspicionReport::decode(name);
     let Some(engine_index) = state.engines().find(report.engine()) else { return };
     match report {
-        SuspicionReport::Responded(_) => {
+        SuspicionReport::Responded(sighting) if sighting.holds_in(&state.settings.zone) => {
             state.engines().engines[engine_index].answered_elsewhere = true;
             state.suspicion_cleared.notify_waiters();
         }
-        SuspicionReport::Unresponsive(_) => {
+        // What another zone reaches may still be out of reach from here: some find out.
+        SuspicionReport::Responded(_) => {
+            if is_sampled(state.router_count(), next_random(state)) {
+                state.engines().engines[engine_index].answered_in_other_zone = true;
+                state.suspicion_cleared.notify_waiters();
+            }
+        }
+        SuspicionReport::Unresponsive(sighting) if sighting.holds_in(&state.settings.zone) => {
             let now = clock::now();
             {
                 let mut engine_table = state.engines();
@@ -63,7 +71,7 @@
             }
             start_probing(state, engine_index, ProbeReason::Reported);
         }
-        SuspicionReport::Suspected(_) => {
+        SuspicionReport::Suspected(_) | SuspicionReport::Unresponsive(_) => {
             if is_sampled(state.router_count(), next_random(state)) {
                 start_probing(state, engine_index, ProbeReason::Sampled);
             }
@@ -93,19 +101,26 @@
     }
 }
 
-/// Waits until the next probe is due (`false`), or another router got a response (`true`).
+/// Returns whether another router got a response: one of this zone (`true`), or of another zone (`false`).
+fn take_response(engine: &mut EngineState) -> Option<bool> {
+    let in_other_zone = mem::take(&mut engine.answered_in_other_zone);
+    if mem::take(&mut engine.answered_elsewhere) {
+        return Some(true);
+    }
+    in_other_zone.then_some(false)
+}
+
+/// Waits until the next probe is due, also because of a response to another zone (`false`), or another router of this zone
+/// got a response (`true`).
 async fn wait_for_next_probe(state: &State, engine_index: usize, wait_ms: u64) -> bool {
-    wait_for(state, engine_index, wait_ms, |engine| mem::take(&mut engine.answered_elsewhere).then_some(true)).await
+    wait_for(state, engine_index, wait_ms, take_response).await
 }
 
 /// Waits as `wait_for_next_probe` does, but also ends when a request of this router gets no sign of life either:
 /// then it probes for itself.
 async fn wait_on_report(state: &State, engine_index: usize, wait_ms: u64) -> bool {
     let outcome = |engine: &mut EngineState| {
-        if mem::take(&mut engine.answered_elsewhere) {
-            return Some(true);
-        }
-        mem::take(&mut engine.is_unresponsive).then_some(false)
+        take_response(engine).or_else(|| mem::take(&mut engine.is_unresponsive).then_some(false))
     };
     wait_for(state, engine_index, wait_ms, outcome).await
 }
@@ -139,6 +154,7 @@
         };
         engine.is_probing = true;
         engine.answered_elsewhere = false;
+        engine.answered_in_other_zone = false;
         engine.is_unresponsive = false;
     }
     tokio::spawn(probe_until_response(state.clone(), engine_index, reason));
@@ -210,10 +226,14 @@
         let is_listed = self.state.engines().engines[self.engine_index].listed;
         let is_known = self.unanswered > 0 || self.reason == ProbeReason::Reported;
         if is_listed && !self.response_reported && is_known {
-            send_report(self.state, SuspicionReport::Responded(id));
+            send_report(self.state, SuspicionReport::Responded(self.sighting(id)));
         }
     }
 
+    fn sighting<'b>(&'b self, id: &'b str) -> Sighting<'b> {
+        Sighting { engine: id, seen_from: Some(&self.state.settings.zone) }
+    }
+
     /// Reports that a probe got no response, where others need to know. `known`: it was suspected before.
     fn report_no_response(&self, id: &str, known: bool) {
         match self.reason {
@@ -221,7 +241,7 @@
                 send_report(self.state, SuspicionReport::Suspected(id));
             }
             ProbeReason::Sampled if self.unanswered == 0 && !known => {
-                send_report(self.state, SuspicionReport::Unresponsive(id));
+                send_report(self.state, SuspicionReport::Unresponsive(self.sighting(id)));
             }
             _ => {}
         }
