--- a/controller/src/api/operator_requests.rs
+++ b/controller/src/api/operator_requests.rs
@@ -1,7 +1,6 @@
 //! Execution of operators' requests. One controller is home to a key and carries out what concerns it, so that controllers
 //! do not supersede each other; the others relay to it, and carry a request out themselves when it does not answer.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use consensus::{quorum, Decision};
@@ -67,7 +66,7 @@
 fn home(controller: &Controller, key: &str) -> Option<String> {
     let now = clock::now();
     let membership = controller.replica.membership();
-    let is_shutting_down = controller.shutting_down.load(Ordering::Relaxed);
+    let is_shutting_down = controller.is_shutting_down();
     controller.peers.read(|view| {
         let first = reconfiguration::first_member(&membership, view, is_shutting_down, key, now)?;
         let takes_requests = view.controllers.get(&first).is_some_and(|peer| peer.protocol_version >= RELAYED_ORDERS);
--- a/controller/src/batches/runner.rs
+++ b/controller/src/batches/runner.rs
@@ -6,7 +6,6 @@
 
 use std::collections::{HashMap, HashSet};
 use std::mem;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -152,7 +151,7 @@
 
 impl Runner {
     async fn poll(&mut self) {
-        if self.controller.shutting_down.load(Ordering::Relaxed) {
+        if self.controller.is_shutting_down() {
             // The next owner sends the rest; what is in flight here is finished.
             return;
         }
--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -5,7 +5,7 @@
 //! membership view, the endpoint lists, the weight versions, the subscribers, the catalog, the quota shards. No lock but an
 //! ownership is held over an await.
 
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -27,6 +27,7 @@
 use crate::metering::Metering;
 use crate::metrics::Metrics;
 use crate::peers::directory::Peers;
+use crate::peers::network::PeerNetwork;
 use crate::prefix_catalog::PrefixCatalog;
 use crate::quota_shards::QuotaShards;
 use crate::replication::committed_state::{decode_membership, Learned, CONFIG_KEY};
@@ -99,6 +100,11 @@
         &self.settings.ip
     }
 
+    /// Returns whether the process is about to end.
+    pub fn is_shutting_down(&self) -> bool {
+        self.shutting_down.load(Ordering::Relaxed)
+    }
+
     /// Returns the other controllers that are known: members of the core, seeds, and whoever sent a heartbeat.
     pub fn known_peers(&self) -> Vec<String> {
         let mut list = self.settings.seed_ips();
@@ -203,3 +209,21 @@
         })
     }
 }
+
+impl PeerNetwork for Controller {
+    fn known_peers(&self) -> Vec<String> {
+        self.known_peers()
+    }
+
+    fn protocol_version(&self, ip: &str) -> u64 {
+        self.peers.protocol_version(ip)
+    }
+
+    fn zone_of(&self, ip: &str) -> String {
+        self.peers.read(|view| view.zone_of(ip).to_string())
+    }
+
+    fn consensus_client(&self, ip: &str) -> Arc<PeerClient> {
+        self.peers.consensus_client(ip)
+    }
+}
--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -50,7 +50,7 @@
         };
         let mut update = self.missing_state(&mut subscriber, now);
         sample_relay::request_samples(self, &subscriber);
-        metering::request_counts(self, &subscriber);
+        metering::request_counts(&self.settings, self.incarnation, &subscriber);
         self.add_controllers(&mut update, &renewal.node, &mut subscriber, now);
         // A lease on bound work is renewed only for one that has confirmed every limit known here.
         // One of the first version holds none: it serves on, and no limit binds while it is there.
--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -5,7 +5,6 @@
 pub mod relay;
 
 use std::mem;
-use std::sync::atomic::Ordering;
 
 use kernel::clock;
 use kernel::settings::Settings;
@@ -14,7 +13,6 @@
 use protocol::message::{Message, METERING};
 use protocol::metering::{MeteringQuery, MeteringRequest, MeteringTables, RouterCounts};
 
-use crate::controller::Controller;
 use crate::delivery::subscribers::Subscriber;
 
 /// A process knows what routers keep once it has run for so long, in milliseconds: a lease of theirs, and some reports.
@@ -87,25 +85,29 @@
         let is_complete = clock::now() >= COMPLETE_AFTER_MS;
         MeteringTables { is_complete, routers: self.reported.lock().tables.select(windows) }
     }
+
+    /// Answers another controller's question for what routers reported here.
+    pub fn answer(&self, query: &MeteringQuery) -> Message {
+        Message::MeteringTables(Box::new(self.select(&query.windows)))
+    }
+
+    /// Takes copies of what routers reported to another controller. The response tells whether this one keeps them, which it
+    /// does not where it is about to end.
+    pub fn take_copies(&self, copies: &MeteringTables, is_ending: bool) -> Message {
+        self.record_copies(copies);
+        Message::MeteringTables(Box::new(MeteringTables { is_complete: !is_ending, routers: Vec::new() }))
+    }
 }
 
 /// Asks a router that renews here for counts, where the platform is to be told of them.
-pub fn request_counts(controller: &Controller, subscriber: &Subscriber) {
-    if subscriber.protocol_version < METERING || !controller.settings.cloud_api.takes_usage() {
+pub fn request_counts(settings: &Settings, incarnation: u64, subscriber: &Subscriber) {
+    if subscriber.protocol_version < METERING || !settings.cloud_api.takes_usage() {
         return;
     }
-    let request = MeteringRequest { controller: controller.own_ip().to_string(), incarnation: controller.incarnation };
+    let request = MeteringRequest { controller: settings.ip.clone(), incarnation };
     subscriber.responder.notify(&Message::MeteringRequest(Box::new(request)));
 }
 
-/// Takes copies of what routers reported to another controller. The response tells whether this one keeps them.
-pub fn take_copies(controller: &Controller, copies: &MeteringTables) -> Message {
-    controller.metering.record_copies(copies);
-    let is_ending = controller.shutting_down.load(Ordering::Relaxed);
-    Message::MeteringTables(Box::new(MeteringTables { is_complete: !is_ending, routers: Vec::new() }))
-}
-
-/// Answers another controller's question for what routers reported here.
-pub fn answer(controller: &Controller, query: &MeteringQuery) -> Message {
-    Message::MeteringTables(Box::new(controller.metering.select(&query.windows)))
-}
+#[cfg(test)]
+#[path = "metering_tests.rs"]
+mod tests;
--- a/controller/src/metrics.rs
+++ b/controller/src/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of a controller. `docs/metrics.md` lists them with units; a test compares the two. Variants of label types are
 //! label values: renaming one changes what is exported.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 
 use kernel::clock;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
@@ -267,7 +267,7 @@
         self.live_controllers.set(live_controllers(controller, now));
         self.subscribed_routers.set(controller.subscribers.lease_count(now) as i64);
         self.batches.set(controller.committed.read(records::ids).len() as i64);
-        self.shutting_down.set(i64::from(controller.shutting_down.load(Ordering::Relaxed)));
+        self.shutting_down.set(i64::from(controller.is_shutting_down()));
         self.observe_tallies(&controller.tallies);
         telemetry::encode(&self.registry)
     }
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -13,7 +13,6 @@
 use crate::config::execution;
 use crate::controller::Controller;
 use crate::delivery::limit_confirmations;
-use crate::metering;
 use crate::peers::gossip;
 use crate::quota_shards;
 use crate::rollout::sample_relay::record_samples;
@@ -47,8 +46,10 @@
         }
         Message::TallySync(sync) => receive_tallies(controller, responder, id, &sync, &[]),
         Message::PackedTallySync(packed) => receive_tallies(controller, responder, id, &packed.sync, &packed.packed),
-        Message::MeteringQuery(query) => respond(metering::answer(controller, &query)),
-        Message::MeteringTables(copies) => respond(metering::take_copies(controller, &copies)),
+        Message::MeteringQuery(query) => respond(controller.metering.answer(&query)),
+        Message::MeteringTables(copies) => {
+            respond(controller.metering.take_copies(&copies, controller.is_shutting_down()))
+        }
         Message::UsageRequest(_) => {
             let usage = quota_shards::usage(controller);
             respond(Message::UsageResponse(Box::new(usage)));
--- a/controller/src/peers/gossip.rs
+++ b/controller/src/peers/gossip.rs
@@ -1,7 +1,6 @@
 //! Heartbeats between controllers: who is alive, and which endpoint lists each has.
 
 use std::net::Ipv4Addr;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -154,7 +153,7 @@
     let (mut list_versions, observed_list_versions) =
         controller.engines.read(|lists| (lists.versions(), lists.observed_terms()));
     list_versions.push(message::own_protocol_version());
-    if controller.shutting_down.load(Ordering::Relaxed) {
+    if controller.is_shutting_down() {
         list_versions.push(message::shutting_down_marker());
     }
     list_versions.extend(poller::access_marker(controller, now));
--- a/controller/src/peers/mod.rs
+++ b/controller/src/peers/mod.rs
@@ -4,4 +4,5 @@
 pub mod directory;
 pub mod dispatch;
 pub mod gossip;
+pub mod network;
 pub mod pause;
--- a/controller/src/quota_shards.rs
+++ b/controller/src/quota_shards.rs
@@ -3,7 +3,6 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use kernel::clock;
@@ -43,7 +42,7 @@
 /// Updates who may own shards. Returns whether that has changed, so that routers are to be notified.
 pub fn refresh_owners(controller: &Controller) -> bool {
     let now = clock::now();
-    let is_shutting_down = controller.shutting_down.load(Ordering::Relaxed);
+    let is_shutting_down = controller.is_shutting_down();
     let confirmed_at = controller.committed.confirmed_at();
     let eligible = controller.peers.read(|view| view.eligible_owners(QUOTAS, OWNER_EXPIRY_MS, is_shutting_down, now));
     let owners: Vec<ShardOwner> =
--- a/controller/src/replication/reconfiguration.rs
+++ b/controller/src/replication/reconfiguration.rs
@@ -1,7 +1,6 @@
 //! Members of the core are added, exchanged and removed, one change at a time, by the controller that is first in the agreed
 //! order. Which membership comes next, and when a transition is complete, is decided in `consensus`.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -61,7 +60,7 @@
 
 /// Returns whether this controller is the one that changes the core.
 fn coordinates(controller: &Controller, core: &CoreMembership, now: u64) -> bool {
-    let shutting_down = controller.shutting_down.load(Ordering::Relaxed);
+    let shutting_down = controller.is_shutting_down();
     let first = controller.peers.read(|view| first_member(core, view, shutting_down, MEMBERSHIP_KEY, now));
     first.as_deref() == Some(controller.own_ip())
 }
--- a/controller/src/rollout/version_rollouts.rs
+++ b/controller/src/rollout/version_rollouts.rs
@@ -3,7 +3,6 @@
 //! Samples of all routers are pooled at every controller, and the first controller that is confirmed takes the steps. That
 //! needs no epoch: each step is a change on top of the very record that the decision was made on.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use kernel::{clock, startup};
@@ -96,7 +95,7 @@
 
 /// Returns whether this controller takes the steps of a service's rollout.
 fn is_responsible(controller: &Controller, service: &str, now: u64) -> bool {
-    if !controller.committed.is_confirmed(now) || controller.shutting_down.load(Ordering::Relaxed) {
+    if !controller.committed.is_confirmed(now) || controller.is_shutting_down() {
         return false;
     }
     controller.peers.is_first_confirmed(&VersionRollout::key(service), now)
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -59,7 +59,7 @@
 part!(OPERATOR_API, "control", 6, routes::start);
 part!(METERING_COPIES, "metering copies", 12, relay::start);
 part!(METERING, "metering", 11, exporter::start);
-part!(TALLIES, "tallies", 10, exchange::start);
+part!(TALLIES, "tallies", 10, start_tally_exchange);
 part!(PEERS, "peers", 1, start_peer_listener);
 
 /// How long to wait before the socket for peers is tried again.
@@ -69,6 +69,13 @@
 /// The exit code of a process whose disk cannot be used.
 const EXIT_DISK_UNUSABLE: u8 = 4;
 
+/// Starts the exchange of tallies, where there is a replica here.
+fn start_tally_exchange(controller: &Arc<Controller>) {
+    if let Tallies::Replica(replica) = &controller.tallies {
+        exchange::start(replica.clone(), controller.clone());
+    }
+}
+
 /// Listens for peers and routers for as long as the process runs.
 fn start_peer_listener(controller: &Arc<Controller>) {
     let address = format!("{}:{}", controller.settings.ip, controller.settings.peer_port());
--- a/controller/src/tallies/exchange.rs
+++ b/controller/src/tallies/exchange.rs
@@ -11,8 +11,8 @@
 use tokio::sync::watch;
 use tokio::time;
 
-use crate::controller::Controller;
-use crate::tallies::{Tallies, TallyReplica};
+use crate::peers::network::PeerNetwork;
+use crate::tallies::TallyReplica;
 
 /// The time from one call to the next where there is nothing to send, in milliseconds.
 const ROUND_MS: u64 = 350;
@@ -21,43 +21,47 @@
 /// How long another replica may take to have on disk what it was sent, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 700;
 
-/// Starts the calls, where there is a replica here.
-pub fn start(controller: &Arc<Controller>) {
-    let Tallies::Replica(replica) = &controller.tallies else { return };
-    let (controller, replica) = (controller.clone(), replica.clone());
+/// Starts the calls.
+pub fn start<N: PeerNetwork>(replica: TallyReplica, network: Arc<N>) {
     tokio::spawn(async move {
         let followed = Arc::<Mutex<HashSet<String>>>::default();
         let mut rounds = startup::interval(ROUND_MS);
         loop {
             rounds.tick().await;
-            for ip in readers(&controller) {
-                let zone = controller.peers.read(|view| view.zone_of(&ip).to_string());
-                replica.set_zone(&ip, &zone);
-                if followed.lock().insert(ip.clone()) {
-                    replica.discover(&ip, &zone);
-                    let (controller, replica, followed) = (controller.clone(), replica.clone(), followed.clone());
-                    tokio::spawn(async move {
-                        follow(&controller, &replica, &ip).await;
-                        followed.lock().remove(&ip);
-                    });
-                }
-            }
+            follow_new(&replica, &network, &followed);
             replica.update_caught_up();
-            replica.seal(has_older_replica(&controller));
+            replica.seal(has_older_replica(&*network));
         }
     });
 }
 
+/// Starts a task for each controller that has none.
+fn follow_new<N: PeerNetwork>(replica: &TallyReplica, network: &Arc<N>, followed: &Arc<Mutex<HashSet<String>>>) {
+    for ip in tally_peers(&**network) {
+        let zone = network.zone_of(&ip);
+        replica.set_zone(&ip, &zone);
+        if !followed.lock().insert(ip.clone()) {
+            continue;
+        }
+        replica.discover(&ip, &zone);
+        let (network, replica, followed) = (network.clone(), replica.clone(), followed.clone());
+        tokio::spawn(async move {
+            follow(&*network, &replica, &ip).await;
+            followed.lock().remove(&ip);
+        });
+    }
+}
+
 /// Returns whether a controller is known that keeps tallies and does not read packed entries.
-fn has_older_replica(controller: &Controller) -> bool {
-    let reads_text_only = |ip: &String| (TALLIES..PACKED_TALLIES).contains(&controller.peers.protocol_version(ip));
-    controller.known_peers().iter().any(reads_text_only)
+fn has_older_replica(network: &impl PeerNetwork) -> bool {
+    let reads_text_only = |ip: &String| (TALLIES..PACKED_TALLIES).contains(&network.protocol_version(ip));
+    network.known_peers().iter().any(reads_text_only)
 }
 
 /// Returns the other controllers that know tallies.
-fn readers(controller: &Controller) -> Vec<String> {
-    let mut peers = controller.known_peers();
-    peers.retain(|ip| controller.peers.protocol_version(ip) >= TALLIES);
+fn tally_peers(network: &impl PeerNetwork) -> Vec<String> {
+    let mut peers = network.known_peers();
+    peers.retain(|ip| network.protocol_version(ip) >= TALLIES);
     peers
 }
 
@@ -74,13 +78,13 @@
 }
 
 /// Calls one controller for as long as it is known.
-async fn follow(controller: &Controller, replica: &TallyReplica, ip: &str) {
+async fn follow(network: &impl PeerNetwork, replica: &TallyReplica, ip: &str) {
     let mut lag = LagTracker::default();
     let mut own_length = replica.own_length();
-    while controller.peers.protocol_version(ip) >= TALLIES {
+    while network.protocol_version(ip) >= TALLIES {
         let begun = time::Instant::now();
         own_length.mark_unchanged();
-        match call(controller, replica, ip, &mut lag).await {
+        match call(network, replica, ip, &mut lag).await {
             // There may be more that it lacks.
             Answer::Advanced => {}
             Answer::Unchanged | Answer::Silent => wait_for_round(begun, &mut own_length).await,
@@ -96,10 +100,10 @@
     let _ = time::timeout_at(round, own_length.changed()).await;
 }
 
-async fn call(controller: &Controller, replica: &TallyReplica, ip: &str, lag: &mut LagTracker) -> Answer {
-    let reads_packed = controller.peers.protocol_version(ip) >= PACKED_TALLIES;
+async fn call(network: &impl PeerNetwork, replica: &TallyReplica, ip: &str, lag: &mut LagTracker) -> Answer {
+    let reads_packed = network.protocol_version(ip) >= PACKED_TALLIES;
     let message = replica.sync_for(ip, reads_packed, lag);
-    match controller.peers.consensus_client(ip).call(message, CALL_TIMEOUT_MS).await {
+    match network.consensus_client(ip).call(message, CALL_TIMEOUT_MS).await {
         Some(Message::TallySynced(answer)) if !answer.is_replica => {
             replica.forget(ip);
             Answer::NoReplica
