Tallies: adds in the first moment of a cut are acknowledged; soak lets controllers fail; usage of an owner that is killed

Tallies: replicas are in reach for 0.85 s in place of 1 s and an add waits for 0.92 s, so that a lone replica of a zone that is just cut off answers 200, late, in place of 504; a process that stood still gives the others as long again before it goes on without them (found by reading; test).

--- a/controller/src/metering/metering_tests.rs
+++ b/controller/src/metering/metering_tests.rs
@@ -35,3 +35,12 @@
     let reported: usize = [window - 1, window].iter().map(|at| metering.select(&[*at]).routers.len()).sum();
     assert_eq!(reported as u64, last, "all of them can still be asked for");
 }
+
+#[test]
+fn reports_that_nobody_takes_copies_of_are_bounded_too() {
+    let metering = Metering::new(&settings());
+    for router in 0..2 * MAX_UNRELAYED as u64 {
+        metering.record(report(&metering, router));
+    }
+    assert_eq!(metering.take_unrelayed().len(), MAX_UNRELAYED);
+}
--- a/controller/src/metering/mod.rs
+++ b/controller/src/metering/mod.rs
@@ -17,7 +17,7 @@
 
 /// A process knows what routers keep once it has run for so long, in milliseconds: a lease of theirs, and some reports.
 const COMPLETE_AFTER_MS: u64 = 4000;
-/// Reports that are kept for an owner of the role that does not answer.
+/// Reports that are kept for a controller that is to have copies and does not answer.
 const MAX_UNRELAYED: usize = 2048;
 const MS_PER_S: f64 = 1000.0;
 
@@ -57,7 +57,10 @@
         let present = window_at(self.time_ms(), self.window_ms);
         let mut reported = self.reported.lock();
         reported.tables.merge(&report, present);
-        reported.unrelayed.push(report);
+        // Beyond the bound nobody takes copies: the tables have it.
+        if reported.unrelayed.len() < MAX_UNRELAYED {
+            reported.unrelayed.push(report);
+        }
     }
 
     /// Takes copies of what routers reported to another controller.
--- a/controller/src/metering/relay.rs
+++ b/controller/src/metering/relay.rs
@@ -25,7 +25,7 @@
 /// How many of the newest windows a controller that ends hands over.
 const HANDED_OVER_WINDOWS: u64 = 8;
 
-/// Copies new reports to the owner of the role, for as long as the process runs.
+/// Copies new reports to another controller, for as long as the process runs.
 pub fn start(controller: &Arc<Controller>) {
     if !controller.settings.cloud_api.takes_usage() {
         return;
@@ -41,18 +41,37 @@
 }
 
 async fn relay(controller: &Controller) {
+    let owner = controller.committed.role_owner(USAGE);
+    let Some(keeper) = copy_target(owner.as_deref(), controller.own_ip(), &readers(controller)) else { return };
     let routers = controller.metering.take_unrelayed();
-    let Some(owner) = controller.committed.role_owner(USAGE).filter(|ip| ip != controller.own_ip()) else { return };
-    if routers.is_empty() || controller.peers.protocol_version(&owner) < METERING {
+    if routers.is_empty() {
         return;
     }
-    if copy(controller, &owner, MeteringTables { is_complete: false, routers: routers.clone() }).await
+    if copy(controller, &keeper, MeteringTables { is_complete: false, routers: routers.clone() }).await
         != Some(Copied::Kept)
     {
         controller.metering.return_unrelayed(routers);
     }
 }
 
+/// Returns the other controllers that keep such copies, in an agreed order.
+fn readers(controller: &Controller) -> Vec<String> {
+    let mut readers = controller.known_peers();
+    readers.retain(|ip| controller.peers.protocol_version(ip) >= METERING);
+    readers
+}
+
+/// Returns which controller is to keep copies of what routers report here: the owner of the role, and for the owner itself the
+/// one that follows it, since a router that has ended can't report again when the owner is killed. `None`: nobody yet.
+fn copy_target(owner: Option<&str>, own_ip: &str, readers: &[String]) -> Option<String> {
+    let owner = owner?;
+    if owner != own_ip {
+        return readers.iter().find(|ip| *ip == owner).cloned();
+    }
+    let following = readers.iter().find(|ip| ip.as_str() > own_ip);
+    following.or(readers.first()).cloned()
+}
+
 /// What became of copies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Copied {
@@ -90,8 +109,7 @@
 
 /// Returns whether another controller keeps the tables now.
 async fn hand_to_all(controller: &Arc<Controller>, tables: &MeteringTables) -> bool {
-    let mut readers = controller.known_peers();
-    readers.retain(|ip| controller.peers.protocol_version(ip) >= METERING);
+    let readers = readers(controller);
     if readers.is_empty() {
         return true;
     }
@@ -102,3 +120,7 @@
     }
     calls.join_all().await.contains(&Some(Copied::Kept))
 }
+
+#[cfg(test)]
+#[path = "relay_tests.rs"]
+mod tests;
--- a/controller/src/tallies/replica/adds.rs
+++ b/controller/src/tallies/replica/adds.rs
@@ -4,15 +4,16 @@
 
 use kernel::clock;
 use protocol::tally::{TallyBatch, TallyEntry};
-use tally::{Dot, TallyRecord};
+use tally::{Dot, TallyRecord, REACH_MS};
 use tokio::time;
 
 use super::TallyReplica;
 
-/// How long an add may wait for its acknowledgement, in milliseconds: below a second, after which callers give up.
-const ADD_TIMEOUT_MS: u64 = 800;
+/// How long an add may wait for its acknowledgement, in milliseconds: below a second, after which callers give up, and longer than
+/// a replica stays in reach that has just become silent.
+const ADD_TIMEOUT_MS: u64 = REACH_MS + 70;
 /// How often an add that waits looks whether a replica has gone out of reach meanwhile.
-const REACH_POLL: Duration = Duration::from_millis(50);
+const REACH_POLL: Duration = Duration::from_millis(20);
 
 /// Why an add was not taken: nothing was done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,7 +49,7 @@
         let is_durable = async {
             loop {
                 let progress = self.0.progress.notified();
-                if self.0.state.lock().replicas.is_durable(dot, clock::now()) {
+                if self.is_durable(dot) {
                     return;
                 }
                 let _ = time::timeout(REACH_POLL, progress).await;
@@ -60,6 +61,13 @@
         }
     }
 
+    fn is_durable(&self, dot: Dot) -> bool {
+        let now = clock::now();
+        let mut state = self.0.state.lock();
+        state.replicas.observe_time(now);
+        state.replicas.is_durable(dot, now)
+    }
+
     /// Puts an entry into the log unless its key is there, and returns its place.
     pub(super) fn begin_add(&self, entry: TallyEntry) -> Result<Dot, Refusal> {
         let now = clock::now();
--- a/controller/src/tallies/replica/catch_up.rs
+++ b/controller/src/tallies/replica/catch_up.rs
@@ -14,6 +14,7 @@
     pub fn update_caught_up(&self) {
         let now = clock::now();
         let mut state = self.0.state.lock();
+        state.replicas.observe_time(now);
         let has_listened = now >= state.started_at + MIN_CATCH_UP_MS;
         if state.caught_up || !has_listened || !state.replicas.has_caught_up(state.needs_informed, now) {
             return;
--- a/controller/src/tallies/replica/room.rs
+++ b/controller/src/tallies/replica/room.rs
@@ -34,7 +34,7 @@
     pub used_share: f64,
     /// Other replicas.
     pub known: usize,
-    /// Those of them that answered within the last second.
+    /// Those of them that answered within the last 0.85 s.
     pub in_reach: usize,
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -79,7 +79,8 @@
             Programs::Own(program) => (program.clone(), vec!["daemon".to_string(), role.to_string()]),
             Programs::Folder(folder) => (folder.join(role), Vec::new()),
         };
-        Launch { program, arguments, settings: dir.join(format!("{name}.toml")), log: dir.join(format!("{name}.log")) }
+        let [settings, log] = ["toml", "log"].map(|ending| dir.join(format!("{name}.{ending}")));
+        Launch { program, arguments, settings, log, disk: None }
     }
 }
 
@@ -108,7 +109,8 @@
             let binds = format!("control_plane = \"{}\"", network.control(place));
             let text = settings(scenario, &network.controller_ip(place), &name, place, &binds, Some(&disk));
             fs::write(dir.join(format!("{name}.toml")), text)?;
-            let daemon = fleet.launch(programs.launch("controller", dir, &name));
+            let launch = Launch { disk: Some(disk), ..programs.launch("controller", dir, &name) };
+            let daemon = fleet.launch(launch);
             fleet.controllers.push(daemon);
         }
         for place in 0..scenario.routers {
@@ -138,6 +140,10 @@
         match action {
             Action::Terminate => daemon.terminate(),
             Action::Reload => daemon.reload(),
+            Action::Kill => daemon.kill(false),
+            Action::LoseDisk => daemon.kill(true),
+            Action::Freeze => daemon.freeze(),
+            Action::Thaw => daemon.thaw(),
         }
     }
 }
@@ -157,6 +163,7 @@
         "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"{}\"\ninternal_ports = [7810, 7815]\n\
          seed_peers = {seeds:?}\nbootstrap = true\nquorum_member = {}\n{data}[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n\
          [bind_addresses]\n{binds}\n[limits]\nmemory_mb = 260\nfd_limit = 4000\ndisk_mb = 64\n\
+         [fault_tolerance]\nmachine_loss = 1\nzones = 1\n\
          [bounds]\nconverge_ms = 2000\ngrace_s = {:?}\nbudget_slack = 20.0\nretry_budget = 0.2\n\
          report_window_s = {:?}\nusage_delay_s = 8.0\nlease_ms = {}\n\
          [cloud_api]\naddress = \"{}\"\nrate_per_s = 300.0\nduty_list = [\"usage_export\"]\n",
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -33,6 +33,8 @@
                 optional --grace seconds: f64
                 /// How long signals and changes come, in seconds.
                 optional --seconds seconds: u64
+                /// Let controllers be killed, stand still and lose their disks, one after the other.
+                optional --faults
                 /// A folder with the programs `router` and `controller` of another build.
                 optional --programs folder: PathBuf
             }
@@ -88,6 +90,7 @@
         engines: flags.engines.unwrap_or(usual.engines),
         clients: flags.clients.unwrap_or(usual.clients),
         grace_s: flags.grace.unwrap_or(usual.grace_s),
+        has_faults: flags.faults,
         duration: flags.seconds.map_or(usual.duration, Duration::from_secs),
         ..usual
     }
--- a/soak/src/process.rs
+++ b/soak/src/process.rs
@@ -1,9 +1,10 @@
 //! One daemon as a process of the system, started again each time after it has ended.
 
-use std::fs::File;
+use std::fs::{self, File};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,19 @@
     pub settings: PathBuf,
     /// Where its output goes.
     pub log: PathBuf,
+    /// Its disk, if it has one.
+    pub disk: Option<PathBuf>,
+}
+
+impl Launch {
+    /// Empties the disk. Only the first start of the whole system may call itself one.
+    fn lose_disk(&self) -> io::Result<()> {
+        let Some(disk) = &self.disk else { return Ok(()) };
+        fs::remove_dir_all(disk)?;
+        fs::create_dir_all(disk)?;
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace("bootstrap = true", "bootstrap = false"))
+    }
 }
 
 /// One incarnation of the process.
@@ -37,6 +51,8 @@
     pub terminated: Option<Instant>,
     /// When it got its first SIGHUP.
     pub reloaded: Option<Instant>,
+    /// It got SIGKILL.
+    pub killed: bool,
     /// When it had ended, and whether with success.
     pub ended: Option<(Instant, bool)>,
 }
@@ -45,12 +61,18 @@
 pub struct Daemon {
     pid: Mutex<Option<u32>>,
     incarnations: Mutex<Vec<Incarnation>>,
+    /// The next process starts on an empty disk.
+    loses_disk: AtomicBool,
 }
 
 impl Daemon {
     /// Starts the process and keeps it running until the returned daemon's task is aborted.
     pub fn start(launch: Launch) -> (Arc<Daemon>, JoinHandle<()>) {
-        let daemon = Arc::new(Daemon { pid: Mutex::new(None), incarnations: Mutex::default() });
+        let daemon = Arc::new(Daemon {
+            pid: Mutex::new(None),
+            incarnations: Mutex::default(),
+            loses_disk: AtomicBool::new(false),
+        });
         let task = tokio::spawn(keep_running(daemon.clone(), launch));
         (daemon, task)
     }
@@ -80,6 +102,27 @@
         }
     }
 
+    /// Sends SIGKILL to the present process, if there is one, and empties its disk before the next one.
+    pub fn kill(&self, loses_disk: bool) {
+        if !self.signal(libc::SIGKILL) {
+            return;
+        }
+        self.loses_disk.fetch_or(loses_disk, Ordering::Relaxed);
+        if let Some(present) = self.incarnations.lock().last_mut() {
+            present.killed = true;
+        }
+    }
+
+    /// Lets the present process stand still, if there is one, until [`thaw`](Self::thaw).
+    pub fn freeze(&self) {
+        self.signal(libc::SIGSTOP);
+    }
+
+    /// Lets a process that stands still go on.
+    pub fn thaw(&self) {
+        self.signal(libc::SIGCONT);
+    }
+
     fn signal(&self, signal: i32) -> bool {
         let pid = *self.pid.lock();
         // SAFETY: a signal to a process that this daemon started and has not yet reaped.
@@ -88,7 +131,8 @@
 
     fn began(&self, child: &Child) {
         *self.pid.lock() = child.id();
-        let incarnation = Incarnation { started: Instant::now(), terminated: None, reloaded: None, ended: None };
+        let incarnation =
+            Incarnation { started: Instant::now(), terminated: None, reloaded: None, killed: false, ended: None };
         self.incarnations.lock().push(incarnation);
     }
 
@@ -106,6 +150,9 @@
         daemon.began(&child);
         let status = child.wait().await.expect("a child process");
         daemon.ended(status);
+        if daemon.loses_disk.swap(false, Ordering::Relaxed) {
+            launch.lose_disk().expect("the disk can be emptied");
+        }
         time::sleep(RESTART_PAUSE).await;
     }
 }
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -122,6 +122,7 @@
         for one in &history.incarnations {
             self.terminations += usize::from(one.terminated.is_some());
             let story = match (one.terminated, one.ended) {
+                (_, Some(_)) if one.killed => continue,
                 // No program can take a signal over before it runs: SIGHUP ends it then.
                 (None, Some((end, _))) if was_reloaded_at_start(one, end) => continue,
                 (None, Some(_)) => "ended by itself".to_string(),
--- a/soak/src/scenario_tests.rs
+++ b/soak/src/scenario_tests.rs
@@ -1,6 +1,8 @@
 //! Schedules drawn from seeds.
 
-use super::{Action, Scenario, Target};
+use std::time::Duration;
+
+use super::{Action, Scenario, Target, FAULT_GAP_MS};
 
 #[test]
 fn one_seed_gives_one_schedule_and_another_seed_another() {
@@ -21,3 +23,35 @@
         }
     }
 }
+
+#[test]
+fn faults_hit_one_controller_at_a_time_and_leave_the_work_at_routers_as_it_was() {
+    for seed in 1..40 {
+        let scenario = Scenario { duration: Duration::from_secs(60), ..Scenario::short_with_faults(seed) };
+        let events = scenario.events();
+        let is_fault = |event: &&super::Event| matches!(event.target, Target::Controller(_));
+        let faults: Vec<_> = events.iter().filter(is_fault).collect();
+        assert!(faults.len() >= 5, "seed {seed}");
+        for pair in faults.windows(2) {
+            let gap = pair[1].at - pair[0].at;
+            match pair[0].action {
+                Action::Freeze => assert_eq!((pair[1].action, pair[1].target), (Action::Thaw, pair[0].target)),
+                _ => assert!(gap >= Duration::from_millis(FAULT_GAP_MS), "seed {seed}: {pair:?}"),
+            }
+        }
+        let planned = Scenario { has_faults: false, ..scenario.clone() }.events();
+        let at_routers = |events: &[super::Event]| {
+            let of_router = |event: &&super::Event| matches!(event.target, Target::Router(_));
+            format!("{:?}", events.iter().filter(of_router).collect::<Vec<_>>())
+        };
+        assert_eq!(at_routers(&events), at_routers(&planned));
+    }
+}
+
+#[test]
+fn over_some_seeds_every_fault_happens() {
+    let events: Vec<_> = (1..40).flat_map(|seed| Scenario::short_with_faults(seed).events()).collect();
+    for action in [Action::Kill, Action::LoseDisk, Action::Freeze, Action::Thaw] {
+        assert!(events.iter().any(|event| event.action == action), "{action:?}");
+    }
+}
--- a/tally/src/replica_set.rs
+++ b/tally/src/replica_set.rs
@@ -5,8 +5,11 @@
 use crate::log::Dot;
 use crate::version_vector::VersionVector;
 
-/// A replica is in reach for so long after its last answer, in milliseconds: about three rounds.
-pub const REACH_MS: u64 = 1000;
+/// A replica is in reach for so long after its last answer, in milliseconds: more than two rounds, and than one call may take.
+/// Below a second, so that what is added in the first moment of a partition is acknowledged before its caller gives up.
+pub const REACH_MS: u64 = 850;
+/// A longer time in which nothing was observed is a pause of this process, in milliseconds: rounds come more often.
+const OWN_PAUSE_MS: u64 = 600;
 
 /// On how many disks, in how many zones, an entry must be before it is acknowledged outside a partition.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,12 +40,24 @@
     redundancy: Redundancy,
     own_durable: VersionVector,
     peers: BTreeMap<String, Peer>,
+    /// When this process last looked at the clock; 0 before the first time.
+    observed_at: u64,
 }
 
 impl ReplicaSet {
     /// Returns the set of a replica that knows no other, and whose disk holds `own_durable`.
     pub fn new(own_zone: &str, redundancy: Redundancy, own_durable: VersionVector) -> ReplicaSet {
-        ReplicaSet { own_zone: own_zone.into(), redundancy, own_durable, peers: BTreeMap::new() }
+        ReplicaSet { own_zone: own_zone.into(), redundancy, own_durable, peers: BTreeMap::new(), observed_at: 0 }
+    }
+
+    /// Notes that this process runs at `now`. If it stood still before, the others could not be heard meanwhile: they get as
+    /// long again.
+    pub fn observe_time(&mut self, now: u64) {
+        let gap = now.saturating_sub(self.observed_at);
+        if self.observed_at > 0 && gap > OWN_PAUSE_MS {
+            self.peers.values_mut().for_each(|peer| peer.heard_at += gap);
+        }
+        self.observed_at = now;
     }
 
     /// Notes a controller that may be a replica: it is waited for as if it had just answered.
--- a/tally/src/replica_set_tests.rs
+++ b/tally/src/replica_set_tests.rs
@@ -57,6 +57,22 @@
     assert!(set.is_durable(DOT, later));
 }
 
+// A process that was frozen for two seconds took all others for out of reach, and acknowledged by itself what came first
+// after it: the loss of its disk right then would have lost an acknowledged add. Found by reading, while the reach was made shorter.
+#[test]
+fn after_standing_still_it_gives_the_others_as_long_again() {
+    let mut set = replicas();
+    set.observe_time(100);
+    set.observe_time(450);
+    let thawed = 450 + 2 * REACH_MS;
+    assert!(set.is_durable(DOT, thawed), "nobody was heard for long");
+    set.observe_time(thawed);
+    assert!(!set.is_durable(DOT, thawed), "nobody could be heard");
+    set.observe_time(thawed + 350);
+    set.observe_time(thawed + 700);
+    assert!(set.is_durable(DOT, thawed + REACH_MS), "they are silent since");
+}
+
 #[test]
 fn a_replica_that_was_just_discovered_is_waited_for() {
     let mut set = ReplicaSet::new("a", REDUNDANCY, having(5));
