--- a/controller/src/metrics.rs
+++ b/controller/src/metrics.rs
@@ -221,7 +221,7 @@
         let help = "What tallies take of what this machine bears: new keys are refused at 1";
         registry.register("tally_used_share", help, self.tally_used_share.clone());
         registry.register("tally_replicas", "Other replicas of tallies that are known", self.tally_replicas.clone());
-        let help = "Those of them that answered within the last second";
+        let help = "Those of them that answered within the last 0.85 s";
         registry.register("tally_replicas_in_reach", help, self.tally_replicas_in_reach.clone());
     }
 
--- a/router/src/tests/mod.rs
+++ b/router/src/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of a complete router between stand-in engines, controllers and clients.
 
 mod connection_reuse;
+mod early_answer;
 mod exchange;
 mod graceful_shutdown;
 mod kept_connections;
