tally: an answer before a pause is noticed is not moved into the future

Cause, found by reading the change again: after a pause of this process the time of an answer that had come since was moved on by the pause as well, so that a replica which fell silent then counted as in reach for as long again, and adds got 504 meanwhile. Change: never beyond now.

--- a/tally/src/replica_set.rs
+++ b/tally/src/replica_set.rs
@@ -55,7 +55,7 @@
     pub fn observe_time(&mut self, now: u64) {
         let gap = now.saturating_sub(self.observed_at);
         if self.observed_at > 0 && gap > OWN_PAUSE_MS {
-            self.peers.values_mut().for_each(|peer| peer.heard_at += gap);
+            self.peers.values_mut().for_each(|peer| peer.heard_at = now.min(peer.heard_at + gap));
         }
         self.observed_at = now;
     }
--- a/tally/src/replica_set_tests.rs
+++ b/tally/src/replica_set_tests.rs
@@ -73,6 +73,23 @@
     assert!(set.is_durable(DOT, thawed + REACH_MS), "they are silent since");
 }
 
+// The first thing that a thawed process sees may be an answer. Its time was moved on by the pause as well, so that a replica which
+// fell silent right after it counted as in reach for seconds, and adds got 504 meanwhile. Found by reading.
+#[test]
+fn an_answer_that_comes_before_the_pause_is_noticed_is_not_taken_for_a_later_one() {
+    let mut set = replicas();
+    set.observe_time(100);
+    let thawed = 100 + 5 * REACH_MS;
+    for ip in ["a2", "b1", "b2", "c1", "c2"] {
+        set.record_answer(ip, having(4), true, thawed);
+    }
+    set.observe_time(thawed);
+    set.observe_time(thawed + 400);
+    assert!(!set.is_durable(DOT, thawed + REACH_MS - 1), "they answered a moment ago");
+    set.observe_time(thawed + REACH_MS);
+    assert!(set.is_durable(DOT, thawed + REACH_MS), "they are silent since");
+}
+
 #[test]
 fn a_replica_that_was_just_discovered_is_waited_for() {
     let mut set = ReplicaSet::new("a", REDUNDANCY, having(5));
