Router: one function decides how a response's body is delimited and whether its head is valid

Callers got a part of an answer, or its chunk sizes too, as a complete 200: an engine in trouble sent Transfer-Encoding with another value than chunked (gzip, identity, a spoilt byte) and closed the connection.

Cause: EngineResponse::is_framed trusted any Transfer-Encoding, while the HTTP library reads to the end of the connection where the coding is not chunked, so its end passed for the end of the body. A list that ends in chunked (gzip, chunked) was decoded once and forwarded as if nothing else had been applied.

Change: protocol::response_framing::BodyFraming::of takes method, status, version and headers, and returns the framing or why the head is invalid. EngineResponse can only be built through it, so forwarding, resumed streams, prefills, drained refusals and DELETE /kv-handle share it. An invalid head counts as no response (E0232): the connection is dropped, the request may have been executed. Lengths that are repeated and agree are forwarded as one length.

Evidence: router::tests::broken_responses has engines that send each head on each type of route, to clients of HTTP/1.1 and HTTP/1.0, with the connection closed, reset or kept.

--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod quota;
 mod register_keys;
 pub mod renewal;
+pub mod response_framing;
 pub mod socket;
 mod staleness_limit;
 pub mod tally;
--- a/router/src/event.rs
+++ b/router/src/event.rs
@@ -29,6 +29,8 @@
 pub const ENGINE_UNRESPONSIVE: Event = Event { code: 230, text: "engine did not respond" };
 /// A response that belongs to another request was dropped, and its connection closed.
 pub const RESPONSE_MISMATCHED: Event = Event { code: 231, text: "response to another request dropped" };
+/// A response whose head is invalid was dropped, and its connection closed.
+pub const RESPONSE_INVALID: Event = Event { code: 232, text: "response with an invalid head dropped" };
 /// A graceful shutdown has started.
 pub const SHUTDOWN_STARTED: Event = Event { code: 240, text: "graceful shutdown started" };
 /// A graceful shutdown has finished; requests still in flight are aborted.
--- a/router/src/proxy/engine_response.rs
+++ b/router/src/proxy/engine_response.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::TRANSFER_ENCODING;
 use http::response::Parts;
-use http::HeaderMap;
+use http::{HeaderMap, Method, Response};
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
+use protocol::response_framing::{BodyFraming, InvalidResponseHead};
 use tokio::time::{self, Instant};
 
 use crate::state::State;
@@ -24,6 +24,8 @@
 pub struct EngineResponse {
     /// Status and headers.
     pub head: Parts,
+    /// How the body is delimited.
+    pub framing: BodyFraming,
     /// The body as it arrives.
     pub body: Incoming,
     /// The connection that it arrives on.
@@ -31,12 +33,19 @@
 }
 
 impl EngineResponse {
-    /// Returns whether the body's framing shows where it ends. Without framing, a broken connection looks like the end
-    /// of the body.
-    pub fn is_framed(&self) -> bool {
-        self.body.is_end_stream()
-            || self.body.size_hint().exact().is_some()
-            || self.head.headers.contains_key(TRANSFER_ENCODING)
+    /// Returns the response to a request with `method` that arrived on `connection`.
+    ///
+    /// # Errors
+    ///
+    /// If its head is invalid: neither the response nor the connection may be used.
+    pub fn new(
+        method: &Method,
+        response: Response<Incoming>,
+        connection: Connection,
+    ) -> Result<EngineResponse, InvalidResponseHead> {
+        let (head, body) = response.into_parts();
+        let framing = BodyFraming::of(method, head.status, head.version, &head.headers)?;
+        Ok(EngineResponse { head, framing, body, connection })
     }
 }
 
@@ -54,8 +63,7 @@
     max_bytes: usize,
     timeout_ms: u64,
 ) -> Option<Bytes> {
-    let is_framed = response.is_framed();
-    let EngineResponse { head, mut body, connection } = response;
+    let EngineResponse { head, framing, mut body, connection } = response;
     let deadline = Instant::now() + Duration::from_millis(timeout_ms);
     let mut buffer = BytesMut::new();
     while let Some(frame) = time::timeout_at(deadline, body.frame()).await.ok()? {
@@ -67,7 +75,7 @@
         }
     }
     return_connection(state, endpoint, &head.headers, connection).await;
-    is_framed.then(|| buffer.freeze())
+    framing.marks_end().then(|| buffer.freeze())
 }
 
 /// Returns a connection to the pool after the response on it was read completely.
--- a/router/src/proxy/send.rs
+++ b/router/src/proxy/send.rs
@@ -15,7 +15,7 @@
 };
 use tokio::time::{self, Instant};
 
-use crate::event::RESPONSE_MISMATCHED;
+use crate::event::{RESPONSE_INVALID, RESPONSE_MISMATCHED};
 use crate::frontend::request;
 use crate::kv::kv_handle::KvHandle;
 use crate::proxy::engine_response::{self, EngineResponse};
@@ -165,8 +165,13 @@
                 None => return SendOutcome::Lost,
             },
         };
-        let (head, body) = response.into_parts();
-        return classify_response(state, request, endpoint, options, EngineResponse { head, body, connection }).await;
+        return match EngineResponse::new(&request.method, response, connection) {
+            Ok(response) => classify_response(state, request, endpoint, options, response).await,
+            Err(error) => {
+                kernel::log_event!(RESPONSE_INVALID, "engine" => endpoint.engine.clone(), "reason" => error.to_string());
+                SendOutcome::Lost
+            }
+        };
     }
 }
 
@@ -218,10 +223,10 @@
     };
     let result = time::timeout(FREE_HANDLE_TIMEOUT, connection.send_request(outgoing)).await;
     let Ok(Ok(response)) = result else { return };
-    let (head, body) = response.into_parts();
-    if !response_head::matches_attempt(&head.headers, None) {
+    let Ok(response) = EngineResponse::new(&Method::DELETE, response, connection) else { return };
+    if !response_head::matches_attempt(&response.head.headers, None) {
         // This responds to another request, and the response to this one would follow, so the connection is dropped.
         return;
     }
-    engine_response::drain_body(state, &handle.endpoint, EngineResponse { head, body, connection }).await;
+    engine_response::drain_body(state, &handle.endpoint, response).await;
 }
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -38,8 +38,7 @@
     let mut client_response = Response::new(());
     *client_response.status_mut() = response.head.status;
     *client_response.headers_mut() = response.head.headers.clone();
-    let length =
-        request::parse_number(client_response.headers(), "content-length").filter(|_| !exchange.is_resumable());
+    let length = response.framing.content_length().filter(|_| !exchange.is_resumable());
     request::remove_hop_by_hop_headers(client_response.headers_mut());
     if exchange.state.is_shutting_down() {
         client_response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -97,7 +96,6 @@
     let interval = Duration::from_millis(LIVENESS_TIMEOUT_MS);
     let is_streaming = exchange.is_streaming();
     let may_reroute = exchange.is_resumable() && exchange.may_retry();
-    let is_framed = response.is_framed();
     let mut last_data_at = clock::now();
     loop {
         let frame = tokio::select! {
@@ -112,7 +110,7 @@
                 return BodyEnd::Broken
             }
             Err(_) => continue,
-            Ok(None) if !is_framed => return BodyEnd::Broken,
+            Ok(None) if !response.framing.marks_end() => return BodyEnd::Broken,
             Ok(None) => return send_rest(splitter, sender).await,
             Ok(Some(Err(_))) => return BodyEnd::Broken,
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
--- a/router/src/testing/mod.rs
+++ b/router/src/testing/mod.rs
@@ -1,5 +1,6 @@
 //! Test doubles of engines, controllers and clients, and simulations in virtual time.
 
+pub mod client_response;
 pub mod controller;
 pub mod engine;
 pub mod engine_responses;
--- a/router/src/tests/mod.rs
+++ b/router/src/tests/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of a complete router with test engines, controllers and clients.
 
+mod broken_responses;
 mod connection_reuse;
 mod early_answer;
 mod evacuation;
