Router: a body in chunks whose head states another length too is not complete

Callers got answers that told two lengths, Transfer-Encoding: chunked and a Content-Length, whatever the second said: on resumable routes as a complete body in chunks, on other routes cut to a Content-Length that was too short, and complete by that length.

Cause: the HTTP library goes by the chunks and passes over Content-Length, even one that is no number; the router forwarded it on routes that aren't resumable, where the library cuts the body to it.

Change: BodyFraming::Chunked holds a stated length. The chunks take precedence and the answer is forwarded in chunks; it ends as complete only if both lengths agree (BodyFraming::is_complete_after, for forwarded and read bodies). A Content-Length that is no number makes the head invalid beside chunks as well.

--- a/protocol/src/response_framing.rs
+++ b/protocol/src/response_framing.rs
@@ -3,7 +3,8 @@
 //! HTTP libraries are lenient here: where `Transfer-Encoding` names an unknown coding they take everything up to the end
 //! of the connection for the body, and where a response has both framing headers they ignore one of them. A client that
 //! gets such a response would take a part of it, or bytes that are no body, for the complete body. So every reader of
-//! responses asks [`BodyFraming::of`] first, and treats a response with an invalid head as none at all.
+//! responses asks [`BodyFraming::of`] first, treats a response with an invalid head as none at all, and takes a body for
+//! complete only if [`BodyFraming::is_complete_after`] says so.
 
 use std::str;
 
@@ -19,8 +20,9 @@
     NoBody(Option<u64>),
     /// The body has this length in bytes.
     Length(u64),
-    /// The body is sent in chunks, the last of which marks its end.
-    Chunked,
+    /// The body is sent in chunks, the last of which marks its end. The length is one that the head states all the same:
+    /// the chunks take precedence, but a body of another length is not complete.
+    Chunked(Option<u64>),
     /// The body ends where the connection ends, so that an aborted body cannot be told from a complete one.
     UntilClose,
 }
@@ -57,23 +59,28 @@
             return Ok(BodyFraming::NoBody(length));
         }
         Ok(match length {
+            _ if is_chunked => BodyFraming::Chunked(length),
             Some(length) => BodyFraming::Length(length),
-            None if is_chunked => BodyFraming::Chunked,
             None => BodyFraming::UntilClose,
         })
     }
 
-    /// Returns whether the end of the body can be told from the end of the connection.
-    pub fn marks_end(self) -> bool {
-        self != BodyFraming::UntilClose
+    /// Returns whether a body that ended after `received_bytes` is certain to be complete.
+    pub fn is_complete_after(self, received_bytes: u64) -> bool {
+        match self {
+            BodyFraming::NoBody(_) => received_bytes == 0,
+            BodyFraming::Length(length) | BodyFraming::Chunked(Some(length)) => received_bytes == length,
+            BodyFraming::Chunked(None) => true,
+            BodyFraming::UntilClose => false,
+        }
     }
 
-    /// Returns the length that the head states, in bytes.
+    /// Returns the length in bytes with which the response is forwarded, if it is not forwarded in chunks.
     pub fn content_length(self) -> Option<u64> {
         match self {
             BodyFraming::NoBody(length) => length,
             BodyFraming::Length(length) => Some(length),
-            BodyFraming::Chunked | BodyFraming::UntilClose => None,
+            BodyFraming::Chunked(_) | BodyFraming::UntilClose => None,
         }
     }
 }
--- a/protocol/src/response_framing_tests.rs
+++ b/protocol/src/response_framing_tests.rs
@@ -21,7 +21,7 @@
 #[test]
 fn only_chunked_is_a_valid_transfer_coding() {
     for value in ["chunked", "Chunked", "CHUNKED", " \tchunked "] {
-        assert_eq!(framing(&[("transfer-encoding", value)]), Ok(BodyFraming::Chunked), "{value:?}");
+        assert_eq!(framing(&[("transfer-encoding", value)]), Ok(BodyFraming::Chunked(None)), "{value:?}");
     }
     let invalid =
         ["", "gzip", "identity", "chunke", "gzip, chunked", "chunked, chunked", "chunked,", ",chunked", "chunk\u{e9}d"];
@@ -59,7 +59,21 @@
 fn body_without_framing_ends_with_the_connection() {
     let found = framing(&[]).expect("a valid head");
     assert_eq!(found, BodyFraming::UntilClose);
-    assert!(!found.marks_end());
+    assert!(!found.is_complete_after(0) && !found.is_complete_after(7));
+}
+
+#[test]
+fn body_of_another_length_than_stated_is_not_complete() {
+    let length = ("content-length", "7");
+    for headers in
+        [&[length][..], &[length, ("transfer-encoding", "chunked")], &[("transfer-encoding", "chunked"), length]]
+    {
+        let found = framing(headers).expect("a valid head");
+        let complete: Vec<u64> = (0..20).filter(|received_bytes| found.is_complete_after(*received_bytes)).collect();
+        assert_eq!(complete, [7], "{headers:?}");
+    }
+    let invalid = framing(&[("transfer-encoding", "chunked"), ("content-length", "7x")]);
+    assert_eq!(invalid, Err(InvalidResponseHead::ContentLength));
 }
 
 #[test]
--- a/router/src/proxy/engine_response.rs
+++ b/router/src/proxy/engine_response.rs
@@ -75,7 +75,7 @@
         }
     }
     return_connection(state, endpoint, &head.headers, connection).await;
-    framing.marks_end().then(|| buffer.freeze())
+    framing.is_complete_after(buffer.len() as u64).then(|| buffer.freeze())
 }
 
 /// Returns a connection to the pool after the response on it was read completely.
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -97,6 +97,7 @@
     let is_streaming = exchange.is_streaming();
     let may_reroute = exchange.is_resumable() && exchange.may_retry();
     let mut last_data_at = clock::now();
+    let mut received_bytes = 0;
     loop {
         let frame = tokio::select! {
             frame = time::timeout(interval, response.body.frame()) => frame,
@@ -110,12 +111,13 @@
                 return BodyEnd::Broken
             }
             Err(_) => continue,
-            Ok(None) if !response.framing.marks_end() => return BodyEnd::Broken,
+            Ok(None) if !response.framing.is_complete_after(received_bytes) => return BodyEnd::Broken,
             Ok(None) => return send_rest(splitter, sender).await,
             Ok(Some(Err(_))) => return BodyEnd::Broken,
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
         };
         last_data_at = clock::now();
+        received_bytes += data.len() as u64;
         let complete = if is_streaming { splitter.feed(&data) } else { data };
         if !sender.send_data(complete).await {
             return BodyEnd::ClientDisconnected;
--- a/router/src/tests/broken_responses.rs
+++ b/router/src/tests/broken_responses.rs
@@ -86,6 +86,8 @@
             "Transfer-Encoding: chunked, chunked",
             "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
             "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+            "Transfer-Encoding: chunked\r\nContent-Length: 21x",
+            "Transfer-Encoding: chunked\r\nContent-Length: 21, 9",
         ],
     )
     .await;
@@ -172,6 +174,23 @@
     }
 }
 
+#[tokio::test]
+async fn response_of_another_length_than_stated_is_not_complete() {
+    for length in [0, 5, 20, 22, 500] {
+        for ending in ENDINGS {
+            let fleet = engines("decode", 2, move |request, _| {
+                ending(chunked(request, &format!("Transfer-Encoding: chunked\r\nContent-Length: {length}")))
+            })
+            .await;
+            let state = router(&fleet);
+            for route in ROUTES {
+                let response = send(&mut Client::connect(&state).await, route, "HTTP/1.1", "").await;
+                assert!(!response.is_complete_success(), "{length} on {route}: {response:?}");
+            }
+        }
+    }
+}
+
 #[tokio::test]
 async fn complete_response_is_forwarded_complete() {
     let valid: [(Spoil, &[&'static str]); 3] = [
@@ -182,6 +201,7 @@
                 "Transfer-Encoding: Chunked",
                 "transfer-encoding:CHUNKED",
                 "Transfer-Encoding: \t chunked \t",
+                "Transfer-Encoding: chunked\r\nContent-Length: 21",
             ],
         ),
         (
