Router: a status above 599, or one without a body beside a length, makes a head invalid

Callers got answers with a status that HTTP does not define (600, 999) as they were, and an empty 204 from an engine whose head announced a body and whose body followed.

Cause: the HTTP library takes any three digits from 100 on, and drops the body of a 204 whatever the head says. Status 000 was refused before.

Change: BodyFraming::of refuses a status above 599, and a 204 with chunks or a length other than 0.

--- a/protocol/src/response_framing.rs
+++ b/protocol/src/response_framing.rs
@@ -12,6 +12,9 @@
 use http::{HeaderMap, Method, StatusCode, Version};
 use thiserror::Error;
 
+/// The greatest valid status code.
+const MAX_STATUS: u16 = 599;
+
 /// How the body of a response is delimited.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -30,6 +33,9 @@
 /// Why the head of a response is invalid. The response must not be used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum InvalidResponseHead {
+    /// The status is greater than 599. HTTP libraries reject those below 100.
+    #[error("status: greater than {MAX_STATUS}")]
+    Status,
     /// `Transfer-Encoding` is something else than `chunked`, which is the only coding that senders may apply unasked.
     #[error("transfer-encoding: not `chunked`")]
     TransferEncoding,
@@ -39,6 +45,9 @@
     /// `Content-Length` is not a number, or has values that differ.
     #[error("content-length: not one number")]
     ContentLength,
+    /// The status excludes a body, and the head announces one.
+    #[error("a body announced with status 204")]
+    ExcludedBody,
 }
 
 impl BodyFraming {
@@ -53,8 +62,14 @@
         version: Version,
         headers: &HeaderMap,
     ) -> Result<BodyFraming, InvalidResponseHead> {
+        if status.as_u16() > MAX_STATUS {
+            return Err(InvalidResponseHead::Status);
+        }
         let is_chunked = is_chunked(version, headers)?;
         let length = content_length(headers)?;
+        if status == StatusCode::NO_CONTENT && (is_chunked || length.is_some_and(|length| length > 0)) {
+            return Err(InvalidResponseHead::ExcludedBody);
+        }
         if method == Method::HEAD || status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED {
             return Ok(BodyFraming::NoBody(length));
         }
--- a/protocol/src/response_framing_tests.rs
+++ b/protocol/src/response_framing_tests.rs
@@ -76,6 +76,17 @@
     assert_eq!(invalid, Err(InvalidResponseHead::ContentLength));
 }
 
+#[test]
+fn status_must_be_below_600_and_agree_with_the_framing() {
+    for status in [600, 999] {
+        assert_eq!(framing_for(Method::GET, status, &[]), Err(InvalidResponseHead::Status), "{status}");
+    }
+    for header in [("content-length", "7"), ("transfer-encoding", "chunked")] {
+        let found = framing_for(Method::GET, 204, &[header]);
+        assert_eq!(found, Err(InvalidResponseHead::ExcludedBody), "{header:?}");
+    }
+}
+
 #[test]
 fn response_without_a_body_ends_with_its_head() {
     let length = [("content-length", "7")];
