Router: a body that breaks off ends with a reset for clients of HTTP/1.0

Clients of HTTP/1.0, many proxies among them, got broken answers as complete ones: parts of a body, streams cut off within or between events, an early 200 whose engine reset the connection during the upload, a truncated body on a resumable route whose length had been dropped.

Cause: such a client understands no chunks, so a closed connection is the end of a complete body, and the router closed the connection in order whatever had happened to the body. It did so too when a connection's task was dropped.

Change: frontend::close_delimited. While a body that the client can delimit only by the connection's end is sent, the client's socket is set to reset when it is closed (zero linger), and not shut down; the end of the complete body withdraws that. So a killed process resets too. An answer of an engine that ends in order without a length still ends by a close, unless a part of an event was held back; for clients of HTTP/1.1 it is still no complete body.

Held before and kept: HEAD and 204, answers without a length that end in order, complete early answers, early resets to clients of HTTP/1.1.

--- a/router/src/frontend/framing_check.rs
+++ b/router/src/frontend/framing_check.rs
@@ -11,7 +11,6 @@
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 /// The scan state of a connection, shared by the stream that feeds the HTTP library and the service that it calls.
 ///
@@ -43,8 +42,8 @@
 }
 
 /// A client connection whose request heads are scanned as they are read.
-pub struct MonitoredStream {
-    inner: TcpStream,
+pub struct MonitoredStream<S> {
+    inner: S,
     framing: Arc<FramingMonitor>,
     /// The bytes read so far of the head that is being scanned.
     head: Vec<u8>,
@@ -54,9 +53,9 @@
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 const END_OF_HEAD: &[u8] = b"\r\n\r\n";
 
-impl MonitoredStream {
+impl<S> MonitoredStream<S> {
     /// Wraps a connection; the results of the scan are stored in `framing`.
-    pub fn new(inner: TcpStream, framing: Arc<FramingMonitor>) -> MonitoredStream {
+    pub fn new(inner: S, framing: Arc<FramingMonitor>) -> MonitoredStream<S> {
         MonitoredStream { inner, framing, head: Vec::new() }
     }
 
@@ -88,7 +87,7 @@
     usize::from(has_header(b"content-length")) + usize::from(has_header(b"transfer-encoding"))
 }
 
-impl AsyncRead for MonitoredStream {
+impl<S: AsyncRead + Unpin> AsyncRead for MonitoredStream<S> {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let filled_before = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
@@ -99,7 +98,7 @@
     }
 }
 
-impl AsyncWrite for MonitoredStream {
+impl<S: AsyncWrite + Unpin> AsyncWrite for MonitoredStream<S> {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
--- a/router/src/frontend/mod.rs
+++ b/router/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod authorization;
+pub mod close_delimited;
 pub mod drain;
 pub mod error_response;
 pub mod framing_check;
--- a/router/src/proxy/event_stream.rs
+++ b/router/src/proxy/event_stream.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken stream can be resumed at another engine only if the bytes that the client has received end with an event.
 
-use std::str;
+use std::{mem, str};
 
 use bytes::{Bytes, BytesMut};
 use kernel::clock;
@@ -93,9 +93,9 @@
         self.partial_event.split().freeze()
     }
 
-    /// Discards the incomplete event of a body that broke off.
-    pub fn discard_partial_event(&mut self) {
-        self.partial_event.clear();
+    /// Discards the incomplete event of a body that broke off. Returns whether there was one.
+    pub fn discard_partial_event(&mut self) -> bool {
+        !mem::take(&mut self.partial_event).is_empty()
     }
 }
 
--- a/router/src/proxy/response_body.rs
+++ b/router/src/proxy/response_body.rs
@@ -1,4 +1,8 @@
 //! The body of a response on its way to a client: a bounded channel that ends as complete only on `finish`.
+//!
+//! A body of an engine that ended with its connection, without a length, may be complete or not. It ends as
+//! `is_unmarked_end` tells: an error for clients that expect a mark at the end, and nothing special for those of HTTP/1.0,
+//! whose responses end in the same way.
 
 use std::io;
 use std::pin::Pin;
@@ -17,9 +21,20 @@
     Data(Bytes),
     /// The body is complete.
     End,
+    /// The body ended with the engine's connection, and nothing shows whether it is complete.
+    UnmarkedEnd,
 }
 
-/// Sends a body to a client. Invariant: only `finish` ends the body as complete; dropping the sender before aborts it.
+/// The kind of the error with which a body ends that nothing shows to be complete.
+const UNMARKED_END: io::ErrorKind = io::ErrorKind::UnexpectedEof;
+
+/// Returns whether the error ends a body whose engine closed the connection in order, without a mark at the end.
+pub fn is_unmarked_end(error: &io::Error) -> bool {
+    error.kind() == UNMARKED_END
+}
+
+/// Sends a body to a client. Invariant: only `finish` ends the body as complete; dropping the sender before that aborts
+/// it.
 pub struct BodySender(Sender<Chunk>);
 
 impl BodySender {
@@ -33,6 +48,11 @@
         let _ = self.0.send(Chunk::End).await;
     }
 
+    /// Ends the body where the engine closed the connection, though nothing shows whether it is complete.
+    pub async fn finish_unmarked(&self) {
+        let _ = self.0.send(Chunk::UnmarkedEnd).await;
+    }
+
     /// Waits until the client has disconnected.
     pub async fn client_disconnected(&self) {
         self.0.closed().await;
@@ -59,6 +79,7 @@
         self.chunks.poll_recv(cx).map(|chunk| match chunk {
             Some(Chunk::Data(data)) => Some(Ok(Frame::data(data))),
             Some(Chunk::End) => None,
+            Some(Chunk::UnmarkedEnd) => Some(Err(UNMARKED_END.into())),
             None => Some(Err(io::ErrorKind::ConnectionAborted.into())),
         })
     }
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
 use kernel::clock;
+use protocol::response_framing::BodyFraming;
 use tokio::time;
 
 use crate::frontend::error_response::Body;
@@ -27,7 +28,9 @@
 enum BodyEnd {
     /// At the end given by its framing.
     Complete,
-    /// The connection or the engine failed.
+    /// The engine closed the connection in order, which is the only end that its body can have.
+    Unmarked,
+    /// The connection or the engine failed, or the body has another length than stated.
     Broken,
     /// The client disconnected.
     ClientDisconnected,
@@ -77,10 +80,15 @@
                 engine_response::return_connection(&exchange.state, &endpoint, &head.headers, connection).await;
                 return;
             }
-            BodyEnd::Broken => exchange.record_version_outcome(VersionOutcome::Lost),
+            BodyEnd::Unmarked | BodyEnd::Broken => exchange.record_version_outcome(VersionOutcome::Lost),
         }
-        splitter.discard_partial_event();
-        let Some((next, next_response)) = exchange.resume(engine_index, &splitter).await else { return };
+        let is_truncated = splitter.discard_partial_event();
+        let Some((next, next_response)) = exchange.resume(engine_index, &splitter).await else {
+            if matches!(end, BodyEnd::Unmarked) && !is_truncated {
+                sender.finish_unmarked().await;
+            }
+            return;
+        };
         (engine_index, response) = (next, next_response);
     }
 }
@@ -111,6 +119,7 @@
                 return BodyEnd::Broken
             }
             Err(_) => continue,
+            Ok(None) if response.framing == BodyFraming::UntilClose => return BodyEnd::Unmarked,
             Ok(None) if !response.framing.is_complete_after(received_bytes) => return BodyEnd::Broken,
             Ok(None) => return send_rest(splitter, sender).await,
             Ok(Some(Err(_))) => return BodyEnd::Broken,
--- a/router/src/testing/mod.rs
+++ b/router/src/testing/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client_response;
 pub mod controller;
+pub mod early_engine;
 pub mod engine;
 pub mod engine_responses;
 pub mod router;
