--- a/router/src/proxy/phases.rs
+++ b/router/src/proxy/phases.rs
@@ -37,7 +37,7 @@
     /// An engine holds the KV cache for this request.
     HandleHeld,
     /// The engine does not support phases and responded to the whole request.
-    Response(usize, EngineResponse),
+    Response(usize, Box<EngineResponse>),
 }
 
 /// Prefills the prompt. The first send does not count against `max_sends`; each further one, after a rejection, does.
@@ -52,7 +52,7 @@
         let options =
             SendOptions { is_prefill: true, urgency: Some(prefill_urgency(exchange, tokens)), ..Default::default() };
         match exchange.send(engine_index, options, tokens, true).await {
-            SendOutcome::Response(response) => return accept_prefill_response(exchange, engine_index, *response).await,
+            SendOutcome::Response(response) => return accept_prefill_response(exchange, engine_index, response).await,
             SendOutcome::Unsent(_) => exchange.attempted_engines.push(engine_index),
             SendOutcome::NotExecuted | SendOutcome::OtherEngine | SendOutcome::OtherVersion(_) => {
                 exchange.attempted_engines.push(engine_index);
@@ -72,7 +72,7 @@
 async fn accept_prefill_response(
     exchange: &mut Exchange,
     engine_index: usize,
-    response: EngineResponse,
+    response: Box<EngineResponse>,
 ) -> Option<PrefillOutcome> {
     if response.head.headers.contains_key(RESPONSE_SEAL) {
         // An engine without support for phases has executed the whole request: this is its response.
@@ -86,7 +86,7 @@
     let timeout_ms = exchange.remaining_ms().min(PREFILL_RESPONSE_TIMEOUT_MS);
     let received_at = clock::now();
     let body =
-        engine_response::read_body(&exchange.state, &endpoint, response, MAX_PREFILL_RESPONSE_BYTES, timeout_ms).await;
+        engine_response::read_body(&exchange.state, &endpoint, *response, MAX_PREFILL_RESPONSE_BYTES, timeout_ms).await;
     exchange.end_send(engine_index);
     let value: Value = body.and_then(|body| serde_json::from_slice(&body).ok()).unwrap_or_default();
     let id = value["kv_handle"].as_str().filter(|_| is_success).unwrap_or("").to_string();
@@ -154,7 +154,7 @@
 pub async fn execute(exchange: &mut Exchange) -> Result<(usize, EngineResponse), Failure> {
     exchange.prefix_owners = plan::look_up_owners(&exchange.state, &exchange.request, exchange.service).await;
     let prefill_engine = match prefill(exchange).await {
-        Some(PrefillOutcome::Response(engine_index, response)) => return Ok((engine_index, response)),
+        Some(PrefillOutcome::Response(engine_index, response)) => return Ok((engine_index, *response)),
         Some(PrefillOutcome::HandleHeld) => exchange.kv_handle_engine(),
         None => None,
     };
