Controller, command line: responses are checked by the same function, in a crate for their calls

A job's answer, a page of the platform's list, the acknowledgement of a usage report and what the command line prints were taken from responses with another transfer coding than chunked, cut off or not, from those that state two lengths, and from statuses above 599.

Cause: reqwest reads a body with an unknown coding to the end of the connection and returns it as complete, and passes over Content-Length beside chunks; the callers checked nothing.

Change: crate http_calls. send() returns only responses whose head BodyFraming::of accepts, read_body() only bodies of the stated length; job requests, the poller, usage reports, orders to engines and the command line go through it. The outcome of a job with a broken response is unknown, a report is unanswered, a page is read again with the next poll. A body without a length that ends in order is accepted as before. Pages over 16 MiB and responses over 256 MiB to the command line are errors now.

Evidence: outcome_of_a_job_with_a_broken_response_is_unknown, broken_response_is_no_page, broken_response_does_not_acknowledge_a_report and the command line's broken_response_is_an_error fail with the calls as they were, and pass now.

--- a/controller/src/balancing.rs
+++ b/controller/src/balancing.rs
@@ -246,7 +246,7 @@
         .header(TARGET_INSTANCE, &engine.id)
         .header("content-type", "application/json")
         .body(body.to_string());
-    let status = call.send().await.map_or(0, |reply| reply.status().as_u16());
+    let status = http_calls::send(call).await.map_or(0, |reply| reply.status().as_u16());
     kernel::log_event!(PHASE_ORDER, "engine" => engine.id.clone(), "phase" => phase, "epoch" => epoch, "status" => status);
 }
 
--- a/controller/src/batches/job_request.rs
+++ b/controller/src/batches/job_request.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use batch::{AttemptOutcome, Job, Urgency, MAX_RESPONSE_BYTES};
+use http_calls::{CallError, Response};
 use kernel::new_incarnation;
 use protocol::headers::{ATTEMPT_ID, TIME_BUDGET};
-use reqwest::{Client, Method, RequestBuilder, Response};
+use reqwest::{Client, Method, RequestBuilder};
 
 /// The header that marks a request as deferrable for the router; it is not forwarded to engines.
 const DEFERRABLE: &str = "deferrable";
@@ -21,7 +22,7 @@
         return AttemptOutcome::Completed { status: 400, body: String::new() };
     };
     let request = build_request(client, method, router, job, urgency, remaining_ms.max(1));
-    let response = match request.send().await {
+    let response = match http_calls::send(request).await {
         Ok(response) => response,
         Err(error) if error.is_connect() => return AttemptOutcome::NotExecuted { retry_after_ms: None },
         Err(_) => return AttemptOutcome::Unknown,
@@ -62,19 +63,14 @@
     Some((seconds * 1000.0) as u64)
 }
 
-async fn read_body(mut response: Response) -> AttemptOutcome {
+async fn read_body(response: Response) -> AttemptOutcome {
     let status = response.status().as_u16();
-    let mut body = Vec::new();
-    loop {
-        match response.chunk().await {
-            Ok(Some(chunk)) => body.extend_from_slice(&chunk),
-            Ok(None) => break,
-            Err(_) => return AttemptOutcome::Unknown,
-        }
-        if body.len() > MAX_RESPONSE_BYTES {
-            // A response that is too large to store is reported as such, since a truncated one would look complete.
-            return AttemptOutcome::Completed { status: 507, body: format!("answer over {MAX_RESPONSE_BYTES} bytes") };
+    match response.read_body(MAX_RESPONSE_BYTES).await {
+        Ok(body) => AttemptOutcome::Completed { status, body: String::from_utf8_lossy(&body).into_owned() },
+        // A response that is too large to store is reported as such, since a truncated one would look complete.
+        Err(CallError::BodyTooLarge { max_bytes }) => {
+            AttemptOutcome::Completed { status: 507, body: format!("answer over {max_bytes} bytes") }
         }
+        Err(_) => AttemptOutcome::Unknown,
     }
-    AttemptOutcome::Completed { status, body: String::from_utf8_lossy(&body).into_owned() }
 }
--- a/controller/src/discovery/poller.rs
+++ b/controller/src/discovery/poller.rs
@@ -23,7 +23,7 @@
 /// Why a poll failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PollError {
-    /// No response: the platform is down or not reachable from here.
+    /// No valid response: the platform is down or not reachable from here.
     Unreachable,
     /// The shared rate limit was exceeded, or the response was not a list.
     Refused,
@@ -53,6 +53,8 @@
 const MAX_REFUSALS: u32 = 4;
 /// The maximum number of pages read in one poll.
 const MAX_PAGES: usize = 1000;
+/// The maximum size of one page, in bytes.
+const MAX_PAGE_BYTES: usize = 16 << 20;
 
 /// Returns the heartbeat entry that marks the platform as unreachable from here; `None` while it is reachable.
 pub fn access_marker(controller: &Controller, now: u64) -> Option<VersionEntry> {
@@ -208,14 +210,14 @@
 /// Fetches one page. Returns `Ok(None)` if the call was refused because of the shared rate limit.
 async fn fetch_page(client: &Client, url: &str) -> Result<Option<Page>, PollError> {
     let started_at = clock::now();
-    let reply = client.get(url).send().await.map_err(|_| PollError::Unreachable)?;
+    let reply = http_calls::send(client.get(url)).await.map_err(|_| PollError::Unreachable)?;
     if reply.status() == StatusCode::TOO_MANY_REQUESTS {
         return Ok(None);
     }
     if reply.status() != StatusCode::OK {
         return Err(PollError::Refused);
     }
-    let body = reply.bytes().await.map_err(|_| PollError::Unreachable)?;
+    let body = reply.read_body(MAX_PAGE_BYTES).await.map_err(|_| PollError::Unreachable)?;
     let page = serde_json::from_slice(&body).map_err(|_| PollError::Refused)?;
     match stalled(started_at, CALL_TIMEOUT_MS, clock::now()) {
         true => Err(PollError::Stalled),
--- a/controller/src/metering/platform.rs
+++ b/controller/src/metering/platform.rs
@@ -20,7 +20,7 @@
 /// Why a call failed. The platform may have accepted the counts nevertheless; a retry sends identical bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportError {
-    /// There was no response.
+    /// There was no response, or one whose head is invalid.
     Unanswered,
     /// The platform rejected the call because of its rate limit.
     RateLimited,
@@ -63,7 +63,7 @@
             .header("fence-token", role_owner.epoch.to_string())
             .header("content-type", "application/json")
             .body(body(window));
-        let response = request.send().await.map_err(|_| ReportError::Unanswered)?;
+        let response = http_calls::send(request).await.map_err(|_| ReportError::Unanswered)?;
         match response.status() {
             status if status.is_success() => Ok(()),
             StatusCode::TOO_MANY_REQUESTS => Err(ReportError::RateLimited),
--- a/controller/src/testing/mod.rs
+++ b/controller/src/testing/mod.rs
@@ -1,3 +1,4 @@
 //! Test support; no part of the daemon.
 
+pub mod http_server;
 mod simulation;
--- a/tidepoint/src/error.rs
+++ b/tidepoint/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 
+use http_calls::CallError;
 use kernel::settings::SettingsError;
 use reqwest::StatusCode;
 use thiserror::Error;
@@ -23,9 +24,12 @@
     /// The async runtime could not be started.
     #[error("{0}")]
     Runtime(#[source] io::Error),
-    /// The request to a controller failed, or its response was cut off.
+    /// The HTTP client could not be built.
     #[error("{0}")]
-    Request(#[from] reqwest::Error),
+    Client(#[from] reqwest::Error),
+    /// The request to a controller failed, or its response was cut off or is invalid.
+    #[error("{0}")]
+    Request(#[from] CallError),
     /// A controller returned an error status.
     #[error("{status}: {body}")]
     Rejected {
--- a/tidepoint/src/http_client.rs
+++ b/tidepoint/src/http_client.rs
@@ -11,15 +11,17 @@
 
 /// Timeout of one request.
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// Maximum size of the body of a response, in bytes.
+const MAX_RESPONSE_BYTES: usize = 256 << 20;
 
 /// Sends one request and returns the response body if the status is a success.
 pub fn send(build: impl FnOnce(Client) -> RequestBuilder) -> Result<String, CommandError> {
     let runtime = Builder::new_current_thread().enable_all().build().map_err(CommandError::Runtime)?;
     let client = Client::builder().timeout(CALL_TIMEOUT).no_proxy().build()?;
     runtime.block_on(async {
-        let response = build(client).send().await?;
+        let response = http_calls::send(build(client)).await?;
         let status = response.status();
-        let body = response.text().await?;
+        let body = String::from_utf8_lossy(&response.read_body(MAX_RESPONSE_BYTES).await?).into_owned();
         match status.is_success() {
             true => Ok(body),
             false => Err(CommandError::Rejected { status, body }),
@@ -66,3 +68,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "http_client_tests.rs"]
+mod tests;
