Router: a probe's response with an invalid head does not show that its engine responds

An engine in trouble whose answers are refused for their heads cleared its suspicion with the same answers to probes, and so got requests again; its Instance-Id was taken from such a head.

Change: the probe asks BodyFraming::of, and takes an invalid head for no response. The body of the response is not used, so where it ends doesn't matter. Probes of zones by controllers (tallies/zone_probes.rs) are left as they are: they use nothing of the response, one byte of any process there shows the round trip.

Evidence: response_with_an_invalid_head_is_none fails without the check and passes with it.

--- a/router/src/upstream/probe.rs
+++ b/router/src/upstream/probe.rs
@@ -1,14 +1,16 @@
-//! A single health probe of an engine, on a separate connection.
+//! A single health probe of an engine, on a separate connection. Only the head of the response is used; its body may break
+//! off.
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONNECTION, HOST};
-use http::{HeaderValue, Request, Uri};
+use http::{HeaderValue, Method, Request, Uri};
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use protocol::headers::INSTANCE_ID;
+use protocol::response_framing::BodyFraming;
 use protocol::socket::IO_TIMEOUT_MS;
 use protocol::Dialer;
 use tokio::time;
@@ -28,7 +30,7 @@
     }
 }
 
-/// Probes the engine at an address. Returns `None` without a response in time.
+/// Probes the engine at an address. Returns `None` without a valid response in time.
 pub async fn probe(dialer: Dialer, addr: &str) -> Option<ProbeResponse> {
     let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
     time::timeout(timeout, request_report(dialer, addr)).await.ok()?
@@ -47,6 +49,11 @@
     request.headers_mut().insert(HOST, HeaderValue::from_str(addr).ok()?);
     request.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     let response = sender.send_request(request).await.ok()?;
+    BodyFraming::of(&Method::GET, response.status(), response.version(), response.headers()).ok()?;
     let engine_id = response.headers().get(INSTANCE_ID).and_then(|value| value.to_str().ok());
     Some(ProbeResponse { engine_id: engine_id.map(str::to_string) })
 }
+
+#[cfg(test)]
+#[path = "probe_tests.rs"]
+mod tests;
