Tests: broken responses use few ports; clients of one router connect to one address

Three runs of these tests at once, again and again, failed with "Address already in use" when asked for a free port: a run left some 10,000 ports in TIME_WAIT for a minute, of 28,000, and tests that run after it need ports too.

--- a/router/src/testing/router.rs
+++ b/router/src/testing/router.rs
@@ -1,5 +1,6 @@
 //! An in-process router and its clients, on real connections over the loopback interface.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
@@ -90,10 +91,31 @@
     state.engines().update(&endpoint_list, clock::now());
 }
 
+/// Serves the clients of a router. Returns the address.
+pub fn serve(state: &Arc<State>) -> SocketAddr {
+    let listener = socket::listen("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("a local address");
+    let state = state.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(listener::serve_client(state.clone(), stream));
+        }
+    });
+    address
+}
+
 /// A client connection to a router.
 pub struct Client(pub TcpStream);
 
 impl Client {
+    /// Connects to an address that serves clients. The connection is reset when it is dropped, so that tests with many
+    /// connections do not use up the ports of the machine.
+    pub async fn connect_to(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).await.expect("connects to the router");
+        stream.set_zero_linger().expect("a socket");
+        Client(stream)
+    }
+
     /// Connects to a router.
     pub async fn connect(state: &Arc<State>) -> Client {
         let listener = socket::listen("127.0.0.1:0").expect("a free port");
