Router: the reset for clients of HTTP/1.0 holds until the body has been written

A slow client of HTTP/1.0 would have got the first part of a complete answer as all of it, if its connection's task or the process ended while the rest was still in the router's buffers: the reset was withdrawn when the body had ended, not when it was written.

Change: the progress of such a response is typed (incomplete, complete, written), and the reset is withdrawn when the HTTP library shuts the connection down, which it does after its last write.

Evidence: response_is_reset_if_its_connection_is_dropped_before_all_of_it_was_written (100 KiB, sockets of 8 KiB) failed on the commit before, closed after 24,578 bytes, and passes now; slow_client_gets_the_complete_response (100 KiB, 4 MiB) passes before and now.

--- a/router/src/frontend/close_delimited.rs
+++ b/router/src/frontend/close_delimited.rs
@@ -1,12 +1,12 @@
 //! Responses whose body ends where the connection ends, for clients of HTTP/1.0 that understand no chunks.
 //!
 //! Such a client takes a closed connection for the end of a complete body. So its connection is reset unless the body
-//! is complete. The reset is set on the socket before the body begins and is withdrawn after its end, so that it also
-//! happens if the request's task is dropped or the process is killed.
+//! is complete and was written. The reset is set on the socket before the body begins and is withdrawn when the HTTP
+//! library shuts the connection down after its last write, so that it also happens if the connection's task is dropped
+//! or the process is killed.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, Version};
 use http_body::{Body as _, Frame, SizeHint};
+use parking_lot::Mutex;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -21,19 +22,31 @@
 use crate::frontend::error_response::Body;
 use crate::proxy::response_body;
 
-/// Whether a connection is reset rather than closed when it ends; shared by its stream and the body of the response.
+/// How far the response that ends with the connection is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Progress {
+    /// No response so far ends with the connection.
+    #[default]
+    NotStarted,
+    /// The body has not ended.
+    Incomplete,
+    /// The body has ended, and a part of it may not be written yet.
+    Complete,
+    /// The body has been written.
+    Written,
+}
+
+/// The progress of the response that ends with a connection; shared by its body and the stream.
 #[derive(Clone, Default)]
-pub struct ResetOnEnd(Arc<AtomicBool>);
+pub struct ResponseProgress(Arc<Mutex<Progress>>);
 
-impl ResetOnEnd {
-    /// Changes whether the connection is reset.
-    fn set(&self, reset: bool) {
-        self.0.store(reset, Ordering::Relaxed);
+impl ResponseProgress {
+    fn set(&self, progress: Progress) {
+        *self.0.lock() = progress;
     }
 
-    /// Returns whether the connection is reset.
-    fn get(&self) -> bool {
-        self.0.load(Ordering::Relaxed)
+    fn get(&self) -> Progress {
+        *self.0.lock()
     }
 }
 
@@ -59,18 +72,22 @@
 }
 
 /// Has the connection reset unless the body of the response is sent completely, if its client could not tell otherwise.
-pub fn reset_unless_complete(request: &RequestKind, response: Response<Body>, reset: &ResetOnEnd) -> Response<Body> {
+pub fn reset_unless_complete(
+    request: &RequestKind,
+    response: Response<Body>,
+    progress: &ResponseProgress,
+) -> Response<Body> {
     if !request.is_close_delimited(&response) {
         return response;
     }
-    reset.set(true);
-    response.map(|body| Body::new(CloseDelimitedBody { body, reset: reset.clone() }))
+    progress.set(Progress::Incomplete);
+    response.map(|body| Body::new(CloseDelimitedBody { body, progress: progress.clone() }))
 }
 
-/// A body whose end withdraws the reset of its connection.
+/// A body that ends with its connection.
 struct CloseDelimitedBody {
     body: Body,
-    reset: ResetOnEnd,
+    progress: ResponseProgress,
 }
 
 impl http_body::Body for CloseDelimitedBody {
@@ -85,7 +102,7 @@
             Some(Ok(_)) => false,
         };
         if is_end {
-            self.reset.set(false);
+            self.progress.set(Progress::Complete);
             return Poll::Ready(None);
         }
         Poll::Ready(frame)
@@ -96,29 +113,28 @@
     }
 }
 
-/// A client connection that ends by a reset while its `ResetOnEnd` is set.
+/// A client connection that ends with a reset while a response that ends with it has not been written completely.
 pub struct ResettableStream {
     inner: TcpStream,
-    reset: ResetOnEnd,
-    /// Whether the socket is set to be reset when it is closed.
-    is_set_on_socket: bool,
+    progress: ResponseProgress,
+    /// Whether the socket is reset when it is closed.
+    resets_on_close: bool,
 }
 
 impl ResettableStream {
     /// Wraps a connection.
-    pub fn new(inner: TcpStream, reset: ResetOnEnd) -> ResettableStream {
-        ResettableStream { inner, reset, is_set_on_socket: false }
+    pub fn new(inner: TcpStream, progress: ResponseProgress) -> ResettableStream {
+        ResettableStream { inner, progress, resets_on_close: false }
     }
 
-    /// Sets the socket as `reset` demands, and returns whether it is reset when it is closed.
-    fn update_socket(&mut self) -> bool {
-        let reset = self.reset.get();
-        if reset != self.is_set_on_socket {
-            let linger = reset.then_some(Duration::ZERO);
+    /// Sets on the socket whether it is reset when it is closed, as the progress demands.
+    fn update_socket(&mut self) {
+        let resets = matches!(self.progress.get(), Progress::Incomplete | Progress::Complete);
+        if resets != self.resets_on_close {
+            let linger = resets.then_some(Duration::ZERO);
             let _ = SockRef::from(&self.inner).set_linger(linger);
-            self.is_set_on_socket = reset;
+            self.resets_on_close = resets;
         }
-        reset
     }
 }
 
@@ -158,10 +174,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.update_socket() {
+        match self.progress.get() {
             // A shutdown would look like the end of a complete body; dropping the stream resets it.
-            return Poll::Ready(Ok(()));
+            Progress::Incomplete => return Poll::Ready(Ok(())),
+            Progress::Complete => self.progress.set(Progress::Written),
+            Progress::NotStarted | Progress::Written => {}
         }
+        self.update_socket();
         Pin::new(&mut self.inner).poll_shutdown(cx)
     }
 }
--- a/router/src/frontend/listener.rs
+++ b/router/src/frontend/listener.rs
@@ -20,7 +20,7 @@
 
 use crate::config::routing_table::RoutingTable;
 use crate::frontend::admission;
-use crate::frontend::close_delimited::{self, RequestKind, ResetOnEnd, ResettableStream};
+use crate::frontend::close_delimited::{self, RequestKind, ResettableStream, ResponseProgress};
 use crate::frontend::drain::DrainPhase;
 use crate::frontend::framing_check::{FramingMonitor, MonitoredStream};
 use crate::metrics::{Connection, PhaseLabels};
@@ -120,18 +120,18 @@
     socket::configure(&stream, CLIENT_TIMEOUT_MS);
     let _open_connection = OpenConnection::count(&state);
     let framing = FramingMonitor::new();
-    let reset = ResetOnEnd::default();
-    let stream = ResettableStream::new(stream, reset.clone());
+    let progress = ResponseProgress::default();
+    let stream = ResettableStream::new(stream, progress.clone());
     let io = TokioIo::new(MonitoredStream::new(stream, framing.clone()));
     let service_state = state.clone();
     let connection = Cell::new(Connection::New);
     let service = service::service_fn(move |request: Request<Incoming>| {
-        let (state, framing, reset) = (service_state.clone(), framing.clone(), reset.clone());
+        let (state, framing, progress) = (service_state.clone(), framing.clone(), progress.clone());
         let connection = connection.replace(Connection::Kept);
         async move {
             let kind = RequestKind::of(&request);
             let response = admission::serve(state, request, &framing, connection).await;
-            Ok::<_, Infallible>(close_delimited::reset_unless_complete(&kind, response, &reset))
+            Ok::<_, Infallible>(close_delimited::reset_unless_complete(&kind, response, &progress))
         }
     });
     let connection_future = http_settings(&state.table()).serve_connection(io, service);
