Router: request bodies are charged to a memory budget before their bytes are taken

Clients saw a router end for want of memory: bodies that were whole, half or just short of their end, in chunks or with a length, and chunked bodies far over the limit were read without counting. `check_body_memory` looked once, before a body was read, at bodies that were complete. Before the first configuration nothing was looked at.

The new crate `ingress` holds one account of memory for a process, with a limit for each purpose. A body's buffer is reserved before it grows, and the reservation lives inside the `Bytes` of the body, so it ends with their last copy: a dropped future, a reset and a malformed body return it too. A body must be complete by its request's deadline (408), and one that hardly progresses while others are refused gives way (408). What does not fit gets 503 and its connection is closed; nothing of it has run.

soak/tests/misbehaving_clients: real processes, memory_mb 260, the bound is that figure in bytes at the peak.

--- /dev/null
+++ b/ingress/src/body.rs
@@ -0,0 +1,127 @@
+//! Reading the body of a request into memory that was reserved before.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body::Body;
+use http_body_util::BodyExt;
+use kernel::clock;
+use thiserror::Error;
+use tokio::time;
+
+use crate::body_progress::BodyProgress;
+use crate::memory_budget::{OutOfMemory, Reservation};
+
+/// The initial capacity for a body of unknown length, in bytes.
+const INITIAL_CAPACITY: usize = 4 * 1024;
+/// The initial capacity for a body of known length, in bytes, unless it is shorter.
+const MAX_INITIAL_CAPACITY: usize = 64 * 1024;
+
+/// What a body may take.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyLimits {
+    /// The largest length in bytes.
+    pub max_bytes: usize,
+    /// The longest time without any byte, in milliseconds.
+    pub idle_ms: u64,
+    /// When the body must be complete, in milliseconds of the steady clock.
+    pub deadline_ms: u64,
+}
+
+/// Why a body could not be read. Nothing of its request has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is longer than allowed.
+    #[error("the body is too long")]
+    TooLarge,
+    /// It stalled, or did not arrive in time.
+    #[error("the body did not arrive in time")]
+    TimedOut,
+    /// The process has no memory left for it.
+    #[error(transparent)]
+    OutOfMemory(#[from] OutOfMemory),
+    /// The connection ended, or the framing is invalid.
+    #[error("the body is incomplete or malformed")]
+    Malformed,
+}
+
+/// A body in memory, together with its reservation.
+struct ReservedBuffer {
+    buffer: Vec<u8>,
+    reservation: Reservation,
+}
+
+impl AsRef<[u8]> for ReservedBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.buffer
+    }
+}
+
+impl ReservedBuffer {
+    /// Appends data; the capacity doubles as needed, up to `max_capacity`, and is reserved before it is allocated.
+    fn append(&mut self, data: &[u8], max_capacity: usize) -> Result<(), OutOfMemory> {
+        let needed = self.buffer.len() + data.len();
+        if needed > self.buffer.capacity() {
+            let doubled = (2 * self.buffer.capacity()).clamp(INITIAL_CAPACITY, max_capacity.max(INITIAL_CAPACITY));
+            self.allocate(needed.max(doubled))?;
+        }
+        self.buffer.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn allocate(&mut self, capacity: usize) -> Result<(), OutOfMemory> {
+        self.reservation.try_hold_buffer(capacity, clock::now())?;
+        self.buffer.reserve_exact(capacity - self.buffer.len());
+        Ok(())
+    }
+}
+
+/// Reads a body to its end. The returned bytes hold the reservation until the last copy of them is dropped.
+///
+/// # Errors
+///
+/// The body is not read any further, and its memory has been returned.
+pub async fn read_body(
+    body: impl Body<Data = Bytes>,
+    limits: &BodyLimits,
+    reservation: Reservation,
+) -> Result<Bytes, BodyError> {
+    let mut body = pin!(body);
+    let declared_bytes = body.size_hint().exact();
+    if declared_bytes.is_some_and(|bytes| bytes > limits.max_bytes as u64) {
+        return Err(BodyError::TooLarge);
+    }
+    let max_capacity = declared_bytes.map_or(limits.max_bytes, |bytes| bytes as usize);
+    let mut content = ReservedBuffer { buffer: Vec::new(), reservation };
+    if declared_bytes.is_some() {
+        content.allocate(max_capacity.min(MAX_INITIAL_CAPACITY))?;
+    }
+    let mut progress = BodyProgress::start(clock::now());
+    loop {
+        let wait = Duration::from_millis(progress.wait_ms(limits, clock::now()));
+        let frame = match time::timeout(wait, body.frame()).await {
+            Err(_) => {
+                let now = clock::now();
+                let others_wait = content.reservation.bytes() > 0 && content.reservation.is_contended(now);
+                if progress.has_timed_out(limits, now, others_wait) {
+                    return Err(BodyError::TimedOut);
+                }
+                continue;
+            }
+            Ok(None) => return Ok(Bytes::from_owner(content)),
+            Ok(Some(Err(_))) => return Err(BodyError::Malformed),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(data) = frame.into_data() else { continue };
+        if content.buffer.len() + data.len() > limits.max_bytes {
+            return Err(BodyError::TooLarge);
+        }
+        content.append(&data, max_capacity)?;
+        progress.record_frame(data.len(), clock::now());
+    }
+}
+
+#[cfg(test)]
+#[path = "body_tests.rs"]
+mod tests;
--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -1,8 +1,8 @@
 //! Request admission: reads a request, authorizes it, and hands it to the proxy.
 //!
 //! The checks run in this order: framing (a request with ambiguous framing must not be interpreted further),
-//! configuration and authorization (so that a ready router buffers no body of an unauthorized request), the memory
-//! limit, the body. Every request gets a response, and a `RequestGuard` counts it from its head to the end of that
+//! configuration and authorization (so that a ready router buffers no body of an unauthorized request), the body, which
+//! is charged to the memory budget as it arrives. Every request gets a response, and a `RequestGuard` counts it from its head to the end of that
 //! response.
 
 use std::sync::atomic::Ordering;
@@ -14,6 +14,7 @@
 use http::request::Parts;
 use http::Response;
 use hyper::body::Incoming;
+use ingress::{read_body, BodyError, BodyLimits, Purpose};
 use kernel::clock;
 use protocol::headers::TIME_BUDGET;
 use tokio::time;
@@ -82,6 +83,8 @@
 /// Maximum wait for the first configuration, idle timeout of bodies until then, and default time budget of requests, in
 /// milliseconds.
 const STARTUP_WAIT_MS: u64 = 1000;
+/// Timeout for a complete body until then, in milliseconds, if the time budget of its request is not shorter.
+const STARTUP_BODY_TIMEOUT_MS: u64 = 8000;
 /// A request waits for the first configuration for at most its time budget divided by this.
 const STARTUP_WAIT_DIVISOR: u64 = 3;
 /// Polling interval while waiting for the router to become ready, in milliseconds.
@@ -90,8 +93,6 @@
 const RETRY_AFTER_MS: u64 = 300;
 /// `Retry-After` if buffered request bodies occupy too much memory, in milliseconds.
 const MEMORY_RETRY_AFTER_MS: u64 = 250;
-/// Shift that converts the memory limit in MiB to the byte limit on buffered request bodies: a quarter of it.
-const HELD_BODY_BYTES_SHIFT: u32 = 18;
 
 /// Waits until the router is ready or `deadline_ms` has passed.
 async fn wait_until_ready(state: &State, deadline_ms: u64) {
@@ -114,6 +115,18 @@
     }
 }
 
+impl From<BodyError> for Rejection {
+    fn from(error: BodyError) -> Rejection {
+        let failure = match error {
+            BodyError::TooLarge => Failure::BodyTooLarge,
+            BodyError::TimedOut => Failure::BodyTimeout,
+            BodyError::OutOfMemory(_) => Failure::Unavailable(MEMORY_RETRY_AFTER_MS),
+            BodyError::Malformed => Failure::Malformed,
+        };
+        Rejection { failure, close_connection: true }
+    }
+}
+
 /// The body of a request during admission.
 enum ClientBody {
     /// Not read from the connection yet.
@@ -178,8 +191,13 @@
     parts: &Parts,
     body: Incoming,
     received_at_ms: u64,
-) -> Result<Bytes, Failure> {
-    let body = request::read_body(body, STARTUP_MAX_BODY_BYTES, STARTUP_WAIT_MS).await?;
+) -> Result<Bytes, Rejection> {
+    let limits = BodyLimits {
+        max_bytes: STARTUP_MAX_BODY_BYTES,
+        idle_ms: STARTUP_WAIT_MS,
+        deadline_ms: request::deadline_ms(&parts.headers, received_at_ms, STARTUP_BODY_TIMEOUT_MS),
+    };
+    let body = read_body(body, &limits, state.memory.reservation(Purpose::RequestBodies)).await?;
     let time_budget_ms = request::parse_number(&parts.headers, TIME_BUDGET).unwrap_or(STARTUP_WAIT_MS);
     let wait_ms = (time_budget_ms / STARTUP_WAIT_DIVISOR).min(STARTUP_WAIT_MS);
     wait_until_ready(state, received_at_ms + wait_ms).await;
@@ -198,21 +216,25 @@
     Ok(())
 }
 
-/// Checks that buffered request bodies are within their memory limit.
-fn check_body_memory(state: &State) -> Result<(), Failure> {
-    let max_held_bytes = (state.settings.limits.memory_mb as usize) << HELD_BODY_BYTES_SHIFT;
-    if state.held_body_bytes.load(Ordering::Relaxed) > max_held_bytes {
-        return Err(Failure::Unavailable(MEMORY_RETRY_AFTER_MS));
+/// Returns the limits of a body. It must arrive before the deadline of its request, since nothing could be done with it
+/// later.
+fn body_limits(admitted: &Admitted, parts: &Parts, received_at_ms: u64) -> BodyLimits {
+    let timeout_ms = admitted.authorization.route().timeout_ms;
+    BodyLimits {
+        max_bytes: admitted.table.body_bytes,
+        idle_ms: admitted.table.idle_ms,
+        deadline_ms: request::deadline_ms(&parts.headers, received_at_ms, timeout_ms),
     }
-    Ok(())
 }
 
 /// Returns the complete body, subject to the limits of the routing table that authorized the request.
-async fn read_within_limits(body: ClientBody, table: &RoutingTable) -> Result<Bytes, Failure> {
+async fn read_within_limits(state: &State, body: ClientBody, limits: &BodyLimits) -> Result<Bytes, Rejection> {
     match body {
-        ClientBody::Unread(body) => request::read_body(body, table.body_bytes, table.idle_ms).await,
-        ClientBody::Read(body) if body.len() <= table.body_bytes => Ok(body),
-        ClientBody::Read(_) => Err(Failure::BodyTooLarge),
+        ClientBody::Unread(body) => {
+            Ok(read_body(body, limits, state.memory.reservation(Purpose::RequestBodies)).await?)
+        }
+        ClientBody::Read(body) if body.len() <= limits.max_bytes => Ok(body),
+        ClientBody::Read(_) => Err(Failure::BodyTooLarge.into()),
     }
 }
 
@@ -233,8 +255,8 @@
         Err(failure) => return Err(reject(failure, &parts, body).await),
     };
     let authorized_at_ms = clock::now();
-    check_body_memory(state)?;
-    let body = read_within_limits(body, &admitted.table).await?;
+    let limits = body_limits(&admitted, &parts, received_at_ms);
+    let body = read_within_limits(state, body, &limits).await?;
     if clock::now() > authorized_at_ms + state.freshness.budget().lookup_age_ms() {
         // The body was slow to arrive, and a newer configuration may route the request differently.
         admitted = authorize(state, &parts).await?;
@@ -251,7 +273,6 @@
         routing_table::pick_weighted(&route.targets, rng.next_u64())
     };
     let request = request::Request::new(parts, body, authorization, u64::from(service), received_at_ms);
-    state.held_body_bytes.fetch_add(request.body.len(), Ordering::Relaxed);
     state.retry_budget().record_request(service, received_at_ms);
     Exchange {
         priority: request.authorization.priority(),
--- a/router/src/frontend/framing_check.rs
+++ b/router/src/frontend/framing_check.rs
@@ -2,7 +2,8 @@
 //!
 //! The HTTP library resolves this conflict itself: it decodes the chunks and drops the length, so no request can be
 //! smuggled past the router. But such a request must be rejected as malformed, and the parsed request no longer shows
-//! the conflict. Therefore the bytes of each head are scanned on their way from the socket to the library.
+//! the conflict. Therefore the bytes of each head are scanned on their way from the socket to the library, and a long
+//! head is charged to the memory budget there.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -10,6 +11,9 @@
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
+use ingress::http_server::DEFAULT_HEAD_BYTES;
+use ingress::{MemoryBudget, OutOfMemory, Purpose, Reservation};
+use kernel::clock;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// The scan state of a connection, shared by the stream that feeds the HTTP library and the service that it calls.
@@ -41,50 +45,118 @@
     }
 }
 
+const CONTENT_LENGTH: &[u8] = b"content-length";
+const TRANSFER_ENCODING: &[u8] = b"transfer-encoding";
+const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+
+/// Scans a head byte by byte, so that no copy of it is kept.
+#[derive(Default)]
+struct HeadScanner {
+    /// The beginning of the current line in lower case, as long as the longer of the two names.
+    line_start: [u8; TRANSFER_ENCODING.len()],
+    line_length: usize,
+    has_content_length: bool,
+    has_transfer_encoding: bool,
+    /// The number of bytes scanned so far.
+    head_length: usize,
+    /// The number of bytes of `END_OF_HEAD` that the last bytes match.
+    end_matched: usize,
+}
+
+impl HeadScanner {
+    /// Scans bytes up to the end of the head. Returns whether that was found.
+    fn scan(&mut self, bytes: &[u8]) -> bool {
+        self.head_length += bytes.len();
+        bytes.iter().any(|byte| self.scan_byte(*byte))
+    }
+
+    /// Scans one byte. Returns whether it ends the head.
+    fn scan_byte(&mut self, byte: u8) -> bool {
+        self.end_matched = match byte {
+            _ if byte == END_OF_HEAD[self.end_matched] => self.end_matched + 1,
+            b'\r' => 1,
+            _ => 0,
+        };
+        if byte == b'\n' {
+            self.line_length = 0;
+            return self.end_matched == END_OF_HEAD.len();
+        }
+        // A name counts once another byte follows it.
+        match self.line_length {
+            length if length == CONTENT_LENGTH.len() => self.has_content_length |= self.line_is(CONTENT_LENGTH),
+            length if length == TRANSFER_ENCODING.len() => {
+                self.has_transfer_encoding |= self.line_is(TRANSFER_ENCODING)
+            }
+            _ => {}
+        }
+        if let Some(place) = self.line_start.get_mut(self.line_length) {
+            *place = byte.to_ascii_lowercase();
+        }
+        self.line_length += 1;
+        false
+    }
+
+    fn line_is(&self, name: &[u8]) -> bool {
+        &self.line_start[..name.len()] == name
+    }
+
+    /// Returns whether the head has both framing headers.
+    fn has_conflict(&self) -> bool {
+        self.has_content_length && self.has_transfer_encoding
+    }
+}
+
+/// How often the HTTP library may hold the bytes of a head while it parses it.
+const HEAD_COPIES: usize = 2;
+
 /// A client connection whose request heads are scanned as they are read.
 pub struct MonitoredStream<S> {
     inner: S,
     framing: Arc<FramingMonitor>,
-    /// The bytes read so far of the head that is being scanned.
-    head: Vec<u8>,
+    scanner: HeadScanner,
+    memory: Arc<MemoryBudget>,
+    /// The charge for the last head, if that is longer than what the limit on connections allows for.
+    reservation: Option<Reservation>,
 }
 
-/// Maximum number of bytes scanned per head; the HTTP library rejects larger heads anyway.
-const MAX_HEAD_BYTES: usize = 256 * 1024;
-const END_OF_HEAD: &[u8] = b"\r\n\r\n";
-
 impl<S> MonitoredStream<S> {
     /// Wraps a connection; the results of the scan are stored in `framing`.
-    pub fn new(inner: S, framing: Arc<FramingMonitor>) -> MonitoredStream<S> {
-        MonitoredStream { inner, framing, head: Vec::new() }
+    pub fn new(inner: S, framing: Arc<FramingMonitor>, memory: Arc<MemoryBudget>) -> MonitoredStream<S> {
+        MonitoredStream { inner, framing, scanner: HeadScanner::default(), memory, reservation: None }
     }
 
     /// Scans newly read bytes unless they belong to a body.
-    fn scan(&mut self, bytes: &[u8]) {
-        if !self.framing.expects_head.load(Ordering::Relaxed) {
-            return;
+    ///
+    /// # Errors
+    ///
+    /// If the head is long and there is no memory left for it.
+    fn scan(&mut self, bytes: &[u8]) -> Result<(), OutOfMemory> {
+        if !self.framing.expects_head.load(Ordering::Relaxed) || bytes.is_empty() {
+            return Ok(());
+        }
+        if self.scanner.head_length == 0 {
+            self.reservation = None;
         }
-        // The end of the head may be split across two reads.
-        let search_start = self.head.len().saturating_sub(END_OF_HEAD.len() - 1);
-        self.head.extend_from_slice(bytes);
-        let end = self.head[search_start..].windows(END_OF_HEAD.len()).position(|window| window == END_OF_HEAD);
-        if end.is_none() && self.head.len() < MAX_HEAD_BYTES {
-            return;
+        let is_complete = self.scanner.scan(bytes);
+        self.reserve(self.scanner.head_length)?;
+        if !is_complete {
+            return Ok(());
         }
-        let head = &self.head[..end.map_or(self.head.len(), |end| search_start + end)];
-        self.framing.has_conflicting_framings.store(count_framings(head) > 1, Ordering::Relaxed);
+        self.framing.has_conflicting_framings.store(self.scanner.has_conflict(), Ordering::Relaxed);
         self.framing.expects_head.store(false, Ordering::Relaxed);
-        self.head = Vec::new();
+        self.scanner = HeadScanner::default();
+        Ok(())
     }
-}
 
-/// Returns how many of the two framing headers a head has.
-fn count_framings(head: &[u8]) -> usize {
-    let has_header = |name: &[u8]| {
-        head.split(|byte| *byte == b'\n')
-            .any(|line| line.len() > name.len() && line[..name.len()].eq_ignore_ascii_case(name))
-    };
-    usize::from(has_header(b"content-length")) + usize::from(has_header(b"transfer-encoding"))
+    /// Charges a head of this length, unless it is short.
+    fn reserve(&mut self, head_length: usize) -> Result<(), OutOfMemory> {
+        if head_length <= DEFAULT_HEAD_BYTES {
+            return Ok(());
+        }
+        let memory = &self.memory;
+        let reservation = self.reservation.get_or_insert_with(|| memory.reservation(Purpose::RequestHeads));
+        reservation.try_grow_to(HEAD_COPIES * head_length, clock::now())
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for MonitoredStream<S> {
@@ -92,7 +164,8 @@
         let filled_before = buf.filled().len();
         let result = Pin::new(&mut self.inner).poll_read(cx, buf);
         if let Poll::Ready(Ok(())) = &result {
-            self.scan(&buf.filled()[filled_before..]);
+            self.scan(&buf.filled()[filled_before..])
+                .map_err(|error| io::Error::new(io::ErrorKind::OutOfMemory, error))?;
         }
         result
     }
--- a/router/src/frontend/listener.rs
+++ b/router/src/frontend/listener.rs
@@ -12,8 +12,8 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use kernel::settings::Settings;
+use hyper_util::rt::TokioIo;
+use ingress::{http_server, ConnectionLimits};
 use prometheus_client::metrics::gauge::Gauge;
 use protocol::socket;
 use tokio::net::TcpStream;
@@ -28,24 +28,13 @@
 
 /// Maximum number of concurrent connections for readiness checks.
 const MAX_READINESS_CONNECTIONS: usize = 64;
-/// File descriptors reserved for other uses; connections of clients and engines share the rest.
-const RESERVED_DESCRIPTORS: u64 = 200;
-/// Minimum number of concurrent client connections, even if the file descriptor limit is very low.
-const MIN_CLIENT_CONNECTIONS: u64 = 16;
 /// How long sent data may stay unacknowledged before the connection to a client is dropped, in milliseconds.
 const CLIENT_TIMEOUT_MS: u64 = 10_000;
-/// Minimum buffer capacity for the head of a request.
-const HEAD_BUFFER_BYTES: usize = 16 * 1024;
-/// Buffer capacity of a connection beyond the head.
-const BODY_BUFFER_BYTES: usize = 64 * 1024;
+/// Maximum size of a request head until the first configuration arrives with the configured limit, in bytes.
+const STARTUP_HEAD_BYTES: usize = 64 * 1024;
 /// Minimum idle timeout of a keep-alive connection, whatever is configured, in milliseconds.
 const MIN_IDLE_TIMEOUT_MS: u64 = 1000;
 
-/// Returns the maximum number of client connections: half of the file descriptors that are not reserved.
-fn max_client_connections(settings: &Settings) -> usize {
-    (settings.limits.fd_limit.saturating_sub(RESERVED_DESCRIPTORS) / 2).max(MIN_CLIENT_CONNECTIONS) as usize
-}
-
 /// Serves the platform's readiness checks until the process exits.
 pub async fn serve_readiness(state: Arc<State>) {
     let Some(address) = state.settings.bind_addresses.readiness.clone() else { return };
@@ -69,7 +58,7 @@
 /// Serves clients until the router closes, then stops listening.
 pub async fn serve_frontend(state: Arc<State>) {
     let Some(address) = state.settings.bind_addresses.frontend.clone() else { return };
-    let max_connections = max_client_connections(&state.settings);
+    let max_connections = ConnectionLimits::new(&state.settings.limits).clients;
     tokio::select! {
         () = socket::accept_each(&address, max_connections, |stream| serve_client(state.clone(), stream)) => {}
         () = state.drain.wait_for_closing() => {}
@@ -103,16 +92,10 @@
 
 /// Returns the HTTP settings of a client connection from the configuration in force.
 fn http_settings(table: &RoutingTable) -> Builder {
-    let mut builder = Builder::new();
-    builder.timer(TokioTimer::new());
-    builder.keep_alive(true).max_buf_size(table.header_bytes.max(HEAD_BUFFER_BYTES) + BODY_BUFFER_BYTES);
     // hyper also applies this timeout to an idle keep-alive connection.
     let timeout_ms = table.idle_ms.max(table.header_ms).max(MIN_IDLE_TIMEOUT_MS);
-    builder.header_read_timeout(Duration::from_millis(timeout_ms));
-    if table.header_bytes > 0 {
-        builder.max_header_size(table.header_bytes);
-    }
-    builder
+    let head_bytes = if table.header_bytes > 0 { table.header_bytes } else { STARTUP_HEAD_BYTES };
+    http_server::builder(head_bytes, Duration::from_millis(timeout_ms))
 }
 
 /// Serves the requests of a connection, and shuts it down gracefully once the router closes.
@@ -122,7 +105,7 @@
     let framing = FramingMonitor::new();
     let progress = ResponseProgress::default();
     let stream = ResettableStream::new(stream, progress.clone());
-    let io = TokioIo::new(MonitoredStream::new(stream, framing.clone()));
+    let io = TokioIo::new(MonitoredStream::new(stream, framing.clone(), state.memory.clone()));
     let service_state = state.clone();
     let connection = Cell::new(Connection::New);
     let service = service::service_fn(move |request: Request<Incoming>| {
--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use catalog::PromptSegment;
 use http::header::{HeaderName, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TRANSFER_ENCODING};
 use http::request::Parts;
@@ -17,7 +17,6 @@
 use tokio::time;
 
 use crate::frontend::authorization::Authorization;
-use crate::frontend::error_response::Failure;
 
 /// An admitted request in the form that is sent to engines.
 ///
@@ -90,6 +89,12 @@
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
 
+/// Returns the deadline of a request in milliseconds of the steady clock: the end of its time budget, or of
+/// `max_timeout_ms` if that is shorter.
+pub fn deadline_ms(headers: &HeaderMap, received_at_ms: u64, max_timeout_ms: u64) -> u64 {
+    received_at_ms + parse_number(headers, TIME_BUDGET).unwrap_or(max_timeout_ms).min(max_timeout_ms)
+}
+
 /// Returns whether a head is unambiguous: one host, at most one framing header, and at most one attempt id. Any other
 /// head could smuggle a second request, and is rejected before any other step.
 pub fn has_unambiguous_framing(headers: &HeaderMap) -> bool {
@@ -104,33 +109,6 @@
         && attempt_ids <= 1
 }
 
-/// Reads a body to its end.
-///
-/// # Errors
-/// `BodyTooLarge` beyond `max_bytes`, `BodyTimeout` if no frame arrives within `idle_ms`, `Malformed` if the connection
-/// fails or the framing is invalid.
-pub async fn read_body(mut body: Incoming, max_bytes: usize, idle_ms: u64) -> Result<Bytes, Failure> {
-    let declared_bytes = body.size_hint().exact().unwrap_or(0) as usize;
-    if declared_bytes > max_bytes {
-        return Err(Failure::BodyTooLarge);
-    }
-    let idle_timeout = Duration::from_millis(idle_ms.max(1));
-    let mut buffer = BytesMut::with_capacity(declared_bytes);
-    loop {
-        let frame = match time::timeout(idle_timeout, body.frame()).await {
-            Err(_) => return Err(Failure::BodyTimeout),
-            Ok(None) => return Ok(buffer.freeze()),
-            Ok(Some(Err(_))) => return Err(Failure::Malformed),
-            Ok(Some(Ok(frame))) => frame,
-        };
-        let Ok(data) = frame.into_data() else { continue };
-        if buffer.len() + data.len() > max_bytes {
-            return Err(Failure::BodyTooLarge);
-        }
-        buffer.extend_from_slice(&data);
-    }
-}
-
 /// Maximum size of a body that is read only to be discarded.
 const MAX_DISCARD_BYTES: usize = 256 * 1024;
 /// Timeout for reading such a body, in milliseconds.
@@ -178,8 +156,7 @@
         }
         authorization.rewrite_headers(&mut headers);
         let deferrable_share = take_deferrable_share(&mut headers);
-        let max_timeout_ms = authorization.route().timeout_ms;
-        let timeout_ms = parse_number(&headers, TIME_BUDGET).unwrap_or(max_timeout_ms).min(max_timeout_ms);
+        let deadline_ms = deadline_ms(&headers, received_at_ms, authorization.route().timeout_ms);
         let prompt_segments = prompt_segments(&headers);
         let model = headers.get(MODEL).map_or(&b""[..], HeaderValue::as_bytes);
         let model_key = hashing::hash(model);
@@ -194,7 +171,7 @@
             last_event_id: headers.get(LAST_EVENT_ID).cloned(),
             headers,
             body,
-            deadline_ms: received_at_ms + timeout_ms,
+            deadline_ms,
             received_at_ms,
             prompt_segments,
             prefix_keys,
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -2,8 +2,7 @@
 //!
 //! The names of metrics, of label set fields and of label value variants are public: dashboards depend on them.
 
-use std::sync::atomic::Ordering;
-
+use ingress::Purpose;
 use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -232,12 +231,7 @@
         let help = "Time from the head of a request to the head of its response";
         registry.register_with_unit("first_byte", help, Unit::Seconds, first_byte);
         let body_bytes = self.body_bytes.clone();
-        registry.register_with_unit(
-            "request_bodies",
-            "Size of the request bodies held in memory",
-            Unit::Bytes,
-            body_bytes,
-        );
+        registry.register_with_unit("request_bodies", "Memory reserved for request bodies", Unit::Bytes, body_bytes);
     }
 
     /// Registers the metrics of client connections and of sends to engines.
@@ -277,11 +271,10 @@
 
     /// Returns all metrics as text. The router state gauges are updated here, at each scrape.
     pub fn render(&self, state: &State) -> String {
-        let ordering = Ordering::Relaxed;
         let counts = state.owner_cache().counts;
         self.ready.set(i64::from(state.is_ready()));
         self.config_revision.set(state.table().revision as i64);
-        self.body_bytes.set(state.held_body_bytes.load(ordering) as i64);
+        self.body_bytes.set(state.memory.used_bytes(Purpose::RequestBodies) as i64);
         self.engines_known.set(state.engines().engines.len() as i64);
         self.prefix_lookups.set(counts.queries as i64);
         self.prefix_hits.set(counts.hits as i64);
--- a/router/src/proxy/exchange.rs
+++ b/router/src/proxy/exchange.rs
@@ -3,7 +3,6 @@
 //! All accounting of a request at engines goes through `Exchange`, so that dropping it reverts the accounting wherever
 //! the request ends.
 
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 
 use kernel::clock;
@@ -99,7 +98,6 @@
             let elapsed_ms = clock::now().saturating_sub(self.request.received_at_ms);
             self.request.authorization.route().durations.record(elapsed_ms);
         }
-        self.state.held_body_bytes.fetch_sub(self.request.body.len(), Ordering::Relaxed);
     }
 }
 
--- a/router/src/state.rs
+++ b/router/src/state.rs
@@ -5,10 +5,11 @@
 //! No guard is held across an await: a suspended task would block the thread that has to wake it.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::Arc;
 
 use catalog::OwnerCache;
+use ingress::MemoryBudget;
 use kernel::settings::Settings;
 use kernel::{hashing, new_incarnation, ConvergenceBudget, Rng};
 use load_balancing::{EngineTable, RetryBudget, StalenessBounds};
@@ -66,8 +67,8 @@
     pub ready: AtomicBool,
     /// The progress of a graceful shutdown.
     pub drain: Drain,
-    /// Total size of the request bodies in memory, in bytes.
-    pub held_body_bytes: AtomicUsize,
+    /// The memory held for clients.
+    pub memory: Arc<MemoryBudget>,
     /// The metrics of the process.
     pub metrics: Metrics,
     /// Enforces the tenants' rate limits.
@@ -123,7 +124,7 @@
             suspicion_cleared: Default::default(),
             ready: Default::default(),
             drain: Default::default(),
-            held_body_bytes: Default::default(),
+            memory: MemoryBudget::new(settings.limits.memory_mb),
             metrics: Default::default(),
             quota_gate: QuotaGate::new(&settings),
             rollouts: Default::default(),
--- /dev/null
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -0,0 +1,121 @@
+//! Crowds of clients that don't behave, against real processes.
+//!
+//! Guards against processes that run out of memory or descriptors, or serve nobody else, because of what clients hold
+//! there: bodies that stop short of their end or go beyond every limit, and heads that don't end.
+//! Each test checks that the process lives, that its peak memory and open descriptors stay within its settings, and that
+//! an ordinary request is answered while the crowd stands and after it has gone. None checks times.
+
+#[path = "../../../tidepoint/tests/stand/proc.rs"]
+#[allow(dead_code)] // These tests use only some of the functions.
+mod proc;
+#[path = "../../../tidepoint/tests/stand/mod.rs"]
+#[allow(dead_code)] // These tests use only some of the fakes.
+mod stand;
+
+mod crowd;
+mod deployment;
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use crowd::{in_chunks, in_one_chunk, unfinished_head, with_length, Crowd, Then};
+use deployment::{client_fields, Daemon, Deployment, Net, MAX_BODY_BYTES};
+
+const CLIENT_START: &str = "POST /x/1";
+const CHUNK_BYTES: usize = 64 * 1024;
+
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// Keeps the tests of this file from running side by side.
+fn alone() -> MutexGuard<'static, ()> {
+    ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Plays a crowd at the router's address for clients.
+fn play_at_router(net: u8, size: usize, message: Vec<u8>, then: Then) {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(net));
+    deployment.assert_serves_largest_body();
+    let crowd = Crowd::gather(size, &deployment.net.frontend(), message, then);
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.assert_serves("hello");
+    deployment.assert_ready();
+    drop(crowd);
+    deployment.assert_serves("hello");
+    deployment.assert_serves_largest_body();
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.finish();
+}
+
+#[test]
+fn whole_bodies_with_a_length() {
+    let message = with_length(CLIENT_START, &client_fields(), MAX_BODY_BYTES, MAX_BODY_BYTES);
+    play_at_router(111, 110, message, Then::Reads);
+}
+
+#[test]
+fn whole_bodies_in_chunks() {
+    let mut message = in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, MAX_BODY_BYTES);
+    message.extend_from_slice(b"0\r\n\r\n");
+    play_at_router(112, 110, message, Then::Reads);
+}
+
+#[test]
+fn bodies_with_a_length_short_of_their_end() {
+    let message = with_length(CLIENT_START, &client_fields(), MAX_BODY_BYTES, MAX_BODY_BYTES - 1);
+    play_at_router(113, 110, message, Then::StaysSilent);
+}
+
+#[test]
+fn bodies_in_chunks_short_of_their_end() {
+    let message = in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, MAX_BODY_BYTES);
+    play_at_router(114, 110, message, Then::StaysSilent);
+}
+
+#[test]
+fn half_bodies_in_chunks() {
+    let message = in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, MAX_BODY_BYTES / 2);
+    play_at_router(115, 220, message, Then::StaysSilent);
+}
+
+#[test]
+fn chunked_bodies_far_over_the_limit() {
+    let message = in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, 4 * MAX_BODY_BYTES);
+    play_at_router(116, 400, message, Then::StaysSilent);
+}
+
+#[test]
+fn one_chunk_announced_as_huge() {
+    let message = in_one_chunk(CLIENT_START, &client_fields(), u32::MAX as usize, MAX_BODY_BYTES);
+    play_at_router(117, 110, message, Then::StaysSilent);
+}
+
+#[test]
+fn bodies_in_chunks_of_one_byte() {
+    let message = in_chunks(CLIENT_START, &client_fields(), 1, 60_000);
+    play_at_router(118, 110, message, Then::StaysSilent);
+}
+
+#[test]
+fn announced_lengths_over_the_limit() {
+    let message = with_length(CLIENT_START, &client_fields(), 64 * MAX_BODY_BYTES, MAX_BODY_BYTES);
+    play_at_router(119, 400, message, Then::StaysSilent);
+}
+
+#[test]
+fn heads_short_of_their_end() {
+    play_at_router(120, 800, unfinished_head(CLIENT_START, 16_000), Then::StaysSilent);
+}
+
+#[test]
+fn bodies_before_the_first_configuration() {
+    let _alone = alone();
+    let mut deployment = Deployment::start(Net(122));
+    let message = with_length(CLIENT_START, &client_fields(), 2 * MAX_BODY_BYTES, 2 * MAX_BODY_BYTES - 1);
+    let crowd = Crowd::gather(60, &deployment.net.frontend(), message, Then::StaysSilent);
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.configure();
+    drop(crowd);
+    deployment.assert_serves_largest_body();
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.finish();
+}
--- a/tidepoint/tests/stand/mod.rs
+++ b/tidepoint/tests/stand/mod.rs
@@ -110,12 +110,14 @@
     Some(head)
 }
 
-fn respond(stream: &mut TcpStream, status: &str, fields: &str, body: &str) {
+/// Writes a response with a `Content-Length`. `fields` holds header lines, each with its line ending.
+pub fn respond(stream: &mut TcpStream, status: &str, fields: &str, body: &str) {
     let text = format!("HTTP/1.1 {status}\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len());
     let _ = stream.write_all(text.as_bytes());
 }
 
-fn serve(addr: &str, handle_request: impl Fn(&mut TcpStream, HttpMessage) + Send + Sync + 'static) {
+/// Serves each connection to an address on a thread of its own.
+pub fn serve(addr: &str, handle_request: impl Fn(&mut TcpStream, HttpMessage) + Send + Sync + 'static) {
     let listener = TcpListener::bind(addr).expect("the address is free");
     let handle_request = Arc::new(handle_request);
     thread::spawn(move || {
--- a/tidepoint/tests/stand/proc.rs
+++ b/tidepoint/tests/stand/proc.rs
@@ -40,18 +40,24 @@
 
 impl Child {
     pub fn start(program: &Path, settings: &Path) -> Child {
-        Child::spawn(program, settings, Stdio::null(), Stdio::null())
+        Child::spawn(program, &[], settings, Stdio::null(), Stdio::null())
     }
 
     /// Starts a daemon and appends its standard output and error to a file.
     pub fn start_logged(program: &Path, settings: &Path, log: &Path) -> Child {
+        Child::start_logged_with(program, &[], settings, log)
+    }
+
+    /// Does the same with arguments on the command line.
+    pub fn start_logged_with(program: &Path, arguments: &[&str], settings: &Path, log: &Path) -> Child {
         let file = File::options().create(true).append(true).open(log).expect("the log file opens");
         let errors = file.try_clone().expect("the log file handle is duplicated");
-        Child::spawn(program, settings, file.into(), errors.into())
+        Child::spawn(program, arguments, settings, file.into(), errors.into())
     }
 
-    fn spawn(program: &Path, settings: &Path, output: Stdio, errors: Stdio) -> Child {
+    fn spawn(program: &Path, arguments: &[&str], settings: &Path, output: Stdio, errors: Stdio) -> Child {
         let child = Command::new(program)
+            .args(arguments)
             .env("TIDEPOINT_CONFIG", settings)
             .stdout(output)
             .stderr(errors)
@@ -97,6 +103,16 @@
         line.trim_start_matches(':').split_whitespace().next().and_then(|word| word.parse().ok()).unwrap_or(0.0)
     }
 
+    /// Returns the highest resident memory of the process so far, in bytes.
+    pub fn peak_memory_bytes(&self) -> u64 {
+        self.proc_field("status", "VmHWM") as u64 * 1024
+    }
+
+    /// Returns the number of open file descriptors.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     fn read_cost(&self) -> Cost {
         let text = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         let rest = text.rsplit(')').next().unwrap_or("");
