Router, telemetry: connections at the ports for readiness and metrics end without a head

64 clients that sent a part of a head to the readiness address kept it for ever: the platform's own checks waited behind them, and the router was taken out of service. Cause: the listener takes 64 connections and gave each the HTTP library's defaults, without a timer. Both ports now use the settings of `ingress::http_server`: 5 s for a head or the next request, 24 KiB of buffers, and a limit on how long sent data may stay unacknowledged.

--- a/router/src/frontend/listener.rs
+++ b/router/src/frontend/listener.rs
@@ -51,8 +51,8 @@
         }
         async move { Ok::<_, Infallible>(response) }
     });
-    let io = TokioIo::new(stream);
-    let _ = Builder::new().serve_connection(io, service).await;
+    socket::configure(&stream, CLIENT_TIMEOUT_MS);
+    let _ = http_server::default_builder().serve_connection(TokioIo::new(stream), service).await;
 }
 
 /// Serves clients until the router closes, then stops listening.
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -119,3 +119,16 @@
     deployment.assert_within_limits(Daemon::Router);
     deployment.finish();
 }
+
+#[test]
+fn readiness_checks_short_of_their_end() {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(123));
+    let message = unfinished_head("GET /ready", 4000);
+    let crowd = Crowd::gather(100, &deployment.net.readiness(), message, Then::StaysSilent);
+    deployment.assert_ready();
+    deployment.assert_within_limits(Daemon::Router);
+    drop(crowd);
+    deployment.assert_ready();
+    deployment.finish();
+}
--- a/telemetry/src/endpoint.rs
+++ b/telemetry/src/endpoint.rs
@@ -2,23 +2,20 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{header, HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1::Builder;
 use hyper::service;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
+use ingress::http_server;
 use kernel::settings::MetricsEndpoint;
 use protocol::socket;
 use tokio::net::TcpStream;
 
 /// The maximum number of concurrent scraper connections.
 const MAX_SCRAPERS: usize = 8;
-/// The timeout for receiving the head of a request.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
 type Body = Full<Bytes>;
@@ -50,9 +47,8 @@
         let response = respond(&request, &path, render.as_ref());
         async move { Ok::<_, Infallible>(response) }
     });
-    let mut builder = Builder::new();
-    builder.timer(TokioTimer::new()).header_read_timeout(HEADER_TIMEOUT);
-    let _ = builder.serve_connection(TokioIo::new(stream), service).await;
+    socket::configure(&stream, socket::IO_TIMEOUT_MS);
+    let _ = http_server::default_builder().serve_connection(TokioIo::new(stream), service).await;
 }
 
 fn respond<B>(request: &Request<B>, path: &str, render: &impl Fn() -> String) -> Response<Body> {
