Controller: the operators' interface has limits on memory, connections and time

Bodies of `PUT /config` short of their end, over the limit or whole, heads without an end, and responses that nobody read brought a controller over its memory; connections were not limited, and nothing ended a body that stopped. Cause: poem's server takes any number of connections with buffers of 400 KB, bodies were collected without a charge or a timeout, and each unread `GET /config` held a copy of the configuration.

The routes are served by hyper with the settings of `ingress::http_server`. Bodies are read by `ingress::read_buffer` with a reservation of three times their length until the request has been executed (relayed copy, parsed value), and responses of more than 8 KiB are charged until they have been read. 408, 413 and 503 come before anything is executed. Without memory for a response, a read gets 503 in its place; responses to changes are never that long.

--- a/controller/src/api/batches.rs
+++ b/controller/src/api/batches.rs
@@ -35,7 +35,7 @@
     async fn submit(&self, request: &mut Request) -> Result<ApiResponse, ApiError> {
         let controller = &self.0;
         let key = request.header("idempotency-key").unwrap_or("").to_string();
-        let text = read_text(request, MAX_BODY_BYTES).await?;
+        let text = read_text(request, MAX_BODY_BYTES, &controller.memory).await?;
         let config = controller.committed.current_config();
         let config = config.ok_or_else(|| ApiError::conflict("no configuration yet, so there are no routes"))?;
         let route = |host: &str, path: &str| is_repeatable_route(config.config(), host, path);
--- a/controller/src/api/config.rs
+++ b/controller/src/api/config.rs
@@ -3,13 +3,12 @@
 
 use std::sync::Arc;
 
-use poem::error::ReadBodyError;
 use poem::{Endpoint, Request};
 use protocol::config::MAX_TEXT_BYTES;
 use protocol::operator_request::{ConfigChange, OperatorRequest, OperatorResponse};
 
 use crate::api::operator_requests;
-use crate::api::request::{if_match, into_text, missing_if_match};
+use crate::api::request::{if_match, missing_if_match, read_text};
 use crate::api::response::{ApiError, ApiResponse};
 use crate::config::body::StoredConfig;
 use crate::controller::Controller;
@@ -28,21 +27,15 @@
 
     async fn change(&self, request: &mut Request, partial: bool) -> Result<ApiResponse, ApiError> {
         let base = if_match(request);
-        let text = read_text(request).await?;
+        let received = read_text(request, MAX_TEXT_BYTES, &self.0.memory).await?;
+        // Held until the change has been executed.
+        let (text, _reservation) = received.into_parts();
         let base = base.ok_or_else(missing_if_match)?;
         let change = OperatorRequest::Change(ConfigChange { base, text, partial });
         Ok(submit(&self.0, CONFIG_PATH.into(), change).await)
     }
 }
 
-async fn read_text(request: &mut Request) -> Result<String, ApiError> {
-    match request.take_body().into_bytes_limit(MAX_TEXT_BYTES).await {
-        Ok(body) => into_text(body.to_vec()),
-        Err(ReadBodyError::PayloadTooLarge) => Err(ApiError::payload_too_large("body: too large")),
-        Err(_) => Err(ApiError::bad_request("body: incomplete")),
-    }
-}
-
 impl Endpoint for ConfigResource {
     type Output = ApiResponse;
 
--- a/controller/src/api/mod.rs
+++ b/controller/src/api/mod.rs
@@ -9,6 +9,7 @@
 pub mod request;
 pub mod response;
 pub mod routes;
+pub mod server;
 pub mod staleness_limits;
 pub mod status;
 pub mod tallies;
--- a/controller/src/api/response.rs
+++ b/controller/src/api/response.rs
@@ -9,10 +9,14 @@
 
 use crate::event::{REQUEST_OUTCOME_UNKNOWN, REQUEST_REJECTED};
 
+/// The status of a request for which there is no memory now.
+const UNAVAILABLE_STATUS: u16 = 503;
+/// The `Retry-After` of such a request, in seconds.
+const UNAVAILABLE_RETRY_AFTER_S: &str = "0.3";
 /// The `Retry-After` of a request of unknown outcome, in seconds.
 const OUTCOME_UNKNOWN_RETRY_AFTER_S: &str = "0.3";
 
-/// Why a request is permanently rejected.
+/// Why a request was not executed.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 #[error("{status} {message}")]
 pub struct ApiError {
@@ -53,6 +57,16 @@
         ApiError::new(412, message)
     }
 
+    /// Returns the error for a body that did not arrive in time (408).
+    pub fn request_timeout(message: impl Into<String>) -> ApiError {
+        ApiError::new(408, message)
+    }
+
+    /// Returns the error for a request for which there is no memory now (503).
+    pub fn unavailable(message: impl Into<String>) -> ApiError {
+        ApiError::new(UNAVAILABLE_STATUS, message)
+    }
+
     /// Returns the error for a body that is too long (413).
     pub fn payload_too_large(message: impl Into<String>) -> ApiError {
         ApiError::new(413, message)
@@ -66,7 +80,7 @@
     Done,
     /// A JSON text.
     Json(Vec<u8>),
-    /// The request is permanently rejected.
+    /// The request was not executed.
     Rejected(ApiError),
     /// There is currently no capacity for the request.
     Overloaded {
@@ -114,6 +128,12 @@
     }
 }
 
+impl IntoResponse for ApiError {
+    fn into_response(self) -> Response {
+        ApiResponse::Rejected(self).into_response()
+    }
+}
+
 impl IntoResponse for ApiResponse {
     fn into_response(self) -> Response {
         match self {
@@ -121,7 +141,11 @@
             ApiResponse::Json(body) => json_response(200, body),
             ApiResponse::Rejected(error) => {
                 kernel::log_event!(REQUEST_REJECTED, "status" => error.status, "error" => error.message.clone());
-                error_response(error.status, &error.message)
+                let response = error_response(error.status, &error.message);
+                match error.status {
+                    UNAVAILABLE_STATUS => with_header(response, RETRY_AFTER, UNAVAILABLE_RETRY_AFTER_S),
+                    _ => response,
+                }
             }
             ApiResponse::Overloaded { retry_after_ms } => {
                 let seconds = format!("{:.1}", retry_after_ms as f64 / 1000.0);
--- a/controller/src/api/staleness_limits.rs
+++ b/controller/src/api/staleness_limits.rs
@@ -65,7 +65,7 @@
 impl StalenessLimitResource {
     async fn put(&self, request: &mut Request) -> Result<ApiResponse, ApiError> {
         let (target, base) = (target(request), if_match(request));
-        let text = read_text(request, MAX_BODY_BYTES).await?;
+        let text = read_text(request, MAX_BODY_BYTES, &self.0.memory).await?;
         let config = self.0.committed.current_config();
         let config = config.ok_or_else(|| ApiError::conflict("no configuration yet, so there are no routes"))?;
         let change = staleness_limits::parse_limit(&text, base, &target, config.config())?;
@@ -128,7 +128,7 @@
 
 impl RolloutCollection {
     async fn start(&self, request: &mut Request) -> Result<ApiResponse, ApiError> {
-        let text = read_text(request, MAX_BODY_BYTES).await?;
+        let text = read_text(request, MAX_BODY_BYTES, &self.0.memory).await?;
         version_rollouts::start(&self.0, &text).await
     }
 
@@ -154,7 +154,7 @@
             return Err(ApiError::method_not_allowed("method: POST"));
         }
         let target = target(request);
-        let text = read_text(request, MAX_BODY_BYTES).await?;
+        let text = read_text(request, MAX_BODY_BYTES, &self.controller.memory).await?;
         let change = match self.report {
             VersionReport::Latest => staleness_limits::parse_latest(&text)?,
             VersionReport::Rollback => staleness_limits::parse_rollback(&text)?,
--- a/controller/src/api/tallies.rs
+++ b/controller/src/api/tallies.rs
@@ -116,7 +116,7 @@
         let name = request.path_params::<String>().unwrap_or_default();
         let entry = match request.method().as_str() {
             "GET" => None,
-            "POST" => Some(parse_add(&name, &read_text(request, MAX_BODY_BYTES).await?)?),
+            "POST" => Some(parse_add(&name, &read_text(request, MAX_BODY_BYTES, &self.0.memory).await?)?),
             _ => return Err(ApiError::method_not_allowed("method: GET or POST")),
         };
         let Tallies::Replica(replica) = &self.0.tallies else {
--- a/controller/src/controller.rs
+++ b/controller/src/controller.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use consensus::{Decision, MEMBERSHIP_KEY};
+use ingress::MemoryBudget;
 use kernel::settings::Settings;
 use kernel::{clock, log_event};
 use protocol::config::ConfigDocument;
@@ -81,6 +82,8 @@
     pub shutting_down: AtomicBool,
     /// Tracks the work that must finish before the process exits.
     pub shutdown: Shutdown,
+    /// The memory held for operators and other daemons.
+    pub memory: Arc<MemoryBudget>,
     /// The metrics of this process.
     pub metrics: Metrics,
 }
--- a/controller/src/shutdown.rs
+++ b/controller/src/shutdown.rs
@@ -20,6 +20,11 @@
         self.work.spawn(work);
     }
 
+    /// Runs work that must finish before the process exits.
+    pub async fn track(&self, work: impl Future<Output = ()>) {
+        self.work.track_future(work).await;
+    }
+
     /// Returns whether new work is rejected.
     pub fn is_closing(&self) -> bool {
         self.closing.is_cancelled()
--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use consensus::{Acceptor, Store, StoreError};
+use ingress::MemoryBudget;
 use kernel::plugin::{self, Plugin};
 use kernel::settings::Settings;
 use kernel::signal::{self, Signals};
@@ -167,6 +168,7 @@
         tallies,
         shutting_down: Default::default(),
         shutdown: Default::default(),
+        memory: MemoryBudget::new(settings.limits.memory_mb),
         metrics,
         settings,
     }))
--- a/ingress/src/body.rs
+++ b/ingress/src/body.rs
@@ -12,6 +12,7 @@
 
 use crate::body_progress::BodyProgress;
 use crate::memory_budget::{OutOfMemory, Reservation};
+use crate::reserved::ReservedBytes;
 
 /// The initial capacity for a body of unknown length, in bytes.
 const INITIAL_CAPACITY: usize = 4 * 1024;
@@ -47,32 +48,23 @@
 }
 
 /// A body in memory, together with its reservation.
-struct ReservedBuffer {
-    buffer: Vec<u8>,
-    reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBuffer {
-    fn as_ref(&self) -> &[u8] {
-        &self.buffer
-    }
-}
+type ReservedBuffer = ReservedBytes<Vec<u8>>;
 
 impl ReservedBuffer {
     /// Appends data; the capacity doubles as needed, up to `max_capacity`, and is reserved before it is allocated.
     fn append(&mut self, data: &[u8], max_capacity: usize) -> Result<(), OutOfMemory> {
-        let needed = self.buffer.len() + data.len();
-        if needed > self.buffer.capacity() {
-            let doubled = (2 * self.buffer.capacity()).clamp(INITIAL_CAPACITY, max_capacity.max(INITIAL_CAPACITY));
+        let needed = self.content.len() + data.len();
+        if needed > self.content.capacity() {
+            let doubled = (2 * self.content.capacity()).clamp(INITIAL_CAPACITY, max_capacity.max(INITIAL_CAPACITY));
             self.allocate(needed.max(doubled))?;
         }
-        self.buffer.extend_from_slice(data);
+        self.content.extend_from_slice(data);
         Ok(())
     }
 
     fn allocate(&mut self, capacity: usize) -> Result<(), OutOfMemory> {
         self.reservation.try_hold_buffer(capacity, clock::now())?;
-        self.buffer.reserve_exact(capacity - self.buffer.len());
+        self.content.reserve_exact(capacity - self.content.len());
         Ok(())
     }
 }
@@ -87,15 +79,28 @@
     limits: &BodyLimits,
     reservation: Reservation,
 ) -> Result<Bytes, BodyError> {
+    read_buffer(body, limits, reservation).await.map(Bytes::from)
+}
+
+/// Reads a body to its end, into a buffer that can be changed.
+///
+/// # Errors
+///
+/// As [`read_body`].
+pub async fn read_buffer(
+    body: impl Body<Data = Bytes>,
+    limits: &BodyLimits,
+    reservation: Reservation,
+) -> Result<ReservedBytes<Vec<u8>>, BodyError> {
     let mut body = pin!(body);
     let declared_bytes = body.size_hint().exact();
     if declared_bytes.is_some_and(|bytes| bytes > limits.max_bytes as u64) {
         return Err(BodyError::TooLarge);
     }
     let max_capacity = declared_bytes.map_or(limits.max_bytes, |bytes| bytes as usize);
-    let mut content = ReservedBuffer { buffer: Vec::new(), reservation };
+    let mut buffer = ReservedBuffer { content: Vec::new(), reservation };
     if declared_bytes.is_some() {
-        content.allocate(max_capacity.min(MAX_INITIAL_CAPACITY))?;
+        buffer.allocate(max_capacity.min(MAX_INITIAL_CAPACITY))?;
     }
     let mut progress = BodyProgress::start(clock::now());
     loop {
@@ -103,21 +108,21 @@
         let frame = match time::timeout(wait, body.frame()).await {
             Err(_) => {
                 let now = clock::now();
-                let others_wait = content.reservation.bytes() > 0 && content.reservation.is_contended(now);
+                let others_wait = buffer.reservation.bytes() > 0 && buffer.reservation.is_contended(now);
                 if progress.has_timed_out(limits, now, others_wait) {
                     return Err(BodyError::TimedOut);
                 }
                 continue;
             }
-            Ok(None) => return Ok(Bytes::from_owner(content)),
+            Ok(None) => return Ok(buffer),
             Ok(Some(Err(_))) => return Err(BodyError::Malformed),
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(data) = frame.into_data() else { continue };
-        if content.buffer.len() + data.len() > limits.max_bytes {
+        if buffer.content.len() + data.len() > limits.max_bytes {
             return Err(BodyError::TooLarge);
         }
-        content.append(&data, max_capacity)?;
+        buffer.append(&data, max_capacity)?;
         progress.record_frame(data.len(), clock::now());
     }
 }
--- a/ingress/src/lib.rs
+++ b/ingress/src/lib.rs
@@ -12,7 +12,9 @@
 mod connection_limits;
 pub mod http_server;
 mod memory_budget;
+mod reserved;
 
-pub use body::{read_body, BodyError, BodyLimits};
+pub use body::{read_body, read_buffer, BodyError, BodyLimits};
 pub use connection_limits::ConnectionLimits;
 pub use memory_budget::{MemoryBudget, OutOfMemory, Purpose, Reservation, UNCHARGED_BYTES};
+pub use reserved::ReservedBytes;
--- a/soak/tests/misbehaving_clients/deployment.rs
+++ b/soak/tests/misbehaving_clients/deployment.rs
@@ -17,6 +17,8 @@
 const FD_LIMIT: usize = 2000;
 /// The largest body of a request that the configuration allows, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+/// The largest text of a configuration, in bytes.
+pub const MAX_CONFIG_BYTES: usize = 8 * 1024 * 1024;
 /// Header with the length of the engine's response, in bytes; without it, the engine returns the request's body.
 pub const ANSWER_BYTES_HEADER: &str = "X-Answer-Bytes";
 /// How long an ordinary caller retries before it gives up.
@@ -43,6 +45,10 @@
         self.host(1, 7803)
     }
 
+    pub fn peers(self) -> String {
+        self.host(1, 7810)
+    }
+
     pub fn frontend(self) -> String {
         self.host(2, 7801)
     }
@@ -125,6 +131,13 @@
         self.retry("a readiness check", "200", || stand::call(&self.net.readiness(), &request));
     }
 
+    /// Asserts that the controller takes a change of the configuration to this revision; `filler` makes it longer.
+    pub fn assert_takes_configuration(&self, base: u64, filler: &str) {
+        let fields = format!("Host: c\r\nIf-Match: {base}\r\n");
+        let put = stand::request("PUT", "/config", &fields, &configuration(base + 1, filler));
+        self.retry("a configuration", "200", || stand::call(&self.net.control(), &put));
+    }
+
     /// Asserts that a daemon lives and has stayed within its memory and its file descriptors.
     pub fn assert_within_limits(&mut self, daemon: Daemon) {
         let child = match daemon {
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -1,7 +1,7 @@
 //! Crowds of clients that don't behave, against real processes.
 //!
 //! Guards against processes that run out of memory or descriptors, or serve nobody else, because of what clients hold
-//! there: bodies that stop short of their end or go beyond every limit, and heads that don't end.
+//! there: bodies that stop short of their end or go beyond every limit, heads that don't end, and responses that nobody reads.
 //! Each test checks that the process lives, that its peak memory and open descriptors stay within its settings, and that
 //! an ordinary request is answered while the crowd stands and after it has gone. None checks times.
 
@@ -18,9 +18,11 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crowd::{in_chunks, in_one_chunk, unfinished_head, with_length, Crowd, Then};
-use deployment::{client_fields, Daemon, Deployment, Net, MAX_BODY_BYTES};
+use deployment::{client_fields, configuration, Daemon, Deployment, Net, MAX_BODY_BYTES, MAX_CONFIG_BYTES};
 
 const CLIENT_START: &str = "POST /x/1";
+const OPERATOR_START: &str = "PUT /config";
+const OPERATOR_FIELDS: &str = "Host: c\r\nIf-Match: 1\r\n";
 const CHUNK_BYTES: usize = 64 * 1024;
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
@@ -46,6 +48,22 @@
     deployment.finish();
 }
 
+/// Plays a crowd at one of the controller's addresses.
+fn play_at_controller(net: u8, size: usize, address: impl Fn(Net) -> String, message: Vec<u8>) {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(net));
+    let crowd = Crowd::gather(size, &address(deployment.net), message, Then::StaysSilent);
+    deployment.assert_within_limits(Daemon::Controller);
+    deployment.assert_takes_configuration(1, "");
+    deployment.assert_serves("hello");
+    drop(crowd);
+    let largest = "f".repeat(MAX_CONFIG_BYTES - configuration(3, "").len());
+    deployment.assert_takes_configuration(2, &largest);
+    deployment.assert_serves("hello");
+    deployment.assert_within_limits(Daemon::Controller);
+    deployment.finish();
+}
+
 #[test]
 fn whole_bodies_with_a_length() {
     let message = with_length(CLIENT_START, &client_fields(), MAX_BODY_BYTES, MAX_BODY_BYTES);
@@ -132,3 +150,45 @@
     deployment.assert_ready();
     deployment.finish();
 }
+
+#[test]
+fn configurations_short_of_their_end() {
+    let message = with_length(OPERATOR_START, OPERATOR_FIELDS, MAX_CONFIG_BYTES, MAX_CONFIG_BYTES - 1);
+    play_at_controller(124, 60, Net::control, message);
+}
+
+#[test]
+fn configurations_over_the_limit() {
+    let message = in_chunks(OPERATOR_START, OPERATOR_FIELDS, CHUNK_BYTES, 4 * MAX_CONFIG_BYTES);
+    play_at_controller(125, 60, Net::control, message);
+}
+
+#[test]
+fn whole_configurations_of_the_largest_size() {
+    let filler = "f".repeat(MAX_CONFIG_BYTES - configuration(9, "").len());
+    let body = configuration(9, &filler);
+    let mut message = with_length(OPERATOR_START, "Host: c\r\nIf-Match: 7\r\n", body.len(), 0);
+    message.extend_from_slice(body.as_bytes());
+    play_at_controller(126, 60, Net::control, message);
+}
+
+#[test]
+fn configurations_that_nobody_reads() {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(130));
+    let largest = "f".repeat(MAX_CONFIG_BYTES - configuration(2, "").len());
+    deployment.assert_takes_configuration(1, &largest);
+    let message = with_length("GET /config", "Host: c\r\n", 0, 0);
+    let crowd = Crowd::gather(60, &deployment.net.control(), message, Then::StaysSilent);
+    deployment.assert_within_limits(Daemon::Controller);
+    deployment.assert_takes_configuration(2, "");
+    drop(crowd);
+    deployment.assert_serves("hello");
+    deployment.assert_within_limits(Daemon::Controller);
+    deployment.finish();
+}
+
+#[test]
+fn operators_heads_short_of_their_end() {
+    play_at_controller(127, 2200, Net::control, unfinished_head(OPERATOR_START, 300_000));
+}
