Protocol: connections and frames of other daemons are limited and charged before they are received

A controller took any number of connections at the port for other daemons, none of which had to send anything, and allocated the announced length of each frame, up to 12 MB, while only the frame's 5 s bounded it: 60 peers that stopped short of the end of a frame brought it to 750 MB of 260, and 2,200 silent ones to 2,048 descriptors of 2,000.

`link::serve` gets `ServerLimits`: the number of connections, and the memory budget to which a frame is charged as it grows (received, aligned, decoded). Without memory for a frame its connection is closed. The header of the first frame must come within 5 s, since a client connects only to send; a header that has begun must end within 5 s.

--- a/controller/src/startup.rs
+++ b/controller/src/startup.rs
@@ -8,13 +8,13 @@
 use std::time::Duration;
 
 use consensus::{Acceptor, Store, StoreError};
-use ingress::MemoryBudget;
+use ingress::{ConnectionLimits, MemoryBudget};
 use kernel::plugin::{self, Plugin};
 use kernel::settings::Settings;
 use kernel::signal::{self, Signals};
 use kernel::{log_event, new_incarnation};
 use membership::MembershipView;
-use protocol::link::{self, Handler};
+use protocol::link::{self, Handler, ServerLimits};
 use protocol::message::{CoreMembership, Member};
 use protocol::socket;
 use protocol::Dialer;
@@ -82,13 +82,17 @@
 /// Starts the task that listens for peers and routers. It runs until the process ends.
 fn start_peer_listener(controller: &Arc<Controller>) {
     let address = format!("{}:{}", controller.settings.listen_ip(), controller.settings.peer_port());
+    let limits = ServerLimits {
+        max_connections: ConnectionLimits::new(&controller.settings.limits).peers,
+        memory: controller.memory.clone(),
+    };
     let controller = controller.clone();
     let handler: Handler =
         Arc::new(move |responder, id, message| dispatch::dispatch(&controller, responder, id, message));
     tokio::spawn(async move {
         loop {
             match socket::listen(&address) {
-                Ok(listener) => link::serve(listener, handler.clone()).await,
+                Ok(listener) => link::serve(listener, limits.clone(), handler.clone()).await,
                 Err(_) => time::sleep(LISTEN_RETRY_DELAY).await,
             }
         }
--- a/protocol/src/link/peer_client.rs
+++ b/protocol/src/link/peer_client.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use super::bulk_budget::BulkBudget;
-use super::frame_io::{read_frame, write_frame};
+use super::frame_io::{read_frame, write_frame, ReceivedFrame};
 use super::pending_responses::{PendingResponses, ResponseSender};
 use super::QUEUE_CAPACITY;
 use crate::dialer::Dialer;
@@ -178,7 +178,7 @@
     notifications: Option<mpsc::Sender<Message>>,
     alive: oneshot::Sender<()>,
 ) {
-    while let Some((header, message)) = read_frame(&mut read).await {
+    while let Some(ReceivedFrame { header, message, .. }) = read_frame(&mut read, None).await {
         if header.kind == Kind::Response {
             pending.complete(header.id, message);
             continue;
--- a/protocol/src/link/server.rs
+++ b/protocol/src/link/server.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use ingress::{MemoryBudget, Purpose};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, Receiver};
+use tokio::sync::Semaphore;
 use tokio::time;
 
 use super::bulk_budget::BulkBudget;
-use super::frame_io::{read_frame, write_frame};
+use super::frame_io::{read_first_frame, read_frame, write_frame, ReceivedFrame};
 use super::QUEUE_CAPACITY;
 use crate::frame::{self, Kind};
 use crate::message::Message;
@@ -20,6 +22,9 @@
 /// Delay before the next accept after a failed one, which most often means that the process is out of file descriptors.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
+/// The timeout for the header of the first frame on a connection.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_millis(2 * IO_TIMEOUT_MS);
+
 /// Sends responses and notifications on the connection that a message arrived on.
 #[derive(Clone)]
 pub struct Responder {
@@ -72,26 +77,46 @@
 /// Handles a message, given the connection's responder, the id to reply to, and the message itself.
 pub type Handler = Arc<dyn Fn(Responder, u64, Message) + Send + Sync>;
 
+/// What the peers of a server may hold.
+#[derive(Clone, Debug)]
+pub struct ServerLimits {
+    /// The maximum number of concurrent connections.
+    pub max_connections: usize,
+    /// The memory for frames that are being received.
+    pub memory: Arc<MemoryBudget>,
+}
+
 /// Accepts connections forever and passes each message to the handler. A malformed message closes only the connection
-/// that it arrived on.
-pub async fn serve(listener: TcpListener, handler: Handler) {
+/// that it arrived on. While `max_connections` are open, further ones wait in the kernel's queue.
+pub async fn serve(listener: TcpListener, limits: ServerLimits, handler: Handler) {
+    let permits = Arc::new(Semaphore::new(limits.max_connections));
     loop {
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(ACCEPT_RETRY).await;
             continue;
         };
         socket::configure(&stream, IO_TIMEOUT_MS);
-        tokio::spawn(serve_connection(stream, handler.clone()));
+        let (memory, handler) = (limits.memory.clone(), handler.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, &memory, handler).await;
+            drop(permit);
+        });
     }
 }
 
-async fn serve_connection(stream: TcpStream, handler: Handler) {
+async fn serve_connection(stream: TcpStream, memory: &Arc<MemoryBudget>, handler: Handler) {
     let (mut read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
     let responder = Responder::new(frames);
     let writer = tokio::spawn(write_frames(write, queue, responder.budget.clone()));
-    while let Some((header, message)) = read_frame(&mut read).await {
+    let reservation = || Some(memory.reservation(Purpose::Frames));
+    // A client opens a connection only once it has something to send.
+    let mut next = read_first_frame(&mut read, reservation(), FIRST_FRAME_TIMEOUT).await;
+    while let Some(ReceivedFrame { header, message, reservation: held }) = next {
         handler(responder.clone(), header.id, message);
+        drop(held);
+        next = read_frame(&mut read, reservation()).await;
     }
     writer.abort();
 }
--- a/protocol/src/link_tests.rs
+++ b/protocol/src/link_tests.rs
@@ -1,26 +1,31 @@
 use std::sync::{mpsc, Arc};
 use std::time::Duration;
 
+use ingress::{MemoryBudget, Purpose};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task;
 
 use super::bulk_budget::MAX_BULK_BYTES;
-use super::frame_io::read_frame;
-use super::{serve, Handler, PeerClient};
+use super::frame_io::{read_frame, ReceivedFrame};
+use super::{serve, Handler, PeerClient, ServerLimits};
 use crate::dialer::Dialer;
 use crate::frame::{self, Kind, HEADER_BYTES, NEWEST_VERSION};
 use crate::message::Message;
 use crate::socket;
 
+fn limits() -> ServerLimits {
+    ServerLimits { max_connections: 16, memory: MemoryBudget::new(64) }
+}
+
 async fn start_echo_server() -> String {
     let listener = socket::listen("127.0.0.1:0").expect("bound to a port");
     let addr = listener.local_addr().expect("the local address").to_string();
     let handler: Handler = Arc::new(|responder, id, msg| {
         responder.reply(id, &msg);
     });
-    tokio::spawn(serve(listener, handler));
+    tokio::spawn(serve(listener, limits(), handler));
     addr
 }
 
@@ -80,14 +85,14 @@
     let (client, listener) = client_and_listener().await;
     let serve = async {
         let (mut read, mut write) = accept(&listener).await;
-        let first = read_frame(&mut read).await.expect("the first request");
-        let second = read_frame(&mut read).await.expect("the second request");
-        for (header, msg) in [&second, &first, &second, &first] {
+        let first = read_frame(&mut read, None).await.expect("the first request");
+        let second = read_frame(&mut read, None).await.expect("the second request");
+        for ReceivedFrame { header, message: msg, .. } in [&second, &first, &second, &first] {
             respond(&mut write, header.id, msg).await;
         }
-        let third = read_frame(&mut read).await.expect("the third request");
-        respond(&mut write, first.0.id, &first.1).await;
-        respond(&mut write, third.0.id, &third.1).await;
+        let third = read_frame(&mut read, None).await.expect("the third request");
+        respond(&mut write, first.header.id, &first.message).await;
+        respond(&mut write, third.header.id, &third.message).await;
     };
     let calls = async {
         let (first, second) = tokio::join!(client.call(query(1), 5000), client.call(query(2), 5000));
@@ -102,10 +107,10 @@
     let (client, listener) = client_and_listener().await;
     let serve = async {
         let (mut read, write) = accept(&listener).await;
-        assert_eq!(read_frame(&mut read).await.expect("the first request").1, query(1));
+        assert_eq!(read_frame(&mut read, None).await.expect("the first request").message, query(1));
         drop((read, write));
         let (mut read, mut write) = accept(&listener).await;
-        let (header, msg) = read_frame(&mut read).await.expect("the next request");
+        let ReceivedFrame { header, message: msg, .. } = read_frame(&mut read, None).await.expect("the next request");
         assert_eq!(msg, query(2));
         respond(&mut write, header.id, &msg).await;
     };
@@ -125,8 +130,8 @@
     assert_eq!(client.call(query(1), 1).await, None);
     assert!(client.notify(query(2)));
     let (mut read, _write) = accept(&listener).await;
-    assert_eq!(read_frame(&mut read).await.expect("the large message").1, large);
-    assert_eq!(read_frame(&mut read).await.expect("the next message").1, query(2));
+    assert_eq!(read_frame(&mut read, None).await.expect("the large message").message, large);
+    assert_eq!(read_frame(&mut read, None).await.expect("the next message").message, query(2));
 }
 
 /// If a peer reads slowly or not at all, its queue is limited in bytes and still admits short messages.
@@ -143,7 +148,7 @@
         let short = (0..10).filter(|_| responder.notify(&query(1))).count();
         let _ = report.send((long, short));
     });
-    tokio::spawn(serve(listener, handler));
+    tokio::spawn(serve(listener, limits(), handler));
     let client = PeerClient::start(Dialer::default(), addr, None);
     assert!(client.notify(query(0)));
     let wait = task::spawn_blocking(move || accepted.recv_timeout(Duration::from_secs(10)));
@@ -160,3 +165,23 @@
     );
     assert!(unread.notify(query(1)), "a short message is still admitted");
 }
+
+#[tokio::test]
+async fn a_long_frame_without_memory_for_it_closes_its_connection_and_short_ones_are_still_received() {
+    let memory = MemoryBudget::new(1);
+    let mut other = memory.reservation(Purpose::Frames);
+    other.try_grow_to(200_000, 0).expect("there is room");
+    let listener = socket::listen("127.0.0.1:0").expect("bound to a port");
+    let addr = listener.local_addr().expect("the local address").to_string();
+    let handler: Handler = Arc::new(|responder, id, msg| {
+        responder.reply(id, &msg);
+    });
+    tokio::spawn(serve(listener, ServerLimits { max_connections: 2, memory: memory.clone() }, handler));
+    let client = PeerClient::start(Dialer::default(), addr, None);
+    let long = Message::OwnerQuery(Box::new((0, vec![7; 32 * 1024])));
+    assert_eq!(client.call(long.clone(), 5000).await, None);
+    assert_eq!(client.call(query(1), 5000).await, Some(query(1)));
+    drop(other);
+    assert_eq!(client.call(long.clone(), 5000).await, Some(long));
+    assert_eq!(memory.used_bytes(Purpose::Frames), 0);
+}
--- a/router/src/limits/quota_gate_tests.rs
+++ b/router/src/limits/quota_gate_tests.rs
@@ -3,8 +3,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 
+use ingress::MemoryBudget;
 use kernel::settings;
-use protocol::link::{self, Handler};
+use protocol::link::{self, Handler, ServerLimits};
 use protocol::message::Message;
 use protocol::quota::{ShardOwner, TokenResponse};
 use protocol::socket;
@@ -27,7 +28,8 @@
             }
         }
     });
-    tokio::spawn(link::serve(listener, handler));
+    let limits = ServerLimits { max_connections: 64, memory: MemoryBudget::new(64) };
+    tokio::spawn(link::serve(listener, limits, handler));
     requests
 }
 
--- a/router/src/testing/controller.rs
+++ b/router/src/testing/controller.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ingress::MemoryBudget;
 use parking_lot::Mutex;
 use protocol::config::Config;
 use protocol::config_update::ConfigUpdate;
-use protocol::link::{self, Handler, Responder};
+use protocol::link::{self, Handler, Responder, ServerLimits};
 use protocol::message::{EndpointList, Message, StateUpdate, SubscriptionRenewal};
 use protocol::renewal::{Confirmation, SubscriptionRenewed};
 use protocol::socket;
@@ -77,7 +78,8 @@
                 on_call.notify_waiters();
             }
         });
-        tokio::spawn(link::serve(listener, handler));
+        let limits = ServerLimits { max_connections: 64, memory: MemoryBudget::new(64) };
+        tokio::spawn(link::serve(listener, limits, handler));
         Controller { ip: ip.into(), inner, called }
     }
 
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -1,7 +1,7 @@
 //! Crowds of clients that don't behave, against real processes.
 //!
 //! Guards against processes that run out of memory or descriptors, or serve nobody else, because of what clients hold
-//! there: bodies that stop short of their end or go beyond every limit, heads that don't end, and responses that nobody reads.
+//! there: bodies that stop short of their end or go beyond every limit, heads and frames that don't end, and responses that nobody reads.
 //! Each test checks that the process lives, that its peak memory and open descriptors stay within its settings, and that
 //! an ordinary request is answered while the crowd stands and after it has gone. None checks times.
 
@@ -24,6 +24,8 @@
 const OPERATOR_START: &str = "PUT /config";
 const OPERATOR_FIELDS: &str = "Host: c\r\nIf-Match: 1\r\n";
 const CHUNK_BYTES: usize = 64 * 1024;
+/// Content that a frame between daemons may announce, in bytes.
+const FRAME_BODY_BYTES: usize = 12 * 1024 * 1024;
 
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -192,3 +194,27 @@
 fn operators_heads_short_of_their_end() {
     play_at_controller(127, 2200, Net::control, unfinished_head(OPERATOR_START, 300_000));
 }
+
+#[test]
+fn frames_short_of_their_end() {
+    play_at_controller(128, 60, Net::peers, unfinished_frame(FRAME_BODY_BYTES - 1));
+}
+
+#[test]
+fn connections_of_peers_that_send_nothing() {
+    play_at_controller(129, 2200, Net::peers, Vec::new());
+}
+
+/// Returns a frame between daemons that announces the longest body, of which `sent` bytes are sent.
+fn unfinished_frame(sent: usize) -> Vec<u8> {
+    const MAGIC: u32 = 0x7464_7031;
+    const VERSION: u16 = 1;
+    const NOTIFICATION: u16 = 3;
+    let mut frame = MAGIC.to_le_bytes().to_vec();
+    frame.extend_from_slice(&VERSION.to_le_bytes());
+    frame.extend_from_slice(&NOTIFICATION.to_le_bytes());
+    frame.extend_from_slice(&0u64.to_le_bytes());
+    frame.extend_from_slice(&(FRAME_BODY_BYTES as u32).to_le_bytes());
+    frame.resize(frame.len() + sent, 0);
+    frame
+}
