Router: what clients leave unread of responses is bounded in bytes and charged

110 clients that asked for 64 MB and read nothing brought a router to 542 MB of 260. The channel between engine and client held 16 chunks of any size, and a connection to an engine had buffers of 400 KB, so that chunks were as long.

A response now holds 32 KiB unread, then the engine waits (`proxy::response_window`); connections to engines have buffers of 32 KiB. A response whose client has fallen behind is charged 160 KiB for the window and the buffers behind it. Without memory for that it takes more only once its client has read what there is, and is cut off if the client reads nothing for 1 s: slow readers give way first, and one that keeps up is never charged.

--- a/router/src/proxy/mod.rs
+++ b/router/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 pub mod plan;
 pub mod response_body;
 pub mod response_head;
+pub mod response_window;
 pub mod send;
 mod stream;
 pub mod stream_duration;
--- a/router/src/proxy/stream.rs
+++ b/router/src/proxy/stream.rs
@@ -5,6 +5,7 @@
 use http::header::CONNECTION;
 use http::{HeaderValue, Response};
 use http_body_util::BodyExt;
+use ingress::Purpose;
 use kernel::clock;
 use protocol::response_framing::BodyFraming;
 use tokio::time;
@@ -46,7 +47,7 @@
     if exchange.state.is_shutting_down() {
         client_response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    let (sender, body) = response_body::channel(length);
+    let (sender, body) = response_body::channel(length, exchange.state.memory.reservation(Purpose::Responses));
     tokio::spawn(async move {
         stream_bodies(&mut exchange, engine_index, response, &sender).await;
     });
--- a/router/src/upstream/connection_pool.rs
+++ b/router/src/upstream/connection_pool.rs
@@ -54,6 +54,9 @@
 /// Timeout for establishing a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 400;
 
+/// Capacity of the buffers of a connection, and so the maximum length of a response head, in bytes.
+const MAX_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Why a request was not sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
@@ -98,7 +101,11 @@
         let stream =
             dialer.connect(&to.addr, CONNECT_TIMEOUT_MS, IO_TIMEOUT_MS).await.map_err(|_| SendError::Unreachable)?;
         let io = TokioIo::new(stream);
-        let (connection, driver) = http1::handshake(io).await.map_err(|_| SendError::Unreachable)?;
+        let (connection, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(io)
+            .await
+            .map_err(|_| SendError::Unreachable)?;
         tokio::spawn(async move {
             let _ = driver.await;
             drop(slot);
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -18,7 +18,9 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use crowd::{in_chunks, in_one_chunk, unfinished_head, with_length, Crowd, Then};
-use deployment::{client_fields, configuration, Daemon, Deployment, Net, MAX_BODY_BYTES, MAX_CONFIG_BYTES};
+use deployment::{
+    client_fields, configuration, Daemon, Deployment, Net, ANSWER_BYTES_HEADER, MAX_BODY_BYTES, MAX_CONFIG_BYTES,
+};
 
 const CLIENT_START: &str = "POST /x/1";
 const OPERATOR_START: &str = "PUT /config";
@@ -126,6 +128,12 @@
     play_at_router(120, 800, unfinished_head(CLIENT_START, 16_000), Then::StaysSilent);
 }
 
+#[test]
+fn answers_that_nobody_reads() {
+    let fields = format!("{}{ANSWER_BYTES_HEADER}: {}\r\n", client_fields(), 16 * MAX_BODY_BYTES);
+    play_at_router(121, 110, with_length(CLIENT_START, &fields, 0, 0), Then::StaysSilent);
+}
+
 #[test]
 fn bodies_before_the_first_configuration() {
     let _alone = alone();
