Ingress: frames wait for memory, connection limits by kind, metrics of the memory budget

A frame of a known daemon that found the memory for frames used up lost its connection at once, and with it the requests on it. It now waits, holding up its peer, within the 5 s that a frame has anyway.

The connections of other daemons were limited like HTTP connections, to 915 with 160 MB and 4,100 descriptors: fewer than the 1,608 routers of the size that CAPACITY.md plans for, all of which may call one owner of the catalog. They have no HTTP buffers, so 8 KiB each are reckoned: 2,435 with those settings.

`memory_reserved_bytes` and `memory_refusals` show the budget by purpose in both programs.

`small_bodies_short_of_their_end` is new and not shown to have failed before.

--- a/controller/src/metrics.rs
+++ b/controller/src/metrics.rs
@@ -13,6 +13,7 @@
 use protocol::operator_request::{OperatorRequest, OperatorResponse};
 use protocol::quota::TokenResponse;
 use protocol::traffic;
+use telemetry::MemoryMetrics;
 
 use crate::batches::records;
 use crate::controller::Controller;
@@ -129,6 +130,7 @@
     tally_used_share: Gauge<f64, AtomicU64>,
     tally_replicas: Gauge,
     tally_replicas_in_reach: Gauge,
+    memory: MemoryMetrics,
     config_revision: Gauge,
     confirmed: Gauge,
     core_version: Gauge,
@@ -160,6 +162,7 @@
             tally_used_share: Default::default(),
             tally_replicas: Default::default(),
             tally_replicas_in_reach: Default::default(),
+            memory: Default::default(),
             config_revision: Default::default(),
             confirmed: Default::default(),
             core_version: Default::default(),
@@ -174,6 +177,7 @@
         metrics.register_state();
         metrics.register_tallies();
         traffic::register(&mut metrics.registry);
+        metrics.memory.register(&mut metrics.registry);
         metrics
     }
 }
@@ -267,6 +271,7 @@
     pub fn render(&self, controller: &Controller) -> String {
         let now = clock::now();
         let core = controller.replica.membership();
+        self.memory.update(&controller.memory);
         self.config_revision.set(controller.committed.revision() as i64);
         self.confirmed.set(i64::from(controller.committed.is_confirmed(now)));
         self.core_version.set(core.version as i64);
--- a/ingress/src/connection_limits.rs
+++ b/ingress/src/connection_limits.rs
@@ -5,11 +5,11 @@
 /// File descriptors that are reserved for files.
 const RESERVED_DESCRIPTORS: u64 = 200;
 /// The smallest limit of a listener, even if there are very few file descriptors.
-const MIN_CONNECTIONS: usize = 16;
-/// The memory that a connection may take beside what is reserved for it, in bytes: its buffers and its tasks.
-const CONNECTION_BYTES: u64 = 32 * 1024;
-/// Connections may take this part of the memory in total.
-const MEMORY_DIVISOR: u64 = 4;
+const MIN_CONNECTIONS: u64 = 16;
+/// The memory that an HTTP connection may take beside what is reserved for it, in bytes: its buffers and its tasks.
+const HTTP_CONNECTION_BYTES: u64 = 32 * 1024;
+/// The same of a connection of another daemon, whose frames are charged.
+const PEER_CONNECTION_BYTES: u64 = 8 * 1024;
 const BYTES_PER_MB: u64 = 1_000_000;
 
 /// The maximum number of concurrent connections of each listener.
@@ -24,17 +24,16 @@
 }
 
 impl ConnectionLimits {
-    /// Returns the limits of a process. Half of the file descriptors that are not reserved are left to the connections
-    /// that it opens itself.
+    /// Returns the limits of a process. A part of the file descriptors is left to the connections that it opens itself.
     pub fn new(limits: &Limits) -> ConnectionLimits {
         let descriptors = limits.fd_limit.saturating_sub(RESERVED_DESCRIPTORS);
-        let by_memory = limits.memory_mb * BYTES_PER_MB / MEMORY_DIVISOR / CONNECTION_BYTES;
-        let all = descriptors.div_euclid(2).min(by_memory) as usize;
-        ConnectionLimits {
-            clients: all.max(MIN_CONNECTIONS),
-            operators: (all / 4).max(MIN_CONNECTIONS),
-            peers: (all - all / 4).max(MIN_CONNECTIONS),
-        }
+        let memory = limits.memory_mb * BYTES_PER_MB;
+        let clients = (descriptors / 2).min(memory / 4 / HTTP_CONNECTION_BYTES);
+        let operators = (descriptors / 8).min(memory / 16 / HTTP_CONNECTION_BYTES);
+        let peers = (descriptors / 8 * 5).min(memory / 8 / PEER_CONNECTION_BYTES);
+        let [clients, operators, peers] =
+            [clients, operators, peers].map(|connections| connections.max(MIN_CONNECTIONS) as usize);
+        ConnectionLimits { clients, operators, peers }
     }
 }
 
--- a/ingress/src/lib.rs
+++ b/ingress/src/lib.rs
@@ -16,5 +16,5 @@
 
 pub use body::{read_body, read_buffer, BodyError, BodyLimits};
 pub use connection_limits::ConnectionLimits;
-pub use memory_budget::{MemoryBudget, OutOfMemory, Purpose, Reservation, UNCHARGED_BYTES};
+pub use memory_budget::{MemoryBudget, OutOfMemory, Purpose, Reservation, PURPOSES, UNCHARGED_BYTES};
 pub use reserved::ReservedBytes;
--- a/ingress/src/memory_budget.rs
+++ b/ingress/src/memory_budget.rs
@@ -2,8 +2,11 @@
 
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
+use kernel::clock;
 use thiserror::Error;
+use tokio::time;
 
 /// The number of bytes that a connection or an exchange may hold for one purpose without a charge, so that small ones
 /// are served when the budget is used up. They belong to the memory that the limit on connections allows for.
@@ -15,6 +18,8 @@
 /// How long after a refusal a purpose counts as contended, in milliseconds.
 const CONTENTION_MS: u64 = 2000;
 const BYTES_PER_MB: u64 = 1_000_000;
+/// The interval at which a reservation that waits is tried again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// What memory is held for. Each purpose has a limit of its own, so that none can take the memory of another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -30,9 +35,19 @@
 }
 
 /// All purposes, in the order of their discriminants.
-const PURPOSES: [Purpose; 4] = [Purpose::RequestHeads, Purpose::RequestBodies, Purpose::Responses, Purpose::Frames];
+pub const PURPOSES: [Purpose; 4] = [Purpose::RequestHeads, Purpose::RequestBodies, Purpose::Responses, Purpose::Frames];
 
 impl Purpose {
+    /// Returns the name of the purpose in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Purpose::RequestHeads => "RequestHeads",
+            Purpose::RequestBodies => "RequestBodies",
+            Purpose::Responses => "Responses",
+            Purpose::Frames => "Frames",
+        }
+    }
+
     /// Returns the divisor of the process's memory that gives the limit of this purpose.
     fn memory_divisor(self) -> u64 {
         match self {
@@ -148,15 +163,34 @@
     ///
     /// If the limit of the purpose does not allow it: the reservation keeps its size.
     pub fn try_grow_to(&mut self, bytes: usize, now: u64) -> Result<(), OutOfMemory> {
+        if self.charge_to(bytes) {
+            return Ok(());
+        }
+        let account = self.budget.account(self.purpose);
+        account.refusals.fetch_add(1, Ordering::Relaxed);
+        account.refused_at.store(now, Ordering::Relaxed);
+        Err(OutOfMemory)
+    }
+
+    /// Charges the difference to `bytes`. Returns whether the limit of the purpose allows it.
+    fn charge_to(&mut self, bytes: usize) -> bool {
         let additional = bytes.saturating_sub(self.bytes);
         let account = self.budget.account(self.purpose);
-        if additional > 0 && !account.try_charge(self.bytes, additional) {
-            account.refusals.fetch_add(1, Ordering::Relaxed);
-            account.refused_at.store(now, Ordering::Relaxed);
-            return Err(OutOfMemory);
+        let is_charged = additional == 0 || account.try_charge(self.bytes, additional);
+        if is_charged {
+            self.bytes += additional;
+        }
+        is_charged
+    }
+
+    /// Does the same as [`try_hold_buffer`](Self::try_hold_buffer), and waits until the limit allows it.
+    pub async fn hold_buffer(&mut self, capacity: usize) {
+        if self.try_hold_buffer(capacity, clock::now()).is_ok() {
+            return;
+        }
+        while !self.charge_to(capacity.saturating_sub(UNCHARGED_BYTES)) {
+            time::sleep(RETRY_INTERVAL).await;
         }
-        self.bytes += additional;
-        Ok(())
     }
 
     /// Grows as needed for a buffer of `capacity` bytes, of which the first [`UNCHARGED_BYTES`] are not charged.
--- a/protocol/src/link/frame_io.rs
+++ b/protocol/src/link/frame_io.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use ingress::Reservation;
-use kernel::clock;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::time;
@@ -42,8 +41,8 @@
 /// Reads one frame, whose header may take any time to begin. Its memory is charged to `reservation`, if there is one,
 /// before the bytes are taken.
 ///
-/// Returns `None` if the connection ended, the frame timed out, there is no memory for it, or the bytes are not a valid
-/// frame: the connection is then unusable.
+/// Returns `None` if the connection ended, the frame timed out, also because it waited for memory, or the bytes are not a
+/// valid frame: the connection is then unusable.
 pub(super) async fn read_frame(read: &mut OwnedReadHalf, reservation: Option<Reservation>) -> Option<ReceivedFrame> {
     let encoded_header = read_header(read).await?;
     read_rest(read, encoded_header, reservation).await
@@ -82,7 +81,8 @@
     Some(header)
 }
 
-/// Appends a body of `len` bytes to `frame`, which grows as the bytes arrive.
+/// Appends a body of `len` bytes to `frame`, which grows as the bytes arrive. While there is no memory for it, the peer is
+/// held up.
 async fn read_body(
     read: &mut OwnedReadHalf,
     frame: &mut Vec<u8>,
@@ -94,7 +94,7 @@
         let start = frame.len();
         let next = end.min((2 * start).max(INITIAL_CAPACITY));
         if let Some(reservation) = reservation {
-            reservation.try_hold_buffer(COPIES * next, clock::now()).ok()?;
+            reservation.hold_buffer(COPIES * next).await;
         }
         frame.reserve_exact(next - start);
         frame.resize(next, 0);
--- a/router/src/metrics.rs
+++ b/router/src/metrics.rs
@@ -10,6 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 use protocol::traffic;
+use telemetry::MemoryMetrics;
 
 use crate::frontend::drain::DrainPhase;
 use crate::limits::quota_gate::Decision;
@@ -163,6 +164,7 @@
     config_revision: Gauge,
     ready: Gauge,
     body_bytes: Gauge,
+    memory: MemoryMetrics,
     engines_known: Gauge,
     prefix_lookups: Gauge,
     prefix_hits: Gauge,
@@ -190,6 +192,7 @@
             config_revision: Default::default(),
             ready: Default::default(),
             body_bytes: Default::default(),
+            memory: Default::default(),
             engines_known: Default::default(),
             prefix_lookups: Default::default(),
             prefix_hits: Default::default(),
@@ -198,6 +201,7 @@
         metrics.register_connections();
         metrics.register_state();
         traffic::register(&mut metrics.registry);
+        metrics.memory.register(&mut metrics.registry);
         metrics
     }
 }
@@ -275,6 +279,7 @@
         self.ready.set(i64::from(state.is_ready()));
         self.config_revision.set(state.table().revision as i64);
         self.body_bytes.set(state.memory.used_bytes(Purpose::RequestBodies) as i64);
+        self.memory.update(&state.memory);
         self.engines_known.set(state.engines().engines.len() as i64);
         self.prefix_lookups.set(counts.queries as i64);
         self.prefix_hits.set(counts.hits as i64);
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -123,6 +123,12 @@
     play_at_router(119, 400, message, Then::StaysSilent);
 }
 
+#[test]
+fn small_bodies_short_of_their_end() {
+    let message = with_length(CLIENT_START, &client_fields(), CHUNK_BYTES, CHUNK_BYTES - 1);
+    play_at_router(131, 800, message, Then::StaysSilent);
+}
+
 #[test]
 fn heads_short_of_their_end() {
     play_at_router(120, 800, unfinished_head(CLIENT_START, 16_000), Then::StaysSilent);
--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -3,10 +3,12 @@
 
 mod endpoint;
 mod latency_histogram;
+mod memory_metrics;
 pub mod testing;
 
 pub use endpoint::start;
 pub use latency_histogram::latency_histogram;
+pub use memory_metrics::MemoryMetrics;
 use prometheus_client::encoding::text;
 use prometheus_client::registry::Registry;
 
