--- a/soak/tests/misbehaving_clients/crowd.rs
+++ b/soak/tests/misbehaving_clients/crowd.rs
@@ -2,14 +2,16 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
-use std::thread;
+use std::sync::{Arc, Weak};
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 /// After this time without progress a client stops to send and keeps its connection open.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a client that reads its answer waits for it.
 const READ_TIMEOUT: Duration = Duration::from_secs(20);
+/// The interval between two bytes of a client that trickles.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(200);
 const THREAD_STACK_BYTES: usize = 64 * 1024;
 
 /// What a client does once it has sent its bytes.
@@ -19,11 +21,14 @@
     StaysSilent,
     /// It reads until its connection ends or has been silent for a while.
     Reads,
+    /// It sends a byte now and then.
+    Trickles,
 }
 
 /// The connections of a crowd; they are closed when it is dropped.
 pub struct Crowd {
-    _connections: Vec<TcpStream>,
+    connections: Arc<Vec<TcpStream>>,
+    trickle: Option<JoinHandle<()>>,
 }
 
 impl Crowd {
@@ -38,7 +43,32 @@
             })
             .collect();
         let connections = clients.into_iter().filter_map(|client| client.join().expect("the client did not panic"));
-        Crowd { _connections: connections.collect() }
+        let connections: Arc<Vec<TcpStream>> = Arc::new(connections.collect());
+        let trickle = (then == Then::Trickles).then(|| {
+            let connections = Arc::downgrade(&connections);
+            thread::spawn(move || trickle(&connections))
+        });
+        Crowd { connections, trickle }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.connections = Arc::default();
+        if let Some(trickle) = self.trickle.take() {
+            let _ = trickle.join();
+        }
+    }
+}
+
+/// Sends a byte on each connection at intervals, until the crowd is dropped.
+fn trickle(connections: &Weak<Vec<TcpStream>>) {
+    while let Some(connections) = connections.upgrade() {
+        for mut stream in connections.iter() {
+            let _ = stream.write(b"b");
+        }
+        drop(connections);
+        thread::sleep(TRICKLE_INTERVAL);
     }
 }
 
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -3,7 +3,8 @@
 //! Guards against processes that run out of memory or descriptors, or serve nobody else, because of what clients hold
 //! there: bodies that stop short of their end or go beyond every limit, heads and frames that don't end, and responses that nobody reads.
 //! Each test checks that the process lives, that its peak memory and open descriptors stay within its settings, and that
-//! an ordinary request is answered while the crowd stands and after it has gone. None checks times.
+//! ordinary requests, a small and a largest one, are answered while the crowd stands and after it has gone. None checks
+//! times.
 
 #[path = "../../../tidepoint/tests/stand/proc.rs"]
 #[allow(dead_code)] // These tests use only some of the functions.
@@ -45,6 +46,7 @@
     deployment.assert_within_limits(Daemon::Router);
     deployment.assert_serves("hello");
     deployment.assert_ready();
+    deployment.assert_serves_largest_body();
     drop(crowd);
     deployment.assert_serves("hello");
     deployment.assert_serves_largest_body();
@@ -87,6 +89,12 @@
     play_at_router(113, 110, message, Then::StaysSilent);
 }
 
+#[test]
+fn bodies_that_trickle_near_their_end() {
+    let message = with_length(CLIENT_START, &client_fields(), MAX_BODY_BYTES, MAX_BODY_BYTES - 1000);
+    play_at_router(132, 110, message, Then::Trickles);
+}
+
 #[test]
 fn bodies_in_chunks_short_of_their_end() {
     let message = in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, MAX_BODY_BYTES);
