Router, protocol: bodies of clients in a module of their own; one loop that accepts connections

The loops of `link::serve` and `socket::accept_each` were the same; both are `socket::accept_from`. `ingress::read_buffer` waits for frames in a function of its own. No behaviour changes, but that every failed accept is tried again after 20 ms, as on connections between daemons.

--- a/ingress/src/body.rs
+++ b/ingress/src/body.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body::Body;
+use http_body::{Body, Frame};
 use http_body_util::BodyExt;
 use kernel::clock;
 use thiserror::Error;
@@ -103,21 +103,7 @@
         buffer.allocate(max_capacity.min(MAX_INITIAL_CAPACITY))?;
     }
     let mut progress = BodyProgress::start(clock::now());
-    loop {
-        let wait = Duration::from_millis(progress.wait_ms(limits, clock::now()));
-        let frame = match time::timeout(wait, body.frame()).await {
-            Err(_) => {
-                let now = clock::now();
-                let others_wait = buffer.reservation.bytes() > 0 && buffer.reservation.is_contended(now);
-                if progress.has_timed_out(limits, now, others_wait) {
-                    return Err(BodyError::TimedOut);
-                }
-                continue;
-            }
-            Ok(None) => return Ok(buffer),
-            Ok(Some(Err(_))) => return Err(BodyError::Malformed),
-            Ok(Some(Ok(frame))) => frame,
-        };
+    while let Some(frame) = next_frame(&mut body, limits, &mut progress, &buffer.reservation).await? {
         let Ok(data) = frame.into_data() else { continue };
         if buffer.content.len() + data.len() > limits.max_bytes {
             return Err(BodyError::TooLarge);
@@ -125,6 +111,27 @@
         buffer.append(&data, max_capacity)?;
         progress.record_frame(data.len(), clock::now());
     }
+    Ok(buffer)
+}
+
+/// Waits for the next frame of a body, `None` at its end.
+async fn next_frame<B: Body<Data = Bytes> + Unpin>(
+    body: &mut B,
+    limits: &BodyLimits,
+    progress: &mut BodyProgress,
+    reservation: &Reservation,
+) -> Result<Option<Frame<Bytes>>, BodyError> {
+    loop {
+        let wait = Duration::from_millis(progress.wait_ms(limits, clock::now()));
+        if let Ok(frame) = time::timeout(wait, body.frame()).await {
+            return frame.transpose().map_err(|_| BodyError::Malformed);
+        }
+        let now = clock::now();
+        let others_wait = reservation.bytes() > 0 && reservation.is_contended(now);
+        if progress.has_timed_out(limits, now, others_wait) {
+            return Err(BodyError::TimedOut);
+        }
+    }
 }
 
 #[cfg(test)]
--- a/protocol/src/link/server.rs
+++ b/protocol/src/link/server.rs
@@ -8,8 +8,6 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{self, Receiver};
-use tokio::sync::Semaphore;
-use tokio::time;
 
 use super::bulk_budget::BulkBudget;
 use super::frame_io::{read_first_frame, read_frame, write_frame, ReceivedFrame};
@@ -19,9 +17,6 @@
 use crate::socket::{self, IO_TIMEOUT_MS};
 use crate::traffic;
 
-/// Delay before the next accept after a failed one, which most often means that the process is out of file descriptors.
-const ACCEPT_RETRY: Duration = Duration::from_millis(20);
-
 /// The timeout for the header of the first frame on a connection.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_millis(2 * IO_TIMEOUT_MS);
 
@@ -89,23 +84,14 @@
 /// Accepts connections forever and passes each message to the handler. A malformed message closes only the connection
 /// that it arrived on. While `max_connections` are open, further ones wait in the kernel's queue.
 pub async fn serve(listener: TcpListener, limits: ServerLimits, handler: Handler) {
-    let permits = Arc::new(Semaphore::new(limits.max_connections));
-    loop {
-        let Ok(permit) = permits.clone().acquire_owned().await else { return };
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(ACCEPT_RETRY).await;
-            continue;
-        };
+    let serve = |stream| {
         socket::configure(&stream, IO_TIMEOUT_MS);
-        let (memory, handler) = (limits.memory.clone(), handler.clone());
-        tokio::spawn(async move {
-            serve_connection(stream, &memory, handler).await;
-            drop(permit);
-        });
-    }
+        serve_connection(stream, limits.memory.clone(), handler.clone())
+    };
+    socket::accept_from(listener, limits.max_connections, serve).await;
 }
 
-async fn serve_connection(stream: TcpStream, memory: &Arc<MemoryBudget>, handler: Handler) {
+async fn serve_connection(stream: TcpStream, memory: Arc<MemoryBudget>, handler: Handler) {
     let (mut read, write) = stream.into_split();
     let (frames, queue) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
     let responder = Responder::new(frames);
--- a/protocol/src/socket.rs
+++ b/protocol/src/socket.rs
@@ -37,33 +37,45 @@
 /// Maximum number of connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Delay before a failed listen or accept is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay before a failed listen is retried.
+const LISTEN_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay before a failed accept is retried.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Listens on an address and runs `handler` for every connection, forever. While `max_connections` are open, further
-/// ones wait in the kernel's queue.
+/// Listens on an address, which may take some tries, and runs `handler` for every connection, forever. While
+/// `max_connections` are open, further ones wait in the kernel's queue.
 pub async fn accept_each<F: Future<Output = ()> + Send + 'static>(
     addr: &str,
     max_connections: usize,
     handler: impl Fn(TcpStream) -> F,
+) {
+    let listener = loop {
+        match listen(addr) {
+            Ok(listener) => break listener,
+            Err(_) => time::sleep(LISTEN_RETRY_DELAY).await,
+        }
+    };
+    accept_from(listener, max_connections, handler).await;
+}
+
+/// Does the same for a listener.
+pub async fn accept_from<F: Future<Output = ()> + Send + 'static>(
+    listener: TcpListener,
+    max_connections: usize,
+    handler: impl Fn(TcpStream) -> F,
 ) {
     let permits = Arc::new(Semaphore::new(max_connections));
     loop {
-        let Ok(listener) = listen(addr) else {
-            time::sleep(RETRY_DELAY).await;
+        let Ok(permit) = permits.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else {
+            // Most often, the process is out of file descriptors.
+            time::sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        loop {
-            let Ok(permit) = permits.clone().acquire_owned().await else { return };
-            let Ok((stream, _)) = listener.accept().await else {
-                time::sleep(RETRY_DELAY).await;
-                continue;
-            };
-            let task = handler(stream);
-            tokio::spawn(async move {
-                task.await;
-                drop(permit);
-            });
-        }
+        let task = handler(stream);
+        tokio::spawn(async move {
+            task.await;
+            drop(permit);
+        });
     }
 }
--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -7,23 +7,21 @@
 
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{EXPECT, HOST};
+use http::header::HOST;
 use http::request::Parts;
 use http::Response;
 use hyper::body::Incoming;
-use ingress::{read_body, BodyError, BodyLimits, Purpose};
 use kernel::clock;
 use protocol::headers::TIME_BUDGET;
-use tokio::time;
 
 use crate::config::freshness::{self, LookupMiss};
 use crate::config::routing_table::{self, RoutingTable};
 use crate::config::tenants::KeyDigest;
 use crate::event::FIRST_REQUEST;
 use crate::frontend::authorization::{self, Authorization, UnknownKey};
+use crate::frontend::client_body::{self, reject, reject_unread, ClientBody, Rejection};
 use crate::frontend::drain::DrainPhase;
 use crate::frontend::error_response::{self, Body, Failure};
 use crate::frontend::framing_check::FramingMonitor;
@@ -78,81 +76,11 @@
     }
 }
 
-/// Body size limit that applies until the first configuration arrives with the configured limit.
-const STARTUP_MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Maximum wait for the first configuration, idle timeout of bodies until then, and default time budget of requests, in
 /// milliseconds.
-const STARTUP_WAIT_MS: u64 = 1000;
-/// Timeout for a complete body until then, in milliseconds, if the time budget of its request is not shorter.
-const STARTUP_BODY_TIMEOUT_MS: u64 = 8000;
-/// A request waits for the first configuration for at most its time budget divided by this.
-const STARTUP_WAIT_DIVISOR: u64 = 3;
-/// Polling interval while waiting for the router to become ready, in milliseconds.
-const READY_POLL_MS: u64 = 15;
+pub const STARTUP_WAIT_MS: u64 = 1000;
 /// `Retry-After` if the router is closing, or its configuration is missing or may be stale, in milliseconds.
-const RETRY_AFTER_MS: u64 = 300;
-/// `Retry-After` if buffered request bodies occupy too much memory, in milliseconds.
-const MEMORY_RETRY_AFTER_MS: u64 = 250;
-
-/// Waits until the router is ready or `deadline_ms` has passed.
-async fn wait_until_ready(state: &State, deadline_ms: u64) {
-    let ordering = Ordering::Relaxed;
-    while !state.ready.load(ordering) && clock::now() < deadline_ms {
-        time::sleep(Duration::from_millis(READY_POLL_MS)).await;
-    }
-}
-
-/// Why a request was not admitted.
-struct Rejection {
-    failure: Failure,
-    /// The body was not read to its end, so the start of the next request on the connection is unknown.
-    close_connection: bool,
-}
-
-impl From<Failure> for Rejection {
-    fn from(failure: Failure) -> Rejection {
-        Rejection { failure, close_connection: false }
-    }
-}
-
-impl From<BodyError> for Rejection {
-    fn from(error: BodyError) -> Rejection {
-        let failure = match error {
-            BodyError::TooLarge => Failure::BodyTooLarge,
-            BodyError::TimedOut => Failure::BodyTimeout,
-            BodyError::OutOfMemory(_) => Failure::Unavailable(MEMORY_RETRY_AFTER_MS),
-            BodyError::Malformed => Failure::Malformed,
-        };
-        Rejection { failure, close_connection: true }
-    }
-}
-
-/// The body of a request during admission.
-enum ClientBody {
-    /// Not read from the connection yet.
-    Unread(Incoming),
-    /// Buffered in memory, because it was read during startup.
-    Read(Bytes),
-}
-
-/// Rejects a request whose body is not needed. The rest of the body is read and discarded, so that the connection can
-/// be reused.
-async fn reject(failure: Failure, parts: &Parts, body: ClientBody) -> Rejection {
-    // A client that sent `Expect` waits for `100 Continue`, and reading the body would send that.
-    let awaits_continue = parts.headers.contains_key(EXPECT);
-    let was_read = match body {
-        ClientBody::Unread(body) => !awaits_continue && request::discard_body(body).await,
-        ClientBody::Read(_) => true,
-    };
-    Rejection { failure, close_connection: !was_read }
-}
-
-/// Rejects a request after reading only its head.
-async fn reject_unread(incoming: http::Request<Incoming>) -> Rejection {
-    let (parts, body) = incoming.into_parts();
-    reject(Failure::Unavailable(RETRY_AFTER_MS), &parts, ClientBody::Unread(body)).await
-}
-
+pub const RETRY_AFTER_MS: u64 = 300;
 /// The authorization of a request, with the routing table that it is based on.
 struct Admitted {
     table: Arc<RoutingTable>,
@@ -185,25 +113,6 @@
     Ok(Admitted { table, authorization })
 }
 
-/// Reads the body of a request that arrived before the first configuration, then waits for the configuration.
-async fn read_during_startup(
-    state: &State,
-    parts: &Parts,
-    body: Incoming,
-    received_at_ms: u64,
-) -> Result<Bytes, Rejection> {
-    let limits = BodyLimits {
-        max_bytes: STARTUP_MAX_BODY_BYTES,
-        idle_ms: STARTUP_WAIT_MS,
-        deadline_ms: request::deadline_ms(&parts.headers, received_at_ms, STARTUP_BODY_TIMEOUT_MS),
-    };
-    let body = read_body(body, &limits, state.memory.reservation(Purpose::RequestBodies)).await?;
-    let time_budget_ms = request::parse_number(&parts.headers, TIME_BUDGET).unwrap_or(STARTUP_WAIT_MS);
-    let wait_ms = (time_budget_ms / STARTUP_WAIT_DIVISOR).min(STARTUP_WAIT_MS);
-    wait_until_ready(state, received_at_ms + wait_ms).await;
-    Ok(body)
-}
-
 /// Checks that a configuration is in force, and logs the first request served under it.
 fn check_configured(state: &State) -> Result<(), Failure> {
     let table = state.table();
@@ -216,28 +125,6 @@
     Ok(())
 }
 
-/// Returns the limits of a body. It must arrive before the deadline of its request, since nothing could be done with it
-/// later.
-fn body_limits(admitted: &Admitted, parts: &Parts, received_at_ms: u64) -> BodyLimits {
-    let timeout_ms = admitted.authorization.route().timeout_ms;
-    BodyLimits {
-        max_bytes: admitted.table.body_bytes,
-        idle_ms: admitted.table.idle_ms,
-        deadline_ms: request::deadline_ms(&parts.headers, received_at_ms, timeout_ms),
-    }
-}
-
-/// Returns the complete body, subject to the limits of the routing table that authorized the request.
-async fn read_within_limits(state: &State, body: ClientBody, limits: &BodyLimits) -> Result<Bytes, Rejection> {
-    match body {
-        ClientBody::Unread(body) => {
-            Ok(read_body(body, limits, state.memory.reservation(Purpose::RequestBodies)).await?)
-        }
-        ClientBody::Read(body) if body.len() <= limits.max_bytes => Ok(body),
-        ClientBody::Read(_) => Err(Failure::BodyTooLarge.into()),
-    }
-}
-
 /// Reads and authorizes a request, and returns the exchange that forwards it.
 async fn read_and_admit(state: &Arc<State>, incoming: http::Request<Incoming>) -> Result<Exchange, Rejection> {
     let received_at_ms = clock::now();
@@ -247,7 +134,9 @@
     }
     let body = match state.ready.load(Ordering::Relaxed) {
         true => ClientBody::Unread(incoming_body),
-        false => ClientBody::Read(read_during_startup(state, &parts, incoming_body, received_at_ms).await?),
+        false => {
+            ClientBody::Read(client_body::read_during_startup(state, &parts, incoming_body, received_at_ms).await?)
+        }
     };
     check_configured(state)?;
     let mut admitted = match authorize(state, &parts).await {
@@ -255,8 +144,8 @@
         Err(failure) => return Err(reject(failure, &parts, body).await),
     };
     let authorized_at_ms = clock::now();
-    let limits = body_limits(&admitted, &parts, received_at_ms);
-    let body = read_within_limits(state, body, &limits).await?;
+    let limits = client_body::body_limits(&admitted.table, admitted.authorization.route(), &parts, received_at_ms);
+    let body = client_body::read_within_limits(state, body, &limits).await?;
     if clock::now() > authorized_at_ms + state.freshness.budget().lookup_age_ms() {
         // The body was slow to arrive, and a newer configuration may route the request differently.
         admitted = authorize(state, &parts).await?;
--- a/router/src/frontend/mod.rs
+++ b/router/src/frontend/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod admission;
 pub mod authorization;
+pub mod client_body;
 pub mod close_delimited;
 pub mod drain;
 pub mod error_response;
