--- a/soak/tests/misbehaving_clients/deployment.rs
+++ b/soak/tests/misbehaving_clients/deployment.rs
@@ -23,6 +23,7 @@
 pub const ANSWER_BYTES_HEADER: &str = "X-Answer-Bytes";
 /// How long an ordinary caller retries before it gives up.
 const PATIENCE: Duration = Duration::from_secs(30);
+const METRICS_PORT: u16 = 7804;
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// A daemon of the deployment.
@@ -57,6 +58,10 @@
         self.host(2, 7802)
     }
 
+    pub fn router_metrics(self) -> String {
+        self.host(2, METRICS_PORT)
+    }
+
     fn platform(self) -> String {
         self.host(9, 7800)
     }
@@ -131,6 +136,12 @@
         self.retry("a readiness check", "200", || stand::call(&self.net.readiness(), &request));
     }
 
+    /// Asserts that the router's metrics can be read.
+    pub fn assert_reports_metrics(&self) {
+        let request = stand::request("GET", "/metrics", "Host: m\r\n", "");
+        self.retry("a scrape", "200", || stand::call(&self.net.router_metrics(), &request));
+    }
+
     /// Asserts that the controller takes a change of the configuration to this revision; `filler` makes it longer.
     pub fn assert_takes_configuration(&self, base: u64, filler: &str) {
         let fields = format!("Host: c\r\nIf-Match: {base}\r\n");
@@ -216,7 +227,7 @@
         }
     };
     let text = format!(
-        "node_name = \"{name}\"\nip = \"127.0.{}.{number}\"\nzone = \"a\"\ninternal_ports = [7810, 7815]\n\
+        "node_name = \"{name}\"\nip = \"127.0.{}.{number}\"\nzone = \"a\"\nmetrics = \"{METRICS_PORT}/metrics\"\ninternal_ports = [7810, 7815]\n\
          seed_peers = [\"{}\"]\nbootstrap = true\nquorum_member = {}\n{data}[zones]\na = \"r\"\n\
          [bind_addresses]\n{binds}\n[limits]\nmemory_mb = {MEMORY_MB}\nfd_limit = {FD_LIMIT}\ndisk_mb = 64\n\
          [bounds]\nbudget_slack = 20.0\n[cloud_api]\naddress = \"{}\"\nrate_per_s = 300.0\n",
--- a/soak/tests/misbehaving_clients/main.rs
+++ b/soak/tests/misbehaving_clients/main.rs
@@ -175,6 +175,40 @@
     deployment.finish();
 }
 
+#[test]
+fn scrapes_short_of_their_end() {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(133));
+    let message = unfinished_head("GET /metrics", 4000);
+    let crowd = Crowd::gather(20, &deployment.net.router_metrics(), message, Then::StaysSilent);
+    deployment.assert_reports_metrics();
+    deployment.assert_within_limits(Daemon::Router);
+    drop(crowd);
+    deployment.assert_reports_metrics();
+    deployment.finish();
+}
+
+#[test]
+fn several_crowds_at_once() {
+    let _alone = alone();
+    let mut deployment = Deployment::start_configured(Net(134));
+    let unread = format!("{}{ANSWER_BYTES_HEADER}: {}\r\n", client_fields(), 16 * MAX_BODY_BYTES);
+    let messages = [
+        with_length(CLIENT_START, &unread, 0, 0),
+        unfinished_head(CLIENT_START, 16_000),
+        in_chunks(CLIENT_START, &client_fields(), CHUNK_BYTES, MAX_BODY_BYTES),
+        with_length(CLIENT_START, &client_fields(), CHUNK_BYTES, CHUNK_BYTES - 1),
+    ];
+    let crowds = messages.map(|message| Crowd::gather(200, &deployment.net.frontend(), message, Then::StaysSilent));
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.assert_serves("hello");
+    deployment.assert_serves_largest_body();
+    drop(crowds);
+    deployment.assert_serves("hello");
+    deployment.assert_within_limits(Daemon::Router);
+    deployment.finish();
+}
+
 #[test]
 fn configurations_short_of_their_end() {
     let message = with_length(OPERATOR_START, OPERATOR_FIELDS, MAX_CONFIG_BYTES, MAX_CONFIG_BYTES - 1);
