--- a/ingress/src/memory_budget.rs
+++ b/ingress/src/memory_budget.rs
@@ -81,12 +81,12 @@
         }
     }
 
-    /// Adds `additional` bytes to a reservation of `held` bytes. One that is alone may exceed the limit: each legal
+    /// Adds `additional` bytes to a reservation of `reserved` bytes. One that is alone may exceed the limit: each legal
     /// request is served if there is nothing else.
-    fn try_charge(&self, held: usize, additional: usize) -> bool {
-        let limit = self.limit_for(held + additional);
+    fn try_charge(&self, reserved: usize, additional: usize) -> bool {
+        let limit = self.limit_for(reserved + additional);
         let charge = |used: usize| {
-            let is_alone = used == held;
+            let is_alone = used == reserved;
             (is_alone || used + additional <= limit).then_some(used + additional)
         };
         self.used.fetch_update(Ordering::Relaxed, Ordering::Relaxed, charge).is_ok()
--- a/ingress/src/memory_budget_tests.rs
+++ b/ingress/src/memory_budget_tests.rs
@@ -57,18 +57,18 @@
         steps in prop::collection::vec((0usize..6, prop::option::of(0usize..2 * BODY_LIMIT)), 1..80)
     ) {
         let budget = MemoryBudget::new(MEMORY_MB);
-        let mut held: Vec<Reservation> = (0..6).map(|_| body(&budget)).collect();
+        let mut reservations: Vec<Reservation> = (0..6).map(|_| body(&budget)).collect();
         for (index, step) in steps {
             match step {
-                Some(bytes) => drop(held[index].try_grow_to(bytes, 0)),
-                None => held[index] = body(&budget),
+                Some(bytes) => drop(reservations[index].try_grow_to(bytes, 0)),
+                None => reservations[index] = body(&budget),
             }
-            let sum: usize = held.iter().map(Reservation::bytes).sum();
+            let sum: usize = reservations.iter().map(Reservation::bytes).sum();
             prop_assert_eq!(budget.used_bytes(Purpose::RequestBodies), sum);
-            let others_than_largest = sum - held.iter().map(Reservation::bytes).max().unwrap_or(0);
+            let others_than_largest = sum - reservations.iter().map(Reservation::bytes).max().unwrap_or(0);
             prop_assert!(others_than_largest <= BODY_LIMIT);
         }
-        drop(held);
+        drop(reservations);
         prop_assert_eq!(budget.used_bytes(Purpose::RequestBodies), 0);
     }
 }
--- a/protocol/src/link/server.rs
+++ b/protocol/src/link/server.rs
@@ -96,13 +96,13 @@
     let (frames, queue) = mpsc::channel::<Bytes>(QUEUE_CAPACITY);
     let responder = Responder::new(frames);
     let writer = tokio::spawn(write_frames(write, queue, responder.budget.clone()));
-    let reservation = || Some(memory.reservation(Purpose::Frames));
+    let new_reservation = || Some(memory.reservation(Purpose::Frames));
     // A client opens a connection only once it has something to send.
-    let mut next = read_first_frame(&mut read, reservation(), FIRST_FRAME_TIMEOUT).await;
-    while let Some(ReceivedFrame { header, message, reservation: held }) = next {
+    let mut next = read_first_frame(&mut read, new_reservation(), FIRST_FRAME_TIMEOUT).await;
+    while let Some(ReceivedFrame { header, message, reservation }) = next {
         handler(responder.clone(), header.id, message);
-        drop(held);
-        next = read_frame(&mut read, reservation()).await;
+        drop(reservation);
+        next = read_frame(&mut read, new_reservation()).await;
     }
     writer.abort();
 }
--- a/router/src/frontend/framing_check.rs
+++ b/router/src/frontend/framing_check.rs
@@ -89,8 +89,8 @@
             }
             _ => {}
         }
-        if let Some(place) = self.line_start.get_mut(self.line_length) {
-            *place = byte.to_ascii_lowercase();
+        if let Some(slot) = self.line_start.get_mut(self.line_length) {
+            *slot = byte.to_ascii_lowercase();
         }
         self.line_length += 1;
         false
