--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,7 +20,7 @@
 
 
 async def case(record):
-    fleet = Fleet(record, routers=3, engines=ENGINES, engine_class=OldEngine, contracts=CONTRACTS,
+    fleet = Fleet(record, routers=7, engines=ENGINES, engine_class=OldEngine, contracts=CONTRACTS,
                   bounds={"exposure_share": 0.1, "exposure_slack": 50, "rollback_ms": 5000})
     try:
         await fleet.start(config([route(resumable=True)]))
