--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -253,11 +253,12 @@
     service = "svc"
 
     def __init__(self, record, controllers=3, routers=3, engines=(), engine_class=Engine, bounds=None, contracts=None,
-                 relay=False):
+                 relay=False, router_zones=None):
         self.record = record
         self.tag = f"{os.getpid():x}"
         self.runs = []
         self.bounds = bounds or {}
+        self.router_zones = router_zones or [ZONES[index % 3] for index in range(routers)]
         self.contracts = contracts or ["base", "drain", "config", "cost", "retry", "recover", "split", "stream",
                                        "engine", "places"]
         self.dir = tempfile.mkdtemp(prefix="tidepoint-review-")
@@ -347,7 +348,7 @@
     def router(self, index):
         name, ip = f"router-{index}", self.ip("router", index)
         binds = {"frontend": self.frontend(index), "readiness": self.readiness(index)}
-        text = self.settings_text(name, ip, ZONES[index % 3], binds, None)
+        text = self.settings_text(name, ip, self.router_zones[index], binds, None)
         return Process(self, name, ["target/release/router", "--metrics", "9464/metrics"], text)
 
     # Platform
