--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -98,10 +98,9 @@
     return "\r\n".join(lines).encode("latin-1") + body
 
 
-async def connect(address, source=None):
+async def connect(address):
     host, port = address.rsplit(":", 1)
-    local = (source, 0) if source else None
-    return await asyncio.open_connection(host, int(port), local_addr=local)
+    return await asyncio.open_connection(host, int(port))
 
 
 async def call(address, method, path, headers=(), body=b"", timeout=5.0):
@@ -252,21 +251,15 @@
 
     service = "svc"
 
-    def __init__(self, record, controllers=3, routers=3, engines=(), engine_class=Engine, bounds=None, contracts=None,
-                 relay=False, router_zones=None):
+    def __init__(self, record, controllers=3, routers=3, engines=(), engine_class=Engine, bounds=None, contracts=None):
         self.record = record
         self.tag = f"{os.getpid():x}"
         self.runs = []
         self.bounds = bounds or {}
-        self.router_zones = router_zones or [ZONES[index % 3] for index in range(routers)]
         self.contracts = contracts or ["base", "drain", "config", "cost", "retry", "recover", "split", "stream",
                                        "engine", "places"]
         self.dir = tempfile.mkdtemp(prefix="tidepoint-review-")
         self.choose_addresses()
-        # With relays, a controller is reached by other machines at its address through a relay of the stand.
-        self.relays = {}
-        self.relay = relay
-        self.partition = None
         self.engines = [engine_class(self, index, zone, phase) for index, (zone, phase) in enumerate(engines)]
         self.platform_address = f"{self.ip('platform', 0)}:{self.port}"
         self.controllers = [self.controller(index) for index in range(controllers)]
@@ -277,7 +270,7 @@
 
     # Addresses
 
-    GROUPS = {"controller": 1, "router": 2, "engine": 3, "platform": 4, "listen": 5, "client": 6}
+    GROUPS = {"controller": 1, "router": 2, "engine": 3, "platform": 4}
 
     def choose_addresses(self):
         for _ in range(200):
@@ -307,7 +300,7 @@
 
     # Processes
 
-    def settings_text(self, name, ip, zone, binds, data_dir, listen_ip=None):
+    def settings_text(self, name, ip, zone, binds, data_dir):
         seeds = [self.control(index) for index in range(3)]
         bounds = {
             "seed_lag_s": 3, "reuse_hold_s": 2, "contact_ms": 3000, "ack_ms": 4000, "sync_s": 4, "drain_ms": 3000,
@@ -318,7 +311,6 @@
         }
         lines = [
             f'node_name = "{name}"', 'role = "edge"', 'hw_class = "edge"', f'ip = "{ip}"', f'source_ip = "{ip}"',
-            *([f'listen_ip = "{listen_ip}"'] if listen_ip else []),
             f'zone = "{zone}"', 'region = "r"', f"internal_ports = [{self.port + 4}, {self.port + 5}]",
             f"seed_peers = {json.dumps(seeds)}", "bootstrap = true",
             f"quorum_member = {'true' if data_dir else 'false'}",
@@ -339,8 +331,7 @@
         name, ip = f"controller-{index}", self.ip("controller", index)
         data_dir = os.path.join(self.dir, name)
         os.makedirs(data_dir)
-        listen_ip = self.ip("listen", index) if self.relay else None
-        text = self.settings_text(name, ip, ZONES[index % 3], {"control_plane": self.control(index)}, data_dir, listen_ip)
+        text = self.settings_text(name, ip, ZONES[index % 3], {"control_plane": self.control(index)}, data_dir)
         process = Process(self, name, ["target/release/controller", "--metrics", "9465/metrics"], text)
         process.data_dir = data_dir
         return process
@@ -348,7 +339,7 @@
     def router(self, index):
         name, ip = f"router-{index}", self.ip("router", index)
         binds = {"frontend": self.frontend(index), "readiness": self.readiness(index)}
-        text = self.settings_text(name, ip, self.router_zones[index], binds, None)
+        text = self.settings_text(name, ip, ZONES[index % 3], binds, None)
         return Process(self, name, ["target/release/router", "--metrics", "9464/metrics"], text)
 
     # Platform
@@ -373,59 +364,6 @@
         finally:
             writer.close()
 
-    # Relays between machines, for partitions of zones
-
-    def zone_of_address(self, ip):
-        group, number = ip.split(".")[2:]
-        names = {value: key for key, value in self.GROUPS.items()}
-        index = int(number) - 1
-        if names.get(int(group)) == "engine":
-            return self.engines[index].zone
-        return ZONES[index % 3]
-
-    def is_cut(self, from_ip, to_zone):
-        return self.partition is not None and (self.zone_of_address(from_ip) == self.partition) != (to_zone == self.partition)
-
-    async def start_relay(self, index):
-        """Relays the traffic of other daemons to a controller. While a partition separates the two sides, a connection
-        says nothing: its bytes are neither passed on nor refused, and are lost."""
-        target = f"{self.ip('listen', index)}:{self.port + 4}"
-        zone = ZONES[index % 3]
-
-        async def serve(reader, writer):
-            from_ip = writer.get_extra_info("peername")[0]
-            try:
-                up_reader, up_writer = await connect(target)
-            except OSError:
-                writer.transport.abort()
-                return
-
-            async def pump(source, sink):
-                try:
-                    while True:
-                        data = await source.read(65536)
-                        if not data:
-                            break
-                        if self.is_cut(from_ip, zone):
-                            # Lost: the connection stays silent until its end notices.
-                            while self.is_cut(from_ip, zone):
-                                await asyncio.sleep(0.02)
-                            sink.transport.abort()
-                            return
-                        sink.write(data)
-                        await sink.drain()
-                except (ConnectionError, OSError):
-                    pass
-                finally:
-                    sink.transport.abort()
-            try:
-                await asyncio.gather(pump(reader, up_writer), pump(up_reader, writer))
-            except asyncio.CancelledError:
-                pass  # the case has ended
-
-        host, port = self.ip("controller", index), self.port + 4
-        self.servers.append(await asyncio.start_server(serve, host, port, backlog=512))
-
     # Life
 
     async def start(self, config):
@@ -433,9 +371,6 @@
         self.servers.append(await asyncio.start_server(self.serve_platform, host, int(port), backlog=256))
         for engine in self.engines:
             await engine.start()
-        if self.relay:
-            for index in range(len(self.controllers)):
-                await self.start_relay(index)
         for process in self.controllers + self.routers:
             process.start()
         await self.put_config(config, timeout=25)
