--- a/controller/src/discovery/version_lists.rs
+++ b/controller/src/discovery/version_lists.rs
@@ -49,30 +49,38 @@
         list: Vec<ListedEngine>,
         rollout_required: bool,
     ) -> PartitionedEngines {
-        self.learn(&list);
+        self.learn(rollouts, &list);
         let mut partitioned = PartitionedEngines::default();
         for listed in list {
-            let service = &listed.engine.service;
-            let (is_stable, is_candidate) = match rollouts.get(service) {
-                Some(rollout) => (rollout.is_stable(&listed.version), rollout.is_candidate(&listed.version)),
-                None => {
-                    (!rollout_required || self.0.get(service).is_none_or(|baseline| *baseline == listed.version), false)
-                }
-            };
-            if is_stable {
+            let rollout = rollouts.get(&listed.engine.service);
+            if self.is_stable(rollout, &listed, rollout_required) {
                 partitioned.stable.push(listed.engine);
-            } else if is_candidate {
+            } else if rollout.is_some_and(|rollout| rollout.is_candidate(&listed.version)) {
                 partitioned.candidates.push(listed.engine);
             }
         }
         partitioned
     }
 
+    /// Returns whether an engine runs the stable version of its service, which a first rollout does not name.
+    fn is_stable(&self, rollout: Option<&VersionRollout>, listed: &ListedEngine, rollout_required: bool) -> bool {
+        if rollout.is_none() && !rollout_required {
+            return true;
+        }
+        let named = rollout.and_then(VersionRollout::stable_version);
+        let stable = named.or_else(|| self.0.get(&listed.engine.service).map(String::as_str));
+        stable == Some(listed.version.as_str())
+    }
+
     /// Records the version of services that are new, and of services of which no engine runs the recorded version any
-    /// more.
-    fn learn(&mut self, list: &[ListedEngine]) {
+    /// more. A version that was ordered and is not complete is never recorded.
+    fn learn(&mut self, rollouts: &BTreeMap<String, VersionRollout>, list: &[ListedEngine]) {
         let mut by_service: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
-        for listed in list.iter().filter(|listed| listed.engine.up) {
+        let is_unproved = |listed: &ListedEngine| {
+            let rollout = rollouts.get(&listed.engine.service);
+            rollout.is_some_and(|rollout| rollout.is_unproved(&listed.version))
+        };
+        for listed in list.iter().filter(|listed| listed.engine.up && !is_unproved(listed)) {
             let versions = by_service.entry(&listed.engine.service).or_default();
             // Warm engines were there before cold ones, which have just started, so each counts as much as 1000 cold
             // ones.
--- a/controller/src/discovery/version_lists_tests.rs
+++ b/controller/src/discovery/version_lists_tests.rs
@@ -73,6 +73,22 @@
     assert_eq!(ids(&partition(RolloutState::Reverted)), [vec!["old-1"], vec![]]);
 }
 
+/// Guards against a version that nobody ordered: after a first rollout every other version counted as stable.
+#[test]
+fn a_version_that_no_rollout_names_gets_no_traffic_before_beside_and_after_a_rollout() {
+    let mut baseline = BaselineVersions::default();
+    baseline.partition(&BTreeMap::new(), vec![listed("old-1", "v1", 0)], true);
+    let with_unnamed = || [two_versions(), vec![listed("other-1", "v3", 0), listed("other-2", "v3", 0)]].concat();
+    let unnamed_is_listed =
+        |partitioned: &PartitionedEngines| ids(partitioned).concat().iter().any(|id| id.starts_with("other"));
+    assert!(!unnamed_is_listed(&baseline.partition(&BTreeMap::new(), with_unnamed(), true)));
+    for state in [RolloutState::Active, RolloutState::Complete, RolloutState::Reverted] {
+        let partitioned = baseline.partition(&rollouts(state), with_unnamed(), true);
+        assert!(!unnamed_is_listed(&partitioned), "{state:?}");
+        assert!(!partitioned.stable.is_empty(), "{state:?}");
+    }
+}
+
 #[test]
 fn a_service_is_served_after_all_its_engines_were_replaced_without_a_rollout() {
     let mut baseline = BaselineVersions::default();
--- a/protocol/src/version_rollout.rs
+++ b/protocol/src/version_rollout.rs
@@ -79,16 +79,21 @@
         format!("{KEY_PREFIX}{service}")
     }
 
-    /// Returns whether engines of a version may get any of the service's requests, whatever the share.
-    pub fn is_stable(&self, version: &str) -> bool {
-        let is_target = version == self.target;
-        match (self.state, &self.stable) {
-            (RolloutState::Complete, _) => is_target,
-            (_, Some(stable)) => version == stable,
-            (_, None) => !is_target && !self.reverted.iter().any(|reverted| reverted == version),
+    /// Returns the version that serves every request outside the rollout's share, or `None` if this record does not tell:
+    /// a service's first rollout names no stable version until it is complete.
+    pub fn stable_version(&self) -> Option<&str> {
+        match self.state {
+            RolloutState::Complete => Some(&self.target),
+            RolloutState::Active | RolloutState::Reverted => self.stable.as_deref(),
         }
     }
 
+    /// Returns whether a version was ordered and is not complete: it is never the stable version by itself.
+    pub fn is_unproved(&self, version: &str) -> bool {
+        let is_target = version == self.target && self.state != RolloutState::Complete;
+        is_target || self.reverted.iter().any(|reverted| reverted == version)
+    }
+
     /// Returns whether engines of a version may get the rollout's share of the requests.
     pub fn is_candidate(&self, version: &str) -> bool {
         self.state == RolloutState::Active && version == self.target
