--- a/controller/src/api/version_rollouts.rs
+++ b/controller/src/api/version_rollouts.rs
@@ -57,24 +57,26 @@
     }
 
     /// Returns the rollout that the request starts on top of the newest one, or `Ok(None)` if the newest one is already
-    /// that of this request.
+    /// that of this request. `in_force` is the version of the service, if it is known; if it is the target already, the
+    /// rollout is complete at once.
     ///
     /// # Errors
     ///
     /// Returns why the rollout cannot be started now.
-    pub fn decide(&self, stored: Option<&VersionRollout>) -> Result<Option<VersionRollout>, ApiError> {
-        let Some(stored) = stored else { return Ok(Some(self.first_rollout())) };
+    pub fn decide(
+        &self,
+        stored: Option<&VersionRollout>,
+        in_force: Option<&str>,
+    ) -> Result<Option<VersionRollout>, ApiError> {
+        let Some(stored) = stored else { return Ok(Some(self.first_rollout(in_force))) };
         if stored.target == self.target && stored.duration_ms == self.duration_ms {
             return Ok(None);
         }
         if stored.state == RolloutState::Active {
             return Err(ApiError::conflict(format!("rollout: version {} is still being rolled out", stored.target)));
         }
-        let stable = match stored.state {
-            RolloutState::Complete => Some(stored.target.clone()),
-            _ => stored.stable.clone(),
-        };
-        if stable.as_ref() == Some(&self.target) {
+        let named = stored.stable_version();
+        if named == Some(&self.target) {
             return Err(ApiError::bad_request(format!(
                 "target_version: {} is already the stable version",
                 self.target
@@ -83,11 +85,16 @@
         let mut reverted = stored.reverted.clone();
         reverted.retain(|version| *version != self.target);
         let (number, order) = (stored.number + 1, stored.order + 1);
-        Ok(Some(VersionRollout { number, order, stable, reverted, ..self.first_rollout() }))
+        Ok(Some(VersionRollout { number, order, reverted, ..self.first_rollout(in_force.or(named)) }))
     }
 
-    fn first_rollout(&self) -> VersionRollout {
-        VersionRollout::first(&self.service, &self.target, self.duration_ms)
+    fn first_rollout(&self, stable: Option<&str>) -> VersionRollout {
+        let state = match stable == Some(&self.target) {
+            true => RolloutState::Complete,
+            false => RolloutState::Active,
+        };
+        let first = VersionRollout::first(&self.service, &self.target, self.duration_ms);
+        VersionRollout { state, stable: stable.map(str::to_string), ..first }
     }
 }
 
@@ -110,12 +117,13 @@
     let Some(config) = controller.committed.current_config() else { return Ok(ApiResponse::OutcomeUnknown) };
     let is_known_service = |name: &str| config.config().service_table.iter().any(|service| service.name == name);
     let request = RolloutRequest::parse(text, is_known_service)?;
+    let in_force = controller.committed.version_in_force(&request.service);
     let decide = |body: &[u8]| {
         let stored = VersionRollout::from_bytes(body);
         if stored.is_none() && !body.is_empty() {
             return Decision::Answer(ApiResponse::OutcomeUnknown);
         }
-        match request.decide(stored.as_ref()) {
+        match request.decide(stored.as_ref(), in_force.as_deref()) {
             Ok(None) => Decision::Answer(ApiResponse::Done),
             Ok(Some(next)) => Decision::Write(next.to_bytes(), ApiResponse::Done),
             Err(error) => Decision::Answer(error.into()),
--- a/controller/src/api/version_rollouts_tests.rs
+++ b/controller/src/api/version_rollouts_tests.rs
@@ -7,7 +7,7 @@
 }
 
 fn first() -> VersionRollout {
-    request("v2").decide(None).expect("the request is accepted").expect("a rollout starts")
+    request("v2").decide(None, None).expect("the request is accepted").expect("a rollout starts")
 }
 
 #[test]
@@ -33,20 +33,36 @@
 fn decide_accepts_a_repeated_request_and_rejects_another_one_while_active() {
     let stored = first();
     assert_eq!((stored.state, stored.share, stored.order), (RolloutState::Active, 0, 1));
-    assert_eq!(request("v2").decide(Some(&stored)), Ok(None));
-    assert_eq!(request("v3").decide(Some(&stored)).map_err(|error| error.status), Err(409));
+    assert_eq!(request("v2").decide(Some(&stored), None), Ok(None));
+    assert_eq!(request("v3").decide(Some(&stored), None).map_err(|error| error.status), Err(409));
     for state in [RolloutState::Complete, RolloutState::Reverted] {
         let ended = VersionRollout { state, ..first() };
-        assert_eq!(request("v2").decide(Some(&ended)), Ok(None), "also after the rollout has ended");
+        assert_eq!(request("v2").decide(Some(&ended), None), Ok(None), "also after the rollout has ended");
     }
 }
 
 #[test]
 fn the_next_rollout_keeps_the_stable_and_the_reverted_versions() {
     let complete = VersionRollout { state: RolloutState::Complete, number: 5, ..first() };
-    let next = request("v3").decide(Some(&complete)).expect("the request is accepted").expect("a rollout starts");
+    let next = request("v3").decide(Some(&complete), None).expect("the request is accepted").expect("a rollout starts");
     assert_eq!((next.number, next.order, next.stable.as_deref()), (6, 2, Some("v2")));
     let reverted = VersionRollout { state: RolloutState::Reverted, reverted: vec!["v2".into()], ..first() };
-    let next = request("v3").decide(Some(&reverted)).expect("the request is accepted").expect("a rollout starts");
+    let next = request("v3").decide(Some(&reverted), None).expect("the request is accepted").expect("a rollout starts");
     assert_eq!((next.stable, next.reverted), (None, vec!["v2".to_string()]));
 }
+
+#[test]
+fn a_rollout_records_the_version_in_force() {
+    let first = request("v2").decide(None, Some("v1")).expect("the request is accepted").expect("a rollout starts");
+    assert_eq!((first.state, first.stable.as_deref()), (RolloutState::Active, Some("v1")));
+    let reverted = VersionRollout { state: RolloutState::Reverted, reverted: vec!["v2".into()], ..first };
+    let next = request("v4").decide(Some(&reverted), Some("v3"));
+    let next = next.expect("the request is accepted").expect("a rollout starts");
+    assert_eq!(next.stable.as_deref(), Some("v3"), "it replaced v1 without a rollout");
+}
+
+#[test]
+fn a_rollout_of_the_version_that_is_already_in_force_is_complete_at_once() {
+    let ordered_late = request("v2").decide(None, Some("v2")).expect("the request is accepted");
+    assert_eq!(ordered_late.map(|rollout| rollout.state), Some(RolloutState::Complete));
+}
--- a/controller/src/discovery/engine_directory.rs
+++ b/controller/src/discovery/engine_directory.rs
@@ -6,17 +6,14 @@
 use load_balancing::{EndpointLists, ObservedVersion};
 use parking_lot::Mutex;
 use protocol::message::{ChangedEngines, EndpointList, EndpointUpdate, ListVersion, WeightVersions};
-use protocol::version_rollout::VersionRollout;
 use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::discovery::list_history::ListHistory;
 use crate::discovery::list_repairs::ListRepairs;
-use crate::discovery::version_lists::{BaselineVersions, ListedEngine, PartitionedEngines};
 
 /// All engines of the fleet as this controller knows them.
 ///
-/// Lock order: `endpoint_lists`, `histories`, `weight_versions`. `baseline_versions` and `repairs` are never held
-/// together with another lock.
+/// Lock order: `endpoint_lists`, `histories`, `weight_versions`. `repairs` is never held together with another lock.
 pub struct EngineDirectory {
     endpoint_lists: Mutex<EndpointLists>,
     /// The latest changes of each zone's list, by zone. Brought up to date with `endpoint_lists` on every read.
@@ -25,8 +22,6 @@
     repairs: Mutex<ListRepairs>,
     /// Weight versions by zone, kept only while staleness limits exist.
     weight_versions: Mutex<BTreeMap<String, WeightVersions>>,
-    /// The version that each service ran before any rollout.
-    baseline_versions: Mutex<BaselineVersions>,
     /// Allows one poll of the platform at a time.
     poll_permit: Semaphore,
 }
@@ -38,7 +33,6 @@
             histories: Mutex::default(),
             repairs: Mutex::default(),
             weight_versions: Mutex::default(),
-            baseline_versions: Mutex::default(),
             poll_permit: Semaphore::new(1),
         }
     }
@@ -143,17 +137,6 @@
         true
     }
 
-    /// Partitions a zone's engines by the known rollouts. With `rollout_required`, a version that no rollout has
-    /// requested gets no traffic.
-    pub fn partition(
-        &self,
-        rollouts: &BTreeMap<String, VersionRollout>,
-        list: Vec<ListedEngine>,
-        rollout_required: bool,
-    ) -> PartitionedEngines {
-        self.baseline_versions.lock().partition(rollouts, list, rollout_required)
-    }
-
     /// Waits until no other poll of the platform is running. Returns `None` if the semaphore is closed.
     pub async fn poll_permit(&self) -> Option<SemaphorePermit<'_>> {
         self.poll_permit.acquire().await.ok()
--- a/controller/src/discovery/mod.rs
+++ b/controller/src/discovery/mod.rs
@@ -5,4 +5,6 @@
 pub mod list_repairs;
 pub mod listing;
 pub mod poller;
+pub mod stable_versions;
+pub mod version_census;
 pub mod version_lists;
--- a/controller/src/discovery/poller.rs
+++ b/controller/src/discovery/poller.rs
@@ -1,5 +1,6 @@
 //! Polls the platform's engine list: one poller per zone, within the rate limit that all daemons share.
 
+use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +16,8 @@
 use crate::controller::Controller;
 use crate::delivery::limit_confirmations;
 use crate::discovery::listing::{Listing, Page};
-use crate::discovery::version_lists;
+use crate::discovery::stable_versions::{self, CensusSchedule};
+use crate::discovery::version_lists::{self, ListedEngine, PartitionedEngines};
 use crate::event::ENDPOINT_LIST_CHANGED;
 use crate::metrics::{PollLabels, PollOutcome};
 use crate::{http_client, roles};
@@ -51,6 +53,8 @@
 const RESEND_EVERY_POLLS: u32 = 8;
 /// The number of refused calls that a poll tolerates before it fails.
 const MAX_REFUSALS: u32 = 4;
+/// How long after startup polls wait for the committed state, in ms: without it no version is known to be in force.
+const CONFIRMATION_WAIT_MS: u64 = 3000;
 /// The maximum number of pages read in one poll.
 const MAX_PAGES: usize = 1000;
 /// The maximum size of one page, in bytes.
@@ -90,12 +94,12 @@
     let client = http_client::reads(controller.settings.source_ip(), Duration::from_millis(700))
         .timeout(Duration::from_millis(CALL_TIMEOUT_MS));
     let Ok(client) = client.build() else { return };
-    for zone in controller.settings.zones.keys() {
-        tokio::spawn(run(controller.clone(), client.clone(), zone.clone()));
+    for (index, zone) in controller.settings.zones.keys().enumerate() {
+        tokio::spawn(run(controller.clone(), client.clone(), zone.clone(), CensusSchedule::new(index)));
     }
 }
 
-async fn run(controller: Arc<Controller>, client: Client, zone: String) {
+async fn run(controller: Arc<Controller>, client: Client, zone: String, mut census_schedule: CensusSchedule) {
     let (mut term, mut polls) = (0, 0u32);
     let mut pages = 1;
     let mut wait_ms = 0;
@@ -104,7 +108,7 @@
         wait_ms = poll_interval_ms(&controller.settings, pages);
         let now = clock::now();
         let poller = controller.peers.read(|view| view.poller(&zone, now));
-        if poller != controller.own_ip() || now < STARTUP_DELAY_MS {
+        if poller != controller.own_ip() || now < STARTUP_DELAY_MS || awaits_versions(&controller, now) {
             wait_ms = wait_ms.min(STARTUP_DELAY_MS);
             continue;
         }
@@ -121,10 +125,31 @@
         };
         pages = listing.pages;
         polls += 1;
-        apply_listing(&controller, &zone, &mut term, listing, wants_weights.then_some(polls % RESEND_EVERY_POLLS == 0));
+        let resend_weights = wants_weights.then_some(polls % RESEND_EVERY_POLLS == 0);
+        let partitioned = apply_listing(&controller, &zone, &mut term, listing, resend_weights);
+        let unresolved = stable_versions::unresolved(&controller, &partitioned);
+        if census_schedule.is_due(!unresolved.is_empty(), clock::now())
+            && stable_versions::resolve(&controller, &client, &unresolved).await
+        {
+            wait_ms = 0;
+        }
     }
 }
 
+/// Returns whether this controller has just started and may soon know which versions are in force.
+fn awaits_versions(controller: &Controller, now: u64) -> bool {
+    now < CONFIRMATION_WAIT_MS
+        && version_lists::is_rollout_required(controller)
+        && controller.committed.confirmed_at().is_none()
+}
+
+/// Reads the engines of one zone. Returns `None` if that fails.
+pub async fn read_engines(controller: &Controller, client: &Client, zone: &str) -> Option<Vec<ListedEngine>> {
+    let listing = poll(controller, client, zone, false).await.ok()?;
+    pause_between_calls(call_interval_ms(controller)).await.ok()?;
+    Some(listing.engines)
+}
+
 /// Records whether the platform responded: a poller that cannot reach the platform is replaced by another controller.
 fn record_access(controller: &Controller, error: Option<PollError>) {
     controller.peers.update(|view| match error {
@@ -135,17 +160,30 @@
 }
 
 /// Publishes the listing of a poll, unless another poller's list arrived during the poll. `resend_weights` is `None` if
-/// weight versions are not wanted, otherwise it tells whether to send them even if unchanged.
-fn apply_listing(controller: &Controller, zone: &str, term: &mut u64, listing: Listing, resend_weights: Option<bool>) {
-    let partitioned = version_lists::partition(controller, listing.engines);
+/// weight versions are not wanted, otherwise it tells whether to send them even if unchanged. Returns the services
+/// whose versions it left out.
+fn apply_listing(
+    controller: &Controller,
+    zone: &str,
+    term: &mut u64,
+    listing: Listing,
+    resend_weights: Option<bool>,
+) -> PartitionedEngines {
+    let mut partitioned = version_lists::partition(controller, zone, listing.engines);
+    // A list without the engines of an unknown version would take them from the routers that have them from before.
+    if !partitioned.unknown.is_empty() && controller.engines.read(|lists| lists.list(zone).is_none()) {
+        return partitioned;
+    }
+    let stable = mem::take(&mut partitioned.stable);
+    let candidates = mem::take(&mut partitioned.candidates);
     let published = controller.engines.update(|lists| {
         if lists.observed_version(zone) != listing.known {
             return None;
         }
-        let list = lists.publish(zone, term, controller.replica_id, partitioned.stable, listing.known);
-        Some((list, candidate_list(controller, lists, zone, partitioned.candidates)))
+        let list = lists.publish(zone, term, controller.replica_id, stable, listing.known);
+        Some((list, candidate_list(controller, lists, zone, candidates)))
     });
-    let Some((list, candidates)) = published else { return };
+    let Some((list, candidates)) = published else { return partitioned };
     if let Some(resend) = resend_weights {
         limit_confirmations::publish_weight_versions(controller, zone, listing.weights, resend);
     }
@@ -153,6 +191,7 @@
     for list in list.into_iter().chain(candidates) {
         publish(controller, list);
     }
+    partitioned
 }
 
 /// Returns the list of a zone's candidate engines, or `None` if there are none and there were none.
@@ -181,7 +220,7 @@
     let mut listing = Listing::new(known);
     let mut token: Option<String> = None;
     let mut refusals = 0;
-    let call_interval_ms = (1000.0 / controller.settings.cloud_api.rate_per_s) as u64;
+    let call_interval_ms = call_interval_ms(controller);
     loop {
         let Some(page) = fetch_page(client, &url(controller, zone, token.as_deref())).await? else {
             // Over the shared rate limit: requests the same page again and keeps the pages read so far.
@@ -201,6 +240,11 @@
     }
 }
 
+/// Returns the interval between two calls to the platform at its shared rate limit, in ms.
+fn call_interval_ms(controller: &Controller) -> u64 {
+    (1000.0 / controller.settings.cloud_api.rate_per_s) as u64
+}
+
 fn url(controller: &Controller, zone: &str, token: Option<&str>) -> String {
     let address = &controller.settings.cloud_api.address;
     let page = token.map(|token| format!("&page_token={token}")).unwrap_or_default();
--- a/controller/src/discovery/version_lists.rs
+++ b/controller/src/discovery/version_lists.rs
@@ -1,12 +1,11 @@
-//! Partitions a zone's engines into those with the stable version and those with a candidate version under rollout.
+//! Partitions a zone's engines into those with the version in force and those with a candidate version under rollout.
 
-use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeSet, HashSet};
 
 use protocol::message::Engine;
-use protocol::version_rollout::VersionRollout;
 
 use crate::controller::Controller;
+use crate::replication::committed_state::CommittedState;
 
 /// An engine as the platform lists it.
 #[derive(Clone, Debug, PartialEq)]
@@ -20,79 +19,81 @@
 /// The contract under which a new version gets traffic only after an operator has requested a rollout.
 const ROLLOUT_CONTRACT: &str = "rollout";
 
-/// The version that each service ran before its first rollout, by service.
-#[derive(Default)]
-pub struct BaselineVersions(BTreeMap<String, String>);
-
 /// A zone's engines, partitioned by the kind of traffic that they may get.
 #[derive(Debug, Default, PartialEq)]
 pub struct PartitionedEngines {
-    /// Engines with the stable version.
+    /// Engines with the version in force.
     pub stable: Vec<Engine>,
     /// Engines with a version under rollout.
     pub candidates: Vec<Engine>,
+    /// Services whose version in force is not known.
+    pub unknown: BTreeSet<String>,
+    /// Services with engines of another version than the one in force, which get no requests.
+    pub withheld: BTreeSet<String>,
+}
+
+/// Which versions of the services may get requests, as far as this controller knows.
+pub struct KnownVersions<'a> {
+    /// The committed state.
+    pub committed: &'a CommittedState,
+    /// Whether a version needs a rollout. Without that, engines may be replaced by engines of any version.
+    pub rollout_required: bool,
+    /// The ids of the zone's engines that have got requests so far.
+    pub served_engines: &'a HashSet<String>,
 }
 
-/// Partitions a zone's engines by the known rollouts.
-pub fn partition(controller: &Controller, list: Vec<ListedEngine>) -> PartitionedEngines {
-    let rollouts = controller.committed.version_rollouts();
-    // Without the contract, engines may be replaced by engines of any version.
-    let rollout_required = controller.settings.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT);
-    controller.engines.partition(&rollouts, list, rollout_required)
+/// Returns whether the settings require a rollout for a new version.
+pub fn is_rollout_required(controller: &Controller) -> bool {
+    controller.settings.contracts.iter().any(|contract| contract == ROLLOUT_CONTRACT)
 }
 
-impl BaselineVersions {
-    /// Partitions a zone's engines. With `rollout_required`, a version that no rollout has requested gets no traffic.
-    pub fn partition(
-        &mut self,
-        rollouts: &BTreeMap<String, VersionRollout>,
-        list: Vec<ListedEngine>,
-        rollout_required: bool,
-    ) -> PartitionedEngines {
-        self.learn(rollouts, &list);
+/// Partitions a zone's engines by the committed versions.
+pub fn partition(controller: &Controller, zone: &str, list: Vec<ListedEngine>) -> PartitionedEngines {
+    let served_engines = controller.engines.read(|lists| {
+        let engines = lists.list(zone).map_or(&[][..], |list| &list.engines);
+        engines.iter().map(|engine| engine.id.clone()).collect()
+    });
+    let rollout_required = is_rollout_required(controller);
+    controller.committed.read(|committed| {
+        KnownVersions { committed, rollout_required, served_engines: &served_engines }.partition(list)
+    })
+}
+
+impl KnownVersions<'_> {
+    /// Partitions a zone's engines. While the version in force of a service is not known, its engines that have got
+    /// requests keep getting them, and no others do.
+    pub fn partition(&self, list: Vec<ListedEngine>) -> PartitionedEngines {
         let mut partitioned = PartitionedEngines::default();
-        for listed in list {
-            let rollout = rollouts.get(&listed.engine.service);
-            if self.is_stable(rollout, &listed, rollout_required) {
-                partitioned.stable.push(listed.engine);
-            } else if rollout.is_some_and(|rollout| rollout.is_candidate(&listed.version)) {
-                partitioned.candidates.push(listed.engine);
+        for ListedEngine { engine, version } in list {
+            let service = engine.service.clone();
+            let rollout = self.committed.version_rollouts.get(&service);
+            let in_force = self.version_in_force(&service);
+            let is_stable = match in_force {
+                _ if rollout.is_none() && !self.rollout_required => true,
+                Some(in_force) => version == in_force,
+                None => self.served_engines.contains(&engine.id),
+            };
+            let is_up = engine.up;
+            if is_stable {
+                partitioned.stable.push(engine);
+            } else if rollout.is_some_and(|rollout| rollout.is_candidate(&version)) {
+                partitioned.candidates.push(engine);
+            } else if is_up && in_force.is_some() {
+                partitioned.withheld.insert(service);
+                continue;
+            }
+            if is_up && in_force.is_none() && (rollout.is_some() || self.rollout_required) {
+                partitioned.unknown.insert(service);
             }
         }
         partitioned
     }
 
-    /// Returns whether an engine runs the stable version of its service, which a first rollout does not name.
-    fn is_stable(&self, rollout: Option<&VersionRollout>, listed: &ListedEngine, rollout_required: bool) -> bool {
-        if rollout.is_none() && !rollout_required {
-            return true;
-        }
-        let named = rollout.and_then(VersionRollout::stable_version);
-        let stable = named.or_else(|| self.0.get(&listed.engine.service).map(String::as_str));
-        stable == Some(listed.version.as_str())
-    }
-
-    /// Records the version of services that are new, and of services of which no engine runs the recorded version any
-    /// more. A version that was ordered and is not complete is never recorded.
-    fn learn(&mut self, rollouts: &BTreeMap<String, VersionRollout>, list: &[ListedEngine]) {
-        let mut by_service: BTreeMap<&str, BTreeMap<&str, usize>> = BTreeMap::new();
-        let is_unproved = |listed: &ListedEngine| {
-            let rollout = rollouts.get(&listed.engine.service);
-            rollout.is_some_and(|rollout| rollout.is_unproved(&listed.version))
-        };
-        for listed in list.iter().filter(|listed| listed.engine.up && !is_unproved(listed)) {
-            let versions = by_service.entry(&listed.engine.service).or_default();
-            // Warm engines were there before cold ones, which have just started, so each counts as much as 1000 cold
-            // ones.
-            *versions.entry(&listed.version).or_default() += if listed.engine.cold_ms == 0 { 1000 } else { 1 };
-        }
-        for (service, versions) in by_service {
-            let is_known = self.0.get(service).is_some_and(|baseline| versions.contains_key(baseline.as_str()));
-            let most_common = versions.iter().max_by_key(|(version, count)| (**count, Reverse(**version)));
-            if let (false, Some((version, _))) = (is_known, most_common) {
-                self.0.insert(service.into(), version.to_string());
-            }
-        }
+    /// Returns the version in force of a service. Until a quorum has confirmed the committed state, it may lack any
+    /// record, so that the ones known do not tell.
+    fn version_in_force(&self, service: &str) -> Option<&str> {
+        self.committed.confirmed_at?;
+        self.committed.version_in_force(service)
     }
 }
 
--- a/controller/src/event.rs
+++ b/controller/src/event.rs
@@ -64,5 +64,7 @@
 pub const TALLIES_LACK_REPLICAS: Event = Event { code: 197, text: "too few tally replicas, no adds accepted" };
 /// Adds to tallies are acknowledged with the full redundancy again.
 pub const TALLIES_REDUNDANT: Event = Event { code: 198, text: "tally replicas in reach again" };
+/// The version of a service was recorded without a rollout.
+pub const STABLE_VERSION_RECORDED: Event = Event { code: 181, text: "version of a service recorded" };
 /// A version rollout advanced, completed or was reverted.
 pub const VERSION_STEP: Event = Event { code: 180, text: "version rollout changed" };
--- a/controller/src/replication/committed_state.rs
+++ b/controller/src/replication/committed_state.rs
@@ -7,6 +7,7 @@
 use consensus::MEMBERSHIP_KEY;
 use protocol::config::{ConfigDocument, ConfigError};
 use protocol::message::{Entry, Position, StalenessLimit, STALENESS_LIMIT_PREFIX};
+use protocol::stable_version::{self, version_in_force, StableVersion};
 use protocol::version_rollout::{VersionRollout, KEY_PREFIX};
 use rkyv::{Archive, Deserialize, Serialize};
 
@@ -140,6 +141,8 @@
     pub staleness_limits: BTreeMap<String, StalenessLimit>,
     /// The newest rollout of each service.
     pub version_rollouts: BTreeMap<String, VersionRollout>,
+    /// The recorded version of each service.
+    pub stable_versions: BTreeMap<String, StableVersion>,
     /// The singleton roles by key.
     pub roles: BTreeMap<String, RoleState>,
 }
@@ -150,6 +153,11 @@
         self.confirmed_at.is_some_and(|time| now < time + CONFIRMATION_TTL_MS)
     }
 
+    /// Returns the version that gets a service's requests, or `None` if it is not known.
+    pub fn version_in_force(&self, service: &str) -> Option<&str> {
+        version_in_force(self.stable_versions.get(service), self.version_rollouts.get(service))
+    }
+
     /// Applies a committed entry if it is newer than the known one. `parsed` is the configuration in it, if it is
     /// already parsed.
     pub fn learn(&mut self, key: &str, entry: &Entry, parsed: Option<Arc<ConfigDocument>>) -> Learned {
@@ -189,6 +197,10 @@
             let rollout = VersionRollout::from_bytes(body).ok_or(Unreadable::Body)?;
             self.version_rollouts.insert(service.into(), rollout);
         }
+        if let Some(service) = key.strip_prefix(stable_version::KEY_PREFIX).filter(|_| !body.is_empty()) {
+            let version = StableVersion::from_bytes(body).ok_or(Unreadable::Body)?;
+            self.stable_versions.insert(service.into(), version);
+        }
         if key.starts_with(ROLE_PREFIX) {
             let role = RoleState::open(body).ok_or(Unreadable::Body)?;
             self.roles.insert(key.into(), role);
--- a/controller/src/replication/shared_state.rs
+++ b/controller/src/replication/shared_state.rs
@@ -113,6 +113,11 @@
         self.0.lock().version_rollouts.get(service).cloned()
     }
 
+    /// Returns the version that gets a service's requests, or `None` if it is not known.
+    pub fn version_in_force(&self, service: &str) -> Option<String> {
+        self.0.lock().version_in_force(service).map(str::to_string)
+    }
+
     /// Returns the newest rollout of each service.
     pub fn version_rollouts(&self) -> BTreeMap<String, VersionRollout> {
         self.0.lock().version_rollouts.clone()
--- a/controller/src/rollout/version_rollouts.rs
+++ b/controller/src/rollout/version_rollouts.rs
@@ -85,7 +85,12 @@
         return;
     }
     let schedule = schedule_of(controller, rollout);
-    let step = schedule.next_step(rollout.share, share_for_ms, elapsed_ms, verdict);
+    let is_in_force = controller.committed.version_in_force(&rollout.service).as_ref() == Some(&rollout.target);
+    let step = match is_in_force {
+        // The engines of the version before are gone, and no other was left to replace them.
+        true => RolloutStep::Complete,
+        false => schedule.next_step(rollout.share, share_for_ms, elapsed_ms, verdict),
+    };
     let Some(next) = after_step(rollout, step, elapsed_ms, &rollback_reason(verdict, &worst_route)) else { return };
     if commit(controller, rollout, &next).await {
         kernel::log_event!(VERSION_STEP, "service" => next.service.clone(), "version" => next.target.clone(),
--- a/controller/src/testing/mod.rs
+++ b/controller/src/testing/mod.rs
@@ -1,4 +1,5 @@
 //! Test support; no part of the daemon.
 
+pub mod engines;
 pub mod http_server;
 mod simulation;
--- a/protocol/src/lib.rs
+++ b/protocol/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod renewal;
 pub mod response_framing;
 pub mod socket;
+pub mod stable_version;
 mod staleness_limit;
 pub mod tally;
 pub mod traffic;
