--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -27,6 +27,7 @@
 use crate::frontend::framing_check::FramingMonitor;
 use crate::frontend::request;
 use crate::frontend::request_guard::RequestGuard;
+use crate::frontend::request_target::{self, MalformedTarget};
 use crate::metrics::{Connection, Outcome, Stage};
 use crate::proxy::exchange::Exchange;
 use crate::proxy::forward;
@@ -42,7 +43,7 @@
     let mut guard = RequestGuard::start(&state, connection);
     let shutting_down = state.is_shutting_down();
     let fail = |failure: Failure, close_connection| (error_response::build(failure, close_connection), failure.into());
-    if framing.has_conflicting_framings() {
+    if framing.is_next_malformed() {
         let (response, outcome) = fail(Failure::Malformed, shutting_down);
         return guard.track_response(response, outcome);
     }
@@ -51,7 +52,6 @@
         // The head arrived while the router was closing: rejected now rather than aborted when the grace period ends.
         DrainPhase::Closing => Err(reject_unread(incoming).await),
     };
-    framing.expect_head();
     let (response, outcome) = match admitted {
         Ok(exchange) => {
             guard.advance_to(Stage::Forwarding);
@@ -128,10 +128,11 @@
 /// Reads and authorizes a request, and returns the exchange that forwards it.
 async fn read_and_admit(state: &Arc<State>, incoming: http::Request<Incoming>) -> Result<Exchange, Rejection> {
     let received_at_ms = clock::now();
-    let (parts, incoming_body) = incoming.into_parts();
+    let (mut parts, incoming_body) = incoming.into_parts();
     if !request::has_unambiguous_framing(&parts.headers) {
         return Err(Failure::Malformed.into());
     }
+    parts.uri = request_target::origin_form(&parts).map_err(|MalformedTarget| Failure::Malformed)?;
     let body = match state.ready.load(Ordering::Relaxed) {
         true => ClientBody::Unread(incoming_body),
         false => {
--- a/router/src/frontend/framing_check.rs
+++ b/router/src/frontend/framing_check.rs
@@ -1,108 +1,94 @@
-//! Detects request heads that have both `Content-Length` and `Transfer-Encoding`.
+//! Checks request heads for what the HTTP library resolves by itself.
 //!
-//! The HTTP library resolves this conflict itself: it decodes the chunks and drops the length, so no request can be
-//! smuggled past the router. But such a request must be rejected as malformed, and the parsed request no longer shows
-//! the conflict. Therefore the bytes of each head are scanned on their way from the socket to the library, and a long
-//! head is charged to the memory budget there.
+//! Where a head has both `Content-Length` and `Transfer-Encoding`, the library decodes the chunks and drops the length; it
+//! also drops the fragment of a target. No request can be smuggled past the router like that, but such a request must be
+//! rejected as malformed, and the parsed request no longer shows it. Therefore the bytes of a connection are scanned on
+//! their way from the socket to the library, and a long head is charged to the memory budget there.
+//!
+//! Clients may send the next request before they have the response, so the ends of bodies are found here too: each head is
+//! scanned, wherever it begins in what was read.
 
+use std::collections::VecDeque;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use ingress::http_server::DEFAULT_HEAD_BYTES;
 use ingress::{MemoryBudget, OutOfMemory, Purpose, Reservation};
 use kernel::clock;
+use parking_lot::Mutex;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// The scan state of a connection, shared by the stream that feeds the HTTP library and the service that it calls.
+use crate::frontend::body_scanner::{BodyScan, BodyScanner};
+use crate::frontend::head_scanner::{HeadFacts, HeadScanner};
+
+/// The scanned heads of a connection, shared by the stream that feeds the HTTP library and the service that it calls.
 ///
-/// Invariant: `expects_head` is set while the next bytes start or continue a head; `has_conflicting_framings` describes
-/// the last complete head.
+/// Invariant: the library calls the service once for each head that it accepts, in the order of the heads.
 #[derive(Default)]
-pub struct FramingMonitor {
-    expects_head: AtomicBool,
-    has_conflicting_framings: AtomicBool,
-}
+pub struct FramingMonitor(Mutex<VecDeque<HeadFacts>>);
 
 impl FramingMonitor {
-    /// Returns the monitor of a new connection, which expects a head.
+    /// Returns the monitor of a new connection.
     pub fn new() -> Arc<FramingMonitor> {
-        let framing = FramingMonitor::default();
-        framing.expect_head();
-        Arc::new(framing)
+        Arc::default()
     }
 
-    /// Starts scanning for the next head. Called once the preceding body has been read.
-    pub fn expect_head(&self) {
-        self.expects_head.store(true, Ordering::Relaxed);
+    /// Returns whether the next request must be refused: its head is malformed, or its place among the bytes of the
+    /// connection is not certain.
+    pub fn is_next_malformed(&self) -> bool {
+        self.0.lock().pop_front().is_none_or(HeadFacts::is_malformed)
     }
 
-    /// Returns whether the last head had both framing headers.
-    pub fn has_conflicting_framings(&self) -> bool {
-        self.has_conflicting_framings.load(Ordering::Relaxed)
+    fn push(&self, facts: HeadFacts) {
+        self.0.lock().push_back(facts);
     }
 }
 
-const CONTENT_LENGTH: &[u8] = b"content-length";
-const TRANSFER_ENCODING: &[u8] = b"transfer-encoding";
-const END_OF_HEAD: &[u8] = b"\r\n\r\n";
+/// What the next bytes of a connection belong to.
+enum Position {
+    Head(HeadScanner),
+    Body(BodyScanner),
+    /// Not certain after malformed chunks. The library ends such a connection.
+    Lost,
+}
 
-/// Scans a head byte by byte, so that no copy of it is kept.
-#[derive(Default)]
-struct HeadScanner {
-    /// The beginning of the current line in lower case, as long as the longer of the two names.
-    line_start: [u8; TRANSFER_ENCODING.len()],
-    line_length: usize,
-    has_content_length: bool,
-    has_transfer_encoding: bool,
-    /// The number of bytes scanned so far.
+/// Finds the heads and bodies of a connection.
+struct RequestScanner {
+    position: Position,
+    /// The length of the last head as far as it was scanned.
     head_length: usize,
-    /// The number of bytes of `END_OF_HEAD` that the last bytes match.
-    end_matched: usize,
 }
 
-impl HeadScanner {
-    /// Scans bytes up to the end of the head. Returns whether that was found.
-    fn scan(&mut self, bytes: &[u8]) -> bool {
-        self.head_length += bytes.len();
-        bytes.iter().any(|byte| self.scan_byte(*byte))
-    }
-
-    /// Scans one byte. Returns whether it ends the head.
-    fn scan_byte(&mut self, byte: u8) -> bool {
-        self.end_matched = match byte {
-            _ if byte == END_OF_HEAD[self.end_matched] => self.end_matched + 1,
-            b'\r' => 1,
-            _ => 0,
-        };
-        if byte == b'\n' {
-            self.line_length = 0;
-            return self.end_matched == END_OF_HEAD.len();
-        }
-        // A name counts once another byte follows it.
-        match self.line_length {
-            length if length == CONTENT_LENGTH.len() => self.has_content_length |= self.line_is(CONTENT_LENGTH),
-            length if length == TRANSFER_ENCODING.len() => {
-                self.has_transfer_encoding |= self.line_is(TRANSFER_ENCODING)
-            }
-            _ => {}
-        }
-        if let Some(slot) = self.line_start.get_mut(self.line_length) {
-            *slot = byte.to_ascii_lowercase();
+impl RequestScanner {
+    /// Scans bytes and reports each complete head.
+    fn scan(&mut self, mut bytes: &[u8], mut report: impl FnMut(HeadFacts)) {
+        while !bytes.is_empty() {
+            let scanned = match &mut self.position {
+                Position::Head(scanner) => {
+                    let end = scanner.scan(bytes);
+                    self.head_length = scanner.head_length();
+                    let Some(end) = end else { return };
+                    report(scanner.facts());
+                    self.position = Position::Body(scanner.body());
+                    end
+                }
+                Position::Body(scanner) => match scanner.scan(bytes) {
+                    BodyScan::Unfinished => return,
+                    BodyScan::Finished(size) => {
+                        self.position = Position::Head(HeadScanner::default());
+                        size
+                    }
+                    BodyScan::Malformed => {
+                        self.position = Position::Lost;
+                        return;
+                    }
+                },
+                Position::Lost => return,
+            };
+            bytes = &bytes[scanned..];
         }
-        self.line_length += 1;
-        false
-    }
-
-    fn line_is(&self, name: &[u8]) -> bool {
-        &self.line_start[..name.len()] == name
-    }
-
-    /// Returns whether the head has both framing headers.
-    fn has_conflict(&self) -> bool {
-        self.has_content_length && self.has_transfer_encoding
     }
 }
 
@@ -113,7 +99,7 @@
 pub struct MonitoredStream<S> {
     inner: S,
     framing: Arc<FramingMonitor>,
-    scanner: HeadScanner,
+    scanner: RequestScanner,
     memory: Arc<MemoryBudget>,
     /// The charge for the last head, if that is longer than what the limit on connections allows for.
     reservation: Option<Reservation>,
@@ -122,30 +108,22 @@
 impl<S> MonitoredStream<S> {
     /// Wraps a connection; the results of the scan are stored in `framing`.
     pub fn new(inner: S, framing: Arc<FramingMonitor>, memory: Arc<MemoryBudget>) -> MonitoredStream<S> {
-        MonitoredStream { inner, framing, scanner: HeadScanner::default(), memory, reservation: None }
+        let scanner = RequestScanner { position: Position::Head(HeadScanner::default()), head_length: 0 };
+        MonitoredStream { inner, framing, scanner, memory, reservation: None }
     }
 
-    /// Scans newly read bytes unless they belong to a body.
+    /// Scans newly read bytes.
     ///
     /// # Errors
     ///
     /// If the head is long and there is no memory left for it.
     fn scan(&mut self, bytes: &[u8]) -> Result<(), OutOfMemory> {
-        if !self.framing.expects_head.load(Ordering::Relaxed) || bytes.is_empty() {
-            return Ok(());
-        }
-        if self.scanner.head_length == 0 {
+        let length_before = self.scanner.head_length;
+        self.scanner.scan(bytes, |facts| self.framing.push(facts));
+        if self.scanner.head_length < length_before {
             self.reservation = None;
         }
-        let is_complete = self.scanner.scan(bytes);
-        self.reserve(self.scanner.head_length)?;
-        if !is_complete {
-            return Ok(());
-        }
-        self.framing.has_conflicting_framings.store(self.scanner.has_conflict(), Ordering::Relaxed);
-        self.framing.expects_head.store(false, Ordering::Relaxed);
-        self.scanner = HeadScanner::default();
-        Ok(())
+        self.reserve(self.scanner.head_length)
     }
 
     /// Charges a head of this length, unless it is short.
--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -146,7 +146,8 @@
 }
 
 impl Request {
-    /// Builds the request to forward. `seed` keeps the prefix keys of different services apart.
+    /// Builds the request to forward, whose target is in origin form. `seed` keeps the prefix keys of different services
+    /// apart.
     pub fn new(parts: Parts, body: Bytes, authorization: Authorization, seed: u64, received_at_ms: u64) -> Request {
         let mut headers = parts.headers;
         remove_hop_by_hop_headers(&mut headers);
@@ -161,10 +162,9 @@
         let model = headers.get(MODEL).map_or(&b""[..], HeaderValue::as_bytes);
         let model_key = hashing::hash(model);
         let prefix_keys = catalog::prefix_keys(hashing::combine(seed, model_key), &prompt_segments);
-        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).parse().unwrap_or_default();
         Request {
             method: parts.method,
-            path,
+            path: parts.uri,
             attempt_id: headers.get(ATTEMPT_ID).cloned(),
             model_key,
             model: String::from_utf8_lossy(model).into_owned(),
--- a/router/src/tests/mod.rs
+++ b/router/src/tests/mod.rs
@@ -10,6 +10,7 @@
 mod graceful_shutdown;
 mod kept_connections;
 mod phases;
+mod request_forms;
 mod revocation;
 mod stream_end;
 mod subscription_storm;
