--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -95,14 +95,19 @@
     received_at_ms + parse_number(headers, TIME_BUDGET).unwrap_or(max_timeout_ms).min(max_timeout_ms)
 }
 
-/// Returns whether a head is unambiguous: one host, at most one framing header, and at most one attempt id. Any other
-/// head could smuggle a second request, and is rejected before any other step.
+/// The only transfer coding that is decoded. A body with another one beside it would not be the client's.
+const CHUNKED: &str = "chunked";
+
+/// Returns whether a head is unambiguous: one host, at most one framing header, no transfer coding but `chunked`, and at
+/// most one attempt id. Any other head could smuggle a second request, and is rejected before any other step.
 pub fn has_unambiguous_framing(headers: &HeaderMap) -> bool {
     let count = |name: HeaderName| headers.get_all(name).iter().count();
     let transfer_encodings = count(TRANSFER_ENCODING);
     let content_lengths = count(CONTENT_LENGTH);
     let attempt_ids = headers.get_all(ATTEMPT_ID).iter().count();
-    transfer_encodings <= 1
+    let coding = headers.get(TRANSFER_ENCODING).map(HeaderValue::as_bytes);
+    coding.is_none_or(|coding| coding.trim_ascii().eq_ignore_ascii_case(CHUNKED.as_bytes()))
+        && transfer_encodings <= 1
         && content_lengths <= 1
         && transfer_encodings + content_lengths <= 1
         && count(HOST) == 1
@@ -146,8 +151,7 @@
 }
 
 impl Request {
-    /// Builds the request to forward, whose target is in origin form. `seed` keeps the prefix keys of different services
-    /// apart.
+    /// Builds the request to forward, whose target is in origin form. `seed` keeps the prefix keys of different services apart.
     pub fn new(parts: Parts, body: Bytes, authorization: Authorization, seed: u64, received_at_ms: u64) -> Request {
         let mut headers = parts.headers;
         remove_hop_by_hop_headers(&mut headers);
--- a/router/src/frontend/request_tests.rs
+++ b/router/src/frontend/request_tests.rs
@@ -13,10 +13,17 @@
 #[test]
 fn heads_that_could_smuggle_a_request_are_rejected_as_ambiguous() {
     assert!(has_unambiguous_framing(&headers(&[("host", "a"), ("content-length", "3")])));
+    assert!(has_unambiguous_framing(&headers(&[("host", "a"), ("transfer-encoding", " Chunked\t")])));
     for bad in [
         vec![("host", "a"), ("content-length", "3"), ("content-length", "3")],
         vec![("host", "a"), ("content-length", "3"), ("transfer-encoding", "chunked")],
         vec![("host", "a"), ("transfer-encoding", "x"), ("transfer-encoding", "chunked")],
+        vec![("host", "a"), ("transfer-encoding", "gzip, chunked")],
+        vec![("host", "a"), ("transfer-encoding", "chunked, chunked")],
+        vec![("host", "a"), ("transfer-encoding", "gzip")],
+        vec![("host", "a"), ("transfer-encoding", ", chunked")],
+        vec![("host", "a"), ("transfer-encoding", "chunked;q=1")],
+        vec![("host", "a"), ("transfer-encoding", "")],
         vec![("host", "a"), ("host", "b")],
         vec![],
     ] {
--- a/router/src/tests/request_forms.rs
+++ b/router/src/tests/request_forms.rs
@@ -1,4 +1,5 @@
-//! Request targets: an engine runs the target that the client sent, or the client gets 400 and nothing runs.
+//! Request targets and transfer codings: an engine runs the target and the body that the client sent, or the client gets
+//! 400 and nothing runs.
 
 use std::sync::Arc;
 
@@ -49,6 +50,25 @@
     ("?a=b", Fate::Refused),
 ];
 
+/// Framing headers and the body on the wire.
+const CODINGS: [(&str, &str, bool); 15] = [
+    ("Content-Length: 4", "body", true),
+    ("Transfer-Encoding: chunked", "4\r\nbody\r\n0\r\n\r\n", true),
+    ("transfer-encoding:  Chunked \t", "2;a=\"b\"\r\nbo\r\n2\r\ndy\r\n0\r\nTrailer: 1\r\n\r\n", true),
+    ("Transfer-Encoding: gzip, chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: gzip,chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: chunked, chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: identity, chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: chunked, gzip", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: gzip", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: chunked;q=1", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: , chunked", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding:", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Transfer-Encoding: chunked\r\nContent-Length: 4", "4\r\nbody\r\n0\r\n\r\n", false),
+    ("Content-Length: 4\r\nContent-Length: 4", "body", true),
+];
+
 /// Returns engines of both phases. Prefills get a handle, other requests a complete stream.
 async fn both_phases() -> Vec<Engine> {
     let script = |request: &ReceivedRequest, _| match request.header("serving-phase") {
@@ -133,6 +153,31 @@
     }
 }
 
+/// Guards against engines that run a body which is still encoded.
+#[tokio::test]
+async fn a_body_runs_as_it_was_sent_or_is_refused_on_every_route() {
+    let engines = both_phases().await;
+    let state = router_with_root(&engines);
+    let mut attempt = 0;
+    for (route, prompt) in ROUTES {
+        for (framing, wire, is_sound) in CODINGS {
+            for method in ["POST", "GET"] {
+                attempt += 1;
+                let id = attempt.to_string();
+                let text = request(&format!("{method} /{route}/x"), &id, &format!("{prompt}{framing}"), wire);
+                let (status, requests) = send(&state, &engines, &id, &text).await;
+                match is_sound {
+                    true => {
+                        assert_eq!(status, "200", "{framing}");
+                        assert_ran(&requests, method, &format!("/{route}/x"), BODY, framing);
+                    }
+                    false => assert_eq!((status.as_str(), requests.len()), ("400", 0), "{method} {framing}"),
+                }
+            }
+        }
+    }
+}
+
 /// Guards against heads that are not looked at because they came with an earlier request.
 #[tokio::test]
 async fn malformed_heads_behind_other_requests_are_refused() {
