--- a/controller/src/delivery/updates.rs
+++ b/controller/src/delivery/updates.rs
@@ -126,7 +126,7 @@
 
     /// Sends a subscriber the endpoint updates that it lacks: changes if it has a recent version, otherwise full lists.
     fn send_list_updates(&self, subscriber: &mut Subscriber, now: u64) {
-        self.engines.for_each_history(now, |zone, history| {
+        self.engines.for_each_history(|zone, history| {
             let known_version = subscriber.list_versions.entry(zone.into()).or_default();
             let known =
                 (*known_version != (0, 0)).then_some(ListVersion { term: known_version.0, sequence: known_version.1 });
--- a/controller/src/discovery/engine_directory.rs
+++ b/controller/src/discovery/engine_directory.rs
@@ -50,23 +50,25 @@
     }
 
     /// Stores a peer's endpoint list. Returns false if it is not newer than the stored one.
-    pub fn accept(&self, list: &EndpointList) -> bool {
-        self.endpoint_lists.lock().update(list)
+    pub fn accept(&self, list: &EndpointList, now: u64) -> bool {
+        self.endpoint_lists.lock().update(list, now)
     }
 
     /// Applies a peer's update to an endpoint list. Returns `None` if it does not apply to the stored list.
-    pub fn apply(&self, update: &EndpointUpdate) -> Option<ChangedEngines> {
-        self.endpoint_lists.lock().apply(update)
+    pub fn apply(&self, update: &EndpointUpdate, now: u64) -> Option<ChangedEngines> {
+        self.endpoint_lists.lock().apply(update, now)
     }
 
     /// Calls `visit` with the history of each zone's list, brought up to date first.
-    pub fn for_each_history(&self, now: u64, mut visit: impl FnMut(&str, &mut ListHistory)) {
+    pub fn for_each_history(&self, mut visit: impl FnMut(&str, &mut ListHistory)) {
         let endpoint_lists = self.endpoint_lists.lock();
         let mut histories = self.histories.lock();
         for zone in endpoint_lists.iter().map(|list| &list.zone) {
             let Some(list) = endpoint_lists.list(zone) else { continue };
-            let history = histories.entry(zone.clone()).or_insert_with(|| ListHistory::new(list.clone(), now));
-            history.follow(list, now);
+            let Some(cold_spells) = endpoint_lists.cold_spells(zone) else { continue };
+            let new_history = || ListHistory::new(list.clone(), cold_spells.clone());
+            let history = histories.entry(zone.clone()).or_insert_with(new_history);
+            history.follow(list, cold_spells);
             visit(zone, history);
         }
     }
@@ -74,7 +76,7 @@
     /// Returns the frames that bring a receiver with version `known` of a zone's list up to date.
     pub fn frames_since(&self, zone: &str, known: Option<ListVersion>, now: u64) -> Vec<Bytes> {
         let mut frames = Vec::new();
-        self.for_each_history(now, |name, history| {
+        self.for_each_history(|name, history| {
             if name == zone {
                 frames = history.frames_since(known, now);
             }
@@ -85,7 +87,7 @@
     /// Returns the latest change of a zone's list, or the full list if no change is kept.
     pub fn latest_frame(&self, zone: &str, now: u64) -> Option<Bytes> {
         let mut frame = None;
-        self.for_each_history(now, |name, history| {
+        self.for_each_history(|name, history| {
             if name == zone {
                 frame = history.latest_frame(now);
             }
--- a/controller/src/discovery/list_history.rs
+++ b/controller/src/discovery/list_history.rs
@@ -3,12 +3,13 @@
 //! A receiver with a recent version gets the changes since that version, any other receiver the full list. The history
 //! follows the current list, whether it came from a local poll or from a peer.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use bytes::Bytes;
+use load_balancing::ColdSpells;
 use protocol::frame::{self, Kind};
-use protocol::message::{EndpointList, EndpointUpdate, Engine, ListVersion, Message};
+use protocol::message::{EndpointList, EndpointUpdate, ListVersion, Message};
 
 /// The maximum number of changes kept for receivers that are behind.
 const MAX_CHANGES: usize = 32;
@@ -39,29 +40,25 @@
     changes: VecDeque<EncodedChange>,
     changes_bytes: usize,
     full_frame: Option<FullFrame>,
-    /// The end of the warm-up of each cold engine, in ms of the steady clock. A list only gives the time that remained
-    /// when it was published.
-    cold_until: HashMap<String, u64>,
+    /// The cold spells of `current`. A list only gives the time that remained when it was published.
+    cold_spells: ColdSpells,
 }
 
 impl ListHistory {
-    /// Creates a history that starts with the list `current`.
-    pub fn new(current: Arc<EndpointList>, now: u64) -> ListHistory {
-        let cold_until = cold_until(&current.engines, now).collect();
-        ListHistory { current, changes: VecDeque::new(), changes_bytes: 0, full_frame: None, cold_until }
+    /// Creates a history that starts with the list `current` and its cold spells.
+    pub fn new(current: Arc<EndpointList>, cold_spells: ColdSpells) -> ListHistory {
+        ListHistory { current, changes: VecDeque::new(), changes_bytes: 0, full_frame: None, cold_spells }
     }
 
-    /// Records the change from the previous list to `list`, which is now current.
-    pub fn follow(&mut self, list: &Arc<EndpointList>, now: u64) {
+    /// Records the change from the previous list to `list`, which is now current and has these cold spells.
+    pub fn follow(&mut self, list: &Arc<EndpointList>, cold_spells: &ColdSpells) {
         if list.version() == self.current.version() {
             return;
         }
-        let update = EndpointUpdate::between(&self.current, list);
-        for engine in update.unpack().map(|engines| engines.changed).unwrap_or_default() {
-            self.cold_until.remove(&engine.id);
-            self.cold_until.extend(cold_until(&[engine], now));
-        }
-        self.cold_until.retain(|_, until| *until > now);
+        let held = self.current.version();
+        let update =
+            EndpointUpdate::between_with(&self.current, list, |engine| cold_spells.is_announced_after(engine, held));
+        self.cold_spells = cold_spells.clone();
         match encode(update) {
             Some(frame) => self.push(EncodedChange { from: self.current.version(), frame }),
             None => self.clear_changes(),
@@ -124,30 +121,20 @@
         if let Some(full) = self.full_frame.as_ref().filter(is_usable) {
             return Some(full.frame.clone());
         }
-        self.cold_until.retain(|_, until| *until > now);
         let frame = encode(EndpointUpdate::whole(&self.list_as_of(now)))?;
-        let expires_at = (!self.cold_until.is_empty()).then_some(now + COLD_FRAME_TTL_MS);
+        let expires_at = self.cold_spells.is_any_active(now).then_some(now + COLD_FRAME_TTL_MS);
         self.full_frame = Some(FullFrame { frame: frame.clone(), expires_at });
         Some(frame)
     }
 
-    /// Returns the list with the warm-up times that remain at `now`. An engine listed as cold keeps at least 1 ms until
-    /// a new list shows it as warm.
+    /// Returns the list with the warm-up times that remain at `now`.
     fn list_as_of(&self, now: u64) -> EndpointList {
         let mut list = EndpointList::clone(&self.current);
-        for engine in list.engines.iter_mut().filter(|engine| engine.cold_ms > 0) {
-            let left = self.cold_until.get(&engine.id).map_or(0, |until| until.saturating_sub(now));
-            engine.cold_ms = (left as u32).max(1);
-        }
+        self.cold_spells.update_remaining(&mut list.engines, now);
         list
     }
 }
 
-fn cold_until(engines: &[Engine], now: u64) -> impl Iterator<Item = (String, u64)> + '_ {
-    let cold = engines.iter().filter(|engine| engine.cold_ms > 0);
-    cold.map(move |engine| (engine.id.clone(), now + u64::from(engine.cold_ms)))
-}
-
 fn encode(update: EndpointUpdate) -> Option<Bytes> {
     frame::encode(Kind::Notification, 0, &Message::EndpointUpdate(Box::new(update))).ok().map(Bytes::from)
 }
--- a/controller/src/discovery/listing.rs
+++ b/controller/src/discovery/listing.rs
@@ -1,5 +1,7 @@
 //! The platform's engine list in its wire format, and the pages of one zone combined into a listing.
 
+use std::mem;
+
 use load_balancing::ObservedVersion;
 use protocol::message::{Engine, EngineWeights};
 
@@ -48,8 +50,8 @@
 
 /// The engines of a zone as read by one poll, from all pages.
 pub struct Listing {
-    /// All engines, in the platform's order.
-    pub engines: Vec<ListedEngine>,
+    /// All engines, in the platform's order, with the time at which their page was read.
+    engines: Vec<(ListedEngine, u64)>,
     /// The weight versions of the engines; empty if not requested.
     pub weights: Weights,
     /// The number of pages read.
@@ -64,8 +66,8 @@
         Listing { engines: Vec::new(), weights: Vec::new(), pages: 0, known }
     }
 
-    /// Adds one page. `wants_weights` tells whether to keep the weight versions.
-    pub fn add(&mut self, page: Page, wants_weights: bool) {
+    /// Adds one page that was read at `now`. `wants_weights` tells whether to keep the weight versions.
+    pub fn add(&mut self, page: Page, wants_weights: bool, now: u64) {
         for instance in page.instance_list.iter().filter(|_| wants_weights) {
             let models = instance.model_list.iter();
             self.weights.extend(models.map(|model| EngineWeights {
@@ -74,9 +76,22 @@
                 version: model.revision,
             }));
         }
-        self.engines.extend(page.instance_list.into_iter().map(listed_engine));
+        self.engines.extend(page.instance_list.into_iter().map(|instance| (listed_engine(instance), now)));
         self.pages += 1;
     }
+
+    /// Returns all engines, in the platform's order, with the times for which they stay cold from `now` on. An engine
+    /// that was cold when its page was read stays so for at least 1 ms.
+    pub fn engines_as_of(&mut self, now: u64) -> Vec<ListedEngine> {
+        let as_of_now = |(mut listed, read_at): (ListedEngine, u64)| {
+            let age_ms = u32::try_from(now.saturating_sub(read_at)).unwrap_or(u32::MAX);
+            if listed.engine.cold_ms > 0 {
+                listed.engine.cold_ms = listed.engine.cold_ms.saturating_sub(age_ms).max(1);
+            }
+            listed
+        };
+        mem::take(&mut self.engines).into_iter().map(as_of_now).collect()
+    }
 }
 
 fn listed_engine(instance: Instance) -> ListedEngine {
--- a/controller/src/discovery/poller.rs
+++ b/controller/src/discovery/poller.rs
@@ -145,9 +145,9 @@
 
 /// Reads the engines of one zone. Returns `None` if that fails.
 pub async fn read_engines(controller: &Controller, client: &Client, zone: &str) -> Option<Vec<ListedEngine>> {
-    let listing = poll(controller, client, zone, false).await.ok()?;
+    let mut listing = poll(controller, client, zone, false).await.ok()?;
     pause_between_calls(call_interval_ms(controller)).await.ok()?;
-    Some(listing.engines)
+    Some(listing.engines_as_of(clock::now()))
 }
 
 /// Records whether the platform responded: a poller that cannot reach the platform is replaced by another controller.
@@ -166,10 +166,11 @@
     controller: &Controller,
     zone: &str,
     term: &mut u64,
-    listing: Listing,
+    mut listing: Listing,
     resend_weights: Option<bool>,
 ) -> PartitionedEngines {
-    let mut partitioned = version_lists::partition(controller, zone, listing.engines);
+    let now = clock::now();
+    let mut partitioned = version_lists::partition(controller, zone, listing.engines_as_of(now));
     // A list without the engines of an unknown version would take them from the routers that have them from before.
     if !partitioned.unknown.is_empty() && controller.engines.read(|lists| lists.list(zone).is_none()) {
         return partitioned;
@@ -180,8 +181,8 @@
         if lists.observed_version(zone) != listing.known {
             return None;
         }
-        let list = lists.publish(zone, term, controller.replica_id, stable, listing.known);
-        Some((list, candidate_list(controller, lists, zone, candidates)))
+        let list = lists.publish(zone, term, controller.replica_id, stable, listing.known, now);
+        Some((list, candidate_list(controller, lists, zone, candidates, now)))
     });
     let Some((list, candidates)) = published else { return partitioned };
     if let Some(resend) = resend_weights {
@@ -200,6 +201,7 @@
     lists: &mut EndpointLists,
     zone: &str,
     list: Vec<Engine>,
+    now: u64,
 ) -> Option<EndpointList> {
     let name = version_rollout::candidates_of(zone);
     let known_list = lists.iter().find(|list| list.zone == name);
@@ -211,7 +213,7 @@
     if term != 0 && !is_term_of(term, controller.replica_id) {
         term = 0;
     }
-    lists.publish(&name, &mut term, controller.replica_id, list, known)
+    lists.publish(&name, &mut term, controller.replica_id, list, known, now)
 }
 
 async fn poll(controller: &Controller, client: &Client, zone: &str, wants_weights: bool) -> Result<Listing, PollError> {
@@ -232,7 +234,7 @@
             continue;
         };
         token = page.next_token.clone().filter(|token| !token.is_empty());
-        listing.add(page, wants_weights);
+        listing.add(page, wants_weights, clock::now());
         if token.is_none() || listing.pages >= MAX_PAGES {
             return Ok(listing);
         }
--- a/controller/src/peers/gossip.rs
+++ b/controller/src/peers/gossip.rs
@@ -49,7 +49,7 @@
     }
     let peer = controller.peers.client(&gossip.ip);
     if message::protocol_version_of(&gossip.list_versions) < ENDPOINT_UPDATES {
-        for list in controller.engines.read(|lists| lists.newer_than(&gossip.list_versions)) {
+        for list in controller.engines.read(|lists| lists.newer_than(&gossip.list_versions, now)) {
             peer.notify(Message::EndpointList(Box::new(list)));
         }
         return;
--- a/load_balancing/src/engine_table.rs
+++ b/load_balancing/src/engine_table.rs
@@ -109,7 +109,7 @@
     /// Applies a list if it is newer than the current one. Returns the ids of engines that have just left or begun to
     /// drain.
     pub fn update(&mut self, list: &EndpointList, now: u64) -> Vec<String> {
-        if !self.lists.update(list) {
+        if !self.lists.update(list, now) {
             return Vec::new();
         }
         let (zone, is_candidate) = self.zone_of_list(&list.zone);
@@ -122,7 +122,7 @@
     /// Applies an update to the list held. Returns the ids of engines that have just left or begun to drain; none if
     /// the update does not apply.
     pub fn apply_update(&mut self, update: &EndpointUpdate, now: u64) -> Vec<String> {
-        let Some(engines) = self.lists.apply(update) else { return Vec::new() };
+        let Some(engines) = self.lists.apply(update, now) else { return Vec::new() };
         let (zone, is_candidate) = self.zone_of_list(&update.zone);
         let mut departed = match update.base {
             Some(_) => self.unlist(&engines.removed, is_candidate),
--- a/load_balancing/src/lib.rs
+++ b/load_balancing/src/lib.rs
@@ -13,6 +13,7 @@
 //! Everything is synchronous and free of I/O: the time comes in with each call, in milliseconds of the caller's clock.
 #![deny(missing_docs)]
 
+mod cold_spells;
 mod endpoint_lists;
 mod engine_state;
 mod engine_table;
@@ -29,6 +30,7 @@
 mod testing;
 mod topology;
 
+pub use cold_spells::{ColdSpells, END_TOLERANCE_MS};
 pub use endpoint_lists::{is_term_of, EndpointLists, ObservedVersion};
 pub use engine_state::{EngineState, ReportedLoad};
 pub use engine_table::EngineTable;
--- a/protocol/src/headers.rs
+++ b/protocol/src/headers.rs
@@ -32,5 +32,7 @@
 pub const MODEL: &str = "model";
 /// The id of the engine that responded.
 pub const INSTANCE_ID: &str = "instance-id";
+/// How long the engine that answers a health check stays cold, in milliseconds.
+pub const WARMUP_REMAINING: &str = "warmup-remaining";
 /// The name of the tenant that owns the client's API key; set only by the system.
 pub const TENANT: &str = "tenant";
--- a/protocol/src/message/endpoint_update.rs
+++ b/protocol/src/message/endpoint_update.rs
@@ -59,11 +59,22 @@
         EndpointUpdate::new(list, None, &list.engines, Vec::new())
     }
 
-    /// Returns the delta from one list of a zone to another. A shorter remaining slow start does not count as a change
-    /// until it ends, since it runs down by itself.
+    /// Returns the delta from one list of a zone to another, whose engines have no later slow starts. A shorter remaining
+    /// slow start does not count as a change until it ends, since it runs down by itself.
     pub fn between(old: &EndpointList, new: &EndpointList) -> EndpointUpdate {
+        EndpointUpdate::between_with(old, new, |_| false)
+    }
+
+    /// Returns the delta from one list of a zone to another. `has_later_slow_start` tells of an engine whether its slow
+    /// start was announced after the old list, which the remaining times don't show.
+    pub fn between_with(
+        old: &EndpointList,
+        new: &EndpointList,
+        has_later_slow_start: impl Fn(&Engine) -> bool,
+    ) -> EndpointUpdate {
         let before: HashMap<&str, &Engine> = old.engines.iter().map(|engine| (engine.id.as_str(), engine)).collect();
-        let is_changed = |engine: &&Engine| !before.get(engine.id.as_str()).is_some_and(|old| engine.is_same(old));
+        let is_same = |engine: &Engine| before.get(engine.id.as_str()).is_some_and(|old| engine.is_same(old));
+        let is_changed = |engine: &&Engine| !is_same(engine) || has_later_slow_start(engine);
         let changed: Vec<Engine> = new.engines.iter().filter(is_changed).cloned().collect();
         let listed: HashSet<&str> = new.engines.iter().map(|engine| engine.id.as_str()).collect();
         let removed = old.engines.iter().filter(|engine| !listed.contains(engine.id.as_str()));
--- a/protocol/src/message/endpoint_update_tests.rs
+++ b/protocol/src/message/endpoint_update_tests.rs
@@ -62,6 +62,8 @@
     let still_starting = list(2, vec![engine(1, "decode", true, 1000)]);
     let started = list(3, vec![engine(1, "decode", true, 0)]);
     assert!(EndpointUpdate::between(&starting, &still_starting).unpack().expect("unpacked").changed.is_empty());
+    let restarted = EndpointUpdate::between_with(&starting, &still_starting, |engine| engine.cold_ms == 1000);
+    assert_eq!(restarted.unpack().expect("unpacked").changed, still_starting.engines, "another slow start");
     assert_eq!(EndpointUpdate::between(&still_starting, &started).unpack().expect("unpacked").changed, started.engines);
 }
 
--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -98,8 +98,8 @@
 /// The only transfer coding that is decoded. A body with another one beside it would not be the client's.
 const CHUNKED: &str = "chunked";
 
-/// Returns whether a head is unambiguous: one host, at most one framing header, no transfer coding but `chunked`, and at
-/// most one attempt id. Any other head could smuggle a second request, and is rejected before any other step.
+/// Returns whether a head is unambiguous: one host, at most one framing header, no transfer coding but `chunked`, and
+/// at most one attempt id. Any other head could smuggle a second request, and is rejected before any other step.
 pub fn has_unambiguous_framing(headers: &HeaderMap) -> bool {
     let count = |name: HeaderName| headers.get_all(name).iter().count();
     let transfer_encodings = count(TRANSFER_ENCODING);
@@ -151,7 +151,8 @@
 }
 
 impl Request {
-    /// Builds the request to forward, whose target is in origin form. `seed` keeps the prefix keys of different services apart.
+    /// Builds the request to forward, whose target is in origin form. `seed` keeps the prefix keys of different services
+    /// apart.
     pub fn new(parts: Parts, body: Bytes, authorization: Authorization, seed: u64, received_at_ms: u64) -> Request {
         let mut headers = parts.headers;
         remove_hop_by_hop_headers(&mut headers);
--- a/router/src/upstream/probe.rs
+++ b/router/src/upstream/probe.rs
@@ -9,18 +9,25 @@
 use http_body_util::Empty;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use protocol::headers::INSTANCE_ID;
+use protocol::headers::{INSTANCE_ID, WARMUP_REMAINING};
 use protocol::response_framing::BodyFraming;
 use protocol::socket::IO_TIMEOUT_MS;
 use protocol::Dialer;
 use tokio::time;
 
+use crate::frontend::request;
+
 /// Timeout of a probe, in milliseconds.
 pub const PROBE_TIMEOUT_MS: u64 = 250;
 
+/// The longest remaining cold time that a response may state, in milliseconds.
+const MAX_COLD_MS: u64 = 600_000;
+
 /// The response of an engine to a probe.
 pub struct ProbeResponse {
     engine_id: Option<String>,
+    /// How long the engine says that it stays cold, in milliseconds; 0 if it says nothing.
+    pub cold_ms: u64,
 }
 
 impl ProbeResponse {
@@ -51,7 +58,8 @@
     let response = sender.send_request(request).await.ok()?;
     BodyFraming::of(&Method::GET, response.status(), response.version(), response.headers()).ok()?;
     let engine_id = response.headers().get(INSTANCE_ID).and_then(|value| value.to_str().ok());
-    Some(ProbeResponse { engine_id: engine_id.map(str::to_string) })
+    let cold_ms = request::parse_number(response.headers(), WARMUP_REMAINING).unwrap_or(0).min(MAX_COLD_MS);
+    Some(ProbeResponse { engine_id: engine_id.map(str::to_string), cold_ms })
 }
 
 #[cfg(test)]
--- a/router/src/upstream/probe_tests.rs
+++ b/router/src/upstream/probe_tests.rs
@@ -34,6 +34,18 @@
     }
 }
 
+/// Guards against a cold spell that the response to a probe tells before the list does (FAILBACK).
+#[tokio::test]
+async fn the_remaining_cold_time_is_read() {
+    for (response, cold_ms) in [
+        ("HTTP/1.1 200 OK\r\nWarmup-Remaining: 2500\r\nContent-Length: 2\r\n\r\n{}", 2500),
+        ("HTTP/1.1 200 OK\r\nWarmup-Remaining: soon\r\nContent-Length: 2\r\n\r\n{}", 0),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", 0),
+    ] {
+        assert_eq!(probe_with(response).await.expect("a response").cold_ms, cold_ms, "{response:?}");
+    }
+}
+
 #[tokio::test]
 async fn valid_response_of_any_status_shows_the_engine() {
     let valid = [
--- a/router/src/upstream/suspicion.rs
+++ b/router/src/upstream/suspicion.rs
@@ -261,7 +261,10 @@
     let engine = &mut engine_table.engines[engine_index];
     let was_suspected = engine.suspected_until > now;
     match response {
-        Some(response) if response.may_be_from(id) => record_response(state, engine, now, started_at),
+        Some(response) if response.may_be_from(id) => {
+            record_response(state, engine, now, started_at);
+            engine.presume_cold(now + response.cold_ms);
+        }
         Some(_) => engine.retire(),
         None => engine.record_failure(now, SUSPICION_MS),
     }
--- a/tidepoint/tests/engine_churn.rs
+++ b/tidepoint/tests/engine_churn.rs
@@ -119,11 +119,11 @@
         let mut lists = self.lists.lock().expect("lists");
         match message {
             Message::EndpointUpdate(update) => {
-                lists.apply(update);
+                lists.apply(update, 0);
             }
             Message::StateUpdate(state) => {
                 for list in &state.endpoint_lists {
-                    lists.update(list);
+                    lists.update(list, 0);
                 }
             }
             _ => return,
