Refuse heads that list an engine's headers in Connection (UNASKED)

Callers saw: with Connection: model an engine ran the request without its Model; likewise Attempt-Id, Prompt-Prefix, Token-Count, Last-Event-Id, Host, Content-Type.

Cause: every name in Connection was removed as hop-by-hop, also one that is for all recipients, which must not be listed (RFC 9110, 7.6.1).

Change: such a head violates HTTP and gets 400. Measured: the new test fails without the check in admission.rs and passes with it; other options are removed as before.

--- a/router/src/frontend/admission.rs
+++ b/router/src/frontend/admission.rs
@@ -129,7 +129,7 @@
 async fn read_and_admit(state: &Arc<State>, incoming: http::Request<Incoming>) -> Result<Exchange, Rejection> {
     let received_at_ms = clock::now();
     let (mut parts, incoming_body) = incoming.into_parts();
-    if !request::has_unambiguous_framing(&parts.headers) {
+    if !request::has_unambiguous_framing(&parts.headers) || request::hides_end_to_end_header(&parts.headers) {
         return Err(Failure::Malformed.into());
     }
     parts.uri = request_target::origin_form(&parts).map_err(|MalformedTarget| Failure::Malformed)?;
--- a/router/src/frontend/request.rs
+++ b/router/src/frontend/request.rs
@@ -69,15 +69,25 @@
 const INTERNAL_HEADERS: [&str; 5] =
     [TARGET_INSTANCE, SERVING_PHASE, KV_SOURCE, URGENCY_CLASS, headers::EXPECTED_VERSION];
 
+/// Headers that describe the request to engines. `Connection` must not list them, since they are for all recipients.
+const END_TO_END_HEADERS: [&str; 7] =
+    ["host", "content-type", ATTEMPT_ID, LAST_EVENT_ID, MODEL, PROMPT_PREFIX, TOKEN_COUNT];
+
+/// Returns the names listed in `Connection`, in lower case.
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = String> + '_ {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    values.flat_map(|text| text.split(',').map(|name| name.trim().to_ascii_lowercase()))
+}
+
+/// Returns whether `Connection` lists a header without which engines would run another request.
+pub fn hides_end_to_end_header(headers: &HeaderMap) -> bool {
+    connection_options(headers).any(|name| END_TO_END_HEADERS.contains(&name.as_str()))
+}
+
 /// Removes the hop-by-hop headers, including those listed in `Connection`.
 pub fn remove_hop_by_hop_headers(headers: &mut HeaderMap) {
-    let connection_options: Vec<String> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|text| text.split(',').map(|name| name.trim().to_ascii_lowercase()))
-        .collect();
-    for name in HOP_BY_HOP_HEADERS.iter().copied().chain(connection_options.iter().map(String::as_str)) {
+    let options: Vec<String> = connection_options(headers).collect();
+    for name in HOP_BY_HOP_HEADERS.iter().copied().chain(options.iter().map(String::as_str)) {
         if !name.is_empty() {
             headers.remove(name);
         }
--- a/router/src/tests/request_forms.rs
+++ b/router/src/tests/request_forms.rs
@@ -178,6 +178,24 @@
     }
 }
 
+/// Guards against engines that run a request without the model or the prompt that its client named.
+#[tokio::test]
+async fn headers_for_engines_cannot_be_listed_as_hop_by_hop() {
+    let engines = both_phases().await;
+    let state = router_with_root(&engines);
+    let hidden = ["Host", "content-type", "ATTEMPT-ID", "Last-Event-Id", "Model", "Prompt-Prefix", "token-count"];
+    for (index, name) in hidden.into_iter().chain(["close", "keep-alive", "X-Hop", "te"]).enumerate() {
+        let id = index.to_string();
+        let headers =
+            format!("Connection: x-other, {name}\r\nModel: m\r\nX-Hop: 1\r\nTE: trailers\r\nContent-Length: 4");
+        let (status, requests) = send(&state, &engines, &id, &request("POST /again/x", &id, &headers, BODY)).await;
+        match index < hidden.len() {
+            true => assert_eq!((status.as_str(), requests.len()), ("400", 0), "{name}"),
+            false => assert_eq!((status.as_str(), requests[0].header("model")), ("200", Some("m")), "{name}"),
+        }
+    }
+}
+
 /// Guards against heads that are not looked at because they came with an earlier request.
 #[tokio::test]
 async fn malformed_heads_behind_other_requests_are_refused() {
