Soak: a version that no rollout names beside overlapping faults of controllers (ROUTE)

Twice as many engines of an unnamed version start during the run, any number of controllers is down at a time, one disk is lost, and a zone loses its engines of the version in force. No request may reach the unnamed version.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -248,9 +248,10 @@
     let network = Network::from_seed(scenario.seed);
     let seeds: Vec<String> = (0..scenario.controllers.min(3)).map(|index| network.control(index)).collect();
     let data = disk.map_or(String::new(), |disk| format!("data_dir = {:?}\n", disk.display().to_string()));
+    let contracts: &[&str] = if scenario.has_unnamed_version { &["rollout"] } else { &[] };
     format!(
         "node_name = \"{name}\"\nip = \"{ip}\"\nsource_ip = \"{ip}\"\nzone = \"{}\"\ninternal_ports = [{PEER_PORT}, 7815]\n\
-         seed_peers = {seeds:?}\nbootstrap = true\nquorum_member = {}\n{data}[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n\
+         seed_peers = {seeds:?}\nbootstrap = true\nquorum_member = {}\n{data}contracts = {contracts:?}\n[zones]\na = \"r\"\nb = \"r\"\nc = \"r\"\n\
          [bind_addresses]\n{binds}\n[limits]\nmemory_mb = 260\nfd_limit = 4000\ndisk_mb = 64\n\
          [fault_tolerance]\nmachine_loss = {TOLERATED_DISKS}\nzones = 1\n\
          [bounds]\nconverge_ms = 2000\ngrace_s = {:?}\nbudget_slack = 20.0\nretry_budget = 0.2\nevacuate_ms = {}\n\
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -20,6 +20,7 @@
 mod run;
 mod scenario;
 mod usage;
+mod versions;
 
 pub use fleet::Programs;
 pub use report::{Report, Violation};
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -41,6 +41,8 @@
                 optional --overlaps
                 /// Evacuate zones while engines are slow.
                 optional --evacuations
+                /// Start engines of a version that no rollout names.
+                optional --unnamed-version
                 /// Directory with the executables `router` and `controller` of another build.
                 optional --programs folder: PathBuf
             }
@@ -100,6 +102,7 @@
         has_partitions: flags.partitions,
         has_overlapping_faults: flags.overlaps,
         has_evacuations: flags.evacuations,
+        has_unnamed_version: flags.unnamed_version,
         duration: flags.seconds.map_or(defaults.duration, Duration::from_secs),
         ..defaults
     }
--- a/soak/src/report.rs
+++ b/soak/src/report.rs
@@ -11,6 +11,7 @@
 use crate::process::Incarnation;
 use crate::scenario::Target;
 use crate::usage::UsageLog;
+use crate::versions;
 
 /// A request that was not forwarded may end without a response up to this long after its last byte was sent.
 const CLOSE_RACE_MARGIN: Duration = Duration::from_millis(200);
@@ -40,6 +41,8 @@
     Usage(String),
     /// A request reached an evacuated zone after the bound.
     Evacuation(String),
+    /// A request reached an engine of a version that no rollout names.
+    Version(String),
     /// A tally total includes more than was sent or less than was acknowledged, or controllers did not converge.
     Tally(String),
 }
@@ -85,6 +88,8 @@
     pub tallies: &'a TallyHistory,
     /// The evacuations of zones.
     pub evacuations: &'a [Evacuation],
+    /// The number of engines of the version in force, which come first.
+    pub first_version_engines: usize,
     /// Whether reported counts must be right. With more controllers down than the fleet tolerates, a window is reported
     /// when it is due, without the routers that have not reported again (`docs/usage.md`).
     pub checks_usage_counts: bool,
@@ -112,8 +117,16 @@
     /// Evaluates a run.
     pub fn evaluate(grace_s: f64, histories: &[DaemonHistory], observations: &Observations) -> Report {
         let grace = Duration::from_secs_f64(grace_s);
-        let Observations { attempts, engines, operator, usage, tallies, evacuations, checks_usage_counts } =
-            observations;
+        let Observations {
+            attempts,
+            engines,
+            operator,
+            usage,
+            tallies,
+            evacuations,
+            first_version_engines,
+            checks_usage_counts,
+        } = observations;
         let (changes, adds) = (operator.acknowledged, tallies.acknowledged());
         let mut report = Report {
             attempts: attempts.len(),
@@ -136,6 +149,8 @@
         report.violations.extend(usage_violations.into_iter().map(Violation::Usage));
         let late_arrivals = evacuations::violations(evacuations, &engines.arrivals());
         report.violations.extend(late_arrivals.into_iter().map(Violation::Evacuation));
+        let unnamed_runs = versions::violations(*first_version_engines, &engines.arrivals());
+        report.violations.extend(unnamed_runs.into_iter().map(Violation::Version));
         report.violations.extend(tallies.violations.iter().cloned().map(Violation::Tally));
         report
     }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
-use serde_json::{json, Value};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 use tokio::time;
@@ -19,12 +18,13 @@
 use crate::fleet::{Fleet, Network, Programs, ZONES};
 use crate::http;
 use crate::operator::Operator;
-use crate::platform;
+use crate::platform::{self, EngineList};
 use crate::process::Daemon;
 use crate::relay::{self, ActivePartition};
 use crate::report::{DaemonHistory, Observations, Report};
 use crate::scenario::{Action, Scenario, Target};
 use crate::usage::UsageLog;
+use crate::versions;
 
 /// Timeout for all routers to become ready, for a configuration change to be acknowledged and for the final read.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
@@ -40,7 +40,8 @@
     let engines = Arc::new(EngineLog::default());
     let usage = Arc::new(UsageLog::default());
     let active_partition = ActivePartition::default();
-    let stubs = start_stubs(scenario, &engines, &usage, &active_partition).await?;
+    let list = Arc::<EngineList>::default();
+    let stubs = start_stubs(scenario, &engines, &list, &usage, &active_partition).await?;
     let fleet = Fleet::start(scenario, programs, dir, engines.clone(), active_partition).await?;
     let mut operator = Operator::new(scenario);
     operator.change(START_TIMEOUT).await;
@@ -55,10 +56,11 @@
     for index in 0..scenario.applications {
         applications.spawn(Application::new(scenario, index, tallies.clone()).run(stop.clone()));
     }
-    let (operator, evacuations, partitions) = tokio::join!(
+    let (operator, evacuations, partitions, ()) = tokio::join!(
         operator.run(&stop, START_TIMEOUT),
         evacuate(scenario, &stop),
-        run_schedule(scenario, &fleet, &stop)
+        run_schedule(scenario, &fleet, &stop),
+        versions::change_list(scenario, &list)
     );
     let attempts: Vec<Attempt> = clients.join_all().await.into_iter().flatten().collect();
     applications.join_all().await;
@@ -71,6 +73,7 @@
         operator: &operator,
         tallies: &tallies.lock(),
         evacuations: &evacuations,
+        first_version_engines: scenario.engines,
         checks_usage_counts: !scenario.has_overlapping_faults,
         usage: &usage,
     };
@@ -126,18 +129,15 @@
 async fn start_stubs(
     scenario: &Scenario,
     log: &Arc<EngineLog>,
+    list: &Arc<EngineList>,
     usage: &Arc<UsageLog>,
     active_partition: &ActivePartition,
 ) -> io::Result<JoinSet<()>> {
     let network = Network::from_seed(scenario.seed);
     let mut tasks = JoinSet::new();
-    let mut list: Vec<Value> = Vec::new();
-    for index in 0..scenario.engines {
-        let (id, address) = (engine::engine_id(index), network.engine(index));
-        let phase = if index.is_multiple_of(2) { "prefill" } else { "decode" };
-        list.push(json!({"instance_id": id, "service": "s", "address": address, "zone": ZONES[index % ZONES.len()],
-            "revision": "v1", "slot_count": 64, "oper_state": "up", "ramp_left_ms": 0, "phase": phase,
-            "model_list": [{"name": "m", "revision": 1}]}));
+    list.update(|engines| engines.extend((0..scenario.engines).map(|index| versions::entry(scenario, index))));
+    for index in 0..versions::engine_count(scenario) {
+        let address = network.engine(index);
         let mut listen_address = address.clone();
         if scenario.has_partitions {
             listen_address = network.engine_listen(index);
@@ -147,7 +147,7 @@
         }
         tasks.spawn(engine::serve(TcpListener::bind(&listen_address).await?, index, log.clone()));
     }
-    tasks.spawn(platform::serve(TcpListener::bind(network.platform()).await?, Arc::new(list), usage.clone()));
+    tasks.spawn(platform::serve(TcpListener::bind(network.platform()).await?, list.clone(), usage.clone()));
     Ok(tasks)
 }
 
--- a/soak/src/scenario.rs
+++ b/soak/src/scenario.rs
@@ -37,6 +37,8 @@
     /// Whether zones are evacuated and engines are slow for a while. Only routers get planned maintenance then, because
     /// the bound on evacuations is longer while controllers restart.
     pub has_evacuations: bool,
+    /// Whether engines of a version that no rollout names are started beside the others.
+    pub has_unnamed_version: bool,
     /// Duration of the schedule, from the time at which all routers are ready.
     pub duration: Duration,
 }
@@ -56,6 +58,7 @@
             has_partitions: false,
             has_overlapping_faults: false,
             has_evacuations: false,
+            has_unnamed_version: false,
             duration: Duration::from_secs(14),
         }
     }
@@ -75,6 +78,12 @@
         Scenario { has_overlapping_faults: true, duration: Duration::from_secs(40), ..Scenario::short(seed) }
     }
 
+    /// Returns a scenario with a schedule of 40 seconds, overlapping faults of controllers, and engines of a version that
+    /// no rollout names. Each zone has engines of both phases.
+    pub fn short_with_unnamed_version(seed: u64) -> Scenario {
+        Scenario { has_unnamed_version: true, engines: 6, ..Scenario::short_with_overlapping_faults(seed) }
+    }
+
     /// Returns a scenario with a schedule of 40 seconds, evacuations, and slow engines. Each zone has engines of both
     /// phases.
     pub fn short_with_evacuations(seed: u64) -> Scenario {
