--- a/controller/src/discovery/mod.rs
+++ b/controller/src/discovery/mod.rs
@@ -4,6 +4,7 @@
 pub mod list_history;
 pub mod list_repairs;
 pub mod listing;
+pub mod platform_list;
 pub mod poller;
 pub mod stable_versions;
 pub mod version_census;
--- a/controller/src/discovery/poller.rs
+++ b/controller/src/discovery/poller.rs
@@ -10,55 +10,25 @@
 use membership::PeerReport;
 use protocol::message::{EndpointList, Engine, Gossip, HiddenKey, Message, VersionEntry, ENDPOINT_UPDATES};
 use protocol::version_rollout;
-use reqwest::{Client, StatusCode};
+use reqwest::Client;
 use tokio::time;
 
 use crate::controller::Controller;
 use crate::delivery::limit_confirmations;
-use crate::discovery::listing::{Listing, Page};
+use crate::discovery::listing::Listing;
+use crate::discovery::platform_list::{self, PollError, CALL_TIMEOUT_MS};
 use crate::discovery::stable_versions::{self, CensusSchedule};
-use crate::discovery::version_lists::{self, ListedEngine, PartitionedEngines};
+use crate::discovery::version_lists::{self, PartitionedEngines};
 use crate::event::ENDPOINT_LIST_CHANGED;
 use crate::metrics::{PollLabels, PollOutcome};
 use crate::{http_client, roles};
 
-/// Why a poll failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PollError {
-    /// No valid response: the platform is down or not reachable from here.
-    Unreachable,
-    /// The shared rate limit was exceeded, or the response was not a list.
-    Refused,
-    /// The process was suspended during the poll, so what was read before is too old to be published.
-    Stalled,
-}
-
-impl From<PollError> for PollOutcome {
-    fn from(error: PollError) -> PollOutcome {
-        match error {
-            PollError::Unreachable => PollOutcome::Unreachable,
-            PollError::Refused => PollOutcome::Refused,
-            PollError::Stalled => PollOutcome::Stalled,
-        }
-    }
-}
-
-/// Timeout of one call to the platform, in ms.
-const CALL_TIMEOUT_MS: u64 = 1500;
-/// A step that exceeds its time limit by more than this shows that the process was suspended, in ms.
-const STALL_TOLERANCE_MS: u64 = 500;
 /// Delay after startup in which this controller learns of its peers before it polls, in ms.
 const STARTUP_DELAY_MS: u64 = 160;
 /// The number of polls after which unchanged weight versions are sent again, for controllers that missed them.
 const RESEND_EVERY_POLLS: u32 = 8;
-/// The number of refused calls that a poll tolerates before it fails.
-const MAX_REFUSALS: u32 = 4;
 /// How long after startup polls wait for the committed state, in ms: without it no version is known to be in force.
 const CONFIRMATION_WAIT_MS: u64 = 3000;
-/// The maximum number of pages read in one poll.
-const MAX_PAGES: usize = 1000;
-/// The maximum size of one page, in bytes.
-const MAX_PAGE_BYTES: usize = 16 << 20;
 
 /// Returns the heartbeat entry that marks the platform as unreachable from here; `None` while it is reachable.
 pub fn access_marker(controller: &Controller, now: u64) -> Option<VersionEntry> {
@@ -84,11 +54,6 @@
     (settings.bounds.drain_ms / 5).clamp(250, 1000).max(floor)
 }
 
-/// Returns whether a step with the time limit `allowed_ms` took so long that the process must have been suspended.
-fn stalled(started_at: u64, allowed_ms: u64, now: u64) -> bool {
-    now > started_at + allowed_ms + STALL_TOLERANCE_MS
-}
-
 /// Starts a task per zone that polls the zone's list while this controller is its poller.
 pub fn start(controller: &Arc<Controller>) {
     let client = http_client::reads(controller.settings.source_ip(), Duration::from_millis(700))
@@ -114,7 +79,7 @@
         }
         // Weight versions are read and sent only if there are staleness limits.
         let wants_weights = controller.committed.has_staleness_limits();
-        let outcome = poll(&controller, &client, &zone, wants_weights).await;
+        let outcome = platform_list::read(&controller, &client, &zone, wants_weights).await;
         record_access(&controller, outcome.as_ref().err().copied());
         let result = outcome.as_ref().map_or_else(|error| (*error).into(), |_| PollOutcome::Read);
         controller.metrics.platform_polls.get_or_create(&PollLabels { result }).inc();
@@ -143,13 +108,6 @@
         && controller.committed.confirmed_at().is_none()
 }
 
-/// Reads the engines of one zone. Returns `None` if that fails.
-pub async fn read_engines(controller: &Controller, client: &Client, zone: &str) -> Option<Vec<ListedEngine>> {
-    let mut listing = poll(controller, client, zone, false).await.ok()?;
-    pause_between_calls(call_interval_ms(controller)).await.ok()?;
-    Some(listing.engines_as_of(clock::now()))
-}
-
 /// Records whether the platform responded: a poller that cannot reach the platform is replaced by another controller.
 fn record_access(controller: &Controller, error: Option<PollError>) {
     controller.peers.update(|view| match error {
@@ -216,70 +174,6 @@
     lists.publish(&name, &mut term, controller.replica_id, list, known, now)
 }
 
-async fn poll(controller: &Controller, client: &Client, zone: &str, wants_weights: bool) -> Result<Listing, PollError> {
-    let _permit = controller.engines.poll_permit().await.ok_or(PollError::Refused)?;
-    let known = controller.engines.known_list(zone);
-    let mut listing = Listing::new(known);
-    let mut token: Option<String> = None;
-    let mut refusals = 0;
-    let call_interval_ms = call_interval_ms(controller);
-    loop {
-        let Some(page) = fetch_page(client, &url(controller, zone, token.as_deref())).await? else {
-            // Over the shared rate limit: requests the same page again and keeps the pages read so far.
-            refusals += 1;
-            if refusals > MAX_REFUSALS {
-                return Err(PollError::Refused);
-            }
-            pause_between_calls(call_interval_ms * u64::from(refusals) * 2).await?;
-            continue;
-        };
-        token = page.next_token.clone().filter(|token| !token.is_empty());
-        listing.add(page, wants_weights, clock::now());
-        if token.is_none() || listing.pages >= MAX_PAGES {
-            return Ok(listing);
-        }
-        pause_between_calls(call_interval_ms).await?;
-    }
-}
-
-/// Returns the interval between two calls to the platform at its shared rate limit, in ms.
-fn call_interval_ms(controller: &Controller) -> u64 {
-    (1000.0 / controller.settings.cloud_api.rate_per_s) as u64
-}
-
-fn url(controller: &Controller, zone: &str, token: Option<&str>) -> String {
-    let address = &controller.settings.cloud_api.address;
-    let page = token.map(|token| format!("&page_token={token}")).unwrap_or_default();
-    format!("http://{address}/instances?zone={zone}{page}")
-}
-
-/// Fetches one page. Returns `Ok(None)` if the call was refused because of the shared rate limit.
-async fn fetch_page(client: &Client, url: &str) -> Result<Option<Page>, PollError> {
-    let started_at = clock::now();
-    let reply = http_calls::send(client.get(url)).await.map_err(|_| PollError::Unreachable)?;
-    if reply.status() == StatusCode::TOO_MANY_REQUESTS {
-        return Ok(None);
-    }
-    if reply.status() != StatusCode::OK {
-        return Err(PollError::Refused);
-    }
-    let body = reply.read_body(MAX_PAGE_BYTES).await.map_err(|_| PollError::Unreachable)?;
-    let page = serde_json::from_slice(&body).map_err(|_| PollError::Refused)?;
-    match stalled(started_at, CALL_TIMEOUT_MS, clock::now()) {
-        true => Err(PollError::Stalled),
-        false => Ok(Some(page)),
-    }
-}
-
-async fn pause_between_calls(wait_ms: u64) -> Result<(), PollError> {
-    let started_at = clock::now();
-    time::sleep(Duration::from_millis(wait_ms)).await;
-    match stalled(started_at, wait_ms, clock::now()) {
-        true => Err(PollError::Stalled),
-        false => Ok(()),
-    }
-}
-
 fn publish(controller: &Controller, list: EndpointList) {
     kernel::log_event!(ENDPOINT_LIST_CHANGED, "zone" => list.zone.clone(), "turn" => list.term, "count" => list.sequence,
         "up" => list.engines.iter().filter(|engine| engine.up).count(), "all" => list.engines.len(),
@@ -304,7 +198,3 @@
         };
     }
 }
-
-#[cfg(test)]
-#[path = "poller_tests.rs"]
-mod tests;
--- a/controller/src/discovery/stable_versions.rs
+++ b/controller/src/discovery/stable_versions.rs
@@ -9,7 +9,7 @@
 use reqwest::Client;
 
 use crate::controller::Controller;
-use crate::discovery::poller;
+use crate::discovery::platform_list;
 use crate::discovery::version_census::VersionCensus;
 use crate::discovery::version_lists::PartitionedEngines;
 use crate::event::STABLE_VERSION_RECORDED;
@@ -74,7 +74,7 @@
     }
     let mut engines = Vec::new();
     for zone in controller.settings.zones.keys() {
-        let Some(listed) = poller::read_engines(controller, client, zone).await else { return false };
+        let Some(listed) = platform_list::read_engines(controller, client, zone).await else { return false };
         engines.extend(listed);
     }
     let served_engines: HashSet<String> = controller.engines.read(|lists| {
--- a/controller/src/peers/dispatch.rs
+++ b/controller/src/peers/dispatch.rs
@@ -85,13 +85,13 @@
     match message {
         Message::Gossip(gossip) => gossip::receive(controller, &gossip),
         Message::EndpointList(list) => {
-            if controller.engines.accept(&list, clock::now()) {
+            if controller.engines.accept(&list, now) {
                 controller.catalog.remove_draining(&list);
                 controller.push_updates();
             }
         }
         Message::EndpointUpdate(update) => {
-            if let Some(engines) = controller.engines.apply(&update, clock::now()) {
+            if let Some(engines) = controller.engines.apply(&update, now) {
                 controller.catalog.remove_leaving(&engines);
                 controller.push_updates();
             }
--- a/load_balancing/src/cold_spells_tests.rs
+++ b/load_balancing/src/cold_spells_tests.rs
@@ -1,22 +1,9 @@
 //! When a cold spell counts as another one.
 
-use protocol::message::{Engine, ListVersion};
+use protocol::message::ListVersion;
 
 use super::ColdSpells;
-
-fn engine(id: &str, cold_ms: u32) -> Engine {
-    Engine {
-        id: id.into(),
-        service: "s".into(),
-        addr: "10.1.1.1:80".into(),
-        zone: "a".into(),
-        phase: "decode".into(),
-        model: String::new(),
-        slots: 1,
-        up: true,
-        cold_ms,
-    }
-}
+use crate::testing::engines::engine;
 
 fn version(sequence: u64) -> ListVersion {
     ListVersion { term: 1, sequence }
--- a/load_balancing/src/endpoint_lists_tests.rs
+++ b/load_balancing/src/endpoint_lists_tests.rs
@@ -3,20 +3,7 @@
 
 use super::{EndpointLists, ObservedVersion};
 use crate::cold_spells::END_TOLERANCE_MS;
-
-fn engine(id: &str, cold_ms: u32) -> Engine {
-    Engine {
-        id: id.into(),
-        service: "s".into(),
-        addr: "10.1.1.1:80".into(),
-        zone: "a".into(),
-        phase: "decode".into(),
-        model: String::new(),
-        slots: 1,
-        up: true,
-        cold_ms,
-    }
-}
+use crate::testing::engines::engine;
 
 /// Polls without delay: nothing becomes known between the start and the end of the poll.
 fn poll(lists: &mut EndpointLists, term: &mut u64, replica_id: u64, engines: Vec<Engine>) -> Option<EndpointList> {
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -47,15 +47,9 @@
     operator.change(START_TIMEOUT).await;
     wait_until_ready(scenario).await?;
     let stop = Arc::new(AtomicBool::new(false));
-    let mut clients: JoinSet<Vec<Attempt>> = JoinSet::new();
-    for index in 0..scenario.clients {
-        clients.spawn(Client::new(scenario, index).run(stop.clone()));
-    }
+    let clients = start_clients(scenario, &stop);
     let tallies = Arc::<Mutex<TallyHistory>>::default();
-    let mut applications = JoinSet::new();
-    for index in 0..scenario.applications {
-        applications.spawn(Application::new(scenario, index, tallies.clone()).run(stop.clone()));
-    }
+    let applications = start_applications(scenario, &tallies, &stop);
     let (operator, evacuations, partitions, ()) = tokio::join!(
         operator.run(&stop, START_TIMEOUT),
         evacuate(scenario, &stop),
@@ -82,6 +76,22 @@
     Ok(report)
 }
 
+fn start_clients(scenario: &Scenario, stop: &Arc<AtomicBool>) -> JoinSet<Vec<Attempt>> {
+    let mut clients = JoinSet::new();
+    for index in 0..scenario.clients {
+        clients.spawn(Client::new(scenario, index).run(stop.clone()));
+    }
+    clients
+}
+
+fn start_applications(scenario: &Scenario, tallies: &Arc<Mutex<TallyHistory>>, stop: &Arc<AtomicBool>) -> JoinSet<()> {
+    let mut applications = JoinSet::new();
+    for index in 0..scenario.applications {
+        applications.spawn(Application::new(scenario, index, tallies.clone()).run(stop.clone()));
+    }
+    applications
+}
+
 /// Evacuates zones until `stop` is set, if the scenario has evacuations.
 async fn evacuate(scenario: &Scenario, stop: &AtomicBool) -> Vec<Evacuation> {
     match scenario.has_evacuations {
