A reverted version alone doesn't make a zone's list wait for a record

Found on reading the register's commit: a service of which only a reverted version was up counted as one whose version is not known. A controller without a list of that zone would have published none for the zone's other services either.

Such engines get nothing whichever version is in force, so they no longer count. The new test fails without the condition in version_lists.rs.

--- a/controller/src/discovery/version_lists.rs
+++ b/controller/src/discovery/version_lists.rs
@@ -82,7 +82,10 @@
                 partitioned.withheld.insert(service);
                 continue;
             }
-            if is_up && in_force.is_none() && (rollout.is_some() || self.rollout_required) {
+            // A reverted version is not served whichever version is in force.
+            let may_serve =
+                rollout.is_none_or(|rollout| !rollout.is_unproved(&version) || rollout.is_candidate(&version));
+            if is_up && may_serve && in_force.is_none() && (rollout.is_some() || self.rollout_required) {
                 partitioned.unknown.insert(service);
             }
         }
--- a/controller/src/discovery/version_lists_tests.rs
+++ b/controller/src/discovery/version_lists_tests.rs
@@ -94,6 +94,18 @@
     }
 }
 
+#[test]
+fn a_reverted_version_alone_does_not_make_the_version_in_force_unknown() {
+    let committed = CommittedState {
+        confirmed_at: Some(0),
+        version_rollouts: rollouts(RolloutState::Reverted),
+        ..Default::default()
+    };
+    let reverted_alone = partition(&committed, vec![listed("new-1", "v2", 0)]);
+    assert_eq!(reverted_alone, PartitionedEngines::default(), "other services of the zone must not wait for it");
+    assert_eq!(partition(&committed, two_versions()).unknown, ["s".to_string()].into());
+}
+
 #[test]
 fn all_versions_are_served_if_no_rollout_is_required() {
     let committed = CommittedState::default();
